--- /dev/null
+++ b/include/fulmar/types.hpp
@@ -0,0 +1,147 @@
+// Base types shared by every subsystem: strong ids, units, time and the result type.
+#pragma once
+
+#include <boost/outcome.hpp>
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace fulmar {
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+// A value of one kind that does not convert to another kind with the same representation.
+template <class Tag, class Rep>
+struct strong {
+    using rep = Rep;
+
+    Rep value{};
+
+    auto operator<=>(const strong&) const = default;
+};
+
+template <class Tag, class Rep>
+std::ostream& operator<<(std::ostream& out, const strong<Tag, Rep>& id) {
+    return out << id.value;
+}
+
+using worker_id = strong<struct worker_tag, std::string>;
+using cell_id = strong<struct cell_tag, std::string>;
+using data_centre_id = strong<struct data_centre_tag, std::string>;
+using region_id = strong<struct region_tag, std::string>;
+using rack_id = strong<struct rack_tag, std::string>;
+using host_id = strong<struct host_tag, std::string>;
+using endpoint_id = strong<struct endpoint_tag, std::string>;
+using service_id = strong<struct service_tag, std::string>;
+using team_id = strong<struct team_tag, std::string>;
+using job_id = strong<struct job_tag, std::string>;
+
+// Numbers every claim of a cell; a worker refuses commands with an epoch below the highest it saw.
+using epoch_number = strong<struct epoch_tag, std::uint64_t>;
+// Numbers the starts of one task; each start of a task carries a higher attempt than the last.
+using attempt_number = strong<struct attempt_tag, std::uint32_t>;
+// The store's modification counter for one key; 0 means that the key does not exist.
+using revision_number = strong<struct revision_tag, std::uint64_t>;
+// Numbers accepted configuration documents; hosts apply only higher generations.
+using generation_number = strong<struct generation_tag, std::uint64_t>;
+
+// One task of a job, by its index in the job's task array.
+struct task_id {
+    job_id job;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const task_id&) const = default;
+};
+
+// Units: processors in thousandths of a core, memory in MiB, accelerators in whole devices.
+using millicores = strong<struct millicores_tag, std::int64_t>;
+using mebibytes = strong<struct mebibytes_tag, std::int64_t>;
+using accelerator_count = strong<struct accelerator_tag, std::int64_t>;
+
+// An amount of each resource that a worker offers or a task asks for.
+struct resources {
+    millicores processors;
+    mebibytes memory;
+    accelerator_count accelerators;
+
+    auto operator<=>(const resources&) const = default;
+};
+
+// Adds two amounts resource by resource.
+constexpr resources operator+(const resources& a, const resources& b) {
+    return {{a.processors.value + b.processors.value},
+            {a.memory.value + b.memory.value},
+            {a.accelerators.value + b.accelerators.value}};
+}
+
+// Subtracts two amounts resource by resource; the result may be negative.
+constexpr resources operator-(const resources& a, const resources& b) {
+    return {{a.processors.value - b.processors.value},
+            {a.memory.value - b.memory.value},
+            {a.accelerators.value - b.accelerators.value}};
+}
+
+// Tells whether every resource of `need` is available in `free`.
+constexpr bool fits(const resources& need, const resources& free) {
+    return need.processors.value <= free.processors.value &&
+           need.memory.value <= free.memory.value &&
+           need.accelerators.value <= free.accelerators.value;
+}
+
+// Monotonic time since an unspecified origin on this host; never compared between hosts.
+using duration = std::chrono::milliseconds;
+using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+// Why an operation failed; each kind has its own metric label and HTTP mapping.
+enum class error_kind : std::uint8_t {
+    invalid_argument,
+    not_found,
+    conflict,
+    unauthenticated,
+    forbidden,
+    unavailable,
+    timeout,
+    outcome_unknown,
+    capacity_exceeded,
+    stale_epoch,
+    lease_held,
+    expired,
+    protocol_error,
+};
+
+// Returns the stable machine-readable name of an error kind.
+std::string_view to_string(error_kind kind);
+
+// An error as a value: the kind for programs and a sentence for people.
+struct error {
+    error_kind kind = error_kind::invalid_argument;
+    std::string detail;
+
+    bool operator==(const error&) const = default;
+};
+
+template <class T>
+using result = outcome::basic_result<T, error, outcome::policy::terminate>;
+
+} // namespace fulmar
+
+template <class Tag, class Rep>
+struct std::hash<fulmar::strong<Tag, Rep>> {
+    std::size_t operator()(const fulmar::strong<Tag, Rep>& id) const noexcept {
+        return std::hash<Rep>{}(id.value);
+    }
+};
+
+template <>
+struct std::hash<fulmar::task_id> {
+    std::size_t operator()(const fulmar::task_id& id) const noexcept {
+        constexpr std::size_t golden_ratio = 0x9e3779b97f4a7c15ULL;
+        return std::hash<fulmar::job_id>{}(id.job) ^ (id.index * golden_ratio);
+    }
+};
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
