--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	@$(MAKE) test BUILD=build-sanitize CMAKE_FLAGS=-DFULMAR_SANITIZE=ON
 
 demo: build
-	@BUILD=$(BUILD) bash tools/demo.sh
+	@BUILD=$(BUILD) python3 tools/demo.py
 
 bench: build
 	@$(BUILD)/fulmarwind-bench
--- /dev/null
+++ b/include/fulmar/metrics.hpp
@@ -0,0 +1,43 @@
+// Counters and gauges by name and reason, exported in the Prometheus text format.
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace fulmar {
+
+// Counters and gauges of one process; safe for use by several threads.
+class metrics {
+  public:
+    metrics();
+
+    // Adds to the counter `name`, labelled with the reason unless that is empty.
+    void count(std::string_view name, std::string_view reason = {}, double amount = 1);
+
+    // Sets the gauge `name`, labelled with the reason unless that is empty.
+    void set(std::string_view name, double value, std::string_view reason = {});
+
+    // Returns the present value of a counter; 0 when it was never counted.
+    double value(std::string_view name, std::string_view reason = {}) const;
+
+    // Serializes all metrics.
+    std::string serialize() const;
+
+  private:
+    using series = std::pair<std::string, std::string>;
+
+    mutable std::mutex mutex_;
+    std::shared_ptr<prometheus::Registry> registry_;
+    std::map<series, prometheus::Counter*> counters_;
+    std::map<series, prometheus::Gauge*> gauges_;
+};
+
+} // namespace fulmar
--- /dev/null
+++ b/include/fulmar/settings.hpp
@@ -0,0 +1,79 @@
+// INI settings files: a table of rows says which keys exist, their units and their ranges.
+#pragma once
+
+#include "fulmar/types.hpp"
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace fulmar {
+
+enum class setting_kind : std::uint8_t {
+    text,     // any non-empty text
+    integer,  // decimal number
+    duration, // number with the unit ms, s, min or h
+    size,     // number with the unit B, KiB or MiB
+    address,  // IPv4 address and port, such as 127.0.0.1:8080
+    boolean,  // yes or no
+};
+
+// One accepted key. The key "*" accepts any key of its section. A row without default is required,
+// except for "*". The range applies to integers, milliseconds and bytes.
+struct setting_row {
+    std::string_view section;
+    std::string_view key;
+    setting_kind kind = setting_kind::text;
+    std::string_view default_value;
+    std::int64_t minimum = 0;
+    std::int64_t maximum = std::numeric_limits<std::int64_t>::max();
+    std::string_view description;
+};
+
+// Validated settings: values by section and key, defaults included.
+struct settings {
+    std::string file;
+    std::map<std::pair<std::string, std::string>, std::string> values;
+};
+
+// An IPv4 address and TCP or UDP port; port 0 lets the system choose.
+struct socket_address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const socket_address&) const = default;
+};
+
+// Reads and validates a settings file. Returns invalid_argument that names file, section and key
+// for unknown or missing keys, bad units and values out of range; not_found when the file can't be
+// read.
+result<settings> load_settings(const std::string& file, std::span<const setting_row> rows);
+
+// Validates settings text as load_settings does; `file` only names the source in errors.
+result<settings> parse_settings(const std::string& file, const std::string& text,
+                                std::span<const setting_row> rows);
+
+// Parses an address such as 127.0.0.1:8080; returns invalid_argument for anything else.
+result<socket_address> parse_address(std::string_view text);
+
+// Formats an address as host:port.
+std::string to_string(const socket_address& address);
+
+// Accessors for validated settings; the key must be in the table that the settings were parsed
+// with.
+std::string text_setting(const settings& from, std::string_view section, std::string_view key);
+std::int64_t integer_setting(const settings& from, std::string_view section, std::string_view key);
+duration duration_setting(const settings& from, std::string_view section, std::string_view key);
+std::int64_t size_setting(const settings& from, std::string_view section, std::string_view key);
+socket_address address_setting(const settings& from, std::string_view section,
+                               std::string_view key);
+bool boolean_setting(const settings& from, std::string_view section, std::string_view key);
+
+// Returns all keys and values of one section.
+std::map<std::string, std::string> section_settings(const settings& from, std::string_view section);
+
+} // namespace fulmar
--- a/include/fulmar/types.hpp
+++ b/include/fulmar/types.hpp
@@ -44,8 +44,17 @@
 
 // Numbers every claim of a cell; a worker refuses commands with an epoch below the highest it saw.
 using epoch_number = strong<struct epoch_tag, std::uint64_t>;
-// Numbers the starts of one task; each start of a task carries a higher attempt than the last.
-using attempt_number = strong<struct attempt_tag, std::uint32_t>;
+// Numbers the starts of one task; each start of a task carries a higher attempt than the last. The
+// upper 40 bits are the cell's epoch, the lower 24 a counter, so that a new owner's attempts exceed
+// those of its predecessors even when it has not heard of them.
+using attempt_number = strong<struct attempt_tag, std::uint64_t>;
+inline constexpr unsigned attempt_counter_bits = 24;
+
+// Returns the first attempt that an owner with this epoch may use.
+constexpr attempt_number first_attempt(epoch_number epoch) {
+    return {epoch.value << attempt_counter_bits};
+}
+
 // The store's modification counter for one key; 0 means that the key does not exist.
 using revision_number = strong<struct revision_tag, std::uint64_t>;
 // Numbers accepted configuration documents; hosts apply only higher generations.
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,262 @@
+#include "fulmar/settings.hpp"
+
+#include <ini.h>
+
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <fstream>
+#include <optional>
+#include <sstream>
+
+namespace fulmar {
+
+namespace {
+
+struct unit_row {
+    setting_kind kind;
+    std::string_view name;
+    std::int64_t factor;
+};
+
+// Durations are kept in milliseconds, sizes in bytes.
+constexpr std::array units{unit_row{setting_kind::duration, "ms", 1},
+                           unit_row{setting_kind::duration, "s", 1000},
+                           unit_row{setting_kind::duration, "min", 60'000},
+                           unit_row{setting_kind::duration, "h", 3'600'000},
+                           unit_row{setting_kind::size, "B", 1},
+                           unit_row{setting_kind::size, "KiB", 1024},
+                           unit_row{setting_kind::size, "MiB", 1024 * 1024}};
+
+struct ini_entry {
+    std::string section;
+    std::string key;
+    std::string value;
+};
+
+// Collects one key of the file; inih calls it for every line with a value.
+int collect_entry(void* user, const char* section, const char* name, const char* value) {
+    static_cast<std::vector<ini_entry>*>(user)->push_back({section, name, value});
+    return 1;
+}
+
+// Parses the leading decimal number and leaves the rest of the text in `rest`.
+std::optional<std::int64_t> parse_number(std::string_view text, std::string_view& rest) {
+    std::int64_t number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (problem != std::errc{}) {
+        return std::nullopt;
+    }
+    rest = text.substr(static_cast<std::size_t>(end - text.data()));
+    return number;
+}
+
+// Parses a number with a unit of the given kind; nullopt when number or unit is wrong.
+std::optional<std::int64_t> parse_quantity(setting_kind kind, std::string_view text) {
+    std::string_view unit;
+    const auto number = parse_number(text, unit);
+    if (!number) {
+        return std::nullopt;
+    }
+    if (unit.starts_with(' ')) {
+        unit.remove_prefix(1);
+    }
+    if (kind == setting_kind::integer) {
+        return unit.empty() ? number : std::nullopt;
+    }
+    for (const auto& row : units) {
+        if (row.kind == kind && row.name == unit) {
+            return *number * row.factor;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string_view expected_form(setting_kind kind) {
+    switch (kind) {
+    case setting_kind::integer:
+        return "a whole number";
+    case setting_kind::duration:
+        return "a duration with the unit ms, s, min or h";
+    case setting_kind::size:
+        return "a size with the unit B, KiB or MiB";
+    case setting_kind::address:
+        return "an address such as 127.0.0.1:8080";
+    case setting_kind::boolean:
+        return "yes or no";
+    case setting_kind::text:
+        break;
+    }
+    return "text that is not empty";
+}
+
+// Returns the reason why a value doesn't match its row, or nothing when it does.
+std::optional<std::string> find_problem(const setting_row& row, const std::string& value) {
+    if (row.kind == setting_kind::text) {
+        return value.empty() ? std::optional<std::string>("expected text that is not empty")
+                             : std::nullopt;
+    }
+    bool valid = false;
+    if (row.kind == setting_kind::boolean) {
+        valid = value == "yes" || value == "no";
+    } else if (row.kind == setting_kind::address) {
+        valid = parse_address(value).has_value();
+    } else if (const auto number = parse_quantity(row.kind, value)) {
+        if (*number < row.minimum || *number > row.maximum) {
+            return "out of range, allowed are " + std::to_string(row.minimum) + " to " +
+                   std::to_string(row.maximum) +
+                   (row.kind == setting_kind::duration ? " ms"
+                    : row.kind == setting_kind::size   ? " bytes"
+                                                       : "");
+        }
+        valid = true;
+    }
+    if (valid) {
+        return std::nullopt;
+    }
+    return "expected " + std::string(expected_form(row.kind));
+}
+
+const setting_row* find_row(std::span<const setting_row> rows, const ini_entry& entry) {
+    for (const auto& row : rows) {
+        if (row.section == entry.section && (row.key == entry.key || row.key == "*")) {
+            return &row;
+        }
+    }
+    return nullptr;
+}
+
+error setting_error(const std::string& file, std::string_view section, std::string_view key,
+                    const std::string& problem) {
+    return {error_kind::invalid_argument,
+            file + ": [" + std::string(section) + "] " + std::string(key) + ": " + problem};
+}
+
+std::int64_t quantity_setting(const settings& from, std::string_view section, std::string_view key,
+                              setting_kind kind) {
+    const auto number = parse_quantity(kind, text_setting(from, section, key));
+    assert(number.has_value());
+    return *number;
+}
+
+} // namespace
+
+result<socket_address> parse_address(std::string_view text) {
+    const error malformed{error_kind::invalid_argument, "malformed address: " + std::string(text)};
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return malformed;
+    }
+    std::string_view rest;
+    const auto port = parse_number(text.substr(colon + 1), rest);
+    if (!port || !rest.empty() || *port < 0 || *port > 65535) {
+        return malformed;
+    }
+    const auto host = text.substr(0, colon);
+    int dots = 0;
+    for (const char c : host) {
+        if (c != '.' && (c < '0' || c > '9')) {
+            return malformed;
+        }
+        dots += c == '.' ? 1 : 0;
+    }
+    if (dots != 3) {
+        return malformed;
+    }
+    return socket_address{std::string(host), static_cast<std::uint16_t>(*port)};
+}
+
+std::string to_string(const socket_address& address) {
+    return address.host + ":" + std::to_string(address.port);
+}
+
+result<settings> parse_settings(const std::string& file, const std::string& text,
+                                std::span<const setting_row> rows) {
+    // Step 1: split the text into entries.
+    std::vector<ini_entry> entries;
+    const int bad_line = ini_parse_string(text.c_str(), collect_entry, &entries);
+    if (bad_line != 0) {
+        return error{error_kind::invalid_argument, file + ": line " + std::to_string(bad_line) +
+                                                       ": not a section, key or comment"};
+    }
+
+    // Step 2: match each entry with its row.
+    settings parsed{file, {}};
+    for (const auto& entry : entries) {
+        const setting_row* row = find_row(rows, entry);
+        if (row == nullptr) {
+            return setting_error(file, entry.section, entry.key, "unknown key");
+        }
+        if (const auto problem = find_problem(*row, entry.value)) {
+            return setting_error(file, entry.section, entry.key, *problem);
+        }
+        if (!parsed.values.try_emplace({entry.section, entry.key}, entry.value).second) {
+            return setting_error(file, entry.section, entry.key, "given twice");
+        }
+    }
+
+    // Step 3: fill in defaults and find missing keys.
+    for (const auto& row : rows) {
+        std::pair<std::string, std::string> name{row.section, row.key};
+        if (row.key == "*" || parsed.values.contains(name)) {
+            continue;
+        }
+        if (row.default_value.empty()) {
+            return setting_error(file, row.section, row.key, "missing, and there is no default");
+        }
+        parsed.values.emplace(std::move(name), row.default_value);
+    }
+    return parsed;
+}
+
+result<settings> load_settings(const std::string& file, std::span<const setting_row> rows) {
+    const std::ifstream in(file);
+    if (!in) {
+        return error{error_kind::not_found, file + ": can't be read"};
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return parse_settings(file, text.str(), rows);
+}
+
+std::string text_setting(const settings& from, std::string_view section, std::string_view key) {
+    const auto found = from.values.find({std::string(section), std::string(key)});
+    assert(found != from.values.end());
+    return found->second;
+}
+
+std::int64_t integer_setting(const settings& from, std::string_view section, std::string_view key) {
+    return quantity_setting(from, section, key, setting_kind::integer);
+}
+
+duration duration_setting(const settings& from, std::string_view section, std::string_view key) {
+    return duration(quantity_setting(from, section, key, setting_kind::duration));
+}
+
+std::int64_t size_setting(const settings& from, std::string_view section, std::string_view key) {
+    return quantity_setting(from, section, key, setting_kind::size);
+}
+
+socket_address address_setting(const settings& from, std::string_view section,
+                               std::string_view key) {
+    const auto address = parse_address(text_setting(from, section, key));
+    assert(address.has_value());
+    return address.value();
+}
+
+bool boolean_setting(const settings& from, std::string_view section, std::string_view key) {
+    return text_setting(from, section, key) == "yes";
+}
+
+std::map<std::string, std::string> section_settings(const settings& from,
+                                                    std::string_view section) {
+    std::map<std::string, std::string> found;
+    for (const auto& [name, value] : from.values) {
+        if (name.first == section) {
+            found.emplace(name.second, value);
+        }
+    }
+    return found;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/steady_clock.hpp
@@ -0,0 +1,12 @@
+// The process's monotonic clock. Decision code never reads it; it takes the time as an argument.
+#pragma once
+
+#include "fulmar/types.hpp"
+
+namespace fulmar {
+
+inline time_point steady_now() {
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+} // namespace fulmar
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -4,7 +4,7 @@
 packages=(cmake make g++ clang-format clang-tidy ccache librestinio-dev libasio-dev libjsonrpccpp-dev
     libcurl4-openssl-dev prometheus-cpp-dev libpopt-dev libspdlog-dev libboost-dev
     libtrompeloeil-cpp-dev catch2 libinih-dev nlohmann-json3-dev libmsgpack-cxx-dev libxxhash-dev
-    curl)
+    python3)
 missing=()
 for package in "${packages[@]}"; do
     dpkg-query -W -f '${Status}\n' "$package" 2>/dev/null | grep -q 'install ok installed' ||
