store, worker: add the platform's interfaces, HTTP clients and stand-ins

Cause: the platform's key-value service and workers are not available in tests, and their real protocols must be replaceable in one file each. Change: store_client (compare-and-swap, leases, watches) and worker_client (one sync per worker that renews the lease and carries commands), in-memory models with injected faults, and stand-in programs that serve them over HTTP. write_and_settle resolves a lost reply by reading back.

--- /dev/null
+++ b/include/fulmar/records.hpp
@@ -0,0 +1,103 @@
+// The records kept in the store, with their keys and JSON forms.
+#pragma once
+
+#include "fulmar/types.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fulmar {
+
+// Key prefixes in the store.
+inline constexpr std::string_view jobs_prefix = "jobs/";
+inline constexpr std::string_view cells_prefix = "cells/";
+inline constexpr std::string_view progress_prefix = "progress/";
+inline constexpr std::string_view data_centres_prefix = "dcs/";
+inline constexpr std::string_view workers_prefix = "workers/";
+inline constexpr std::string_view endpoints_prefix = "endpoints/";
+inline constexpr std::string_view members_prefix = "members/";
+inline constexpr std::string_view idempotency_prefix = "idem/";
+inline constexpr std::string_view config_key = "config/current";
+
+enum class data_centre_state : std::uint8_t { in, draining, out, returning };
+
+// Returns the name used in records and the administration API.
+std::string_view to_string(data_centre_state state);
+result<data_centre_state> parse_data_centre_state(std::string_view name);
+
+// dcs/<name>: whether tasks may start in a data centre.
+struct data_centre_record {
+    data_centre_state state = data_centre_state::in;
+    std::string changed_by;
+};
+
+// cells/<cell>: who owns a cell. The record stays when its owner goes, so that epochs only grow;
+// the claim ends when members/<owner> is gone or the owner is empty.
+struct cell_claim {
+    host_id owner;
+    epoch_number epoch;
+};
+
+// members/<instance>: one running scheduler; bound to its store lease, so it goes when that lapses.
+struct member_record {
+    std::string host;
+    std::string address; // host:port for peers
+    data_centre_id data_centre;
+    generation_number generation; // of the configuration in force
+};
+
+// workers/<id>: the platform's description of a worker.
+struct worker_record {
+    std::string address; // host:port
+    cell_id cell;
+    data_centre_id data_centre;
+    rack_id rack;
+};
+
+enum class endpoint_state : std::uint8_t { live, leaving };
+
+// endpoints/<service>/<id>: the platform's lagging list of endpoints.
+struct endpoint_record {
+    std::string address; // host:port
+    data_centre_id data_centre;
+    region_id region;
+    endpoint_state state = endpoint_state::live;
+    std::uint64_t incarnation = 0;
+    std::int64_t slots = 8;
+};
+
+enum class job_kind : std::uint8_t { batch, service, standing_watch };
+
+// jobs/<id>: what a team asked for; written once by the administration API, then only to cancel or
+// to move the job to another cell.
+struct job_record {
+    job_kind kind = job_kind::batch;
+    team_id team;
+    cell_id cell;
+    std::uint32_t tasks = 1;
+    resources need;
+    std::string task_class;
+    std::int64_t run_ms = 0;           // declared; 0 means until stopped
+    std::int64_t deadline_unix_ms = 0; // 0 means none
+    bool urgent = false;
+    bool idempotent = true;
+    bool cancelled = false;
+    epoch_number created_epoch; // claim epoch of the cell that was read before the job was created
+};
+
+// Conversions between records and stored text. Parsing returns protocol_error.
+std::string serialize(const data_centre_record& record);
+std::string serialize(const cell_claim& record);
+std::string serialize(const member_record& record);
+std::string serialize(const worker_record& record);
+std::string serialize(const endpoint_record& record);
+std::string serialize(const job_record& record);
+result<data_centre_record> parse_data_centre_record(std::string_view text);
+result<cell_claim> parse_cell_claim(std::string_view text);
+result<member_record> parse_member_record(std::string_view text);
+result<worker_record> parse_worker_record(std::string_view text);
+result<endpoint_record> parse_endpoint_record(std::string_view text);
+result<job_record> parse_job_record(std::string_view text);
+
+} // namespace fulmar
--- /dev/null
+++ b/include/fulmar/store_http.hpp
@@ -0,0 +1,21 @@
+// Store client over HTTP with JSON bodies.
+#pragma once
+
+#include "fulmar/http_client.hpp"
+#include "fulmar/settings.hpp"
+#include "fulmar/store.hpp"
+
+#include <memory>
+
+namespace fulmar {
+
+// Makes a client that calls the store at `address`; the HTTP client must outlive it. Calls time out
+// after `timeout`, watches after their own wait plus that.
+std::unique_ptr<store_client> make_store_http(http_client& http, const socket_address& address,
+                                              duration timeout);
+
+// Answers one store call on the server side: `name` is the call, `body` its JSON arguments.
+http_response answer_store_call(store_client& store, const std::string& name,
+                                const std::string& body);
+
+} // namespace fulmar
--- /dev/null
+++ b/src/store.cpp
@@ -0,0 +1,28 @@
+#include "fulmar/store.hpp"
+
+namespace fulmar {
+
+result<revision_number> write_and_settle(store_client& store, const store_write& write) {
+    auto written = store.compare_and_swap(write);
+    if (written || (written.error().kind != error_kind::timeout &&
+                    written.error().kind != error_kind::outcome_unknown)) {
+        return written;
+    }
+    const auto found = store.get(write.key);
+    if (!found) {
+        return error{error_kind::outcome_unknown,
+                     write.key + ": reply lost and reading back failed: " + found.error().detail};
+    }
+    if (found.value() && found.value()->revision > write.expected &&
+        found.value()->value == write.value) {
+        return found.value()->revision;
+    }
+    const auto present = found.value() ? found.value()->revision : revision_number{};
+    if (present != write.expected) {
+        return error{error_kind::conflict, write.key + ": changed by another writer"};
+    }
+    // The write may still be on its way, so its absence now proves nothing.
+    return error{error_kind::outcome_unknown, write.key + ": reply lost, write not visible yet"};
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/worker_memory.cpp
@@ -0,0 +1,167 @@
+#include "worker_memory.hpp"
+
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+worker_clock worker_now(time_point now) {
+    return {now.time_since_epoch().count()};
+}
+
+// Ends a running task; its report stays until it is acknowledged.
+void end_task(worker_task& task, task_state state, time_point now) {
+    task.report.state = state;
+    if (state == task_state::checkpointed) {
+        const auto ran = (now - task.started).count();
+        task.report.checkpoint = std::to_string(ran);
+    }
+}
+
+// Starts a task, or returns why not.
+std::optional<error_kind> start_task(worker_model& worker, const worker_command& command,
+                                     time_point now) {
+    auto& last = worker.last_attempt[command.task];
+    if (command.attempt <= last) {
+        const auto known = worker.tasks.find(command.task);
+        const bool repeated =
+            known != worker.tasks.end() && known->second.report.attempt == command.attempt;
+        return repeated ? std::nullopt : std::optional(error_kind::conflict);
+    }
+    if (!fits(command.need, worker.capacity - committed_resources(worker))) {
+        return error_kind::capacity_exceeded;
+    }
+    const auto known = worker.tasks.find(command.task);
+    if (known != worker.tasks.end() && known->second.report.state == task_state::running) {
+        return error_kind::conflict;
+    }
+    last = command.attempt;
+    ++worker.starts;
+    worker_task task;
+    task.report = {command.task, command.attempt,    task_state::running,
+                   command.need, command.task_class, command.checkpoint};
+    task.started = now;
+    task.run_ms = command.run_ms;
+    if (worker.faults.fail_all_starts) {
+        task.report.state = task_state::failed;
+    }
+    worker.tasks[command.task] = std::move(task);
+    return std::nullopt;
+}
+
+std::optional<error_kind> execute(worker_model& worker, const worker_command& command,
+                                  time_point now) {
+    if (worker_now(now) > command.expires_at) {
+        return error_kind::expired;
+    }
+    if (command.kind == command_kind::start) {
+        return start_task(worker, command, now);
+    }
+    const auto found = worker.tasks.find(command.task);
+    if (found == worker.tasks.end() || found->second.report.attempt != command.attempt) {
+        return error_kind::not_found;
+    }
+    if (found->second.report.state != task_state::running) {
+        return std::nullopt;
+    }
+    if (command.kind == command_kind::throttle) {
+        found->second.share = command.share;
+        return std::nullopt;
+    }
+    end_task(found->second,
+             command.kind == command_kind::evict ? task_state::checkpointed : task_state::stopped,
+             now);
+    return std::nullopt;
+}
+
+void forget_acknowledged(worker_model& worker, const std::vector<task_ack>& acks) {
+    for (const auto& ack : acks) {
+        const auto found = worker.tasks.find(ack.task);
+        if (found == worker.tasks.end() || found->second.report.attempt != ack.attempt ||
+            found->second.report.state == task_state::running) {
+            continue;
+        }
+        worker.tasks.erase(found);
+    }
+}
+
+} // namespace
+
+resources committed_resources(const worker_model& worker) {
+    resources sum;
+    for (const auto& [id, task] : worker.tasks) {
+        if (task.report.state == task_state::running) {
+            sum = sum + task.report.need;
+        }
+    }
+    return sum;
+}
+
+void advance_worker(worker_model& worker, time_point now) {
+    const bool lease_lapsed = now >= worker.lease_end;
+    for (auto& [id, task] : worker.tasks) {
+        if (task.report.state != task_state::running) {
+            continue;
+        }
+        const auto ends = task.started + duration(task.run_ms);
+        if (task.run_ms > 0 && now >= ends && (!lease_lapsed || ends <= worker.lease_end)) {
+            end_task(task, task_state::finished, ends);
+        } else if (lease_lapsed) {
+            end_task(task, task_state::checkpointed, worker.lease_end);
+        }
+    }
+}
+
+result<sync_reply> handle_sync(worker_model& worker, const sync_request& request, time_point now) {
+    advance_worker(worker, now);
+
+    // Step 1: decide on the lease.
+    if (!worker.first_boot && now < worker.started + worker.silence) {
+        return error{error_kind::lease_held, "silent after a restart"};
+    }
+    if (request.epoch < worker.epoch) {
+        return error{error_kind::stale_epoch, "epoch " + std::to_string(request.epoch.value) +
+                                                  " is below " +
+                                                  std::to_string(worker.epoch.value)};
+    }
+    if (request.epoch == worker.epoch && request.holder != worker.holder &&
+        now < worker.lease_end) {
+        return error{error_kind::lease_held, "held by " + worker.holder.value};
+    }
+    worker.holder = request.holder;
+    worker.epoch = request.epoch;
+    worker.lease_end = now + duration(request.lease_ms);
+
+    // Step 2: execute.
+    sync_reply reply;
+    forget_acknowledged(worker, request.acks);
+    for (const auto& command : request.commands) {
+        reply.results.push_back({command.task, command.attempt, execute(worker, command, now)});
+    }
+    assert(fits(committed_resources(worker), worker.capacity));
+
+    // Step 3: report.
+    reply.now = worker_now(now);
+    reply.incarnation = worker.incarnation;
+    reply.capacity = worker.capacity;
+    for (const auto& [id, task] : worker.tasks) {
+        if (request.full_inventory || task.report.state != task_state::running) {
+            reply.tasks.push_back(task.report);
+        }
+    }
+    return reply;
+}
+
+void restart_worker(worker_model& worker, time_point now) {
+    worker.tasks.clear();
+    worker.last_attempt.clear();
+    worker.holder = {};
+    worker.epoch = {};
+    worker.lease_end = {};
+    worker.first_boot = false;
+    worker.started = now;
+    ++worker.incarnation;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/worker_memory.hpp
@@ -0,0 +1,49 @@
+// In-memory model of a worker that follows the worker API; behind standin_worker and the tests.
+#pragma once
+
+#include "fulmar/worker.hpp"
+
+#include <map>
+
+namespace fulmar {
+
+struct worker_task {
+    task_report report;
+    time_point started;
+    std::int64_t run_ms = 0;
+    std::int64_t share = 100;
+};
+
+struct worker_faults {
+    bool fail_all_starts = false; // every started task fails at once
+};
+
+struct worker_model {
+    worker_id id;
+    resources capacity;
+    std::uint64_t incarnation = 1;
+    time_point started;       // of the worker process
+    duration silence{10'000}; // no lease is granted for this long after a restart
+    bool first_boot = true;   // a machine that never ran before needs no silence
+    host_id holder;
+    epoch_number epoch; // highest seen
+    time_point lease_end;
+    std::map<task_id, worker_task> tasks;
+    std::map<task_id, attempt_number> last_attempt;
+    worker_faults faults;
+    std::uint64_t starts = 0;
+};
+
+// Ends tasks whose run time is over, and checkpoints all running ones when the lease has lapsed.
+void advance_worker(worker_model& worker, time_point now);
+
+// Handles one sync at time `now`. Returns lease_held or stale_epoch when the lease isn't granted.
+result<sync_reply> handle_sync(worker_model& worker, const sync_request& request, time_point now);
+
+// Restarts the worker process: tasks, lease, epoch and attempts are gone.
+void restart_worker(worker_model& worker, time_point now);
+
+// Sums the resources of all running tasks.
+resources committed_resources(const worker_model& worker);
+
+} // namespace fulmar
