scheduler: place tasks of claimed cells under worker leases

Cause: first end-to-end path of the scheduler. Change: cell_control as a state machine without I/O or clock: claim and freshness (cell_lease), reports and requeues (cell_reports), group commit of completions, checkpoints and intents (cell_progress), best-fit placement. A non-idempotent start needs its intent in the store first.

--- /dev/null
+++ b/src/cell_progress.cpp
@@ -0,0 +1,99 @@
+#include "cell_progress.hpp"
+
+#include "fulmar/json.hpp"
+
+namespace fulmar {
+
+namespace {
+
+// Stores a set of indexes as [first, last] pairs, so that a finished job of any size stays small.
+json ranges_of(const std::set<std::uint32_t>& indexes) {
+    json ranges = json::array();
+    for (const std::uint32_t index : indexes) {
+        if (!ranges.empty() && ranges.back()[1].get<std::uint32_t>() + 1 == index) {
+            ranges.back()[1] = index;
+        } else {
+            ranges.push_back({index, index});
+        }
+    }
+    return ranges;
+}
+
+std::set<std::uint32_t> indexes_of(const json& ranges) {
+    std::set<std::uint32_t> indexes;
+    for (const auto& range : ranges) {
+        const auto last = range.at(1).get<std::uint32_t>();
+        for (auto index = range.at(0).get<std::uint32_t>(); index <= last; ++index) {
+            indexes.insert(indexes.end(), index);
+        }
+    }
+    return indexes;
+}
+
+// Adds a set to the job's object unless it is empty.
+void put_set(json& out, const char* key, const std::set<std::uint32_t>& indexes) {
+    if (!indexes.empty()) {
+        out[key] = ranges_of(indexes);
+    }
+}
+
+std::set<std::uint32_t> take_set(const json& in, const char* key) {
+    return in.contains(key) ? indexes_of(in.at(key)) : std::set<std::uint32_t>{};
+}
+
+} // namespace
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(committed_checkpoint, attempt, checkpoint)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(committed_intent, attempt, worker)
+
+void to_json(json& out, const job_progress& in) {
+    out = json::object();
+    put_set(out, "finished", in.finished);
+    put_set(out, "parked", in.parked);
+    put_set(out, "unknown", in.outcome_unknown);
+    put_set(out, "cancelled", in.cancelled);
+    if (!in.checkpoints.empty()) {
+        out["checkpoints"] = in.checkpoints;
+    }
+    if (!in.intents.empty()) {
+        out["intents"] = in.intents;
+    }
+    if (!in.failures.empty()) {
+        out["failures"] = in.failures;
+    }
+}
+
+void from_json(const json& in, job_progress& out) {
+    out.finished = take_set(in, "finished");
+    out.parked = take_set(in, "parked");
+    out.outcome_unknown = take_set(in, "unknown");
+    out.cancelled = take_set(in, "cancelled");
+    out.checkpoints = in.value("checkpoints", out.checkpoints);
+    out.intents = in.value("intents", out.intents);
+    out.failures = in.value("failures", out.failures);
+}
+
+void to_json(json& out, const cell_progress& in) {
+    json jobs = json::object();
+    for (const auto& [id, progress] : in.jobs) {
+        jobs[id.value] = progress;
+    }
+    out = json{{"epoch", in.epoch}, {"jobs", std::move(jobs)}};
+}
+
+void from_json(const json& in, cell_progress& out) {
+    in.at("epoch").get_to(out.epoch);
+    for (const auto& [id, progress] : in.at("jobs").items()) {
+        out.jobs[job_id{id}] = progress.get<job_progress>();
+    }
+}
+
+std::string serialize(const cell_progress& progress) {
+    return json(progress).dump();
+}
+
+result<cell_progress> parse_cell_progress(std::string_view text) {
+    return parse_json<cell_progress>(text);
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/cell_progress.hpp
@@ -0,0 +1,44 @@
+// What must survive a cell's owner: completions, checkpoints, intents and failures of its tasks.
+#pragma once
+
+#include "fulmar/types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace fulmar {
+
+struct committed_checkpoint {
+    attempt_number attempt; // that was evicted
+    std::string checkpoint;
+};
+
+// A non-idempotent start that may have happened.
+struct committed_intent {
+    attempt_number attempt;
+    worker_id worker;
+};
+
+struct job_progress {
+    std::set<std::uint32_t> finished;
+    std::map<std::uint32_t, committed_checkpoint> checkpoints;
+    std::map<std::uint32_t, committed_intent> intents;
+    std::map<std::uint32_t, std::uint32_t> failures;
+    std::set<std::uint32_t> parked;
+    std::set<std::uint32_t> outcome_unknown;
+    std::set<std::uint32_t> cancelled;
+};
+
+// progress/<cell>: written by the cell's owner only, at its epoch.
+struct cell_progress {
+    epoch_number epoch;
+    std::map<job_id, job_progress> jobs;
+};
+
+// Conversions to stored text; sets of indexes are stored as ranges. Parsing returns protocol_error.
+std::string serialize(const cell_progress& progress);
+result<cell_progress> parse_cell_progress(std::string_view text);
+
+} // namespace fulmar
--- /dev/null
+++ b/src/scheduler.hpp
@@ -0,0 +1,36 @@
+// The scheduler daemon: runs the cells of one data centre on a control thread and does their I/O on
+// others.
+#pragma once
+
+#include "cell_control.hpp"
+#include "fulmar/daemon.hpp"
+#include "fulmar/store.hpp"
+#include "fulmar/worker.hpp"
+
+#include <memory>
+#include <span>
+
+namespace fulmar {
+
+struct scheduler_settings {
+    host_id host;
+    data_centre_id data_centre;
+    socket_address operator_address;
+    socket_address store_address;
+    duration store_timeout{1'000};
+    duration worker_timeout{1'500};
+    duration tick{100};
+    duration member_lease{6'000};
+    cell_timing timing;
+};
+
+// The accepted keys of fulmar_scheduler's settings file.
+std::span<const setting_row> scheduler_setting_rows();
+
+// Fills the aggregate from validated settings.
+scheduler_settings parse_scheduler_settings(const settings& from);
+
+// Runs until SIGTERM. Returns an exit code.
+int run_scheduler(const scheduler_settings& options);
+
+} // namespace fulmar
