demo: run a request, a batch job and a drain through the real programs

Cause: a stranger should see the main path work with one command. Change: thin gate, administration daemon and fulmarctl; tools/demo.py starts two data centres on loopback, checks a request, two jobs, a drain and a return, and stops everything with SIGTERM.

--- /dev/null
+++ b/src/admin.hpp
@@ -0,0 +1,26 @@
+// The administration daemon: accepts declared resources over HTTP and shows their state.
+#pragma once
+
+#include "fulmar/daemon.hpp"
+
+#include <span>
+
+namespace fulmar {
+
+struct admin_settings {
+    socket_address address;
+    socket_address store_address;
+    duration store_timeout{1'000};
+    std::string token_file;
+};
+
+// The accepted keys of fulmar_admin's settings file.
+std::span<const setting_row> admin_setting_rows();
+
+// Fills the aggregate from validated settings.
+admin_settings parse_admin_settings(const settings& from);
+
+// Runs until SIGTERM. Returns an exit code.
+int run_admin(const admin_settings& options);
+
+} // namespace fulmar
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,257 @@
+#!/usr/bin/env python3
+"""Starts two data centres' worth of the real programs on loopback and checks the main path.
+
+Prints an account of every step. The exit code is 0 only when every step gave the right result.
+"""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+BUILD = pathlib.Path(os.environ.get("BUILD", "build")).resolve()
+DATA_CENTRES = ("jepara-a", "kudus-b")
+REGION = "jateng"
+SERVICE = "meja-pesanan"
+WORKERS_PER_DATA_CENTRE = 3
+STEP_LIMIT_S = 60  # generous, so that a loaded machine gives the same verdict
+
+
+def free_ports(count):
+    """Returns ports below the ephemeral range, where no outgoing connection can take them."""
+    ports = []
+    candidate = 20000 + os.getpid() % 5000
+    while len(ports) < count:
+        candidate += 1
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", candidate))
+                ports.append(candidate)
+            except OSError:
+                continue
+    return ports
+
+
+class Failure(Exception):
+    """A step gave a wrong result."""
+
+
+class Installation:
+    """The running programs, their settings files and addresses."""
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.processes = {}
+        self.addresses = {}
+        self.ports = iter(free_ports(40))
+
+    def address(self, name):
+        if name not in self.addresses:
+            self.addresses[name] = f"127.0.0.1:{next(self.ports)}"
+        return self.addresses[name]
+
+    def start(self, program, name, sections):
+        settings = self.folder / f"{name}.ini"
+        lines = []
+        for section, keys in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in keys.items()]
+        settings.write_text("\n".join(lines) + "\n")
+        log = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [BUILD / program, "--settings", settings], stdout=log, stderr=log
+        )
+
+    def start_all(self):
+        store = {"address": self.address("store")}
+        self.start("standin_store", "store", {"store": store})
+        wait_for("the store answers", lambda: get(self.address("store"), "/")[0] == 200)
+        for data_centre in DATA_CENTRES:
+            host = {"name": f"entry-{data_centre}", "data_centre": data_centre}
+            for index in range(WORKERS_PER_DATA_CENTRE):
+                name = f"worker-{data_centre}-{index}"
+                self.start("standin_worker", name, {
+                    "worker": {"id": name, "address": self.address(name),
+                               "data_centre": data_centre, "cell": f"{data_centre}-1",
+                               "rack": f"rack-{index}"},
+                    "store": store,
+                })
+            name = f"endpoint-{data_centre}"
+            self.start("standin_endpoint", name, {
+                "endpoint": {"id": name, "service": SERVICE, "address": self.address(name),
+                             "data_centre": data_centre, "region": REGION},
+                "store": store,
+            })
+            self.start("fulmar_scheduler", f"scheduler-{data_centre}", {
+                "host": host, "store": store,
+                "operator": {"address": self.address(f"scheduler-{data_centre}")},
+            })
+            self.start("fulmar_gate", f"gate-{data_centre}", {
+                "host": {**host, "region": REGION}, "store": store,
+                "callers": {"address": self.address(f"gate-{data_centre}")},
+                "operator": {"address": self.address(f"gate-operator-{data_centre}")},
+            })
+        token = self.folder / "token"
+        token.write_text("demo-token\n")
+        self.start("fulmar_admin", "admin", {
+            "admin": {"address": self.address("admin"), "token_file": token}, "store": store,
+        })
+
+    def ctl(self, *arguments):
+        done = subprocess.run(
+            [BUILD / "fulmarctl", "--server", self.address("admin"), "--token-file",
+             self.folder / "token", *arguments],
+            capture_output=True, text=True, check=False,
+        )
+        return done.returncode, done.stdout or done.stderr
+
+    def status(self, data_centre):
+        return json.loads(get(self.address(f"scheduler-{data_centre}"), "/status")[1])
+
+    def worker_starts(self, data_centre):
+        total = 0
+        for index in range(WORKERS_PER_DATA_CENTRE):
+            total += json.loads(get(self.address(f"worker-{data_centre}-{index}"), "/state")[1])["starts"]
+        return total
+
+    def stop_all(self):
+        """Stops every program with SIGTERM; returns the names of those that did not end well."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGTERM)
+        bad = []
+        for name, process in self.processes.items():
+            try:
+                if process.wait(timeout=STEP_LIMIT_S) != 0:
+                    bad.append(f"{name} (exit code {process.returncode})")
+            except subprocess.TimeoutExpired:
+                bad.append(f"{name} (did not stop)")
+                process.kill()
+        return bad
+
+
+def get(address, path, body=None):
+    request = urllib.request.Request(f"http://{address}{path}", data=body)
+    try:
+        with urllib.request.urlopen(request, timeout=10) as response:
+            return response.status, response.read().decode(), dict(response.headers)
+    except urllib.error.HTTPError as failure:
+        return failure.code, failure.read().decode(), dict(failure.headers)
+    except OSError:
+        return 0, "", {}
+
+
+def wait_for(what, condition):
+    """Polls until the condition holds; a step that takes too long is a failure."""
+    deadline = time.monotonic() + STEP_LIMIT_S
+    while time.monotonic() < deadline:
+        try:
+            if condition():
+                print(f"  ok: {what}", flush=True)
+                return
+        except (ValueError, KeyError):
+            pass
+        time.sleep(0.05)
+    raise Failure(what)
+
+
+def check(what, holds):
+    if not holds:
+        raise Failure(what)
+    print(f"  ok: {what}", flush=True)
+
+
+def submit(installation, name, cell, tasks, run_ms, **extra):
+    job = {"kind": "batch", "team": "renders", "cell": cell, "tasks": tasks, "run_ms": run_ms,
+           "task_class": "pattern-render", "need": {"processors": 2000, "memory": 1000,
+                                                    "accelerators": 0}, **extra}
+    file = installation.folder / f"{name}.json"
+    file.write_text(json.dumps(job))
+    code, text = installation.ctl("--file", str(file), "submit", name)
+    check(f"job {name} is accepted: {text.strip()}", code == 0)
+
+
+def finished(installation, name):
+    code, text = installation.ctl("get", name)
+    return json.loads(text)["finished"] if code == 0 else -1
+
+
+def run(installation):
+    first, second = DATA_CENTRES
+    print("1. start the programs")
+    installation.start_all()
+    wait_for("the administration API answers",
+             lambda: get(installation.address("admin"), "/readyz")[0] == 200)
+    for data_centre in DATA_CENTRES:
+        wait_for(f"data centre {data_centre} is put in",
+                 lambda dc=data_centre: installation.ctl("resume", dc)[0] == 0)
+        wait_for(f"the scheduler of {data_centre} owns its cell", lambda dc=data_centre:
+                 installation.status(dc)["cells"][f"{dc}-1"]["claimed"])
+
+    print("2. a desk request is answered")
+    gate = installation.address(f"gate-{first}")
+    wait_for("the gate knows an endpoint",
+             lambda: get(gate, f"/{SERVICE}/preview", b"glaze 7")[0] == 200)
+    status, body, headers = get(gate, f"/{SERVICE}/preview", b"glaze 42")
+    check(f"answer to this request: {body}", status == 200
+          and json.loads(body)["echo"] == "glaze 42" and headers["Fulmar-Outcome"] == "answered")
+    check("the nearest endpoint answered", json.loads(body)["endpoint"] == f"endpoint-{first}")
+    status, body, headers = get(gate, "/no-such-service/x")
+    check(f"an unknown service is refused: {headers.get('Fulmar-Reason')}",
+          status == 503 and headers["Fulmar-Outcome"] == "not_run")
+
+    print("3. a batch job runs to its end")
+    submit(installation, "renders-1", f"{first}-1", 20, 200)
+    wait_for("all 20 tasks finished", lambda: finished(installation, "renders-1") == 20)
+    check("each task started once", installation.worker_starts(first) == 20)
+    submit(installation, "order-1", f"{first}-1", 3, 100, idempotent=False)
+    wait_for("a non-idempotent job finished", lambda: finished(installation, "order-1") == 3)
+    check("each of its tasks started once", installation.worker_starts(first) == 23)
+
+    print("4. a data centre is taken out and brought back")
+    code, _ = installation.ctl("drain", second)
+    check(f"{second} is being drained", code == 0)
+    wait_for("its scheduler knows",
+             lambda: installation.status(second)["cells"][f"{second}-1"]["state"] == "draining")
+    submit(installation, "renders-2", f"{second}-1", 5, 100)
+    wait_for("the job's tasks wait there", lambda:
+             installation.status(second)["cells"][f"{second}-1"]["tasks"].get("waiting") == 5)
+    time.sleep(2)
+    check("nothing started there", installation.worker_starts(second) == 0)
+    check(f"{second} is brought back", installation.ctl("resume", second)[0] == 0)
+    wait_for("all 5 tasks finished", lambda: finished(installation, "renders-2") == 5)
+    check("each of its tasks started once", installation.worker_starts(second) == 5)
+
+
+def main():
+    with tempfile.TemporaryDirectory(prefix="fulmarwind-demo-") as folder:
+        installation = Installation(folder)
+        problem = None
+        try:
+            run(installation)
+        except Failure as failure:
+            problem = str(failure)
+        print("5. stop everything with SIGTERM")
+        bad = installation.stop_all()
+        if not bad:
+            print("  ok: every program ended with exit code 0")
+        elif problem is None:
+            problem = "not stopped cleanly: " + ", ".join(bad)
+        if problem is None:
+            print("demo: passed")
+            return 0
+        print(f"demo: FAILED: {problem}")
+        for log in sorted(pathlib.Path(folder).glob("*.log")):
+            print(f"--- {log.name}")
+            print("\n".join(log.read_text().splitlines()[-5:]))
+        return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
