records: add the configuration record and its validated fields

Cause: gate, scheduler and administration API need one definition of what operators may change at run time.

--- a/include/fulmar/records.hpp
+++ b/include/fulmar/records.hpp
@@ -39,8 +39,9 @@
     epoch_number epoch;
 };
 
-// members/<instance>: one running scheduler; bound to its store lease, so it goes when that lapses.
+// members/<instance>: one running daemon; bound to its store lease, so it goes when that lapses.
 struct member_record {
+    std::string program; // such as fulmar_scheduler
     std::string host;
     std::string address; // host:port for peers
     data_centre_id data_centre;
@@ -55,6 +56,14 @@
     rack_id rack;
 };
 
+// config/current: the accepted configuration.
+struct config_record {
+    generation_number generation;
+    std::string document; // JSON text, see parse_runtime_config
+    std::string accepted_by;
+    std::int64_t accepted_unix_ms = 0;
+};
+
 enum class endpoint_state : std::uint8_t { live, leaving };
 
 // endpoints/<service>/<id>: the platform's lagging list of endpoints.
@@ -91,12 +100,14 @@
 std::string serialize(const cell_claim& record);
 std::string serialize(const member_record& record);
 std::string serialize(const worker_record& record);
+std::string serialize(const config_record& record);
 std::string serialize(const endpoint_record& record);
 std::string serialize(const job_record& record);
 result<data_centre_record> parse_data_centre_record(std::string_view text);
 result<cell_claim> parse_cell_claim(std::string_view text);
 result<member_record> parse_member_record(std::string_view text);
 result<worker_record> parse_worker_record(std::string_view text);
+result<config_record> parse_config_record(std::string_view text);
 result<endpoint_record> parse_endpoint_record(std::string_view text);
 result<job_record> parse_job_record(std::string_view text);
 
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -18,7 +18,9 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(data_centre_record, state, changed_by)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cell_claim, owner, epoch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_record, host, address, data_centre, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_record, generation, document, accepted_by,
+                                   accepted_unix_ms)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_record, program, host, address, data_centre, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_record, address, cell, data_centre, rack)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(endpoint_record, address, data_centre, region, state,
                                    incarnation, slots)
@@ -70,6 +72,10 @@
     return json(record).dump();
 }
 
+std::string serialize(const config_record& record) {
+    return json(record).dump();
+}
+
 std::string serialize(const endpoint_record& record) {
     return json(record).dump();
 }
@@ -94,6 +100,10 @@
     return parse_json<worker_record>(text);
 }
 
+result<config_record> parse_config_record(std::string_view text) {
+    return parse_json<config_record>(text);
+}
+
 result<endpoint_record> parse_endpoint_record(std::string_view text) {
     return parse_json<endpoint_record>(text);
 }
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -258,7 +258,8 @@
     if (!lease) {
         return std::nullopt;
     }
-    const member_record record{self.options.host.value,
+    const member_record record{"fulmar_scheduler",
+                               self.options.host.value,
                                to_string(self.options.operator_address),
                                self.options.data_centre,
                                {}};
