demo: reserve a block of ports for each run

Cause: two demos started at the same time chose overlapping ports, because ports were probed and released before the programs bound them. Change: each run holds the first port of a block of 50 and uses only ports of that block.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,6 +15,8 @@
 import urllib.error
 import urllib.request
 
+from ports import reserve_ports
+
 BUILD = pathlib.Path(os.environ.get("BUILD", "build")).resolve()
 DATA_CENTRES = ("jepara-a", "kudus-b")
 REGION = "jateng"
@@ -24,21 +25,6 @@
 STEP_LIMIT_S = 60  # generous, so that a loaded machine gives the same verdict
 
 
-def free_ports(count):
-    """Returns ports below the ephemeral range, where no outgoing connection can take them."""
-    ports = []
-    candidate = 20000 + os.getpid() % 5000
-    while len(ports) < count:
-        candidate += 1
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", candidate))
-                ports.append(candidate)
-            except OSError:
-                continue
-    return ports
-
-
 class Failure(Exception):
     """A step gave a wrong result."""
 
@@ -50,7 +36,8 @@
         self.folder = pathlib.Path(folder)
         self.processes = {}
         self.addresses = {}
-        self.ports = iter(free_ports(40))
+        self.lock, ports = reserve_ports()
+        self.ports = iter(ports)
 
     def address(self, name):
         if name not in self.addresses:
