membership: adopt the cells of dead schedulers and spread the configuration

Cause: a cell waited for its owner's store lease, which nobody could take while the store was away, so the tasks of a dead scheduler ended with their worker leases after 10 s; and configuration changes had no path to the daemons. Change: heartbeats over UDP (MessagePack, every 600 ms) between the schedulers of a data centre; after 3 s of silence the rendezvous-chosen peer takes the workers under the next epoch without the store and claims the cell when the store answers. A lapsed member lease suspends claims instead of giving the cells up: with giving up, each store outage over 6 s would have reset every cell. Cells move to a settled peer only when the owner has two more than its share, so that a restart moves nothing else. Configuration: only higher generations apply, from the store or, while it is away, from all peers over JSON-RPC (libjsonrpccpp). SIGTERM stores pending commits and hands the cells over.

--- a/include/fulmar/records.hpp
+++ b/include/fulmar/records.hpp
@@ -43,7 +43,8 @@
 struct member_record {
     std::string program; // such as fulmar_scheduler
     std::string host;
-    std::string address; // host:port for peers
+    std::string address;           // host:port of the operator port, which also answers peers
+    std::string heartbeat_address; // host:port (UDP); empty for daemons without heartbeats
     data_centre_id data_centre;
     generation_number generation; // of the configuration in force
 };
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -20,7 +20,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cell_claim, owner, epoch)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_record, generation, document, accepted_by,
                                    accepted_unix_ms)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_record, program, host, address, data_centre, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(member_record, program, host, address,
+                                                heartbeat_address, data_centre, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_record, address, cell, data_centre, rack)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(endpoint_record, address, data_centre, region, state,
                                    incarnation, slots)
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -1,33 +1,38 @@
 #include "scheduler.hpp"
 
-#include "control_queue.hpp"
-#include "fulmar/http_client.hpp"
 #include "fulmar/json.hpp"
-#include "fulmar/store_http.hpp"
 #include "fulmar/worker_http.hpp"
+#include "peer_rpc.hpp"
+#include "scheduler_state.hpp"
+#include "scheduler_store.hpp"
 #include "steady_clock.hpp"
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
-#include <future>
-#include <map>
-#include <random>
+#include <set>
 #include <thread>
 
 namespace fulmar {
 
 namespace {
 
-constexpr duration watch_wait{1'500};
-constexpr duration keep_alive_interval{1'500};
-constexpr duration retry_interval{500};
+// Longest time that a shutdown waits for the last group commits.
+constexpr duration hand_over_limit{3'000};
 
 constexpr std::array rows{
     setting_row{"host", "name", setting_kind::text, "", 0, 0, "name of this host"},
     setting_row{"host", "data_centre", setting_kind::text, "", 0, 0, "data centre of this host"},
     setting_row{"operator", "address", setting_kind::address, "127.0.0.1:0", 0, 0,
                 "where metrics, health and cell status are served"},
+    setting_row{"heartbeats", "address", setting_kind::address, "127.0.0.1:0", 0, 0,
+                "UDP address for heartbeats of the data centre's schedulers"},
+    setting_row{"peers", "*", setting_kind::address, "", 0, 0,
+                "heartbeat address of another scheduler of the data centre, by its name; needed "
+                "only to find peers while the store is away"},
+    setting_row{"peer_operators", "*", setting_kind::address, "", 0, 0,
+                "operator address of a peer, asked for the configuration while the store is away"},
     setting_row{"store", "address", setting_kind::address, "", 0, 0, "the platform's store"},
     setting_row{"store", "timeout", setting_kind::duration, "1 s", 10, 10'000,
                 "longest wait for a store call"},
@@ -45,104 +50,15 @@
                 "age beyond which state read from the store permits no start"},
 };
 
-// Names one run of this process, so that a restarted scheduler isn't taken for its predecessor.
-host_id make_instance(const host_id& host) {
-    std::random_device entropy;
-    return {host.value + "." + std::to_string(entropy())};
-}
-
-struct scheduler {
-    scheduler_settings options;
-    host_id instance;
-    metrics counters;
-    http_client http;
-    control_queue queue;
-    std::atomic<bool> stopping{false};
-    std::atomic<bool> ready{false};
-
-    // Owned by the control thread.
-    std::map<cell_id, cell_state> cells;
-    std::map<job_id, job_row> jobs; // of all cells of this data centre, owned by us or not
-    std::optional<data_centre_state> state;
-    std::optional<time_point> state_confirmed;
-
-    // Guards what other threads read of the control state.
-    std::mutex shared_mutex;
-    std::map<worker_id, std::string> shared_addresses;
-    std::string status = "{}";
-
-    std::unique_ptr<store_client> make_store() {
-        return make_store_http(http, options.store_address, options.store_timeout);
-    }
-};
-
-// --- Control thread
-// -------------------------------------------------------------------------------
-
-// Takes a worker's description and creates its cell when it is new.
-void take_worker(scheduler& self, const worker_id& id, const worker_record& record) {
-    if (record.data_centre != self.options.data_centre) {
-        return;
-    }
-    auto at = self.cells.find(record.cell);
-    if (at == self.cells.end()) {
-        at = self.cells
-                 .emplace(record.cell, make_cell(record.cell, self.options.data_centre,
-                                                 self.instance, self.options.timing, self.counters))
-                 .first;
-        if (self.state) {
-            on_data_centre_state(at->second, *self.state, *self.state_confirmed);
-        }
-    }
-    add_worker(at->second, id, record);
-    const std::lock_guard lock(self.shared_mutex);
-    self.shared_addresses[id] = record.address;
-}
-
-void take_job(scheduler& self, const job_id& id, const job_record& record,
-              revision_number revision) {
-    self.jobs[id] = {record, revision};
-    const auto cell = self.cells.find(record.cell);
-    if (cell != self.cells.end()) {
-        on_job(cell->second, id, record, revision, steady_now());
-    }
-}
-
-// Applies the data centre's state, as shown by a store call sent at `sent`, to every cell.
-void take_state(scheduler& self, data_centre_state state, time_point sent) {
-    if (self.state && *self.state != state) {
-        spdlog::info("data centre {}: now {}", self.options.data_centre.value, to_string(state));
-    }
-    self.state = state;
-    self.state_confirmed = sent;
-    for (auto& [id, cell] : self.cells) {
-        on_data_centre_state(cell, state, sent);
-    }
-}
-
-// Applies one entry of the store to the tables.
-void take_entry(scheduler& self, const store_entry& entry, time_point sent) {
-    const auto tail = [&](std::string_view prefix) { return entry.key.substr(prefix.size()); };
-    if (entry.key.starts_with(workers_prefix)) {
-        if (const auto record = parse_worker_record(entry.value)) {
-            take_worker(self, {tail(workers_prefix)}, record.value());
-        }
-    } else if (entry.key.starts_with(jobs_prefix)) {
-        if (const auto record = parse_job_record(entry.value)) {
-            take_job(self, {tail(jobs_prefix)}, record.value(), entry.revision);
-        }
-    } else if (entry.key == std::string(data_centres_prefix) + self.options.data_centre.value) {
-        if (const auto record = parse_data_centre_record(entry.value)) {
-            take_state(self, record.value().state, sent);
-        }
-    }
-}
-
-// Notes that the data centre's state had not changed when a call sent at `sent` was answered.
-void confirm_state(scheduler& self, time_point sent) {
-    if (self.state) {
-        take_state(self, *self.state, sent);
+// Notes which cells changed hands by themselves in a tick or reply, so that membership knows.
+void note_lost_cell(scheduler& self, const cell_id& id, epoch_number epoch) {
+    auto& known = self.members.cells[id];
+    known.highest_epoch = std::max(known.highest_epoch, epoch);
+    if (known.owner == self.instance) {
+        known.owner = {};
+        known.owner_since = steady_now();
     }
+    spdlog::warn("cell {}: lost at epoch {}", id.value, epoch.value);
 }
 
 void publish_status(scheduler& self) {
@@ -170,252 +86,86 @@
     self.status = json{{"instance", self.instance}, {"cells", cells}}.dump();
 }
 
-// --- Store calls
-// ----------------------------------------------------------------------------------
-
-struct claim_attempt {
-    cell_id cell;
-    epoch_number epoch;
-    store_write write;
-};
-
-// Writes the cell's claim, reads its progress and activates the cell; runs on the membership
-// thread.
-void finish_claim(scheduler& self, store_client& store, const claim_attempt& attempt) {
-    const auto sent = steady_now();
-    const auto written = write_and_settle(store, attempt.write);
-    if (!written) {
-        self.counters.count("fulmar_claim_failures_total", to_string(written.error().kind));
-        return;
-    }
-    const auto progress = store.get(std::string(progress_prefix) + attempt.cell.value);
-    if (!progress) {
-        self.counters.count("fulmar_claim_failures_total", "progress_unread");
-        return;
-    }
-    self.queue.post([&self, attempt, sent, revision = written.value(), entry = progress.value()] {
-        auto& cell = self.cells.at(attempt.cell);
-        if (attempt.epoch <= cell.epoch) {
-            return;
-        }
-        const auto now = steady_now();
-        activate(cell, attempt.epoch, now);
-        on_claim_confirmed(cell, revision, sent);
-        on_progress_read(cell, entry, now);
-        for (const auto& [id, job] : self.jobs) {
-            on_job(cell, id, job.record, job.revision, now);
+// Takes a heartbeat; a higher epoch for one of our cells means that we were superseded.
+void take_heartbeat(scheduler& self, const heartbeat& message) {
+    on_heartbeat(self.members, message, steady_now());
+    for (const auto& owned : message.cells) {
+        const auto cell = self.cells.find(owned.cell);
+        if (cell != self.cells.end() && cell->second.epoch.value != 0 &&
+            cell->second.epoch < owned.epoch) {
+            give_up_cell(self, cell->second, "newer_epoch_at_peer");
         }
-        spdlog::info("cell {}: claimed at epoch {}", attempt.cell.value, attempt.epoch.value);
-    });
+    }
 }
 
-// Claims cells of this data centre whose owner is gone.
-void claim_free_cells(scheduler& self, store_client& store,
-                      const std::map<cell_id, epoch_number>& inactive) {
-    const auto claims = store.list(std::string(cells_prefix));
-    const auto members = store.list(std::string(members_prefix));
-    if (!claims || !members) {
-        return;
-    }
-    std::map<std::string, store_entry> claim_by_cell;
-    for (const auto& entry : claims.value().entries) {
-        claim_by_cell[entry.key.substr(cells_prefix.size())] = entry;
-    }
-    std::map<std::string, bool> alive;
-    for (const auto& entry : members.value().entries) {
-        alive[entry.key.substr(members_prefix.size())] = true;
-    }
-    for (const auto& [cell, epoch] : inactive) {
-        cell_claim present;
-        revision_number revision;
-        if (const auto found = claim_by_cell.find(cell.value); found != claim_by_cell.end()) {
-            const auto claim = parse_cell_claim(found->second.value);
-            if (!claim || alive.contains(claim.value().owner.value)) {
-                continue;
-            }
-            present = claim.value();
-            revision = found->second.revision;
+void send_heartbeats(scheduler& self, heartbeat_socket& socket) {
+    heartbeat message{self.instance,
+                      self.options.data_centre,
+                      self.config.record().generation,
+                      self.members.leaving,
+                      {}};
+    for (const auto& [id, cell] : self.cells) {
+        if (cell.epoch.value != 0) {
+            message.cells.push_back({id, cell.epoch});
         }
-        const epoch_number next{std::max(present.epoch.value, epoch.value) + 1};
-        const std::string key = std::string(cells_prefix) + cell.value;
-        finish_claim(self, store,
-                     {cell, next, {key, serialize(cell_claim{self.instance, next}), revision, {}}});
     }
-}
-
-// Asks the control thread for something and waits for the answer.
-template <class T>
-T ask_control(scheduler& self, std::function<T()> question) {
-    std::promise<T> answer;
-    auto future = answer.get_future();
-    self.queue.post([&] { answer.set_value(question()); });
-    return future.get();
-}
-
-// Writes this instance's member record under a new lease.
-std::optional<lease_id> register_member(scheduler& self, store_client& store) {
-    const auto lease = store.grant_lease(self.options.member_lease);
-    if (!lease) {
-        return std::nullopt;
+    const auto datagram = serialize(message);
+    std::set<std::string> addresses;
+    for (const auto& [name, address] : self.options.peers) {
+        addresses.insert(address);
     }
-    const member_record record{"fulmar_scheduler",
-                               self.options.host.value,
-                               to_string(self.options.operator_address),
-                               self.options.data_centre,
-                               {}};
-    const std::string key = std::string(members_prefix) + self.instance.value;
-    const auto present = store.get(key);
-    if (!present) {
-        return std::nullopt;
+    for (const auto& [instance, record] : self.peers) {
+        addresses.insert(record.heartbeat_address);
     }
-    const auto revision = present.value() ? present.value()->revision : revision_number{};
-    const auto written = write_and_settle(store, {key, serialize(record), revision, lease.value()});
-    return written ? std::optional(lease.value()) : std::nullopt;
-}
-
-void confirm_claims(scheduler& self, time_point sent) {
-    self.queue.post([&self, sent] {
-        for (auto& [id, cell] : self.cells) {
-            if (cell.claim_revision.value != 0) {
-                on_claim_confirmed(cell, cell.claim_revision, sent);
-            }
+    for (const auto& text : addresses) {
+        const auto address = parse_address(text);
+        if (address && address.value() != self.options.heartbeat_address) {
+            socket.send(datagram, address.value());
+            self.counters.count("fulmar_control_bytes_sent_total", "heartbeat",
+                                static_cast<double>(datagram.size()));
         }
-    });
-}
-
-// Gives up all claims after the member lease was lost, as another scheduler may have taken them.
-void drop_claims(scheduler& self) {
-    ask_control<bool>(self, [&self] {
-        for (auto& [id, cell] : self.cells) {
-            if (cell.epoch.value != 0) {
-                spdlog::warn("cell {}: member lease lapsed, giving the cell up", id.value);
-                deactivate(cell);
-                cell.claim_to_release.reset();
-            }
-        }
-        return true;
-    });
+    }
 }
 
-// Keeps the member lease alive and claims free cells, until the scheduler stops.
-void run_membership(scheduler& self) {
-    const auto store = self.make_store();
-    std::optional<lease_id> lease;
-    while (!self.stopping) {
-        const auto sent = steady_now();
-        if (!lease) {
-            lease = register_member(self, *store);
+// Takes the cells of silent owners under a higher epoch, without the store.
+void adopt_cells(scheduler& self) {
+    const auto now = steady_now();
+    for (const auto& found : find_adoptable(self.members, now)) {
+        const auto at = self.cells.find(found.cell);
+        if (at == self.cells.end() || at->second.epoch.value != 0) {
+            continue;
         }
-        if (lease) {
-            const auto kept = store->keep_alive(*lease);
-            if (kept) {
-                confirm_claims(self, sent);
-                const auto inactive = ask_control<std::map<cell_id, epoch_number>>(self, [&self] {
-                    std::map<cell_id, epoch_number> found;
-                    for (const auto& [id, cell] : self.cells) {
-                        if (cell.epoch.value == 0) {
-                            found[id] = cell.progress.epoch;
-                        }
-                    }
-                    return found;
-                });
-                claim_free_cells(self, *store, inactive);
-            } else if (kept.error().kind == error_kind::expired) {
-                lease.reset();
-                drop_claims(self);
-                continue;
-            }
+        const epoch_number epoch{found.epoch.value + 1};
+        activate(at->second, epoch, now);
+        note_claim(self.members, found.cell, self.instance, epoch, now);
+        for (const auto& [job, row] : self.jobs) {
+            on_job(at->second, job, row.record, row.revision, now);
         }
-        std::this_thread::sleep_for(lease ? keep_alive_interval : retry_interval);
+        self.counters.count("fulmar_cell_adoptions_total");
+        spdlog::info("cell {}: owner silent, adopted at epoch {}", found.cell.value, epoch.value);
     }
 }
 
-// Follows one prefix of the store and posts each entry to the control thread.
-void run_watch(scheduler& self, const std::string& prefix) {
-    const auto store = self.make_store();
-    std::optional<revision_number> revision;
-    while (!self.stopping) {
-        const auto sent = steady_now();
-        std::vector<store_entry> entries;
-        if (!revision) {
-            auto listing = store->list(prefix);
-            if (!listing) {
-                std::this_thread::sleep_for(retry_interval);
-                continue;
-            }
-            revision = listing.value().revision;
-            entries = std::move(listing.value().entries);
-        } else {
-            auto events = store->watch(prefix, *revision, watch_wait);
-            if (!events) {
-                if (events.error().kind == error_kind::expired) {
-                    revision.reset();
-                } else {
-                    std::this_thread::sleep_for(retry_interval);
-                }
-                continue;
-            }
-            revision = events.value().revision;
-            for (auto& event : events.value().events) {
-                if (!event.deleted) {
-                    entries.push_back(std::move(event.entry));
-                }
-            }
+// Hands one cell to a settled peer when this instance owns too many.
+void rebalance(scheduler& self) {
+    std::vector<cell_id> owned;
+    for (const auto& [id, cell] : self.cells) {
+        if (cell.claim_revision.value != 0) {
+            owned.push_back(id);
         }
-        const bool confirms_state = prefix == data_centres_prefix;
-        self.queue.post([&self, entries = std::move(entries), sent, confirms_state] {
-            for (const auto& entry : entries) {
-                take_entry(self, entry, sent);
-            }
-            if (confirms_state) {
-                confirm_state(self, sent);
-            }
-        });
     }
-}
-
-// Writes group commits in their order; runs on its own thread because a slow store must not delay
-// syncs.
-void run_commits(scheduler& self, control_queue& commits) {
-    while (!self.stopping) {
-        commits.run_for(self.options.tick);
+    if (const auto surplus = find_surplus(self.members, owned, steady_now())) {
+        give_up_cell(self, self.cells.at(*surplus), "rebalanced");
     }
 }
 
-void commit_progress(scheduler& self, store_client& store, const cell_id& id,
-                     const store_write& write) {
-    const auto written = write_and_settle(store, write);
-    const bool reread = !written && (written.error().kind == error_kind::conflict ||
-                                     written.error().kind == error_kind::outcome_unknown);
-    const auto entry =
-        reread ? store.get(write.key) : result<std::optional<store_entry>>(std::nullopt);
-    self.queue.post([&self, id, written, reread, entry] {
-        auto& cell = self.cells.at(id);
-        on_progress_written(cell, written, steady_now());
-        if (reread && entry) {
-            on_progress_read(cell, entry.value(), steady_now());
-        }
-    });
-}
-
-// Reads the progress of cells whose copy is in doubt and whose last reread failed too.
-void reread_progress(scheduler& self, store_client& store, const cell_id& id) {
-    const auto entry = store.get(std::string(progress_prefix) + id.value);
-    if (!entry) {
-        return;
-    }
-    self.queue.post([&self, id, entry = entry.value()] {
-        auto& cell = self.cells.at(id);
-        if (cell.progress_conflict) {
-            on_progress_read(cell, entry, steady_now());
-        }
-    });
-}
-
-http_response answer(scheduler& self, const http_request& request) {
+http_response answer(scheduler& self, peer_rpc_server& rpc, const http_request& request) {
     if (const auto standard = answer_operator_route(request, self.counters, self.ready)) {
         return *standard;
     }
+    if (request.path == peer_rpc_path && request.method == "POST") {
+        return json_response(200, rpc.answer(request.body));
+    }
     if (request.path == "/status") {
         const std::lock_guard lock(self.shared_mutex);
         return json_response(200, self.status);
@@ -423,41 +173,106 @@
     return error_response({error_kind::not_found, "no such path: " + request.path});
 }
 
-// Runs ticks and performs their actions until SIGTERM.
+// Performs what a tick of one cell asked for.
+void perform(scheduler& self, worker_client& workers, store_client& store, const cell_id& id,
+             cell_actions actions) {
+    for (auto& action : actions.syncs) {
+        workers.sync(action.worker, std::move(action.request),
+                     [&self, id, worker = action.worker,
+                      sent = action.sent](const result<sync_reply>& reply) {
+                         self.queue.post([&self, id, worker, sent, reply] {
+                             on_sync(self.cells.at(id), worker, sent, reply, steady_now());
+                         });
+                     });
+    }
+    if (actions.progress_write) {
+        self.commits.post([&self, &store, id, write = std::move(*actions.progress_write)] {
+            commit_progress(self, store, id, write);
+        });
+    }
+}
+
+// Runs one tick over all cells.
+void tick_cells(scheduler& self, worker_client& workers, store_client& store) {
+    for (auto& [id, cell] : self.cells) {
+        const epoch_number before = self.members.cells[id].owner == self.instance
+                                        ? self.members.cells[id].highest_epoch
+                                        : epoch_number{};
+        perform(self, workers, store, id, tick(cell, steady_now()));
+        if (before.value != 0 && cell.epoch.value == 0) {
+            note_lost_cell(self, id, before);
+        }
+        if (cell.progress_conflict && steady_now() >= cell.next_commit) {
+            cell.next_commit = steady_now() + cell.timing.commit_interval;
+            self.commits.post(
+                [&self, &store, cell_key = id] { reread_progress(self, store, cell_key); });
+        }
+    }
+}
+
+// Runs ticks until SIGTERM.
 void run_control(scheduler& self, worker_client& workers, store_client& store,
-                 control_queue& commits) {
-    time_point next_reread;
+                 heartbeat_socket& socket) {
+    time_point next_heartbeat;
+    time_point next_rebalance = steady_now() + self.members.timing.settle;
     while (!stop_signal_arrived(duration(0))) {
         self.queue.run_for(self.options.tick);
-        for (auto& [id, cell] : self.cells) {
-            auto actions = tick(cell, steady_now());
-            for (auto& action : actions.syncs) {
-                workers.sync(action.worker, std::move(action.request),
-                             [&self, cell_key = id, worker = action.worker,
-                              sent = action.sent](const result<sync_reply>& reply) {
-                                 self.queue.post([&self, cell_key, worker, sent, reply] {
-                                     on_sync(self.cells.at(cell_key), worker, sent, reply,
-                                             steady_now());
-                                 });
-                             });
-            }
-            if (actions.progress_write) {
-                commits.post([&self, &store, cell_key = id, write = *actions.progress_write] {
-                    commit_progress(self, store, cell_key, write);
-                });
-            } else if (cell.progress_conflict && steady_now() >= next_reread) {
-                next_reread = steady_now() + retry_interval;
-                commits.post(
-                    [&self, &store, cell_key = id] { reread_progress(self, store, cell_key); });
-            }
+        tick_cells(self, workers, store);
+        adopt_cells(self);
+        const auto now = steady_now();
+        if (now >= next_heartbeat) {
+            next_heartbeat = now + self.members.timing.heartbeat_interval;
+            send_heartbeats(self, socket);
+        }
+        if (now >= next_rebalance) {
+            next_rebalance = now + self.members.timing.settle;
+            rebalance(self);
         }
         publish_status(self);
-        self.ready = !self.cells.empty();
+        self.ready = !self.cells.empty() && self.config.is_confirmed();
+    }
+}
+
+// Stores what is still uncommitted, for a bounded time, and gives all cells up.
+void hand_over_cells(scheduler& self, worker_client& workers, store_client& store,
+                     heartbeat_socket& socket) {
+    self.members.leaving = true;
+    const auto deadline = steady_now() + hand_over_limit;
+    const auto is_pending = [](const auto& cell) {
+        return cell.second.claim_revision.value != 0 &&
+               (cell.second.commit_in_flight || cell.second.progress_dirty);
+    };
+    while (steady_now() < deadline &&
+           std::any_of(self.cells.begin(), self.cells.end(), is_pending)) {
+        self.queue.run_for(self.options.tick);
+        tick_cells(self, workers, store);
+    }
+    for (auto& [id, cell] : self.cells) {
+        if (cell.epoch.value != 0) {
+            give_up_cell(self, cell, "shutdown");
+        }
     }
+    send_heartbeats(self, socket);
 }
 
 } // namespace
 
+std::unique_ptr<store_client> make_store(scheduler& self) {
+    return make_store_http(self.http, self.options.store_address, self.options.store_timeout);
+}
+
+void give_up_cell(scheduler& self, cell_state& cell, std::string_view reason) {
+    auto& known = self.members.cells[cell.id];
+    known.highest_epoch = std::max(known.highest_epoch, cell.epoch);
+    if (known.owner == self.instance) {
+        known.owner = {};
+        known.owner_since = steady_now();
+    }
+    spdlog::info("cell {}: given up at epoch {}: {}", cell.id.value, cell.epoch.value, reason);
+    self.counters.count("fulmar_cell_yields_total", reason);
+    deactivate(cell);
+}
+
 std::span<const setting_row> scheduler_setting_rows() {
     return rows;
 }
@@ -467,6 +282,9 @@
     options.host = {text_setting(from, "host", "name")};
     options.data_centre = {text_setting(from, "host", "data_centre")};
     options.operator_address = address_setting(from, "operator", "address");
+    options.heartbeat_address = address_setting(from, "heartbeats", "address");
+    options.peers = section_settings(from, "peers");
+    options.peer_operators = section_settings(from, "peer_operators");
     options.store_address = address_setting(from, "store", "address");
     options.store_timeout = duration_setting(from, "store", "timeout");
     options.member_lease = duration_setting(from, "store", "member_lease");
@@ -479,18 +297,42 @@
 }
 
 int run_scheduler(const scheduler_settings& options) {
+    // Step 1: the state and the operator port, which also answers peers.
     scheduler self;
     self.options = options;
-    self.instance = make_instance(options.host);
-    auto server =
-        http_server::start({options.operator_address, 1, {}},
-                           [&self](const http_request& request, const http_responder& respond) {
-                               respond(answer(self, request));
-                           });
+    self.instance = make_instance(options.host.value);
+    self.members.self = self.instance;
+    self.members.data_centre = options.data_centre;
+    self.members.started = steady_now();
+    for (const auto& [name, address] : options.peer_operators) {
+        self.shared_peer_addresses.push_back(address);
+    }
+    peer_rpc_server rpc({[&self] { return self.config.record(); }});
+    auto server = http_server::start(
+        {options.operator_address, 1, {}},
+        [&self, &rpc](const http_request& request, const http_responder& respond) {
+            respond(answer(self, rpc, request));
+        });
     if (!server) {
         spdlog::error("{}", server.error().detail);
         return exit_failure;
     }
+
+    // Step 2: the connections to peers, workers and the store.
+    auto socket =
+        heartbeat_socket::open(options.heartbeat_address, [&self](const std::string& datagram) {
+            const auto message = parse_heartbeat(datagram);
+            if (!message) {
+                self.counters.count("fulmar_heartbeat_errors_total");
+                return;
+            }
+            self.queue.post([&self, message = message.value()] { take_heartbeat(self, message); });
+        });
+    if (!socket) {
+        spdlog::error("{}", socket.error().detail);
+        return exit_failure;
+    }
+    self.options.heartbeat_address = socket.value()->address();
     const auto workers = make_worker_http(
         self.http,
         [&self](const worker_id& id) {
@@ -499,20 +341,26 @@
             return found == self.shared_addresses.end() ? std::string() : found->second;
         },
         options.worker_timeout);
-    const auto store = self.make_store();
-    control_queue commits;
+    const auto store = make_store(self);
     spdlog::info("scheduler {} started in data centre {}", self.instance.value,
                  options.data_centre.value);
 
+    // Step 3: run until SIGTERM, then hand the cells over.
     std::vector<std::jthread> threads;
-    for (const auto prefix : {workers_prefix, jobs_prefix, data_centres_prefix}) {
+    for (const auto prefix : {workers_prefix, jobs_prefix, data_centres_prefix, members_prefix}) {
         threads.emplace_back([&self, prefix] { run_watch(self, std::string(prefix)); });
     }
-    threads.emplace_back([&self] { run_membership(self); });
-    threads.emplace_back([&self, &commits] { run_commits(self, commits); });
-    run_control(self, *workers, *store, commits);
+    threads.emplace_back([&self] { run_registration(self); });
+    threads.emplace_back([&self] { run_config(self); });
+    threads.emplace_back([&self] {
+        while (!self.stopping) {
+            self.commits.run_for(self.options.tick);
+        }
+    });
+    run_control(self, *workers, *store, *socket.value());
+    hand_over_cells(self, *workers, *store, *socket.value());
 
-    // Let waiting threads finish their questions to the control thread, then end them.
+    // Step 4: end the other threads, answering their last questions to the control thread.
     self.stopping = true;
     std::atomic<bool> joined{false};
     std::jthread joiner([&] {
--- a/src/scheduler.hpp
+++ b/src/scheduler.hpp
@@ -7,8 +7,10 @@
 #include "fulmar/store.hpp"
 #include "fulmar/worker.hpp"
 
+#include <map>
 #include <memory>
 #include <span>
+#include <string>
 
 namespace fulmar {
 
@@ -16,6 +18,9 @@
     host_id host;
     data_centre_id data_centre;
     socket_address operator_address;
+    socket_address heartbeat_address;                  // UDP
+    std::map<std::string, std::string> peers;          // heartbeat addresses by name
+    std::map<std::string, std::string> peer_operators; // operator addresses by name
     socket_address store_address;
     duration store_timeout{1'000};
     duration worker_timeout{1'500};
--- /dev/null
+++ b/src/scheduler_entries.hpp
@@ -0,0 +1,14 @@
+// Applies entries of the store to the scheduler's control state; runs on the control thread.
+#pragma once
+
+#include "scheduler_state.hpp"
+
+namespace fulmar {
+
+// Applies one event of a watch, shown by a store call sent at `sent`.
+void take_event(scheduler& self, const store_event& event, time_point sent);
+
+// Notes that the data centre's state had not changed when a call sent at `sent` was answered.
+void confirm_state(scheduler& self, time_point sent);
+
+} // namespace fulmar
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -76,10 +76,12 @@
                              "data_centre": data_centre, "region": REGION},
                 "store": store,
             })
-            self.start("fulmar_scheduler", f"scheduler-{data_centre}", {
-                "host": host, "store": store,
-                "operator": {"address": self.address(f"scheduler-{data_centre}")},
-            })
+            for name in (f"scheduler-{data_centre}", f"scheduler2-{data_centre}"):
+                self.start("fulmar_scheduler", name, {
+                    "host": {**host, "name": name}, "store": store,
+                    "operator": {"address": self.address(name)},
+                    "heartbeats": {"address": self.address(f"{name}-heartbeats")},
+                })
             self.start("fulmar_gate", f"gate-{data_centre}", {
                 "host": {**host, "region": REGION}, "store": store,
                 "callers": {"address": self.address(f"gate-{data_centre}")},
@@ -99,8 +101,24 @@
         )
         return done.returncode, done.stdout or done.stderr
 
+    def owner(self, data_centre):
+        """Returns the name of the running scheduler that has claimed the data centre's cell."""
+        for name in (f"scheduler-{data_centre}", f"scheduler2-{data_centre}"):
+            if name in self.processes:
+                status, body = get(self.address(name), "/status")[:2]
+                cell = json.loads(body)["cells"].get(f"{data_centre}-1", {}) if status == 200 else {}
+                if cell.get("claimed"):
+                    return name
+        return None
+
     def status(self, data_centre):
-        return json.loads(get(self.address(f"scheduler-{data_centre}"), "/status")[1])
+        owner = self.owner(data_centre)
+        return json.loads(get(self.address(owner), "/status")[1]) if owner else {"cells": {}}
+
+    def kill(self, name):
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
 
     def worker_starts(self, data_centre):
         total = 0
@@ -216,6 +234,36 @@
     check("each of its tasks started once", installation.worker_starts(second) == 5)
 
 
+    print("5. a scheduler is killed while tasks run")
+    submit(installation, "renders-3", f"{first}-1", 4, 12000)
+    wait_for("all 4 tasks run", lambda:
+             installation.status(first)["cells"][f"{first}-1"]["tasks"].get("running") == 4)
+    before = installation.owner(first)
+    installation.kill(before)
+    wait_for(f"{before} was killed, its peer owns the cell", lambda:
+             installation.owner(first) not in (None, before))
+    submit(installation, "renders-4", f"{first}-1", 5, 100)
+    wait_for("a new job finished under the new owner",
+             lambda: finished(installation, "renders-4") == 5)
+    wait_for("the tasks that ran on finished", lambda: finished(installation, "renders-3") == 4)
+    check("no task started twice", installation.worker_starts(first) == 23 + 4 + 5)
+
+    print("6. the store is away while tasks run and the gates answer")
+    submit(installation, "renders-5", f"{second}-1", 3, 8000)
+    wait_for("all 3 tasks run", lambda:
+             installation.status(second)["cells"][f"{second}-1"]["tasks"].get("running") == 3)
+    get(installation.address("store"), "/faults", b'{"unavailable": true}')
+    refused = installation.ctl("--file", str(installation.folder / "renders-5.json"), "submit",
+                               "renders-6")
+    check(f"a new job is not accepted: {refused[1].strip()}", refused[0] != 0)
+    time.sleep(14)  # longer than the member lease and the worker lease
+    check("a desk request is answered", get(gate, f"/{SERVICE}/preview", b"glaze 7")[0] == 200)
+    get(installation.address("store"), "/faults", b"{}")
+    wait_for("the tasks' ends are recorded once the store answers",
+             lambda: finished(installation, "renders-5") == 3)
+    check("no task started twice", installation.worker_starts(second) == 5 + 3)
+
+
 def main():
     with tempfile.TemporaryDirectory(prefix="fulmarwind-demo-") as folder:
         installation = Installation(folder)
@@ -224,7 +272,7 @@
             run(installation)
         except Failure as failure:
             problem = str(failure)
-        print("5. stop everything with SIGTERM")
+        print("7. stop everything with SIGTERM")
         bad = installation.stop_all()
         if not bad:
             print("  ok: every program ended with exit code 0")
