--- /dev/null
+++ b/src/ejection.cpp
@@ -0,0 +1,78 @@
+#include "ejection.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+availability find_availability(const endpoint_health& health, time_point now) {
+    if (!health.ejected) {
+        return availability::open;
+    }
+    return now >= health.ejected_until && !health.probing ? availability::probe
+                                                          : availability::closed;
+}
+
+bool probe_overdue(const endpoint_health& health, time_point now) {
+    constexpr duration overdue_after{10'000};
+    return health.ejected && now >= health.ejected_until + overdue_after;
+}
+
+void record_health(endpoint_health& health, health_signal signal, bool was_probe, time_point now,
+                   const ejection_rules& rules) {
+    if (health.ejected) {
+        if (!was_probe) {
+            return;
+        }
+        health.probing = false;
+        if (signal == health_signal::success) {
+            const auto last = health.ejection;
+            const auto until = health.ejected_until;
+            health = {};
+            health.ejection = last;
+            health.ejected_until = until;
+            health.window_start = now;
+        } else if (signal == health_signal::failure) {
+            eject(health, now, rules);
+        }
+        return;
+    }
+    if (signal == health_signal::neutral) {
+        return;
+    }
+    if (now - health.window_start >= rules.rate_window) {
+        health.window_start = now;
+        health.window_requests = 0;
+        health.window_failures = 0;
+    }
+    const bool failed = signal == health_signal::failure;
+    ++health.window_requests;
+    health.window_failures += failed ? 1 : 0;
+    health.consecutive_failures = failed ? health.consecutive_failures + 1 : 0;
+}
+
+bool deserves_ejection(const endpoint_health& health, const ejection_rules& rules) {
+    if (health.ejected) {
+        return false;
+    }
+    return health.consecutive_failures >= rules.consecutive_failures ||
+           (health.window_requests >= rules.rate_minimum_requests &&
+            health.window_failures * 100 > health.window_requests * rules.failure_percent);
+}
+
+bool within_ejection_ceiling(std::size_t ejected, std::size_t total, std::int64_t max_percent) {
+    return (ejected + 1) * 100 <= total * static_cast<std::size_t>(max_percent);
+}
+
+void eject(endpoint_health& health, time_point now, const ejection_rules& rules) {
+    const bool recent =
+        health.ejection > duration(0) && now < health.ejected_until + rules.longest_ejection;
+    const auto length =
+        recent ? std::min(health.ejection * 2, rules.longest_ejection) : rules.first_ejection;
+    health = {};
+    health.ejected = true;
+    health.ejection = length;
+    health.ejected_until = now + length;
+    health.window_start = now;
+}
+
+} // namespace fulmar
