gate: forward requests by the policies and report true outcomes

Cause: the thin first version passed on unframed answers, had no retries, no idempotency records and refused requests at once on SIGTERM. Change: request path over the decision code, one mutex for the control state, a bounded pool for store calls, followers for endpoints, data centre states and gates, and a shutdown in stages.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -1,223 +1,196 @@
 #include "gate.hpp"
 
-#include "fulmar/http_client.hpp"
-#include "fulmar/records.hpp"
-#include "fulmar/store_http.hpp"
+#include "gate_state.hpp"
+#include "steady_clock.hpp"
 
 #include <spdlog/spdlog.h>
 
-#include <array>
-#include <map>
-#include <mutex>
-#include <thread>
+#include <algorithm>
+#include <random>
 
 namespace fulmar {
 
 namespace {
 
-constexpr duration watch_wait{1'500};
-constexpr duration retry_interval{500};
-
-constexpr std::array rows{
-    setting_row{"host", "name", setting_kind::text, "", 0, 0, "name of this host"},
-    setting_row{"host", "data_centre", setting_kind::text, "", 0, 0, "data centre of this host"},
-    setting_row{"host", "region", setting_kind::text, "", 0, 0, "region of this host"},
-    setting_row{"callers", "address", setting_kind::address, "", 0, 0, "where callers connect"},
-    setting_row{"callers", "default_deadline", setting_kind::duration, "5 s", 10, 600'000,
-                "deadline of requests that carry none"},
-    setting_row{"operator", "address", setting_kind::address, "127.0.0.1:0", 0, 0,
-                "where metrics and health are served"},
-    setting_row{"store", "address", setting_kind::address, "", 0, 0, "the platform's store"},
-    setting_row{"store", "timeout", setting_kind::duration, "1 s", 10, 10'000,
-                "longest wait for a store call"}};
-
-struct endpoint_row {
-    endpoint_record record;
-    std::int64_t outstanding = 0;
-};
-
-struct gate {
-    gate_settings options;
-    metrics counters;
-    http_client http;
-    std::atomic<bool> stopping{false};
-    std::atomic<std::int64_t> in_progress{0};
-    std::mutex mutex;
-    std::map<std::string, endpoint_row> endpoints; // by <service>/<id>
-};
-
-// Picks the endpoint of a service with the fewest outstanding requests, nearest first.
-std::optional<std::pair<std::string, std::string>> pick_endpoint(gate& self,
-                                                                 const std::string& service) {
+constexpr duration queue_interval{10};
+constexpr duration drain_poll{10};
+// The server offers no notice of a written answer, so the last answers get this long to leave.
+constexpr duration answer_flush{250};
+// Above the longest deadline, or the server would close the connection of a request in progress.
+constexpr duration longest_request{610'000};
+// Jobs that may wait for a store thread; at 20 intents/s more than this means a stuck store.
+constexpr std::size_t store_job_limit = 256;
+
+// Names one run of this process, so that a restarted gate's records aren't taken for its own.
+std::string make_instance(const host_id& host) {
+    std::random_device entropy;
+    return host.value + "." + std::to_string(entropy()) + std::to_string(entropy());
+}
+
+void answer_operator(gate_state& self, const http_request& request, const http_responder& respond) {
+    const bool ready = self.stage == gate_stage::serving && self.listed;
+    const auto standard = answer_operator_route(request, self.counters, ready);
+    respond(standard.value_or(
+        error_response({error_kind::not_found, "no such path: " + request.path})));
+}
+
+// Updates the gauges; called once a second.
+void update_gauges(gate_state& self) {
     const std::lock_guard lock(self.mutex);
-    endpoint_row* best = nullptr;
-    const std::string* name = nullptr;
-    const auto rank = [&](const endpoint_row& row) {
-        return std::tuple{row.record.data_centre != self.options.data_centre,
-                          row.record.region != self.options.region, row.outstanding};
-    };
-    const std::string prefix = service + "/";
-    for (auto at = self.endpoints.lower_bound(prefix);
-         at != self.endpoints.end() && at->first.starts_with(prefix); ++at) {
-        if (at->second.record.state == endpoint_state::leaving) {
-            continue;
-        }
-        if (best == nullptr || rank(at->second) < rank(*best)) {
-            best = &at->second;
-            name = &at->first;
+    std::size_t known = 0;
+    std::size_t ejected = 0;
+    std::size_t waiting = 0;
+    for (const auto& [service, rows] : self.endpoints.services) {
+        for (const auto& [id, row] : rows) {
+            known += row.listed && !row.leaving ? 1 : 0;
+            ejected += row.health.ejected ? 1 : 0;
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
+    for (const auto& [id, service] : self.services) {
+        waiting += service.queue.waiting.size();
     }
-    ++best->outstanding;
-    return std::pair{*name, best->record.address};
+    self.counters.set("fulmar_gate_endpoints", static_cast<double>(known));
+    self.counters.set("fulmar_gate_endpoints_ejected", static_cast<double>(ejected));
+    self.counters.set("fulmar_gate_queue", static_cast<double>(waiting));
+    self.counters.set("fulmar_gate_in_progress", static_cast<double>(self.in_progress));
 }
 
-http_response make_refusal(gate& self, std::string_view reason) {
-    self.counters.count("fulmar_gate_refusals_total", reason);
-    return {503, {{"Fulmar-Outcome", "not_run"}, {"Fulmar-Reason", std::string(reason)}}, ""};
-}
-
-void finish(gate& self, const std::string& endpoint, const http_call_result& outcome,
-            const http_responder& respond) {
-    {
-        const std::lock_guard lock(self.mutex);
-        if (const auto row = self.endpoints.find(endpoint); row != self.endpoints.end()) {
-            --row->second.outstanding;
+// Runs the queues until the stop is requested.
+void run_control(gate_state& self, const std::stop_token& stop) {
+    constexpr int ticks_per_gauge = 100;
+    for (int tick = 0; !stop.stop_requested(); ++tick) {
+        share_endpoints(self);
+        run_queues(self);
+        if (tick % ticks_per_gauge == 0) {
+            update_gauges(self);
         }
+        std::this_thread::sleep_for(queue_interval);
     }
-    if (outcome.response) {
-        self.counters.count("fulmar_gate_answers_total");
-        http_response answer{outcome.response.value().status,
-                             {{"Fulmar-Outcome", "answered"}},
-                             outcome.response.value().body};
-        if (auto type = find_header(outcome.response.value().headers, "Content-Type")) {
-            answer.headers.push_back({"Content-Type", *type});
-        }
-        respond(std::move(answer));
-    } else if (!outcome.request_sent) {
-        respond(make_refusal(self, "endpoint_unreachable"));
-    } else {
-        const auto reason = to_string(outcome.response.error().kind);
-        self.counters.count("fulmar_gate_unknown_total", reason);
-        respond({502, {{"Fulmar-Outcome", "unknown"}, {"Fulmar-Reason", std::string(reason)}}, ""});
+}
+
+bool wait_until_idle(gate_state& self, time_point limit) {
+    while (self.in_progress > 0 && steady_now() < limit) {
+        std::this_thread::sleep_for(drain_poll);
     }
-    --self.in_progress;
+    return self.in_progress == 0;
 }
 
-// Forwards /<service>/<path> to an endpoint of the service.
-void forward(gate& self, const http_request& request, const http_responder& respond) {
-    const auto slash = request.path.find('/', 1);
-    const std::string service =
-        request.path.substr(1, slash == std::string::npos ? slash : slash - 1);
-    if (self.stopping) {
-        respond(make_refusal(self, "shutting_down"));
-        return;
+} // namespace
+
+gate::gate(std::unique_ptr<gate_state> initial)
+    : state_(std::move(initial)) {}
+
+result<std::unique_ptr<gate>> gate::start(const gate_settings& options,
+                                          gate_dependencies dependencies) {
+    // Step 1: the state that the threads share.
+    auto initial = std::make_unique<gate_state>();
+    auto& self = *initial;
+    self.options = options;
+    self.outside = std::move(dependencies);
+    self.instance = make_instance(options.host);
+    self.routing.random.seed(std::random_device()());
+    self.store_pool = std::make_unique<blocking_pool>(options.store_threads, store_job_limit);
+    self.http = std::make_unique<http_client>();
+    std::unique_ptr<gate> started(new gate(std::move(initial)));
+
+    // Step 2: the ports.
+    http_server_limits limits;
+    limits.handle_timeout = longest_request;
+    auto callers =
+        http_server::start({options.caller_address, options.traffic_threads, limits},
+                           [&self](http_request request, http_responder respond) {
+                               accept_request(self, std::move(request), std::move(respond));
+                           });
+    if (!callers) {
+        return callers.error();
     }
-    const auto picked = pick_endpoint(self, service);
-    if (!picked) {
-        respond(make_refusal(self, "no_endpoint"));
-        return;
+    self.callers = std::move(callers).value();
+    auto operators =
+        http_server::start({options.operator_address, 1, {}},
+                           [&self](const http_request& request, const http_responder& respond) {
+                               answer_operator(self, request, respond);
+                           });
+    if (!operators) {
+        return operators.error();
     }
-    ++self.in_progress;
-    http_call call;
-    call.method = request.method;
-    call.url = "http://" + picked->second + request.path;
-    call.body = request.body;
-    call.timeout = self.options.default_deadline;
-    call.fresh_connection = request.method != "GET";
-    self.http.submit(std::move(call),
-                     [&self, name = picked->first, respond](const http_call_result& outcome) {
-                         finish(self, name, outcome, respond);
-                     });
+    self.operators = std::move(operators).value();
+
+    // Step 3: the threads.
+    start_followers(self);
+    self.threads.emplace_back([&self](const std::stop_token& stop) { run_control(self, stop); });
+    return started;
 }
 
-// Keeps the endpoint table in step with the platform's list.
-void follow_endpoints(gate& self) {
-    const auto store =
-        make_store_http(self.http, self.options.store_address, self.options.store_timeout);
-    const std::string prefix(endpoints_prefix);
-    revision_number revision;
-    const auto take = [&](const store_entry& entry) {
-        const auto record = parse_endpoint_record(entry.value);
-        if (record) {
-            const std::lock_guard lock(self.mutex);
-            self.endpoints[entry.key.substr(prefix.size())].record = record.value();
+gate::~gate() {
+    auto& self = *state_;
+    self.stage = gate_stage::abandoned;
+    for (auto* server : {&self.callers, &self.operators}) {
+        if (*server) {
+            (*server)->stop();
         }
-    };
-    while (!self.stopping) {
-        if (revision.value == 0) {
-            const auto listing = store->list(prefix);
-            if (!listing) {
-                std::this_thread::sleep_for(retry_interval);
-                continue;
-            }
-            for (const auto& entry : listing.value().entries) {
-                take(entry);
-            }
-            revision = listing.value().revision;
-            continue;
-        }
-        const auto events = store->watch(prefix, revision, watch_wait);
-        if (!events) {
-            std::this_thread::sleep_for(retry_interval);
-            continue;
-        }
-        for (const auto& event : events.value().events) {
-            if (!event.deleted) {
-                take(event.entry);
-            }
-        }
-        revision = events.value().revision;
     }
+    self.threads.clear(); // requests the stop and joins
+    self.store_pool->join();
+    self.http.reset();
 }
 
-} // namespace
+std::uint16_t gate::caller_port() const {
+    return state_->callers->port();
+}
 
-std::span<const setting_row> gate_setting_rows() {
-    return rows;
+std::uint16_t gate::operator_port() const {
+    return state_->operators->port();
 }
 
-gate_settings parse_gate_settings(const settings& from) {
-    gate_settings options;
-    options.host = {text_setting(from, "host", "name")};
-    options.data_centre = {text_setting(from, "host", "data_centre")};
-    options.region = {text_setting(from, "host", "region")};
-    options.caller_address = address_setting(from, "callers", "address");
-    options.default_deadline = duration_setting(from, "callers", "default_deadline");
-    options.operator_address = address_setting(from, "operator", "address");
-    options.store_address = address_setting(from, "store", "address");
-    options.store_timeout = duration_setting(from, "store", "timeout");
-    return options;
+bool gate::ready() const {
+    return state_->stage == gate_stage::serving && state_->listed;
 }
 
-int run_gate(const gate_settings& options) {
-    gate self;
-    self.options = options;
-    const auto callers =
-        http_server::start({options.caller_address, 2, {}},
-                           [&self](const http_request& request, const http_responder& respond) {
-                               forward(self, request, respond);
-                           });
-    const auto operators = http_server::start(
-        {options.operator_address, 1, {}},
-        [&self](const http_request& request, const http_responder& respond) {
-            const auto standard = answer_operator_route(request, self.counters, !self.stopping);
-            respond(standard.value_or(
-                error_response({error_kind::not_found, "no such path: " + request.path})));
-        });
-    if (!callers || !operators) {
-        spdlog::error("{}", !callers ? callers.error().detail : operators.error().detail);
+const metrics& gate::counters() const {
+    return state_->counters;
+}
+
+std::size_t gate::known_endpoints(const service_id& service) const {
+    const std::lock_guard lock(state_->mutex);
+    const auto rows = state_->endpoints.services.find(service);
+    if (rows == state_->endpoints.services.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(rows->second.begin(), rows->second.end(), [](const auto& entry) {
+            return entry.second.listed && !entry.second.leaving;
+        }));
+}
+
+void gate::drain() {
+    auto& self = *state_;
+    const auto limit = steady_now() + self.options.stop_limit;
+
+    // Step 1: not ready, but still serving until the load balancer has noticed.
+    self.stage = gate_stage::grace;
+    std::this_thread::sleep_for(std::min(self.options.grace, self.options.stop_limit));
+
+    // Step 2: refuse new requests and wait for those in progress.
+    self.stage = gate_stage::refusing;
+    spdlog::info("gate {}: refusing new requests", self.options.host.value);
+    if (!wait_until_idle(self, limit)) {
+        // Step 3: end what is left. Requests that wait were not run; those sent are unknown.
+        spdlog::warn("gate {}: ending {} requests at the shutdown limit", self.options.host.value,
+                     self.in_progress.load());
+        end_all_requests(self);
+    }
+    std::this_thread::sleep_for(answer_flush);
+}
+
+int run_gate(const gate_settings& options, gate_dependencies dependencies) {
+    const auto started = gate::start(options, std::move(dependencies));
+    if (!started) {
+        spdlog::error("{}", started.error().detail);
         return exit_failure;
     }
-    std::jthread follower([&self] { follow_endpoints(self); });
     spdlog::info("gate {} started", options.host.value);
     wait_for_stop_signal();
-    self.stopping = true;
-    while (self.in_progress > 0) {
-        std::this_thread::sleep_for(duration(10));
-    }
+    started.value()->drain();
     spdlog::info("gate {} stopped", options.host.value);
     return exit_ok;
 }
--- a/src/gate.hpp
+++ b/src/gate.hpp
@@ -1,8 +1,13 @@
-// The gate daemon: takes callers' requests and forwards each to an endpoint of the service.
+// The gate: takes callers' requests and forwards each to an endpoint of the service.
 #pragma once
 
 #include "fulmar/daemon.hpp"
+#include "fulmar/runtime_config.hpp"
+#include "fulmar/store.hpp"
+#include "routing.hpp"
 
+#include <functional>
+#include <memory>
 #include <span>
 
 namespace fulmar {
@@ -15,16 +20,65 @@
     socket_address operator_address;
     socket_address store_address;
     duration store_timeout{1'000};
-    duration default_deadline{5'000};
+    std::size_t store_threads = 4;
+    std::size_t traffic_threads = 2;
+    std::size_t queue_length = 256; // of each service
+    std::size_t gates_per_endpoint = 3;
+    routing_policy policy = routing_policy::least_loaded;
+    duration grace{5'000}; // from SIGTERM to the first refusal
+    // From SIGTERM to the end of the last request. Closing the store's watches takes up to 2.5 s
+    // more, and the process must have exited after 30 s.
+    duration stop_limit{27'000};
 };
 
 // The accepted keys of fulmar_gate's settings file.
 std::span<const setting_row> gate_setting_rows();
 
-// Fills the aggregate from validated settings.
-gate_settings parse_gate_settings(const settings& from);
+// Fills the aggregate from validated settings; returns invalid_argument for an unknown policy.
+result<gate_settings> parse_gate_settings(const settings& from);
 
-// Runs until SIGTERM, then ends requests in progress. Returns an exit code.
-int run_gate(const gate_settings& options);
+// What a gate gets from outside.
+struct gate_dependencies {
+    std::shared_ptr<store_client> store;
+    std::function<runtime_config()> current_config = [] { return runtime_config{}; };
+};
+
+struct gate_state;
+
+class gate {
+  public:
+    // Starts serving; returns unavailable when an address can't be bound.
+    static result<std::unique_ptr<gate>> start(const gate_settings& options,
+                                               gate_dependencies dependencies);
+
+    // Ends without waiting: sends nothing more and breaks the callers' connections.
+    ~gate();
+    gate(const gate&) = delete;
+    gate& operator=(const gate&) = delete;
+    gate(gate&&) = delete;
+    gate& operator=(gate&&) = delete;
+
+    std::uint16_t caller_port() const;
+    std::uint16_t operator_port() const;
+
+    // Tells whether the gate answers /readyz with success.
+    bool ready() const;
+
+    // Returns the number of the service's listed endpoints that aren't leaving.
+    std::size_t known_endpoints(const service_id& service) const;
+
+    // Shuts down gracefully: not ready at once, refuses new requests after the grace period, and
+    // returns when those in progress have ended or the limit has passed.
+    void drain();
+
+    const metrics& counters() const;
+
+  private:
+    explicit gate(std::unique_ptr<gate_state> initial);
+    std::unique_ptr<gate_state> state_;
+};
+
+// Runs a gate until SIGTERM, then shuts it down gracefully. Returns an exit code.
+int run_gate(const gate_settings& options, gate_dependencies dependencies);
 
 } // namespace fulmar
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -137,7 +137,9 @@
 
 
 def get(address, path, body=None):
-    request = urllib.request.Request(f"http://{address}{path}", data=body)
+    # With a body this is a POST, which the gate takes only with a key or marked as idempotent.
+    headers = {"Fulmar-Idempotent": "yes"} if body is not None else {}
+    request = urllib.request.Request(f"http://{address}{path}", data=body, headers=headers)
     try:
         with urllib.request.urlopen(request, timeout=10) as response:
             return response.status, response.read().decode(), dict(response.headers)
