store_memory, worker_memory: add late writes and resume from checkpoints

Cause: the tests need a write whose reply is lost and that takes effect later, and checkpoints that can be told apart; the worker model repeated the whole run after a resume. Change: store_faults::hold_writes with release_held_writes; a resumed task runs only what its checkpoint does not cover, and a checkpoint names the attempt that wrote it.

--- a/src/store_memory.cpp
+++ b/src/store_memory.cpp
@@ -44,6 +44,15 @@
     if (auto refused = begin_call()) {
         return *refused;
     }
+    if (faults_.hold_writes) {
+        held_.push_back(write);
+        return error{error_kind::timeout, "store reply lost"};
+    }
+    return apply_write(write);
+}
+
+// Writes if the value's size, lease and expected revision allow it.
+result<revision_number> store_memory::apply_write(const store_write& write) {
     if (write.value.size() > value_limit_bytes) {
         return error{error_kind::invalid_argument, write.key + ": value exceeds 1 MiB"};
     }
@@ -138,6 +147,15 @@
     return calls_;
 }
 
+void store_memory::release_held_writes() {
+    const std::lock_guard lock(mutex_);
+    drop_lapsed_leases();
+    for (const auto& write : held_) {
+        (void)apply_write(write);
+    }
+    held_.clear();
+}
+
 // Counts a call and drops lapsed leases; returns the error while the store is unavailable.
 std::optional<error> store_memory::begin_call() {
     ++calls_;
--- a/src/store_memory.hpp
+++ b/src/store_memory.hpp
@@ -14,6 +14,7 @@
 struct store_faults {
     bool unavailable = false;  // refuse every call
     bool lose_replies = false; // apply writes, then report a time-out
+    bool hold_writes = false;  // report a time-out and apply the write at release_held_writes
     duration delay{0};         // added to each reply by standin_store
 };
 
@@ -37,6 +38,9 @@
     store_faults faults() const;
     std::uint64_t calls() const;
 
+    // Applies the held compare-and-swaps in their order, as far as their revisions still match.
+    void release_held_writes();
+
   private:
     struct entry_state {
         std::string value;
@@ -51,6 +55,7 @@
     std::optional<error> begin_call();
     void drop_lapsed_leases();
     void append_event(const std::string& key, const std::string& value, bool deleted);
+    result<revision_number> apply_write(const store_write& write);
     result<revision_number> reply_to_write();
 
     clock now_;
@@ -63,6 +68,7 @@
     std::map<std::string, entry_state> entries_;
     std::map<lease_id, lease_state> leases_;
     std::deque<store_event> history_;
+    std::vector<store_write> held_;
 };
 
 } // namespace fulmar
--- a/src/worker_memory.cpp
+++ b/src/worker_memory.cpp
@@ -1,6 +1,7 @@
 #include "worker_memory.hpp"
 
 #include <cassert>
+#include <charconv>
 
 namespace fulmar {
 
@@ -10,12 +11,21 @@
     return {now.time_since_epoch().count()};
 }
 
+// Returns the run time that a checkpoint of this model covers; 0 for any other text.
+std::int64_t covered_ms(std::string_view checkpoint) {
+    std::int64_t covered = 0;
+    std::from_chars(checkpoint.data(), checkpoint.data() + checkpoint.size(), covered);
+    return covered;
+}
+
 // Ends a running task; its report stays until it is acknowledged.
 void end_task(worker_task& task, task_state state, time_point now) {
     task.report.state = state;
     if (state == task_state::checkpointed) {
-        const auto ran = (now - task.started).count();
-        task.report.checkpoint = std::to_string(ran);
+        // The attempt makes each checkpoint's text unique, so that tests can tell them apart.
+        const auto ran = task.resumed_ms + (now - task.started).count();
+        task.report.checkpoint =
+            std::to_string(ran) + "@" + std::to_string(task.report.attempt.value);
     }
 }
 
@@ -43,6 +53,7 @@
                    command.need, command.task_class, command.checkpoint};
     task.started = now;
     task.run_ms = command.run_ms;
+    task.resumed_ms = covered_ms(command.checkpoint);
     if (worker.faults.fail_all_starts) {
         task.report.state = task_state::failed;
     }
@@ -104,7 +115,7 @@
         if (task.report.state != task_state::running) {
             continue;
         }
-        const auto ends = task.started + duration(task.run_ms);
+        const auto ends = task.started + duration(task.run_ms - task.resumed_ms);
         if (task.run_ms > 0 && now >= ends && (!lease_lapsed || ends <= worker.lease_end)) {
             end_task(task, task_state::finished, ends);
         } else if (lease_lapsed) {
--- a/src/worker_memory.hpp
+++ b/src/worker_memory.hpp
@@ -11,6 +11,7 @@
     task_report report;
     time_point started;
     std::int64_t run_ms = 0;
+    std::int64_t resumed_ms = 0; // run time that the checkpoint it resumed from covers
     std::int64_t share = 100;
 };
 
