cell_control: take nothing from workers before the progress is owned

Cause: after a takeover, ends reported before the first commit were recorded in a copy of the progress that a later read replaced, so an older owner's last commit erased them; a job seen after the takeover settled waited for ever or ignored the intents of the earlier owner; jobs known before an absent progress got no rows; a write result from before an activation passed for the present one. Change: inventories are asked for once the first commit under our epoch is stored; a replaced copy makes the rows anew; old intents are resolved by intent instead of by row; every failure other than unavailable rereads; cell_state::highest_epoch, and on_progress_written with the write's epoch.

--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -14,7 +14,7 @@
 // Creates rows for the tasks of a job that have neither ended nor a row.
 void add_tasks(cell_state& cell, const job_id& id, const job_row& job, time_point now) {
     const auto& progress = cell.progress.jobs[id];
-    const bool may_be_elsewhere = job.record.created_epoch < cell.epoch;
+    const bool may_be_elsewhere = job.record.created_epoch < cell.epoch && !cell.takeover_settled;
     for (std::uint32_t index = 0; index < job.record.tasks; ++index) {
         if (progress.finished.contains(index) || progress.parked.contains(index) ||
             progress.outcome_unknown.contains(index) || progress.cancelled.contains(index)) {
@@ -65,6 +65,30 @@
     }
 }
 
+// Ends non-idempotent tasks that an earlier owner may have started and that no worker reported:
+// they may have run to their end. Goes over the intents and not over the rows, because the job of
+// an intent may not have been seen yet.
+void resolve_old_intents(cell_state& cell) {
+    for (auto& [id, job] : cell.progress.jobs) {
+        for (auto at = job.intents.begin(); at != job.intents.end();) {
+            const auto row = cell.tables.tasks.find({id, at->first});
+            const bool known =
+                row != cell.tables.tasks.end() && row->second.phase != task_phase::waiting;
+            if (known || at->second.attempt >= first_attempt(cell.epoch)) {
+                ++at;
+                continue;
+            }
+            job.outcome_unknown.insert(at->first);
+            at = job.intents.erase(at);
+            if (row != cell.tables.tasks.end()) {
+                cell.tables.tasks.erase(row);
+            }
+            cell.counters->count("fulmar_tasks_ended_total", "outcome_unknown");
+            mark_dirty(cell);
+        }
+    }
+}
+
 // Decides whether an earlier owner's tasks may still run on workers that were never inventoried.
 void settle_takeover(cell_state& cell, time_point now) {
     if (cell.takeover_settled || !cell.progress_owned) {
@@ -76,26 +100,10 @@
         }
     }
     cell.takeover_settled = true;
-    std::vector<task_id> unknown;
     for (auto& [id, task] : cell.tables.tasks) {
-        if (!task.may_be_elsewhere) {
-            continue;
-        }
         task.may_be_elsewhere = false;
-        const auto progress = cell.progress.jobs.find(id.job);
-        if (progress != cell.progress.jobs.end() && progress->second.intents.contains(id.index)) {
-            unknown.push_back(id);
-        }
-    }
-    // An intent without a worker that reports it: the task may have run to its end.
-    for (const auto& id : unknown) {
-        auto& progress = cell.progress.jobs[id.job];
-        progress.intents.erase(id.index);
-        progress.outcome_unknown.insert(id.index);
-        cell.tables.tasks.erase(id);
-        cell.counters->count("fulmar_tasks_ended_total", "outcome_unknown");
-        mark_dirty(cell);
     }
+    resolve_old_intents(cell);
 }
 
 // Ends tasks of cancelled jobs that came back to the queue, for instance from a lost worker.
@@ -268,7 +276,7 @@
         request.holder = cell.host;
         request.epoch = cell.epoch;
         request.lease_ms = cell.timing.worker_lease.count();
-        request.full_inventory = worker.need_inventory;
+        request.full_inventory = worker.need_inventory && cell.progress_owned;
         request.commands = std::move(commands[i]);
         request.commands.insert(request.commands.end(), worker.commands.begin(),
                                 worker.commands.end());
@@ -349,12 +357,16 @@
     if (cell.claim_revision.value != 0) {
         fresh.claim_to_release = cell.claim_revision;
     }
+    fresh.highest_epoch = std::max(cell.highest_epoch, cell.epoch);
     fresh.state = cell.state;
     fresh.state_confirmed = cell.state_confirmed;
     cell = std::move(fresh);
 }
 
 void on_claim_confirmed(cell_state& cell, revision_number revision, time_point sent) {
+    if (cell.epoch.value == 0) {
+        return; // confirmed before the cell was given up
+    }
     cell.claim_revision = revision;
     if (!cell.claim_confirmed || *cell.claim_confirmed < sent) {
         cell.claim_confirmed = sent;
@@ -362,27 +374,37 @@
 }
 
 void on_progress_read(cell_state& cell, const std::optional<store_entry>& entry, time_point now) {
-    cell.progress_conflict = false;
-    if (!entry) {
-        cell.progress.epoch = cell.epoch;
-        cell.progress_revision = {};
-        mark_dirty(cell);
-        return;
-    }
-    auto stored = parse_cell_progress(entry->value);
-    if (!stored) {
-        cell.counters->count("fulmar_progress_errors_total", "unreadable");
-        cell.progress_conflict = true;
-        return;
+    if (cell.epoch.value == 0) {
+        return; // asked for before the cell was given up
+    }
+    if (cell.progress_owned && entry && entry->revision < cell.progress_revision) {
+        return; // overtaken by a later write of ours
+    }
+    // Step 1: read the stored copy.
+    cell_progress stored;
+    if (entry) {
+        auto parsed = parse_cell_progress(entry->value);
+        if (!parsed) {
+            cell.counters->count("fulmar_progress_errors_total", "unreadable");
+            cell.progress_conflict = true;
+            return;
+        }
+        stored = std::move(parsed).value();
     }
-    if (stored.value().epoch > cell.epoch) {
+    if (stored.epoch > cell.epoch) {
         cell.counters->count("fulmar_cell_yields_total", "newer_epoch_in_store");
+        cell.highest_epoch = std::max(cell.highest_epoch, stored.epoch);
         deactivate(cell);
         return;
     }
-    cell.progress_revision = entry->revision;
-    if (stored.value().epoch < cell.epoch) {
-        cell.progress = std::move(stored).value();
+
+    // Step 2: adopt an earlier owner's copy. It may have been written after we first read one, so
+    // the rows are made anew; none of them is placed before the progress is ours.
+    cell.progress_conflict = false;
+    cell.progress_revision = entry ? entry->revision : revision_number{};
+    if (!cell.progress_owned && stored.epoch < cell.epoch) {
+        cell.tables.tasks.clear();
+        cell.progress = std::move(stored);
         cell.progress.epoch = cell.epoch;
     }
     mark_dirty(cell);
@@ -391,6 +413,13 @@
     }
 }
 
+void on_progress_written(cell_state& cell, epoch_number epoch,
+                         const result<revision_number>& written, time_point now) {
+    if (epoch == cell.epoch) {
+        on_progress_written(cell, written, now);
+    }
+}
+
 void on_progress_written(cell_state& cell, const result<revision_number>& written, time_point now) {
     if (!cell.commit_in_flight) {
         return;
@@ -399,13 +428,17 @@
     if (!written) {
         cell.counters->count("fulmar_commit_retries_total", to_string(written.error().kind));
         // The stored copy may be ours after a lost reply, or another owner's; reading it tells.
-        cell.progress_conflict = written.error().kind == error_kind::conflict ||
-                                 written.error().kind == error_kind::outcome_unknown;
+        cell.progress_conflict = written.error().kind != error_kind::unavailable;
         cell.progress_dirty = true;
         return;
     }
     cell.progress_revision = written.value();
-    cell.progress_owned = true;
+    if (!cell.progress_owned) {
+        cell.progress_owned = true;
+        for (auto& worker : cell.tables.workers) {
+            worker.next_sync = now; // for the inventories
+        }
+    }
     cell.commit_done = cell.commit_open - 1;
     settle_committed(cell, now);
 }
@@ -458,6 +491,7 @@
     switch (reply.error().kind) {
     case error_kind::stale_epoch:
         cell.counters->count("fulmar_cell_yields_total", "newer_epoch_at_worker");
+        cell.highest_epoch = {cell.epoch.value + 1}; // the worker knows an epoch above ours
         deactivate(cell);
         break;
     case error_kind::timeout:
@@ -474,6 +508,7 @@
 
 cell_actions tick(cell_state& cell, time_point now) {
     cell_actions actions;
+    actions.epoch = cell.epoch;
     if (cell.epoch.value == 0) {
         return actions;
     }
--- a/src/cell_control.hpp
+++ b/src/cell_control.hpp
@@ -29,8 +29,9 @@
     cell_tables tables;
 
     // Claim in the store.
-    epoch_number epoch;                        // under which this host syncs; 0 means not active
-    revision_number claim_revision;            // 0 while the claim isn't ours
+    epoch_number epoch;             // under which this host syncs; 0 means not active
+    epoch_number highest_epoch;     // ever used or seen here; the next claim must exceed it
+    revision_number claim_revision; // 0 while the claim isn't ours
     std::optional<time_point> claim_confirmed; // send time of the last call that confirmed it
     std::optional<time_point> majority_since;
 
@@ -62,6 +63,7 @@
 };
 
 struct cell_actions {
+    epoch_number epoch; // pass it to on_progress_written with the result of the write
     std::vector<sync_action> syncs;
     std::optional<store_write> progress_write;
 };
@@ -89,6 +91,11 @@
 // Ends the group commit in flight. A conflict means that another owner took over.
 void on_progress_written(cell_state& cell, const result<revision_number>& written, time_point now);
 
+// As above for a write made at `epoch`; ignores the end of a write from before a new activation,
+// which would otherwise be taken for the end of the present one.
+void on_progress_written(cell_state& cell, epoch_number epoch,
+                         const result<revision_number>& written, time_point now);
+
 // Takes the data centre's state from a store call sent at `sent`.
 void on_data_centre_state(cell_state& cell, data_centre_state state, time_point sent);
 
--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -225,7 +225,12 @@
         row.need_inventory = true;
     }
 
-    // Step 2: apply the results of commands, then the reports.
+    // Step 2: apply the results of commands, then the reports. Until the progress is ours an
+    // earlier owner may still change it, so an end recorded now could be overwritten; workers
+    // repeat it.
+    if (!cell.progress_owned) {
+        return;
+    }
     for (const auto& outcome : reply.results) {
         apply_result(cell, worker, outcome, now);
     }
