cell_lease: let the lease of an unanswering worker lapse

Cause: every sync to an unreachable worker moved the time of its last possible renewal, so the wait for the end of its lease never ended and its tasks were never restarted, under the same owner and after a takeover; a worker that could not be reached stayed the preferred place for starts; a worker that refused its lease still counted for the majority; a reply that could not be read counted as "nothing was executed". Change: after one lease time without an answer the syncs pause until the lease has surely ended (without a majority they go on, as they gain it); each worker notes once that no earlier owner's task can be on it; placement skips workers whose last sync failed (one line in placement.cpp).

--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -94,10 +94,16 @@
     if (cell.takeover_settled || !cell.progress_owned) {
         return;
     }
-    for (const auto& worker : cell.tables.workers) {
-        if (!worker.inventoried && !lease_surely_ended(cell, worker, now)) {
-            return;
+    bool settled = true;
+    for (auto& worker : cell.tables.workers) {
+        if (!worker.predecessor_ended && lease_surely_ended(cell, worker, now)) {
+            worker.predecessor_ended = true;
+            worker.unanswered.reset();
         }
+        settled = settled && worker.predecessor_ended;
+    }
+    if (!settled) {
+        return;
     }
     cell.takeover_settled = true;
     for (auto& [id, task] : cell.tables.tasks) {
@@ -126,6 +132,7 @@
         release_lost_worker(cell, i, now);
         worker.inventoried = false;
         worker.need_inventory = true;
+        worker.unanswered.reset();
     }
 }
 
@@ -272,6 +279,11 @@
             cell.counters->count("fulmar_renewal_withheld_total", "no_authority");
             continue;
         }
+        if (must_let_lapse(cell, worker, now)) {
+            cell.counters->count("fulmar_renewal_withheld_total", "unanswered");
+            worker.next_sync = now + cell.timing.sync_interval;
+            continue;
+        }
         sync_request request;
         request.holder = cell.host;
         request.epoch = cell.epoch;
@@ -287,6 +299,9 @@
         worker.acks_in_flight = request.acks.size();
         worker.renewal_before = worker.renewal_sent;
         worker.renewal_sent = now;
+        if (!worker.unanswered) {
+            worker.unanswered = now;
+        }
         worker.next_sync = now + cell.timing.sync_interval;
         actions.syncs.push_back({worker.id, std::move(request), now});
     }
@@ -480,8 +495,10 @@
         return; // sent before the cell was given up
     }
     worker.sync_in_flight = false;
+    worker.reachable = reply.has_value();
     if (reply) {
         worker.renewal_known = sent;
+        worker.unanswered.reset();
         worker.acks.erase(worker.acks.begin(),
                           worker.acks.begin() + static_cast<std::ptrdiff_t>(worker.acks_in_flight));
         apply_sync_reply(cell, found->second, worker.inventory_in_flight, reply.value(), now);
@@ -494,15 +511,17 @@
         cell.highest_epoch = {cell.epoch.value + 1}; // the worker knows an epoch above ours
         deactivate(cell);
         break;
-    case error_kind::timeout:
-    case error_kind::outcome_unknown:
-        mark_reply_lost(cell, found->second);
-        break;
-    default:
+    case error_kind::lease_held:
+        // The worker restarted or serves another holder, so we don't hold its lease.
+        worker.renewal_known.reset();
+        [[fallthrough]];
+    case error_kind::unavailable:
         return_unsent_starts(cell, found->second, now);
-        // Nothing was sent, or the lease wasn't granted: this was no renewal.
-        worker.renewal_sent = worker.renewal_before;
+        worker.renewal_sent = worker.renewal_before; // this was no renewal
         worker.need_inventory = true;
+        break;
+    default:
+        mark_reply_lost(cell, found->second);
     }
 }
 
--- a/src/cell_lease.cpp
+++ b/src/cell_lease.cpp
@@ -29,6 +29,13 @@
     return claim_is_fresh(cell, now) || holds_majority(cell, now);
 }
 
+bool must_let_lapse(const cell_state& cell, const worker_row& worker, time_point now) {
+    // Without a majority the syncs must go on, as they are the way to gain it.
+    const bool awaited =
+        worker.inventoried || (!worker.predecessor_ended && holds_majority(cell, now));
+    return awaited && worker.unanswered && now >= *worker.unanswered + cell.timing.worker_lease;
+}
+
 std::optional<std::string_view> find_start_obstacle(const cell_state& cell, time_point now) {
     if (cell.epoch.value == 0 || !claim_is_fresh(cell, now)) {
         return "claim_unconfirmed";
--- a/src/cell_lease.hpp
+++ b/src/cell_lease.hpp
@@ -15,6 +15,10 @@
 // Worker leases may be renewed.
 bool may_renew(const cell_state& cell, time_point now);
 
+// Syncs to this worker must pause: it has not answered for a lease time, and each further sync
+// could renew its lease unseen, so that the wait for the end of that lease would never end.
+bool must_let_lapse(const cell_state& cell, const worker_row& worker, time_point now);
+
 // Tasks that are not running anywhere may be started; otherwise returns the reason why not.
 std::optional<std::string_view> find_start_obstacle(const cell_state& cell, time_point now);
 
--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -243,6 +243,7 @@
     // Step 3: a full inventory also tells what is not there.
     if (full_inventory) {
         row.inventoried = true;
+        row.predecessor_ended = true;
         row.need_inventory = false;
         apply_absences(cell, worker, reply, reported, now);
     }
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -24,7 +24,8 @@
     std::tuple<std::int64_t, double> best_score;
     for (std::size_t i = 0; i < tables.workers.size(); ++i) {
         const auto& worker = tables.workers[i];
-        if (!worker.inventoried || !fits(task.need, worker.capacity - worker.committed)) {
+        if (!worker.inventoried || !worker.reachable ||
+            !fits(task.need, worker.capacity - worker.committed)) {
             continue;
         }
         if (worker.quarantined_until && now < *worker.quarantined_until) {
--- a/src/scheduler_tables.hpp
+++ b/src/scheduler_tables.hpp
@@ -31,6 +31,9 @@
     std::optional<time_point> renewal_sent;   // last sync that may have renewed the lease
     std::optional<time_point> renewal_before; // the one before the sync in flight
     std::optional<time_point> renewal_known;  // send time of the last answered sync
+    std::optional<time_point> unanswered;     // first sync sent since the last answer
+    bool reachable = true;                    // the last sync was answered
+    bool predecessor_ended = false;           // no earlier owner's task can be running here unseen
     worker_clock clock;                       // worker's clock in the last reply
     time_point clock_received;                // when that reply arrived here
     std::uint64_t incarnation = 0;
