--- a/src/store_memory.hpp
+++ b/src/store_memory.hpp
@@ -14,8 +14,8 @@
 struct store_faults {
     bool unavailable = false;  // refuse every call
     bool lose_replies = false; // apply writes, then report a time-out
-    bool hold_writes = false;  // report a time-out and apply the write at release_held_writes
     duration delay{0};         // added to each reply by standin_store
+    bool hold_writes = false;  // report a time-out and apply the write at release_held_writes
 };
 
 // Safe for use by several threads. `watch` does not wait here; standin_store does the waiting.
