cell_reports: resolve uncertain starts, repeated ends and contested epochs

Cause: (1) a task cancelled while its start was under way was taken for ended while the start could still arrive, or kept its resources for ever after the start was refused; (2) a start whose reply was lost was repeated after its worker restarted, which runs a non-idempotent task twice; (3) a failure reported again before its acknowledgement arrived counted twice; (4) a failed non-idempotent task was run again; (5) a checkpoint of an older attempt let a task start before the takeover settled, while its resumed run could be on a worker not seen yet; (6) a task lost before its job was seen was taken for idempotent and crashed placement; (7) a stale attempt that was stopped cancelled its task; (8) a worker that came back smaller broke an assertion; (9) an adopter and a claimant at the same epoch blocked each other. Change: a start stays uncertain until answered, reported or expired, in any phase; restarts are noted until the next inventory; job_progress::failed_attempts; intents speak for unseen jobs; the capacity check is made where a start is placed and the sums stay checked every tick; on_claim_read, and a yield when most workers refuse the lease for longer than a restart explains.

--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -174,6 +174,7 @@
         set_phase(cell.tables, task, task_phase::committing_intent, worker);
     }
     cell.tables.workers[worker].next_sync = {};
+    assert(fits(cell.tables.workers[worker].committed, cell.tables.workers[worker].capacity));
 }
 
 // Places waiting tasks while starts are permitted.
@@ -230,6 +231,7 @@
 void collect_commands(cell_state& cell, time_point now,
                       std::vector<std::vector<worker_command>>& commands) {
     const bool may_start = !find_start_obstacle(cell, now).has_value();
+    std::vector<task_row*> withheld;
     constexpr worker_clock never{std::numeric_limits<std::int64_t>::max()};
     for (auto& [id, task] : cell.tables.tasks) {
         if (task.worker == no_worker || cell.tables.workers[task.worker].sync_in_flight) {
@@ -244,7 +246,7 @@
             if (may_start) {
                 list.push_back(make_start(cell, task));
             } else {
-                requeue(cell, task, "stale_state", now);
+                withheld.push_back(&task);
             }
             break;
         case task_phase::evicting:
@@ -257,6 +259,9 @@
             break;
         }
     }
+    for (auto* task : withheld) {
+        requeue(cell, *task, "stale_state", now);
+    }
 }
 
 // Builds the syncs that are due. A sync renews the lease, so it needs the authority to renew.
@@ -324,6 +329,17 @@
                                          {}};
 }
 
+// Tells whether most workers refuse our lease for longer than a restart explains: another host
+// adopted them at the same epoch, and neither of us gets a majority of new leases from them.
+bool epoch_is_contested(const cell_state& cell, time_point now) {
+    const auto wait = cell.timing.worker_lease + cell.timing.lease_margin;
+    std::size_t refusing = 0;
+    for (const auto& worker : cell.tables.workers) {
+        refusing += worker.refused_since && now >= *worker.refused_since + wait ? 1 : 0;
+    }
+    return refusing * 2 > cell.tables.workers.size();
+}
+
 void track_majority(cell_state& cell, time_point now) {
     if (!holds_majority(cell, now)) {
         cell.majority_since.reset();
@@ -388,6 +404,15 @@
     }
 }
 
+void on_claim_read(cell_state& cell, const cell_claim& claim, bool owner_alive) {
+    cell.highest_epoch = std::max(cell.highest_epoch, claim.epoch);
+    if (cell.epoch.value != 0 && claim.owner != cell.host && owner_alive &&
+        claim.epoch >= cell.epoch) {
+        cell.counters->count("fulmar_cell_yields_total", "claimed_by_other");
+        deactivate(cell);
+    }
+}
+
 void on_progress_read(cell_state& cell, const std::optional<store_entry>& entry, time_point now) {
     if (cell.epoch.value == 0) {
         return; // asked for before the cell was given up
@@ -499,6 +524,7 @@
     if (reply) {
         worker.renewal_known = sent;
         worker.unanswered.reset();
+        worker.refused_since.reset();
         worker.acks.erase(worker.acks.begin(),
                           worker.acks.begin() + static_cast<std::ptrdiff_t>(worker.acks_in_flight));
         apply_sync_reply(cell, found->second, worker.inventory_in_flight, reply.value(), now);
@@ -514,6 +540,7 @@
     case error_kind::lease_held:
         // The worker restarted or serves another holder, so we don't hold its lease.
         worker.renewal_known.reset();
+        worker.refused_since = worker.refused_since.value_or(now);
         [[fallthrough]];
     case error_kind::unavailable:
         return_unsent_starts(cell, found->second, now);
@@ -531,6 +558,12 @@
     if (cell.epoch.value == 0) {
         return actions;
     }
+    if (epoch_is_contested(cell, now)) {
+        cell.counters->count("fulmar_cell_yields_total", "contested_epoch");
+        cell.highest_epoch = {cell.epoch.value + 1};
+        deactivate(cell);
+        return actions;
+    }
     track_majority(cell, now);
     settle_takeover(cell, now);
     release_lost_workers(cell, now);
--- a/src/cell_control.hpp
+++ b/src/cell_control.hpp
@@ -84,6 +84,10 @@
 // Records that the store confirmed our claim by a call sent at `sent`.
 void on_claim_confirmed(cell_state& cell, revision_number revision, time_point sent);
 
+// Takes the cell's claim as read from the store; `owner_alive` tells whether its member record
+// exists. Gives the cell up when another live owner claims it at our epoch or above.
+void on_claim_read(cell_state& cell, const cell_claim& claim, bool owner_alive);
+
 // Takes over the stored progress, read after the claim was written. Must be followed by a commit
 // under our epoch before anything starts.
 void on_progress_read(cell_state& cell, const std::optional<store_entry>& entry, time_point now);
--- a/src/cell_progress.cpp
+++ b/src/cell_progress.cpp
@@ -60,6 +60,7 @@
     }
     if (!in.failures.empty()) {
         out["failures"] = in.failures;
+        out["failed_attempts"] = in.failed_attempts;
     }
 }
 
@@ -71,6 +72,7 @@
     out.checkpoints = in.value("checkpoints", out.checkpoints);
     out.intents = in.value("intents", out.intents);
     out.failures = in.value("failures", out.failures);
+    out.failed_attempts = in.value("failed_attempts", out.failed_attempts);
 }
 
 void to_json(json& out, const cell_progress& in) {
--- a/src/cell_progress.hpp
+++ b/src/cell_progress.hpp
@@ -26,6 +26,7 @@
     std::map<std::uint32_t, committed_checkpoint> checkpoints;
     std::map<std::uint32_t, committed_intent> intents;
     std::map<std::uint32_t, std::uint32_t> failures;
+    std::map<std::uint32_t, attempt_number> failed_attempts; // last attempt counted in failures
     std::set<std::uint32_t> parked;
     std::set<std::uint32_t> outcome_unknown;
     std::set<std::uint32_t> cancelled;
--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -27,6 +27,22 @@
            job.outcome_unknown.contains(id.index) || job.cancelled.contains(id.index);
 }
 
+// Tells whether a job's tasks may run more than once. An intent speaks for a job that was not seen
+// yet.
+bool is_idempotent(const cell_state& cell, const task_id& id) {
+    const auto job = cell.tables.jobs.find(id.job);
+    if (job != cell.tables.jobs.end()) {
+        return job->second.record.idempotent;
+    }
+    const auto progress = cell.progress.jobs.find(id.job);
+    return progress == cell.progress.jobs.end() || !progress->second.intents.contains(id.index);
+}
+
+bool is_cancelled(const cell_state& cell, const job_id& id) {
+    const auto job = cell.tables.jobs.find(id);
+    return job != cell.tables.jobs.end() && job->second.record.cancelled;
+}
+
 void acknowledge(cell_state& cell, std::size_t worker, const task_id& id, attempt_number attempt) {
     cell.tables.workers.at(worker).acks.push_back({id, attempt});
 }
@@ -35,6 +51,7 @@
 void begin_commit(cell_state& cell, task_row& task, const task_report& report) {
     auto& job = progress_of(cell, task.id);
     const auto index = task.id.index;
+    const bool idempotent = is_idempotent(cell, task.id);
     job.intents.erase(index);
     switch (report.state) {
     case task_state::finished:
@@ -46,12 +63,19 @@
         task.checkpoint = report.checkpoint;
         break;
     case task_state::failed:
-        if (++job.failures[index] >= failures_before_parking) {
+        job.failed_attempts[index] = task.attempt;
+        // A failed run is a run, so a task that may run only once is not tried again.
+        if (++job.failures[index] >= failures_before_parking || !idempotent) {
             job.parked.insert(index);
         }
         break;
     case task_state::stopped:
-        job.cancelled.insert(index);
+        // Stopped as a stale attempt, but no later one exists: the task itself isn't cancelled.
+        if (is_cancelled(cell, task.id.job)) {
+            job.cancelled.insert(index);
+        } else if (!idempotent) {
+            job.outcome_unknown.insert(index);
+        }
         break;
     case task_state::running:
         assert(false);
@@ -78,9 +102,29 @@
 
 // Takes a task into the tables that this owner did not start.
 task_row& adopt_row(cell_state& cell, const task_report& report) {
-    auto& task = cell.tables.tasks[report.task];
-    task.id = report.task;
-    return task;
+    const auto [row, created] = cell.tables.tasks.try_emplace(report.task);
+    if (created) {
+        row->second.id = report.task;
+        row->second.may_be_elsewhere = !cell.takeover_settled;
+    }
+    return row->second;
+}
+
+// Tells whether the progress already holds this end, so that a repeated report isn't counted again.
+bool is_recorded(const cell_state& cell, const task_report& report) {
+    const auto found = cell.progress.jobs.find(report.task.job);
+    if (found == cell.progress.jobs.end()) {
+        return false;
+    }
+    const auto index = report.task.index;
+    const auto& job = found->second;
+    if (report.state == task_state::checkpointed) {
+        const auto at = job.checkpoints.find(index);
+        return at != job.checkpoints.end() && at->second.attempt == report.attempt;
+    }
+    const auto at = job.failed_attempts.find(index);
+    return report.state == task_state::failed && at != job.failed_attempts.end() &&
+           at->second == report.attempt;
 }
 
 void apply_report(cell_state& cell, std::size_t worker, const task_report& report) {
@@ -103,8 +147,16 @@
     if (task.phase == task_phase::committing && report.attempt == task.attempt) {
         return;
     }
-    task.may_be_elsewhere = false;
+    if (task.phase == task_phase::waiting && is_recorded(cell, report)) {
+        acknowledge(cell, worker, report.task, report.attempt);
+        return;
+    }
+    // A run that was evicted or failed here may have been resumed since on a worker not seen yet.
+    if (report.state != task_state::checkpointed && report.state != task_state::failed) {
+        task.may_be_elsewhere = false;
+    }
     task.reply_lost = false;
+    task.expires_at = {};
     if (!holds_resources(task.phase)) {
         task.need = report.need;
         task.task_class = report.task_class;
@@ -122,9 +174,9 @@
 
 // Ends a task whose worker certainly doesn't run it any more, without a report of its end.
 void lose_task(cell_state& cell, task_row& task, std::string_view reason, time_point now) {
-    const auto job = cell.tables.jobs.find(task.id.job);
-    const bool idempotent = job == cell.tables.jobs.end() || job->second.record.idempotent;
-    if (idempotent || task.phase == task_phase::committing_intent) {
+    const bool unsent = task.phase == task_phase::committing_intent ||
+                        (task.phase == task_phase::starting && task.expires_at.value == 0);
+    if (unsent || is_idempotent(cell, task.id)) {
         requeue(cell, task, reason, now);
         return;
     }
@@ -149,16 +201,17 @@
         const bool unsent =
             task.expires_at.value == 0 &&
             (task.phase == task_phase::starting || task.phase == task_phase::committing_intent);
-        // A start whose reply was lost may still be on its way until it expires.
-        const bool may_arrive = task.phase == task_phase::starting && reply.now <= task.expires_at;
+        // A start whose reply was lost may still be on its way until it expires, also when the task
+        // was cancelled since.
+        const bool may_arrive = task.expires_at.value != 0 && reply.now <= task.expires_at;
         if (unsent || may_arrive) {
             continue;
         }
         absent.push_back(&task);
     }
     for (auto* task : absent) {
-        const bool never_started = task->phase == task_phase::starting;
-        if (never_started) {
+        // After a restart the worker no longer knows what it executed.
+        if (task->expires_at.value != 0 && !cell.tables.workers[worker].restarted) {
             requeue(cell, *task, "start_not_executed", now);
         } else {
             lose_task(cell, *task, "lost_at_worker", now);
@@ -173,16 +226,28 @@
         return;
     }
     auto& task = found->second;
-    if (task.worker != worker || task.attempt != outcome.attempt ||
-        task.phase != task_phase::starting) {
+    if (task.worker != worker || task.attempt != outcome.attempt || !holds_resources(task.phase)) {
+        return;
+    }
+    // An evict or a stop, which are repeated until the end is reported. A task that the worker
+    // doesn't know is missing in its inventory too.
+    const bool answers_start = task.expires_at.value != 0 && !task.reply_lost;
+    if (!answers_start) {
+        auto& row = cell.tables.workers[worker];
+        row.need_inventory = row.need_inventory || outcome.refused.has_value();
         return;
     }
+    task.expires_at = {};
     if (!outcome.refused) {
-        set_phase(cell.tables, task, task_phase::running, worker);
+        if (task.phase == task_phase::starting) {
+            set_phase(cell.tables, task, task_phase::running, worker);
+        }
         cell.counters->count("fulmar_task_starts_total");
         return;
     }
     cell.counters->count("fulmar_start_refused_total", to_string(*outcome.refused));
+    // Other refusals than a late arrival mean that the worker knows of tasks that we don't.
+    cell.tables.workers[worker].need_inventory |= *outcome.refused != error_kind::expired;
     requeue(cell, task, "refused_by_worker", now);
 }
 
@@ -210,6 +275,11 @@
     if (job != cell.progress.jobs.end() && job->second.intents.erase(task.id.index) > 0) {
         mark_dirty(cell);
     }
+    // The job may arrive after the inventory of its worker; on_job then makes the row again from
+    // the progress, and placement never meets a task without a job.
+    if (!cell.tables.jobs.contains(task.id.job)) {
+        cell.tables.tasks.erase(task_id(task.id));
+    }
 }
 
 void apply_sync_reply(cell_state& cell, std::size_t worker, bool full_inventory,
@@ -223,6 +293,7 @@
     row.incarnation = reply.incarnation;
     if (restarted) {
         row.need_inventory = true;
+        row.restarted = true;
     }
 
     // Step 2: apply the results of commands, then the reports. Until the progress is ours an
@@ -246,6 +317,7 @@
         row.predecessor_ended = true;
         row.need_inventory = false;
         apply_absences(cell, worker, reply, reported, now);
+        row.restarted = false;
     }
     for (const auto& [id, task] : cell.tables.tasks) {
         if (task.worker == worker && task.reply_lost) {
@@ -255,18 +327,24 @@
 }
 
 void return_unsent_starts(cell_state& cell, std::size_t worker, time_point now) {
+    std::vector<task_row*> unsent;
     for (auto& [id, task] : cell.tables.tasks) {
-        if (task.worker == worker && task.phase == task_phase::starting && !task.reply_lost) {
-            requeue(cell, task, "worker_unreachable", now);
+        // One that was cancelled on its way is in another phase by now.
+        const bool in_this_sync = task.expires_at.value != 0 || task.phase == task_phase::starting;
+        if (task.worker == worker && holds_resources(task.phase) && in_this_sync &&
+            !task.reply_lost) {
+            unsent.push_back(&task);
         }
     }
+    for (auto* task : unsent) {
+        requeue(cell, *task, "worker_unreachable", now);
+    }
 }
 
 void mark_reply_lost(cell_state& cell, std::size_t worker) {
     cell.tables.workers.at(worker).need_inventory = true;
     for (auto& [id, task] : cell.tables.tasks) {
-        if (task.worker == worker && task.phase == task_phase::starting &&
-            task.expires_at.value != 0) {
+        if (task.worker == worker && task.expires_at.value != 0) {
             task.reply_lost = true;
         }
     }
@@ -303,7 +381,11 @@
             erase_task(cell, *task, "finished");
             break;
         case task_state::stopped:
-            erase_task(cell, *task, "cancelled");
+            if (has_ended(cell, task->id)) {
+                erase_task(cell, *task, "cancelled");
+            } else {
+                requeue(cell, *task, "stopped", now);
+            }
             break;
         case task_state::failed:
             if (progress_of(cell, task->id).parked.contains(task->id.index)) {
--- a/src/scheduler_tables.hpp
+++ b/src/scheduler_tables.hpp
@@ -33,6 +33,8 @@
     std::optional<time_point> renewal_known;  // send time of the last answered sync
     std::optional<time_point> unanswered;     // first sync sent since the last answer
     bool reachable = true;                    // the last sync was answered
+    std::optional<time_point> refused_since;  // first of the last refusals in a row of our lease
+    bool restarted = false;                   // since the last full inventory
     bool predecessor_ended = false;           // no earlier owner's task can be running here unseen
     worker_clock clock;                       // worker's clock in the last reply
     time_point clock_received;                // when that reply arrived here
@@ -64,7 +66,7 @@
     resources need;
     std::string task_class;
     std::string checkpoint;
-    worker_clock expires_at; // of the start command; 0 until it was sent
+    worker_clock expires_at; // of the start command; 0 before it is sent and after it is answered
     bool reply_lost = false; // the start command may or may not have been executed
     task_state ended_as = task_state::finished; // while committing
     std::uint64_t commit = 0;      // group commit that must be stored before the phase ends
@@ -95,7 +97,8 @@
 // Moves a task to another phase and worker and keeps the workers' committed resources in step.
 void set_phase(cell_tables& tables, task_row& task, task_phase phase, std::size_t worker);
 
-// Asserts that each worker's committed resources equal the sum over its tasks and fit its capacity.
+// Asserts that each worker's committed resources equal the sum over its tasks. They may exceed its
+// capacity after the worker came back smaller; placement asserts that a start fits.
 void check_capacity(const cell_tables& tables);
 
 } // namespace fulmar
