tests: add the fault matrix of a cell's state machine

Cause: nothing proved that a cell keeps its invariants under the faults of design section 1.3. Change: a seeded harness of two owners, five worker models and one store; 18 faults and all their ordered pairs at 13 steps, with the invariants checked after every event and a bound on recovery from cell_timing; two mutations (no freshness recheck before the send, workers that ignore the epoch) that the checks must notice; a takeover without a majority.

--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -215,9 +215,11 @@
     return command;
 }
 
-worker_command make_start(const cell_state& cell, task_row& task) {
+worker_command make_start(const cell_state& cell, task_row& task, time_point now) {
     const auto& worker = cell.tables.workers.at(task.worker);
-    task.expires_at = to_worker_clock(worker, start_permitted_until(cell));
+    const auto until = cell.timing.skip_freshness_recheck ? now + cell.timing.freshness
+                                                          : start_permitted_until(cell);
+    task.expires_at = to_worker_clock(worker, until);
     auto command = make_command(task, command_kind::start, task.expires_at);
     command.need = task.need;
     command.task_class = task.task_class;
@@ -230,7 +232,8 @@
 // until the worker reports the end, so a lost reply needs no bookkeeping.
 void collect_commands(cell_state& cell, time_point now,
                       std::vector<std::vector<worker_command>>& commands) {
-    const bool may_start = !find_start_obstacle(cell, now).has_value();
+    const bool may_start =
+        cell.timing.skip_freshness_recheck || !find_start_obstacle(cell, now).has_value();
     std::vector<task_row*> withheld;
     constexpr worker_clock never{std::numeric_limits<std::int64_t>::max()};
     for (auto& [id, task] : cell.tables.tasks) {
@@ -244,7 +247,7 @@
                 break;
             }
             if (may_start) {
-                list.push_back(make_start(cell, task));
+                list.push_back(make_start(cell, task, now));
             } else {
                 withheld.push_back(&task);
             }
--- a/src/cell_control.hpp
+++ b/src/cell_control.hpp
@@ -19,6 +19,9 @@
     duration sync_interval{2'000};
     duration freshness{4'000};
     duration commit_interval{1'000};
+    // Sends starts without the last check of freshness. Only for the test which proves that the
+    // fault matrix notices that.
+    bool skip_freshness_recheck = false;
 };
 
 struct cell_state {
--- /dev/null
+++ b/tests/fault_harness.cpp
@@ -0,0 +1,446 @@
+#include "fault_harness.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+const cell_id the_cell{"cell-1"};
+const std::string claim_key = std::string(cells_prefix) + the_cell.value;
+const std::string progress_key = std::string(progress_prefix) + the_cell.value;
+const std::string state_key = std::string(data_centres_prefix) + "dc";
+
+void violate(harness& self, const std::string& what) {
+    if (std::find(self.violations.begin(), self.violations.end(), what) == self.violations.end()) {
+        self.violations.push_back(what);
+    }
+}
+
+duration jitter(harness& self, int longest_ms) {
+    return duration(std::uniform_int_distribution<int>(0, longest_ms)(self.random));
+}
+
+// Runs an event at an owner at a later time, or when the owner's pause ends; never after its death.
+void deliver(harness& self, std::size_t owner, duration delay, std::function<void()> event) {
+    self.events.emplace(self.now + delay, [&self, owner, instance = self.owners[owner].instance,
+                                           event = std::move(event)] {
+        auto& to = self.owners[owner];
+        if (to.instance != instance || !to.alive) {
+            return;
+        }
+        to.paused ? to.backlog.push_back(event) : event();
+    });
+}
+
+void put(harness& self, const std::string& key, const std::string& value) {
+    const auto faults = self.store.faults();
+    self.store.set_faults({}); // operators retry until accepted
+    const auto present = self.store.get(key).value();
+    (void)self.store.compare_and_swap(
+        {key, value, present ? present->revision : revision_number{}, {}});
+    self.store.set_faults(faults);
+}
+
+// Checks I3, I4 and I7 at the moment a worker executes a start.
+void observe_start(harness& self, const worker_model& worker, const worker_command& command) {
+    if (!self.executions.insert({command.task, command.attempt, worker.id}).second) {
+        return;
+    }
+    const auto name = command.task.job.value + "/" + std::to_string(command.task.index);
+    const bool open =
+        self.state == data_centre_state::in || self.state == data_centre_state::returning;
+    if (!open && self.now > self.state_changed + self.timing.freshness) {
+        violate(self, "I4: " + name + " started after the data centre left");
+    }
+    const int runs = ++self.runs_from[{command.task, command.checkpoint}];
+    if (!self.jobs.at(command.task.job).idempotent && runs > 1) {
+        violate(self, "I7: " + name + " ran twice from checkpoint '" + command.checkpoint + "'");
+    }
+    const auto& progress = stored_progress(self);
+    const auto job = progress.jobs.find(command.task.job);
+    if (job != progress.jobs.end() && job->second.checkpoints.contains(command.task.index) &&
+        job->second.checkpoints.at(command.task.index).checkpoint != command.checkpoint) {
+        violate(self, "I3: " + name + " resumed from '" + command.checkpoint +
+                          "', which is not the committed checkpoint");
+    }
+}
+
+// Lets a request arrive at its worker and sends the reply back.
+void arrive(harness& self, std::size_t owner, const sync_action& action) {
+    const auto index =
+        self.owners[owner].cell.tables.worker_index.at(action.worker); // same order as the models
+    auto& worker = self.workers[index];
+    const auto link = self.links[index][owner];
+    const auto answer = [&self, owner, action](duration delay, const result<sync_reply>& reply) {
+        deliver(self, owner, delay, [&self, owner, action, reply] {
+            on_sync(self.owners[owner].cell, action.worker, action.sent, reply, self.now);
+        });
+    };
+    const auto timed_out = std::max(duration(0), action.sent + sync_timeout - self.now);
+    if (link == link_state::refused) {
+        return answer(duration(1), error{error_kind::unavailable, "refused"});
+    }
+    if (link == link_state::request_lost) {
+        return answer(timed_out, error{error_kind::timeout, "request lost"});
+    }
+    auto request = action.request;
+    if (self.ignore_epochs && request.epoch < worker.epoch) {
+        request.epoch = worker.epoch;
+        request.holder = worker.holder;
+    }
+    const auto reply = handle_sync(worker, request, self.now);
+    if (reply) {
+        for (std::size_t i = 0; i < request.commands.size(); ++i) {
+            const auto& command = request.commands[i];
+            if (command.kind == command_kind::start && !reply.value().results[i].refused) {
+                observe_start(self, worker, command);
+            }
+        }
+    }
+    if (link == link_state::reply_lost) {
+        return answer(timed_out, error{error_kind::timeout, "reply lost"});
+    }
+    answer(link == link_state::reply_late ? timed_out - duration(1) : jitter(self, 20), reply);
+}
+
+store_faults store_faults_for(harness& self, const harness_owner& owner) {
+    auto faults = self.store.faults();
+    faults.unavailable = faults.unavailable || !owner.store_up;
+    return faults;
+}
+
+// Runs store calls of one owner under the faults of its own link.
+template <class Calls>
+void with_store(harness& self, harness_owner& owner, Calls calls) {
+    const auto shared = self.store.faults();
+    self.store.set_faults(store_faults_for(self, owner));
+    calls();
+    self.store.set_faults(shared);
+}
+
+// Writes a group commit like the scheduler's commit thread: settles a lost reply, rereads in doubt.
+void commit(harness& self, std::size_t index, epoch_number epoch, const store_write& write) {
+    auto& owner = self.owners[index];
+    with_store(self, owner, [&] {
+        const auto written = write_and_settle(self.store, write);
+        const bool in_doubt = !written && written.error().kind != error_kind::unavailable;
+        const auto entry =
+            in_doubt ? self.store.get(write.key) : result<std::optional<store_entry>>(std::nullopt);
+        deliver(self, index, jitter(self, self.longest_commit_reply_ms),
+                [&self, &owner, epoch, written, in_doubt, entry] {
+                    on_progress_written(owner.cell, epoch, written, self.now);
+                    if (in_doubt && entry) {
+                        on_progress_read(owner.cell, entry.value(), self.now);
+                    }
+                });
+    });
+}
+
+void take_jobs(harness& self, harness_owner& owner) {
+    const auto listing = self.store.list(std::string(jobs_prefix));
+    if (!listing) {
+        return;
+    }
+    if (owner.jobs_epoch != owner.cell.epoch) {
+        owner.jobs_taken.clear();
+        owner.jobs_epoch = owner.cell.epoch;
+    }
+    for (const auto& entry : listing.value().entries) {
+        auto& taken = owner.jobs_taken[entry.key];
+        if (taken == entry.revision) {
+            continue;
+        }
+        taken = entry.revision;
+        on_job(owner.cell, {entry.key.substr(jobs_prefix.size())},
+               parse_job_record(entry.value).value(), entry.revision, self.now);
+    }
+}
+
+void read_progress(harness& self, harness_owner& owner) {
+    if (const auto entry = self.store.get(progress_key)) {
+        on_progress_read(owner.cell, entry.value(), self.now);
+    }
+}
+
+// Claims the cell when its owner's membership is gone, at the epoch already held at the workers.
+void claim(harness& self, harness_owner& owner) {
+    const auto claim = self.store.get(claim_key);
+    if (!claim) {
+        return;
+    }
+    revision_number revision;
+    if (claim.value()) {
+        const auto present = parse_cell_claim(claim.value()->value).value();
+        revision = claim.value()->revision;
+        owner.highest_epoch = std::max(owner.highest_epoch, present.epoch);
+        const auto member = self.store.get(std::string(members_prefix) + present.owner.value);
+        if (!member) {
+            return;
+        }
+        on_claim_read(owner.cell, present, member.value().has_value());
+        // A claim of our own from before the member lease lapsed is free, although we live.
+        if (member.value() && present.owner.value != owner.instance) {
+            return;
+        }
+    }
+    auto epoch = owner.cell.epoch;
+    if (epoch.value == 0 || epoch < owner.highest_epoch) {
+        epoch = {owner.highest_epoch.value + 1};
+    }
+    const auto written = write_and_settle(
+        self.store, {claim_key, serialize(cell_claim{{owner.instance}, epoch}), revision, {}});
+    if (!written) {
+        return;
+    }
+    owner.highest_epoch = epoch;
+    if (owner.cell.epoch != epoch) {
+        activate(owner.cell, epoch, self.now);
+    }
+    on_claim_confirmed(owner.cell, written.value(), self.now);
+}
+
+// Keeps the member lease alive and confirms or claims the cell.
+void run_membership(harness& self, harness_owner& owner) {
+    const std::string key = std::string(members_prefix) + owner.instance;
+    if (!owner.lease) {
+        const auto lease = self.store.grant_lease(duration(6'000));
+        const auto present = self.store.get(key);
+        if (!lease || !present) {
+            return;
+        }
+        const auto revision = present.value() ? present.value()->revision : revision_number{};
+        if (!write_and_settle(self.store, {key, owner.instance, revision, lease.value()})) {
+            return;
+        }
+        owner.lease = lease.value();
+    }
+    const auto kept = self.store.keep_alive(*owner.lease);
+    if (!kept) {
+        if (kept.error().kind == error_kind::expired) {
+            owner.lease.reset();
+            deactivate(owner.cell);
+            owner.cell.claim_to_release.reset();
+        }
+        return;
+    }
+    if (owner.cell.claim_revision.value != 0) {
+        on_claim_confirmed(owner.cell, owner.cell.claim_revision, self.now);
+    } else {
+        claim(self, owner);
+    }
+}
+
+// Adopts the cell's workers when the other owner has been silent for 3 s.
+void adopt(harness& self, harness_owner& owner, const harness_owner& other) {
+    if (other.alive && !other.paused) {
+        owner.silent_since = self.now;
+        return;
+    }
+    if (owner.cell.epoch.value == 0 && owner.highest_epoch.value != 0 &&
+        self.now >= owner.silent_since + duration(3'000)) {
+        owner.highest_epoch.value += 1;
+        activate(owner.cell, owner.highest_epoch, self.now);
+    }
+}
+
+void run_owner(harness& self, std::size_t index) {
+    auto& owner = self.owners[index];
+    if (!owner.alive || owner.paused) {
+        return;
+    }
+    while (!owner.backlog.empty()) {
+        owner.backlog.front()();
+        owner.backlog.pop_front();
+    }
+    with_store(self, owner, [&] {
+        if (self.now >= owner.next_membership) {
+            owner.next_membership = self.now + duration(1'500);
+            run_membership(self, owner);
+        }
+        if (self.now < owner.next_store_read) {
+            return;
+        }
+        owner.next_store_read = self.now + store_read_interval;
+        const auto state = self.store.get(state_key);
+        if (state && state.value()) {
+            on_data_centre_state(
+                owner.cell, parse_data_centre_record(state.value()->value).value().state, self.now);
+        }
+        const bool unread =
+            owner.cell.claim_revision.value != 0 && owner.cell.progress.epoch != owner.cell.epoch;
+        if (unread || owner.cell.progress_conflict) {
+            read_progress(self, owner);
+        }
+        take_jobs(self, owner);
+    });
+    adopt(self, owner, self.owners[1 - index]);
+    const auto actions = tick(owner.cell, self.now);
+    owner.highest_epoch =
+        std::max({owner.highest_epoch, owner.cell.epoch, owner.cell.highest_epoch});
+    for (const auto& action : actions.syncs) {
+        self.events.emplace(self.now + jitter(self, 20),
+                            [&self, index, action] { arrive(self, index, action); });
+    }
+    if (actions.progress_write) {
+        self.events.emplace(self.now + jitter(self, 20),
+                            [&self, index, epoch = actions.epoch, write = *actions.progress_write] {
+                                commit(self, index, epoch, write);
+                            });
+    }
+}
+
+// Checks I1, I2 and that nothing is recorded as finished that did not finish.
+void check_step(harness& self) {
+    std::map<task_id, int> places;
+    for (auto& worker : self.workers) {
+        advance_worker(worker, self.now);
+        if (!fits(committed_resources(worker), worker.capacity)) {
+            violate(self, "I1: " + worker.id.value + " is committed beyond its capacity");
+        }
+        for (const auto& [id, task] : worker.tasks) {
+            if (task.report.state == task_state::finished) {
+                self.seen_finished.insert(id);
+            }
+            if (task.report.state == task_state::running && ++places[id] > 1) {
+                violate(self, "I2: " + id.job.value + "/" + std::to_string(id.index) +
+                                  " runs in two places");
+            }
+        }
+    }
+    for (const auto& [id, job] : stored_progress(self).jobs) {
+        for (const auto index : job.finished) {
+            if (!self.seen_finished.contains({id, index})) {
+                violate(self, "finished without running to its end: " + id.value);
+            }
+        }
+    }
+}
+
+} // namespace
+
+harness::harness(std::uint32_t seed, const cell_timing& cell_times)
+    : random(seed)
+    , timing(cell_times)
+    , store([this] { return now; }) {
+    for (const std::size_t owner : {0U, 1U}) {
+        replace_owner(*this, owner);
+    }
+    for (int i = 0; i < 5; ++i) {
+        worker_model worker;
+        worker.id = {"w" + std::to_string(i)};
+        worker.capacity = {{4'000}, {4'000}, {0}};
+        workers.push_back(worker);
+        links.push_back({link_state::up, link_state::up});
+    }
+    set_state(*this, data_centre_state::in);
+}
+
+void replace_owner(harness& self, std::size_t owner) {
+    auto& row = self.owners[owner];
+    const auto name = "s" + std::to_string(owner) + "." + std::to_string(self.random());
+    row = {};
+    row.instance = name;
+    row.silent_since = self.now;
+    row.next_membership = self.now + duration(100 * static_cast<int>(owner));
+    row.cell = make_cell(the_cell, {"dc"}, {name}, self.timing, self.counters);
+    for (int i = 0; i < 5; ++i) {
+        add_worker(row.cell, {"w" + std::to_string(i)},
+                   {"", the_cell, {"dc"}, {"rack" + std::to_string(i % 3)}});
+    }
+}
+
+void submit(harness& self, const std::string& name, const job_record& record) {
+    auto created = record;
+    created.cell = the_cell;
+    const auto claim = self.store.get(claim_key);
+    if (claim && claim.value()) {
+        created.created_epoch = parse_cell_claim(claim.value()->value).value().epoch;
+    }
+    self.jobs[{name}] = created;
+    put(self, std::string(jobs_prefix) + name, serialize(created));
+}
+
+void cancel(harness& self, const std::string& name) {
+    auto& record = self.jobs.at({name});
+    record.cancelled = true;
+    put(self, std::string(jobs_prefix) + name, serialize(record));
+}
+
+void set_state(harness& self, data_centre_state state) {
+    self.state = state;
+    self.state_changed = self.now;
+    put(self, state_key, serialize(data_centre_record{state, "test"}));
+}
+
+void run_for(harness& self, duration length) {
+    const auto end = self.now + length;
+    while (self.now < end) {
+        const auto next = self.now + harness_step;
+        while (!self.events.empty() && self.events.begin()->first <= next) {
+            auto event = self.events.extract(self.events.begin());
+            self.now = std::max(self.now, event.key());
+            event.mapped()();
+            check_step(self);
+        }
+        self.now = next;
+        const std::size_t first = self.random() % 2;
+        run_owner(self, first);
+        run_owner(self, 1 - first);
+        check_step(self);
+    }
+}
+
+const cell_progress& stored_progress(harness& self) {
+    const auto faults = self.store.faults();
+    self.store.set_faults({});
+    const auto entry = self.store.get(progress_key).value();
+    self.store.set_faults(faults);
+    if (entry && entry->revision != self.progress_seen) {
+        self.progress_seen = entry->revision;
+        self.progress = parse_cell_progress(entry->value).value();
+    }
+    return self.progress;
+}
+
+bool all_ended(harness& self) {
+    const auto& progress = stored_progress(self);
+    for (const auto& [id, record] : self.jobs) {
+        const auto found = progress.jobs.find(id);
+        for (std::uint32_t index = 0; index < record.tasks; ++index) {
+            if (found == progress.jobs.end() ||
+                !(found->second.finished.contains(index) || found->second.parked.contains(index) ||
+                  found->second.cancelled.contains(index) ||
+                  found->second.outcome_unknown.contains(index))) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+std::string describe_open(harness& self) {
+    std::string text;
+    for (const auto& owner : self.owners) {
+        text += "\n" + owner.instance + ": epoch " + std::to_string(owner.cell.epoch.value) +
+                ", highest " + std::to_string(owner.highest_epoch.value) + ", claim " +
+                std::to_string(owner.cell.claim_revision.value) + ", owned " +
+                std::to_string(owner.cell.progress_owned) + ", settled " +
+                std::to_string(owner.cell.takeover_settled);
+        for (const auto& [id, task] : owner.cell.tables.tasks) {
+            text += "; " + id.job.value + "/" + std::to_string(id.index) + " " +
+                    std::string(to_string(task.phase)) + " " + std::string(task.wait_reason);
+        }
+    }
+    return text;
+}
+
+harness_owner* active_owner(harness& self) {
+    const auto found =
+        std::find_if(self.owners.begin(), self.owners.end(), [](const harness_owner& owner) {
+            return owner.alive && !owner.paused && owner.cell.claim_revision.value != 0;
+        });
+    return found == self.owners.end() ? nullptr : &*found;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/tests/fault_harness.hpp
@@ -0,0 +1,74 @@
+// A deterministic cell: two owners, a few worker models, one store and a clock that the test moves.
+#pragma once
+
+#include "cell_control.hpp"
+#include "store_memory.hpp"
+#include "worker_memory.hpp"
+
+#include <array>
+#include <deque>
+#include <random>
+#include <set>
+
+namespace fulmar {
+
+inline constexpr duration harness_step{100};
+inline constexpr duration store_read_interval{300};
+inline constexpr duration sync_timeout{1'500};
+
+enum class link_state : std::uint8_t { up, refused, request_lost, reply_lost, reply_late };
+
+struct harness_owner {
+    cell_state cell;
+    std::string instance;
+    std::optional<lease_id> lease;
+    epoch_number highest_epoch; // of every claim that this owner saw or made
+    bool alive = true;
+    bool paused = false;
+    bool store_up = true;
+    time_point next_membership;
+    time_point next_store_read;
+    std::map<std::string, revision_number> jobs_taken; // revisions passed to on_job at `jobs_epoch`
+    epoch_number jobs_epoch;
+    time_point silent_since;                   // of the other owner
+    std::deque<std::function<void()>> backlog; // events that wait for the end of a pause
+};
+
+struct harness {
+    explicit harness(std::uint32_t seed, const cell_timing& cell_times = {});
+
+    time_point now{duration(1'000'000)};
+    std::mt19937 random;
+    cell_timing timing;
+    metrics counters;
+    store_memory store;
+    std::vector<worker_model> workers;
+    std::vector<std::array<link_state, 2>> links; // by worker and owner
+    std::array<harness_owner, 2> owners;
+    std::multimap<time_point, std::function<void()>> events;
+    std::map<job_id, job_record> jobs;
+    data_centre_state state = data_centre_state::in;
+    time_point state_changed;
+    int longest_commit_reply_ms = 300;
+    bool ignore_epochs = false; // mutation: workers obey commands of superseded owners
+
+    // Observations for the invariants.
+    revision_number progress_seen;
+    cell_progress progress; // as stored at that revision
+    std::set<std::tuple<task_id, attempt_number, worker_id>> executions;
+    std::map<std::pair<task_id, std::string>, int> runs_from; // executions by resumed checkpoint
+    std::set<task_id> seen_finished;
+    std::vector<std::string> violations;
+};
+
+void submit(harness& self, const std::string& name, const job_record& record);
+void cancel(harness& self, const std::string& name);
+void set_state(harness& self, data_centre_state state);
+void replace_owner(harness& self, std::size_t owner); // a new process on the same host
+void run_for(harness& self, duration length);
+bool all_ended(harness& self); // according to the store
+const cell_progress& stored_progress(harness& self);
+std::string describe_open(harness& self); // the owners' rows, for a failed check
+harness_owner* active_owner(harness& self);
+
+} // namespace fulmar
