--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -14,7 +14,7 @@
 // Creates rows for the tasks of a job that have neither ended nor a row.
 void add_tasks(cell_state& cell, const job_id& id, const job_row& job, time_point now) {
     const auto& progress = cell.progress.jobs[id];
-    const bool may_be_elsewhere = job.record.created_epoch < cell.epoch;
+    const bool may_be_elsewhere = job.record.created_epoch < cell.epoch && !cell.takeover_settled;
     for (std::uint32_t index = 0; index < job.record.tasks; ++index) {
         if (progress.finished.contains(index) || progress.parked.contains(index) ||
             progress.outcome_unknown.contains(index) || progress.cancelled.contains(index)) {
@@ -65,37 +65,51 @@
     }
 }
 
+// Ends non-idempotent tasks that an earlier owner may have started and that no worker reported:
+// they may have run to their end. Goes over the intents and not over the rows, because the job of
+// an intent may not have been seen yet.
+void resolve_old_intents(cell_state& cell) {
+    for (auto& [id, job] : cell.progress.jobs) {
+        for (auto at = job.intents.begin(); at != job.intents.end();) {
+            const auto row = cell.tables.tasks.find({id, at->first});
+            const bool known =
+                row != cell.tables.tasks.end() && row->second.phase != task_phase::waiting;
+            if (known || at->second.attempt >= first_attempt(cell.epoch)) {
+                ++at;
+                continue;
+            }
+            job.outcome_unknown.insert(at->first);
+            at = job.intents.erase(at);
+            if (row != cell.tables.tasks.end()) {
+                cell.tables.tasks.erase(row);
+            }
+            cell.counters->count("fulmar_tasks_ended_total", "outcome_unknown");
+            mark_dirty(cell);
+        }
+    }
+}
+
 // Decides whether an earlier owner's tasks may still run on workers that were never inventoried.
 void settle_takeover(cell_state& cell, time_point now) {
     if (cell.takeover_settled || !cell.progress_owned) {
         return;
     }
-    for (const auto& worker : cell.tables.workers) {
-        if (!worker.inventoried && !lease_surely_ended(cell, worker, now)) {
-            return;
+    bool settled = true;
+    for (auto& worker : cell.tables.workers) {
+        if (!worker.predecessor_ended && lease_surely_ended(cell, worker, now)) {
+            worker.predecessor_ended = true;
+            worker.unanswered.reset();
         }
+        settled = settled && worker.predecessor_ended;
+    }
+    if (!settled) {
+        return;
     }
     cell.takeover_settled = true;
-    std::vector<task_id> unknown;
     for (auto& [id, task] : cell.tables.tasks) {
-        if (!task.may_be_elsewhere) {
-            continue;
-        }
         task.may_be_elsewhere = false;
-        const auto progress = cell.progress.jobs.find(id.job);
-        if (progress != cell.progress.jobs.end() && progress->second.intents.contains(id.index)) {
-            unknown.push_back(id);
-        }
-    }
-    // An intent without a worker that reports it: the task may have run to its end.
-    for (const auto& id : unknown) {
-        auto& progress = cell.progress.jobs[id.job];
-        progress.intents.erase(id.index);
-        progress.outcome_unknown.insert(id.index);
-        cell.tables.tasks.erase(id);
-        cell.counters->count("fulmar_tasks_ended_total", "outcome_unknown");
-        mark_dirty(cell);
     }
+    resolve_old_intents(cell);
 }
 
 // Ends tasks of cancelled jobs that came back to the queue, for instance from a lost worker.
@@ -118,6 +132,7 @@
         release_lost_worker(cell, i, now);
         worker.inventoried = false;
         worker.need_inventory = true;
+        worker.unanswered.reset();
     }
 }
 
@@ -159,6 +174,7 @@
         set_phase(cell.tables, task, task_phase::committing_intent, worker);
     }
     cell.tables.workers[worker].next_sync = {};
+    assert(fits(cell.tables.workers[worker].committed, cell.tables.workers[worker].capacity));
 }
 
 // Places waiting tasks while starts are permitted.
@@ -199,9 +215,11 @@
     return command;
 }
 
-worker_command make_start(const cell_state& cell, task_row& task) {
+worker_command make_start(const cell_state& cell, task_row& task, time_point now) {
     const auto& worker = cell.tables.workers.at(task.worker);
-    task.expires_at = to_worker_clock(worker, start_permitted_until(cell));
+    const auto until = cell.timing.skip_freshness_recheck ? now + cell.timing.freshness
+                                                          : start_permitted_until(cell);
+    task.expires_at = to_worker_clock(worker, until);
     auto command = make_command(task, command_kind::start, task.expires_at);
     command.need = task.need;
     command.task_class = task.task_class;
@@ -214,7 +232,9 @@
 // until the worker reports the end, so a lost reply needs no bookkeeping.
 void collect_commands(cell_state& cell, time_point now,
                       std::vector<std::vector<worker_command>>& commands) {
-    const bool may_start = !find_start_obstacle(cell, now).has_value();
+    const bool may_start =
+        cell.timing.skip_freshness_recheck || !find_start_obstacle(cell, now).has_value();
+    std::vector<task_row*> withheld;
     constexpr worker_clock never{std::numeric_limits<std::int64_t>::max()};
     for (auto& [id, task] : cell.tables.tasks) {
         if (task.worker == no_worker || cell.tables.workers[task.worker].sync_in_flight) {
@@ -227,9 +247,9 @@
                 break;
             }
             if (may_start) {
-                list.push_back(make_start(cell, task));
+                list.push_back(make_start(cell, task, now));
             } else {
-                requeue(cell, task, "stale_state", now);
+                withheld.push_back(&task);
             }
             break;
         case task_phase::evicting:
@@ -242,6 +262,9 @@
             break;
         }
     }
+    for (auto* task : withheld) {
+        requeue(cell, *task, "stale_state", now);
+    }
 }
 
 // Builds the syncs that are due. A sync renews the lease, so it needs the authority to renew.
@@ -264,11 +287,16 @@
             cell.counters->count("fulmar_renewal_withheld_total", "no_authority");
             continue;
         }
+        if (must_let_lapse(cell, worker, now)) {
+            cell.counters->count("fulmar_renewal_withheld_total", "unanswered");
+            worker.next_sync = now + cell.timing.sync_interval;
+            continue;
+        }
         sync_request request;
         request.holder = cell.host;
         request.epoch = cell.epoch;
         request.lease_ms = cell.timing.worker_lease.count();
-        request.full_inventory = worker.need_inventory;
+        request.full_inventory = worker.need_inventory && cell.progress_owned;
         request.commands = std::move(commands[i]);
         request.commands.insert(request.commands.end(), worker.commands.begin(),
                                 worker.commands.end());
@@ -279,6 +307,9 @@
         worker.acks_in_flight = request.acks.size();
         worker.renewal_before = worker.renewal_sent;
         worker.renewal_sent = now;
+        if (!worker.unanswered) {
+            worker.unanswered = now;
+        }
         worker.next_sync = now + cell.timing.sync_interval;
         actions.syncs.push_back({worker.id, std::move(request), now});
     }
@@ -301,6 +332,17 @@
                                          {}};
 }
 
+// Tells whether most workers refuse our lease for longer than a restart explains: another host
+// adopted them at the same epoch, and neither of us gets a majority of new leases from them.
+bool epoch_is_contested(const cell_state& cell, time_point now) {
+    const auto wait = cell.timing.worker_lease + cell.timing.lease_margin;
+    std::size_t refusing = 0;
+    for (const auto& worker : cell.tables.workers) {
+        refusing += worker.refused_since && now >= *worker.refused_since + wait ? 1 : 0;
+    }
+    return refusing * 2 > cell.tables.workers.size();
+}
+
 void track_majority(cell_state& cell, time_point now) {
     if (!holds_majority(cell, now)) {
         cell.majority_since.reset();
@@ -349,40 +391,63 @@
     if (cell.claim_revision.value != 0) {
         fresh.claim_to_release = cell.claim_revision;
     }
+    fresh.highest_epoch = std::max(cell.highest_epoch, cell.epoch);
     fresh.state = cell.state;
     fresh.state_confirmed = cell.state_confirmed;
     cell = std::move(fresh);
 }
 
 void on_claim_confirmed(cell_state& cell, revision_number revision, time_point sent) {
+    if (cell.epoch.value == 0) {
+        return; // confirmed before the cell was given up
+    }
     cell.claim_revision = revision;
     if (!cell.claim_confirmed || *cell.claim_confirmed < sent) {
         cell.claim_confirmed = sent;
     }
 }
 
-void on_progress_read(cell_state& cell, const std::optional<store_entry>& entry, time_point now) {
-    cell.progress_conflict = false;
-    if (!entry) {
-        cell.progress.epoch = cell.epoch;
-        cell.progress_revision = {};
-        mark_dirty(cell);
-        return;
+void on_claim_read(cell_state& cell, const cell_claim& claim, bool owner_alive) {
+    cell.highest_epoch = std::max(cell.highest_epoch, claim.epoch);
+    if (cell.epoch.value != 0 && claim.owner != cell.host && owner_alive &&
+        claim.epoch >= cell.epoch) {
+        cell.counters->count("fulmar_cell_yields_total", "claimed_by_other");
+        deactivate(cell);
     }
-    auto stored = parse_cell_progress(entry->value);
-    if (!stored) {
-        cell.counters->count("fulmar_progress_errors_total", "unreadable");
-        cell.progress_conflict = true;
-        return;
+}
+
+void on_progress_read(cell_state& cell, const std::optional<store_entry>& entry, time_point now) {
+    if (cell.epoch.value == 0) {
+        return; // asked for before the cell was given up
+    }
+    if (cell.progress_owned && entry && entry->revision < cell.progress_revision) {
+        return; // overtaken by a later write of ours
+    }
+    // Step 1: read the stored copy.
+    cell_progress stored;
+    if (entry) {
+        auto parsed = parse_cell_progress(entry->value);
+        if (!parsed) {
+            cell.counters->count("fulmar_progress_errors_total", "unreadable");
+            cell.progress_conflict = true;
+            return;
+        }
+        stored = std::move(parsed).value();
     }
-    if (stored.value().epoch > cell.epoch) {
+    if (stored.epoch > cell.epoch) {
         cell.counters->count("fulmar_cell_yields_total", "newer_epoch_in_store");
+        cell.highest_epoch = std::max(cell.highest_epoch, stored.epoch);
         deactivate(cell);
         return;
     }
-    cell.progress_revision = entry->revision;
-    if (stored.value().epoch < cell.epoch) {
-        cell.progress = std::move(stored).value();
+
+    // Step 2: adopt an earlier owner's copy. It may have been written after we first read one, so
+    // the rows are made anew; none of them is placed before the progress is ours.
+    cell.progress_conflict = false;
+    cell.progress_revision = entry ? entry->revision : revision_number{};
+    if (!cell.progress_owned && stored.epoch < cell.epoch) {
+        cell.tables.tasks.clear();
+        cell.progress = std::move(stored);
         cell.progress.epoch = cell.epoch;
     }
     mark_dirty(cell);
@@ -391,6 +456,13 @@
     }
 }
 
+void on_progress_written(cell_state& cell, epoch_number epoch,
+                         const result<revision_number>& written, time_point now) {
+    if (epoch == cell.epoch) {
+        on_progress_written(cell, written, now);
+    }
+}
+
 void on_progress_written(cell_state& cell, const result<revision_number>& written, time_point now) {
     if (!cell.commit_in_flight) {
         return;
@@ -399,13 +471,17 @@
     if (!written) {
         cell.counters->count("fulmar_commit_retries_total", to_string(written.error().kind));
         // The stored copy may be ours after a lost reply, or another owner's; reading it tells.
-        cell.progress_conflict = written.error().kind == error_kind::conflict ||
-                                 written.error().kind == error_kind::outcome_unknown;
+        cell.progress_conflict = written.error().kind != error_kind::unavailable;
         cell.progress_dirty = true;
         return;
     }
     cell.progress_revision = written.value();
-    cell.progress_owned = true;
+    if (!cell.progress_owned) {
+        cell.progress_owned = true;
+        for (auto& worker : cell.tables.workers) {
+            worker.next_sync = now; // for the inventories
+        }
+    }
     cell.commit_done = cell.commit_open - 1;
     settle_committed(cell, now);
 }
@@ -447,8 +523,11 @@
         return; // sent before the cell was given up
     }
     worker.sync_in_flight = false;
+    worker.reachable = reply.has_value();
     if (reply) {
         worker.renewal_known = sent;
+        worker.unanswered.reset();
+        worker.refused_since.reset();
         worker.acks.erase(worker.acks.begin(),
                           worker.acks.begin() + static_cast<std::ptrdiff_t>(worker.acks_in_flight));
         apply_sync_reply(cell, found->second, worker.inventory_in_flight, reply.value(), now);
@@ -458,25 +537,36 @@
     switch (reply.error().kind) {
     case error_kind::stale_epoch:
         cell.counters->count("fulmar_cell_yields_total", "newer_epoch_at_worker");
+        cell.highest_epoch = {cell.epoch.value + 1}; // the worker knows an epoch above ours
         deactivate(cell);
         break;
-    case error_kind::timeout:
-    case error_kind::outcome_unknown:
-        mark_reply_lost(cell, found->second);
-        break;
-    default:
+    case error_kind::lease_held:
+        // The worker restarted or serves another holder, so we don't hold its lease.
+        worker.renewal_known.reset();
+        worker.refused_since = worker.refused_since.value_or(now);
+        [[fallthrough]];
+    case error_kind::unavailable:
         return_unsent_starts(cell, found->second, now);
-        // Nothing was sent, or the lease wasn't granted: this was no renewal.
-        worker.renewal_sent = worker.renewal_before;
+        worker.renewal_sent = worker.renewal_before; // this was no renewal
         worker.need_inventory = true;
+        break;
+    default:
+        mark_reply_lost(cell, found->second);
     }
 }
 
 cell_actions tick(cell_state& cell, time_point now) {
     cell_actions actions;
+    actions.epoch = cell.epoch;
     if (cell.epoch.value == 0) {
         return actions;
     }
+    if (epoch_is_contested(cell, now)) {
+        cell.counters->count("fulmar_cell_yields_total", "contested_epoch");
+        cell.highest_epoch = {cell.epoch.value + 1};
+        deactivate(cell);
+        return actions;
+    }
     track_majority(cell, now);
     settle_takeover(cell, now);
     release_lost_workers(cell, now);
