gate, scheduler: join the request path, recovery and membership

Cause: the gate took no configuration from operators, and the scheduler's driver handed group commit results to the cell without the epoch they were made under and reread progress only after some failures. Change: the gate registers itself and follows the configuration (daemon_presence), with one set of counters at /metrics. The driver passes the epoch of each commit, rereads after every failure but an unreachable store, ends an adoption when a live owner's claim is read, and counts the highest epoch seen by the cell.

--- a/src/fulmar_gate_main.cpp
+++ b/src/fulmar_gate_main.cpp
@@ -1,4 +1,5 @@
 // Entry point of fulmar_gate.
+#include "daemon_presence.hpp"
 #include "fulmar/store_http.hpp"
 #include "gate.hpp"
 
@@ -20,5 +21,17 @@
     http_client store_connection;
     const std::shared_ptr<store_client> store = make_store_http(
         store_connection, options.value().store_address, options.value().store_timeout);
-    return run_gate(options.value(), {store});
+    const auto counters = std::make_shared<metrics>();
+    presence_options presence;
+    presence.record.program = "fulmar_gate";
+    presence.record.host = options.value().host.value;
+    presence.record.address = to_string(options.value().operator_address);
+    presence.record.data_centre = options.value().data_centre;
+    presence.store_address = options.value().store_address;
+    presence.store_timeout = options.value().store_timeout;
+    for (const auto& [name, address] : section_settings(loaded, "peers")) {
+        presence.peers.push_back(address);
+    }
+    const daemon_presence member(std::move(presence), store_connection, *counters);
+    return run_gate(options.value(), {store, [&member] { return member.values(); }, counters});
 }
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -83,10 +83,9 @@
 result<std::unique_ptr<gate>> gate::start(const gate_settings& options,
                                           gate_dependencies dependencies) {
     // Step 1: the state that the threads share.
-    auto initial = std::make_unique<gate_state>();
+    auto initial = std::make_unique<gate_state>(std::move(dependencies));
     auto& self = *initial;
     self.options = options;
-    self.outside = std::move(dependencies);
     self.instance = make_instance(options.host);
     self.routing.random.seed(std::random_device()());
     self.store_pool = std::make_unique<blocking_pool>(options.store_threads, store_job_limit);
--- a/src/gate.hpp
+++ b/src/gate.hpp
@@ -41,6 +41,7 @@
 struct gate_dependencies {
     std::shared_ptr<store_client> store;
     std::function<runtime_config()> current_config = [] { return runtime_config{}; };
+    std::shared_ptr<metrics> counters = std::make_shared<metrics>(); // shown at /metrics
 };
 
 struct gate_state;
--- a/src/gate_settings.cpp
+++ b/src/gate_settings.cpp
@@ -22,6 +22,9 @@
                 "gates of this data centre that prefer an endpoint"},
     setting_row{"operator", "address", setting_kind::address, "127.0.0.1:0", 0, 0,
                 "where metrics and health are served"},
+    setting_row{"peers", "*", setting_kind::address, "", 0, 0,
+                "operator address of a scheduler, asked for the configuration while the store is "
+                "away"},
     setting_row{"store", "address", setting_kind::address, "", 0, 0, "the platform's store"},
     setting_row{"store", "timeout", setting_kind::duration, "1 s", 10, 10'000,
                 "longest wait for a store call"},
--- a/src/gate_state.hpp
+++ b/src/gate_state.hpp
@@ -45,10 +45,14 @@
 enum class gate_stage : std::uint8_t { serving, grace, refusing, abandoned };
 
 struct gate_state {
+    explicit gate_state(gate_dependencies given)
+        : outside(std::move(given))
+        , counters(*outside.counters) {}
+
     gate_settings options;
     gate_dependencies outside;
     std::string instance; // names this run of the gate in idempotency records
-    metrics counters;
+    metrics& counters;
     std::atomic<gate_stage> stage{gate_stage::serving};
     std::atomic<bool> listed{false};
     std::atomic<std::int64_t> in_progress{0};
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -135,7 +135,7 @@
         if (at == self.cells.end() || at->second.epoch.value != 0) {
             continue;
         }
-        const epoch_number epoch{found.epoch.value + 1};
+        const epoch_number epoch{std::max(found.epoch, at->second.highest_epoch).value + 1};
         activate(at->second, epoch, now);
         note_claim(self.members, found.cell, self.instance, epoch, now);
         for (const auto& [job, row] : self.jobs) {
@@ -186,9 +186,10 @@
                      });
     }
     if (actions.progress_write) {
-        self.commits.post([&self, &store, id, write = std::move(*actions.progress_write)] {
-            commit_progress(self, store, id, write);
-        });
+        self.commits.post(
+            [&self, &store, id, epoch = actions.epoch, write = std::move(*actions.progress_write)] {
+                commit_progress(self, store, id, epoch, write);
+            });
     }
 }
 
--- a/src/scheduler_store.cpp
+++ b/src/scheduler_store.cpp
@@ -98,16 +98,18 @@
                                is_alive(self.members, known.owner, now);
             const bool chosen = choose_owner(self.members, id, now) == self.instance;
             if (!owned && !taken && (chosen || cell.epoch.value != 0)) {
-                wanted.push_back({id, cell.epoch, known.highest_epoch});
+                wanted.push_back(
+                    {id, cell.epoch, std::max(known.highest_epoch, cell.highest_epoch)});
             }
         }
         return wanted;
     });
 }
 
-// Notes the owner of a claim that is still alive in the store.
+// Notes a claim whose owner is alive in the store; an adoption at a lower epoch ends with that.
 void note_owner(scheduler& self, const cell_id& id, const cell_claim& claim) {
     self.queue.post([&self, id, claim] {
+        on_claim_read(self.cells.at(id), claim, true);
         note_claim(self.members, id, claim.owner, claim.epoch, steady_now());
     });
 }
@@ -306,17 +308,16 @@
     }
 }
 
-void commit_progress(scheduler& self, store_client& store, const cell_id& id,
+void commit_progress(scheduler& self, store_client& store, const cell_id& id, epoch_number epoch,
                      const store_write& write) {
     const auto written = write_and_settle(store, write);
-    const bool reread = !written && (written.error().kind == error_kind::conflict ||
-                                     written.error().kind == error_kind::outcome_unknown);
+    const bool reread = !written && written.error().kind != error_kind::unavailable;
     const auto entry =
         reread ? store.get(write.key) : result<std::optional<store_entry>>(std::nullopt);
-    self.queue.post([&self, id, written, reread, entry] {
+    self.queue.post([&self, id, epoch, written, reread, entry] {
         auto& cell = self.cells.at(id);
-        on_progress_written(cell, written, steady_now());
-        if (reread && entry) {
+        on_progress_written(cell, epoch, written, steady_now());
+        if (reread && entry && cell.epoch == epoch) {
             on_progress_read(cell, entry.value(), steady_now());
         }
     });
--- a/src/scheduler_store.hpp
+++ b/src/scheduler_store.hpp
@@ -16,8 +16,8 @@
 // Follows the configuration in the store or, while that is away, at the peers.
 void run_config(scheduler& self);
 
-// Writes a cell's progress and posts the outcome to the control thread.
-void commit_progress(scheduler& self, store_client& store, const cell_id& id,
+// Writes a cell's progress as of an epoch and posts the outcome to the control thread.
+void commit_progress(scheduler& self, store_client& store, const cell_id& id, epoch_number epoch,
                      const store_write& write);
 
 // Reads the progress of a cell whose copy is in doubt.
