cell_drain: hand evicted jobs to another cell and ramp up after a return

Cause: a drained job stayed in its cell, and a returning data centre was filled at once. Change: plan_handover marks jobs whose tasks only wait, in deadline order and within a byte budget; the mark goes through the group commit first, so that a superseded owner's late hand-over meets no running task; one compare-and-swap of the job record then carries the progress (job_record::moves, carried_progress). The new cell imports it once and forgets the old cell's attempt numbers. Starts after a return stay below a linear share of the free capacity over cell_timing::return_ramp.

--- a/include/fulmar/records.hpp
+++ b/include/fulmar/records.hpp
@@ -93,6 +93,8 @@
     bool idempotent = true;
     bool cancelled = false;
     epoch_number created_epoch; // claim epoch of the cell that was read before the job was created
+    std::uint64_t moves = 0;    // times that the job was handed to another cell
+    std::string carried_progress; // progress at the last move, for the cell that takes the job
 };
 
 // Conversions between records and stored text. Parsing returns protocol_error.
--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -1,5 +1,6 @@
 #include "cell_control.hpp"
 
+#include "cell_drain.hpp"
 #include "cell_lease.hpp"
 #include "cell_reports.hpp"
 #include "placement.hpp"
@@ -13,6 +14,10 @@
 
 // Creates rows for the tasks of a job that have neither ended nor a row.
 void add_tasks(cell_state& cell, const job_id& id, const job_row& job, time_point now) {
+    import_carried(cell, id, job.record);
+    if (cell.unreadable_jobs.contains(id)) {
+        return;
+    }
     const auto& progress = cell.progress.jobs[id];
     const bool may_be_elsewhere = job.record.created_epoch < cell.epoch && !cell.takeover_settled;
     for (std::uint32_t index = 0; index < job.record.tasks; ++index) {
@@ -65,30 +70,6 @@
     }
 }
 
-// Ends non-idempotent tasks that an earlier owner may have started and that no worker reported:
-// they may have run to their end. Goes over the intents and not over the rows, because the job of
-// an intent may not have been seen yet.
-void resolve_old_intents(cell_state& cell) {
-    for (auto& [id, job] : cell.progress.jobs) {
-        for (auto at = job.intents.begin(); at != job.intents.end();) {
-            const auto row = cell.tables.tasks.find({id, at->first});
-            const bool known =
-                row != cell.tables.tasks.end() && row->second.phase != task_phase::waiting;
-            if (known || at->second.attempt >= first_attempt(cell.epoch)) {
-                ++at;
-                continue;
-            }
-            job.outcome_unknown.insert(at->first);
-            at = job.intents.erase(at);
-            if (row != cell.tables.tasks.end()) {
-                cell.tables.tasks.erase(row);
-            }
-            cell.counters->count("fulmar_tasks_ended_total", "outcome_unknown");
-            mark_dirty(cell);
-        }
-    }
-}
-
 // Decides whether an earlier owner's tasks may still run on workers that were never inventoried.
 void settle_takeover(cell_state& cell, time_point now) {
     if (cell.takeover_settled || !cell.progress_owned) {
@@ -136,24 +117,6 @@
     }
 }
 
-// Evicts batch tasks while the data centre is being drained.
-void evict_for_drain(cell_state& cell) {
-    const bool leaving =
-        cell.state == data_centre_state::draining || cell.state == data_centre_state::out;
-    if (!leaving || !cell.state_confirmed) {
-        return;
-    }
-    for (auto& [id, task] : cell.tables.tasks) {
-        const auto job = cell.tables.jobs.find(id.job);
-        const bool movable =
-            job != cell.tables.jobs.end() && job->second.record.kind != job_kind::service;
-        if (task.phase == task_phase::running && movable) {
-            set_phase(cell.tables, task, task_phase::evicting, task.worker);
-            cell.counters->count("fulmar_evictions_total", "drain");
-        }
-    }
-}
-
 attempt_number next_attempt(cell_state& cell) {
     ++cell.next_counter;
     assert(cell.next_counter < (1U << attempt_counter_bits));
@@ -188,6 +151,10 @@
         if (job == cell.tables.jobs.end() || job->second.record.cancelled) {
             continue;
         }
+        if (is_moving(cell, task->id.job)) {
+            task->wait_reason = "moving";
+            continue;
+        }
         if (task->may_be_elsewhere) {
             task->wait_reason = "takeover_unsettled";
             continue;
@@ -197,6 +164,10 @@
             task->wait_reason = "no_capacity";
             continue;
         }
+        if (!ramp_admits(cell, task->need, now)) {
+            task->wait_reason = "return_ramp";
+            continue;
+        }
         assign(cell, *task, worker);
     }
 }
@@ -394,6 +365,7 @@
     fresh.highest_epoch = std::max(cell.highest_epoch, cell.epoch);
     fresh.state = cell.state;
     fresh.state_confirmed = cell.state_confirmed;
+    fresh.returning_since = cell.returning_since;
     cell = std::move(fresh);
 }
 
@@ -490,13 +462,32 @@
     if (cell.state_confirmed && sent < *cell.state_confirmed) {
         return;
     }
+    if (state != data_centre_state::returning) {
+        cell.returning_since.reset();
+    } else if (!cell.returning_since) {
+        cell.returning_since = sent;
+        cell.returning_baseline = {};
+        for (const auto& worker : cell.tables.workers) {
+            cell.returning_baseline = cell.returning_baseline + worker.committed;
+        }
+    }
     cell.state = state;
     cell.state_confirmed = sent;
 }
 
 void on_job(cell_state& cell, const job_id& id, const job_record& record, revision_number revision,
             time_point now) {
-    if (record.cell != cell.id || cell.epoch.value == 0) {
+    if (cell.epoch.value == 0) {
+        return;
+    }
+    if (record.cell != cell.id) {
+        const auto known = cell.tables.jobs.find(id);
+        const bool moved = known != cell.tables.jobs.end() && known->second.revision < revision;
+        const bool stored_mark =
+            known == cell.tables.jobs.end() && cell.progress_owned && is_moving(cell, id);
+        if (moved || stored_mark) {
+            forget_job(cell, id);
+        }
         return;
     }
     auto& job = cell.tables.jobs[id];
--- a/src/cell_control.hpp
+++ b/src/cell_control.hpp
@@ -7,7 +7,9 @@
 #include "fulmar/store.hpp"
 #include "scheduler_tables.hpp"
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,11 +21,18 @@
     duration sync_interval{2'000};
     duration freshness{4'000};
     duration commit_interval{1'000};
+    duration return_ramp{60'000}; // runtime_config::return_ramp_ms
     // Sends starts without the last check of freshness. Only for the test which proves that the
     // fault matrix notices that.
     bool skip_freshness_recheck = false;
 };
 
+// A job on its way to another cell.
+struct handover_state {
+    std::uint64_t commit = 0; // group commit that records the choice
+    bool in_flight = false;   // a write of the job record is
+};
+
 struct cell_state {
     cell_id id;
     data_centre_id data_centre;
@@ -42,6 +51,11 @@
     data_centre_state state = data_centre_state::out;
     std::optional<time_point> state_confirmed; // send time of the read or watch that showed it
 
+    std::optional<time_point> returning_since; // when the present return began
+    resources returning_baseline;              // committed at that moment
+    std::map<job_id, handover_state> handovers;
+    std::set<job_id> unreadable_jobs; // their carried progress can't be parsed; nothing starts
+
     // Progress and group commit.
     cell_progress progress;
     revision_number progress_revision;
--- a/src/cell_progress.cpp
+++ b/src/cell_progress.cpp
@@ -62,6 +62,12 @@
         out["failures"] = in.failures;
         out["failed_attempts"] = in.failed_attempts;
     }
+    if (!in.moving_to.value.empty()) {
+        out["moving_to"] = in.moving_to;
+    }
+    if (in.moves != 0) {
+        out["moves"] = in.moves;
+    }
 }
 
 void from_json(const json& in, job_progress& out) {
@@ -73,6 +79,8 @@
     out.intents = in.value("intents", out.intents);
     out.failures = in.value("failures", out.failures);
     out.failed_attempts = in.value("failed_attempts", out.failed_attempts);
+    out.moving_to = in.value("moving_to", out.moving_to);
+    out.moves = in.value("moves", out.moves);
 }
 
 void to_json(json& out, const cell_progress& in) {
@@ -94,6 +102,14 @@
     return json(progress).dump();
 }
 
+std::string serialize(const job_progress& progress) {
+    return json(progress).dump();
+}
+
+result<job_progress> parse_job_progress(std::string_view text) {
+    return parse_json<job_progress>(text);
+}
+
 result<cell_progress> parse_cell_progress(std::string_view text) {
     return parse_json<cell_progress>(text);
 }
--- a/src/cell_progress.hpp
+++ b/src/cell_progress.hpp
@@ -30,6 +30,8 @@
     std::set<std::uint32_t> parked;
     std::set<std::uint32_t> outcome_unknown;
     std::set<std::uint32_t> cancelled;
+    cell_id moving_to;       // the job is being handed to this cell; empty otherwise
+    std::uint64_t moves = 0; // moves of the job record that this progress includes
 };
 
 // progress/<cell>: written by the cell's owner only, at its epoch.
@@ -40,6 +42,8 @@
 
 // Conversions to stored text; sets of indexes are stored as ranges. Parsing returns protocol_error.
 std::string serialize(const cell_progress& progress);
+std::string serialize(const job_progress& progress);
+result<job_progress> parse_job_progress(std::string_view text);
 result<cell_progress> parse_cell_progress(std::string_view text);
 
 } // namespace fulmar
--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -362,6 +362,27 @@
     }
 }
 
+void resolve_old_intents(cell_state& cell) {
+    for (auto& [id, job] : cell.progress.jobs) {
+        for (auto at = job.intents.begin(); at != job.intents.end();) {
+            const auto row = cell.tables.tasks.find({id, at->first});
+            const bool known =
+                row != cell.tables.tasks.end() && row->second.phase != task_phase::waiting;
+            if (known || at->second.attempt >= first_attempt(cell.epoch)) {
+                ++at;
+                continue;
+            }
+            job.outcome_unknown.insert(at->first);
+            at = job.intents.erase(at);
+            if (row != cell.tables.tasks.end()) {
+                cell.tables.tasks.erase(row);
+            }
+            cell.counters->count("fulmar_tasks_ended_total", "outcome_unknown");
+            mark_dirty(cell);
+        }
+    }
+}
+
 void settle_committed(cell_state& cell, time_point now) {
     std::vector<task_row*> settled;
     for (auto& [id, task] : cell.tables.tasks) {
--- a/src/cell_reports.hpp
+++ b/src/cell_reports.hpp
@@ -21,6 +21,11 @@
 // Returns a task to the queue, with the reason that `describe` shows.
 void requeue(cell_state& cell, task_row& task, std::string_view reason, time_point now);
 
+// Ends non-idempotent tasks that an earlier owner may have started and that no worker reported:
+// they may have run to their end. Goes over the intents and not over the rows, because the job of
+// an intent may not have been seen yet.
+void resolve_old_intents(cell_state& cell);
+
 // Records the ends that the finished group commit covers, and acknowledges them to the workers.
 void settle_committed(cell_state& cell, time_point now);
 
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -26,7 +26,8 @@
                                    incarnation, slots)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_record, kind, team, cell, tasks, need,
                                                 task_class, run_ms, deadline_unix_ms, urgent,
-                                                idempotent, cancelled, created_epoch)
+                                                idempotent, cancelled, created_epoch, moves,
+                                                carried_progress)
 
 namespace {
 
--- a/src/store_memory.cpp
+++ b/src/store_memory.cpp
@@ -132,6 +132,14 @@
     return found;
 }
 
+std::optional<store_entry> store_memory::peek(const std::string& key) const {
+    const std::lock_guard lock(mutex_);
+    const auto found = entries_.find(key);
+    return found == entries_.end()
+               ? std::nullopt
+               : std::optional(store_entry{key, found->second.value, found->second.revision});
+}
+
 void store_memory::set_faults(const store_faults& faults) {
     const std::lock_guard lock(mutex_);
     faults_ = faults;
--- a/src/store_memory.hpp
+++ b/src/store_memory.hpp
@@ -34,6 +34,9 @@
     result<store_events> watch(const std::string& prefix, revision_number after,
                                duration wait) override;
 
+    // Reads a key past every fault and without counting a call; for checks in tests.
+    std::optional<store_entry> peek(const std::string& key) const;
+
     void set_faults(const store_faults& faults);
     store_faults faults() const;
     std::uint64_t calls() const;
--- /dev/null
+++ b/tests/cell_drain_test.cpp
@@ -0,0 +1,191 @@
+#include "fault_harness.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+job_record make_batch(std::uint32_t tasks, std::int64_t deadline) {
+    job_record record;
+    record.tasks = tasks;
+    record.need = {{1'000}, {1'000}, {0}};
+    record.run_ms = 30'000;
+    record.deadline_unix_ms = deadline;
+    return record;
+}
+
+std::optional<job_record> stored_job(harness& self, const std::string& name) {
+    const auto entry = self.store.peek(std::string(jobs_prefix) + name);
+    return entry ? std::optional(parse_job_record(entry->value).value()) : std::nullopt;
+}
+
+// Runs a job in the cell that it was handed to.
+void run_moved(harness& to, const std::string& name, const job_record& record) {
+    run_for(to, duration(8'000));
+    submit(to, name, record);
+    run_for(to, duration(60'000));
+}
+
+// Starts three jobs and drains the data centre for a minute while `disturb` acts.
+void drain_three(harness& self, void (*disturb)(harness&), void (*heal)(harness&)) {
+    run_for(self, duration(8'000));
+    submit(self, "third", make_batch(2, 0));
+    submit(self, "second", make_batch(3, 9'000));
+    submit(self, "first", make_batch(4, 5'000));
+    run_for(self, duration(3'000));
+    self.handover_target = cell_id{"cell-2"};
+    set_state(self, data_centre_state::draining);
+    run_for(self, duration(self.random() % 3'000));
+    disturb(self);
+    run_for(self, duration(20'000));
+    heal(self);
+    run_for(self, duration(60'000));
+}
+
+void no_fault(harness&) {}
+
+struct disturbance {
+    const char* name;
+    void (*begin)(harness&);
+    void (*end)(harness&);
+};
+
+const std::vector<disturbance> disturbances{
+    {"none", no_fault, no_fault},
+    {"store_away", [](harness& h) { h.store.set_faults({.unavailable = true}); },
+     [](harness& h) { h.store.set_faults({}); }},
+    {"store_replies_lost", [](harness& h) { h.store.set_faults({.lose_replies = true}); },
+     [](harness& h) { h.store.set_faults({}); }},
+    {"store_writes_late", [](harness& h) { h.store.set_faults({.hold_writes = true}); },
+     [](harness& h) {
+         h.store.set_faults({});
+         h.store.release_held_writes();
+     }},
+    {"owner_paused", [](harness& h) { h.owners[0].paused = true; },
+     [](harness& h) { h.owners[0].paused = false; }},
+    {"owner_dead", [](harness& h) { h.owners[0].alive = false; }, no_fault},
+    {"state_returns", [](harness& h) { set_state(h, data_centre_state::returning); },
+     [](harness& h) { set_state(h, data_centre_state::draining); }},
+};
+
+} // namespace
+
+// Guards against a job that is lost, runs in both cells or loses its checkpoints when its data
+// centre is drained, also while the owner or the store fails or operators change their mind.
+TEST_CASE("a drained job resumes once in the other cell", "[drain]") {
+    for (const auto& row : disturbances) {
+        for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+            INFO("fault " << row.name << ", seed " << seed);
+            harness from(seed);
+            from.handover_budget = 1'000'000;
+            drain_three(from, row.begin, row.end);
+            INFO(describe_open(from));
+            CHECK(from.violations == std::vector<std::string>{});
+            int moved = 0;
+            for (const std::string name : {"first", "second", "third"}) {
+                const auto record = stored_job(from, name);
+                REQUIRE(record);
+                if (record->cell == from.cell) {
+                    CHECK(stored_progress(from).jobs.at({name}).finished.size() == record->tasks);
+                    continue;
+                }
+                ++moved;
+                CHECK(record->moves == 1);
+                const auto carried = parse_job_progress(record->carried_progress).value();
+                harness to(seed, {}, {"cell-2"});
+                run_moved(to, name, *record);
+                CHECK(to.violations == std::vector<std::string>{});
+                CHECK(all_ended(to));
+                for (const auto& [index, checkpoint] : carried.checkpoints) {
+                    CHECK(to.runs_from[{task_id{{name}, index}, checkpoint.checkpoint}] == 1);
+                }
+                CHECK(to.executions.size() == record->tasks - carried.finished.size());
+            }
+            CHECK(moved == 3);
+        }
+    }
+}
+
+// Guards against a hand-over that takes effect late, after its owner died, the data centre returned
+// and a new owner could have started the job's tasks again.
+TEST_CASE("a late hand-over finds no task running in the old cell", "[drain]") {
+    int late = 0;
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed " << seed);
+        harness self(seed);
+        self.handover_budget = 1'000'000;
+        self.handover_target = cell_id{"cell-2"};
+        run_for(self, duration(8'000));
+        submit(self, "job", make_batch(4, 0));
+        run_for(self, duration(3'000));
+        set_state(self, data_centre_state::draining);
+        for (int i = 0; i < 100; ++i) {
+            const auto& jobs = stored_progress(self).jobs;
+            if (jobs.contains({"job"}) && !jobs.at({"job"}).moving_to.value.empty()) {
+                break;
+            }
+            run_for(self, harness_step);
+        }
+        self.store.set_faults({.hold_writes = true});
+        run_for(self, duration(1'000));
+        late += stored_job(self, "job")->cell == self.cell ? 1 : 0;
+        self.store.set_faults({});
+        auto* owner = active_owner(self);
+        REQUIRE(owner != nullptr);
+        owner->alive = false;
+        set_state(self, data_centre_state::in);
+        run_for(self, duration(20'000));
+        self.store.release_held_writes();
+        run_for(self, duration(2'000));
+        CHECK(self.violations == std::vector<std::string>{});
+        CHECK(stored_job(self, "job")->cell == cell_id{"cell-2"});
+    }
+    CHECK(late > 0); // otherwise no seed reached the case
+}
+
+// Guards against jobs that leave out of deadline order or beyond the byte budget.
+TEST_CASE("a drain moves jobs in deadline order within its budget", "[drain]") {
+    harness self(1);
+    self.handover_budget = 0;
+    drain_three(self, no_fault, no_fault);
+    CHECK(stored_job(self, "first")->cell == self.cell);
+    self.handover_budget = 1; // one job a step, as any job uses it up
+    std::vector<std::string> order;
+    for (int i = 0; i < 100; ++i) {
+        run_for(self, harness_step);
+        const auto before = order.size();
+        for (const std::string name : {"third", "second", "first"}) {
+            const bool chosen = std::any_of(
+                self.owners.begin(), self.owners.end(),
+                [&](const harness_owner& owner) { return owner.cell.handovers.contains({name}); });
+            if (chosen && std::find(order.begin(), order.end(), name) == order.end()) {
+                order.push_back(name);
+            }
+        }
+        CHECK(order.size() <= before + 1);
+    }
+    CHECK(order == std::vector<std::string>{"first", "second", "third"});
+    CHECK(stored_job(self, "third")->cell == cell_id{"cell-2"});
+}
+
+// Guards against a returning data centre that is filled at once.
+TEST_CASE("starts after a return follow a linear ramp", "[drain]") {
+    harness self(1);
+    run_for(self, duration(8'000));
+    set_state(self, data_centre_state::draining);
+    run_for(self, duration(5'000));
+    auto job = make_batch(20, 0); // fills the cell
+    job.run_ms = 300'000;
+    submit(self, "fill", job);
+    set_state(self, data_centre_state::returning);
+    for (const std::size_t running : {5U, 10U, 15U, 20U}) {
+        run_for(self, self.timing.return_ramp / 4 + duration(running == 20 ? 2'000 : 0));
+        CHECK(self.executions.size() <= running);
+        CHECK(self.executions.size() + 1 >= running);
+    }
+}
+
+} // namespace fulmar
--- a/tests/fault_harness.cpp
+++ b/tests/fault_harness.cpp
@@ -1,14 +1,21 @@
 #include "fault_harness.hpp"
 
+#include "cell_drain.hpp"
+
 #include <algorithm>
 
 namespace fulmar {
 
 namespace {
 
-const cell_id the_cell{"cell-1"};
-const std::string claim_key = std::string(cells_prefix) + the_cell.value;
-const std::string progress_key = std::string(progress_prefix) + the_cell.value;
+std::string claim_key(const harness& self) {
+    return std::string(cells_prefix) + self.cell.value;
+}
+
+std::string progress_key(const harness& self) {
+    return std::string(progress_prefix) + self.cell.value;
+}
+
 const std::string state_key = std::string(data_centres_prefix) + "dc";
 
 void violate(harness& self, const std::string& what) {
@@ -42,6 +49,12 @@
     self.store.set_faults(faults);
 }
 
+// Tells whether the stored record of a job still names this cell.
+bool belongs_here(const harness& self, const job_id& id) {
+    const auto record = self.store.peek(std::string(jobs_prefix) + id.value);
+    return !record || parse_job_record(record->value).value().cell == self.cell;
+}
+
 // Checks I3, I4 and I7 at the moment a worker executes a start.
 void observe_start(harness& self, const worker_model& worker, const worker_command& command) {
     if (!self.executions.insert({command.task, command.attempt, worker.id}).second) {
@@ -53,6 +66,9 @@
     if (!open && self.now > self.state_changed + self.timing.freshness) {
         violate(self, "I4: " + name + " started after the data centre left");
     }
+    if (!belongs_here(self, command.task.job)) {
+        violate(self, "I3: " + name + " started after its job was handed over");
+    }
     const int runs = ++self.runs_from[{command.task, command.checkpoint}];
     if (!self.jobs.at(command.task.job).idempotent && runs > 1) {
         violate(self, "I7: " + name + " ran twice from checkpoint '" + command.checkpoint + "'");
@@ -158,14 +174,14 @@
 }
 
 void read_progress(harness& self, harness_owner& owner) {
-    if (const auto entry = self.store.get(progress_key)) {
+    if (const auto entry = self.store.get(progress_key(self))) {
         on_progress_read(owner.cell, entry.value(), self.now);
     }
 }
 
 // Claims the cell when its owner's membership is gone, at the epoch already held at the workers.
 void claim(harness& self, harness_owner& owner) {
-    const auto claim = self.store.get(claim_key);
+    const auto claim = self.store.get(claim_key(self));
     if (!claim) {
         return;
     }
@@ -189,7 +205,8 @@
         epoch = {owner.highest_epoch.value + 1};
     }
     const auto written = write_and_settle(
-        self.store, {claim_key, serialize(cell_claim{{owner.instance}, epoch}), revision, {}});
+        self.store,
+        {claim_key(self), serialize(cell_claim{{owner.instance}, epoch}), revision, {}});
     if (!written) {
         return;
     }
@@ -244,6 +261,26 @@
     }
 }
 
+// Hands jobs to the target cell while the data centre leaves.
+void hand_over(harness& self, std::size_t index) {
+    auto& cell = self.owners[index].cell;
+    if (!self.handover_target) {
+        return;
+    }
+    plan_handover(cell, *self.handover_target, self.handover_budget, self.now);
+    for (const auto& write : collect_handovers(cell, self.now)) {
+        self.events.emplace(self.now + jitter(self, 20), [&self, index, write] {
+            with_store(self, self.owners[index], [&] {
+                const auto written = write_and_settle(self.store, write);
+                deliver(self, index, jitter(self, 300), [&self, index, write, written] {
+                    on_handover_written(self.owners[index].cell,
+                                        {write.key.substr(jobs_prefix.size())}, written);
+                });
+            });
+        });
+    }
+}
+
 void run_owner(harness& self, std::size_t index) {
     auto& owner = self.owners[index];
     if (!owner.alive || owner.paused) {
@@ -276,6 +313,7 @@
     });
     adopt(self, owner, self.owners[1 - index]);
     const auto actions = tick(owner.cell, self.now);
+    hand_over(self, index);
     owner.highest_epoch =
         std::max({owner.highest_epoch, owner.cell.epoch, owner.cell.highest_epoch});
     for (const auto& action : actions.syncs) {
@@ -302,6 +340,10 @@
             if (task.report.state == task_state::finished) {
                 self.seen_finished.insert(id);
             }
+            if (task.report.state == task_state::running && self.handover_target &&
+                !belongs_here(self, id.job)) {
+                violate(self, "I2: " + id.job.value + " runs here after its job was handed over");
+            }
             if (task.report.state == task_state::running && ++places[id] > 1) {
                 violate(self, "I2: " + id.job.value + "/" + std::to_string(id.index) +
                                   " runs in two places");
@@ -319,8 +361,9 @@
 
 } // namespace
 
-harness::harness(std::uint32_t seed, const cell_timing& cell_times)
-    : random(seed)
+harness::harness(std::uint32_t seed, const cell_timing& cell_times, cell_id cell_name)
+    : cell(std::move(cell_name))
+    , random(seed)
     , timing(cell_times)
     , store([this] { return now; }) {
     for (const std::size_t owner : {0U, 1U}) {
@@ -343,18 +386,18 @@
     row.instance = name;
     row.silent_since = self.now;
     row.next_membership = self.now + duration(100 * static_cast<int>(owner));
-    row.cell = make_cell(the_cell, {"dc"}, {name}, self.timing, self.counters);
+    row.cell = make_cell(self.cell, {"dc"}, {name}, self.timing, self.counters);
     for (int i = 0; i < 5; ++i) {
         add_worker(row.cell, {"w" + std::to_string(i)},
-                   {"", the_cell, {"dc"}, {"rack" + std::to_string(i % 3)}});
+                   {"", self.cell, {"dc"}, {"rack" + std::to_string(i % 3)}});
     }
 }
 
 void submit(harness& self, const std::string& name, const job_record& record) {
     auto created = record;
-    created.cell = the_cell;
-    const auto claim = self.store.get(claim_key);
-    if (claim && claim.value()) {
+    created.cell = self.cell;
+    const auto claim = self.store.get(claim_key(self));
+    if (record.moves == 0 && claim && claim.value()) {
         created.created_epoch = parse_cell_claim(claim.value()->value).value().epoch;
     }
     self.jobs[{name}] = created;
@@ -394,7 +437,7 @@
 const cell_progress& stored_progress(harness& self) {
     const auto faults = self.store.faults();
     self.store.set_faults({});
-    const auto entry = self.store.get(progress_key).value();
+    const auto entry = self.store.get(progress_key(self)).value();
     self.store.set_faults(faults);
     if (entry && entry->revision != self.progress_seen) {
         self.progress_seen = entry->revision;
--- a/tests/fault_harness.hpp
+++ b/tests/fault_harness.hpp
@@ -35,8 +35,10 @@
 };
 
 struct harness {
-    explicit harness(std::uint32_t seed, const cell_timing& cell_times = {});
+    explicit harness(std::uint32_t seed, const cell_timing& cell_times = {},
+                     cell_id cell_name = {"cell-1"});
 
+    cell_id cell;
     time_point now{duration(1'000'000)};
     std::mt19937 random;
     cell_timing timing;
@@ -49,6 +51,8 @@
     std::map<job_id, job_record> jobs;
     data_centre_state state = data_centre_state::in;
     time_point state_changed;
+    std::optional<cell_id> handover_target;
+    std::int64_t handover_budget = 0; // of each step
     int longest_commit_reply_ms = 300;
     bool ignore_epochs = false; // mutation: workers obey commands of superseded owners
 
