worker: report lagging usage samples from the in-memory worker

Cause: the policy learns interference from usage samples, and nothing produced any. Change: worker_model samples its running tasks at an interval and reports them after a lag with their age; a function set by tests gives the slowdown. Deployed stand-ins report a slowdown of 1.

--- a/src/worker_memory.cpp
+++ b/src/worker_memory.cpp
@@ -86,6 +86,37 @@
     }
 }
 
+// Samples every running task when that is due.
+void take_usage(worker_model& worker, time_point now) {
+    if (worker.usage_interval.count() <= 0 || now < worker.next_usage) {
+        return;
+    }
+    worker.next_usage = now + worker.usage_interval;
+    for (const auto& [id, task] : worker.tasks) {
+        if (task.report.state != task_state::running) {
+            continue;
+        }
+        usage_sample sample;
+        sample.task = id;
+        sample.task_class = task.report.task_class;
+        sample.used = {task.report.need.processors.value * task.share / 100};
+        sample.slowdown = worker.slowdown ? worker.slowdown(worker, task) : 1.0;
+        worker.usage.push_back({now, std::move(sample)});
+    }
+}
+
+// Reports the samples whose lag has passed, with their age.
+std::vector<usage_sample> report_usage(worker_model& worker, time_point now) {
+    std::vector<usage_sample> reported;
+    while (!worker.usage.empty() && worker.usage.front().at + worker.usage_lag <= now) {
+        auto& next = worker.usage.front();
+        next.sample.age_ms = (now - next.at).count();
+        reported.push_back(std::move(next.sample));
+        worker.usage.pop_front();
+    }
+    return reported;
+}
+
 } // namespace
 
 resources committed_resources(const worker_model& worker) {
@@ -111,6 +142,7 @@
             end_task(task, task_state::checkpointed, worker.lease_end);
         }
     }
+    take_usage(worker, now);
 }
 
 result<sync_reply> handle_sync(worker_model& worker, const sync_request& request, time_point now) {
@@ -145,6 +177,7 @@
     reply.now = worker_now(now);
     reply.incarnation = worker.incarnation;
     reply.capacity = worker.capacity;
+    reply.usage = report_usage(worker, now);
     for (const auto& [id, task] : worker.tasks) {
         if (request.full_inventory || task.report.state != task_state::running) {
             reply.tasks.push_back(task.report);
@@ -155,6 +188,7 @@
 
 void restart_worker(worker_model& worker, time_point now) {
     worker.tasks.clear();
+    worker.usage.clear();
     worker.last_attempt.clear();
     worker.holder = {};
     worker.epoch = {};
--- a/src/worker_memory.hpp
+++ b/src/worker_memory.hpp
@@ -3,6 +3,8 @@
 
 #include "fulmar/worker.hpp"
 
+#include <deque>
+#include <functional>
 #include <map>
 
 namespace fulmar {
@@ -18,6 +20,17 @@
     bool fail_all_starts = false; // every started task fails at once
 };
 
+// A usage sample and when it was taken.
+struct taken_sample {
+    time_point at;
+    usage_sample sample;
+};
+
+struct worker_model;
+
+// How far the tasks on a worker slow this one down now; 1 means not at all.
+using slowdown_model = std::function<double(const worker_model&, const worker_task&)>;
+
 struct worker_model {
     worker_id id;
     resources capacity;
@@ -32,6 +45,13 @@
     std::map<task_id, attempt_number> last_attempt;
     worker_faults faults;
     std::uint64_t starts = 0;
+
+    // Usage reports.
+    duration usage_interval{2'000}; // between two samples of a task; 0 means no reports
+    duration usage_lag{3'000};      // from taking a sample to reporting it
+    slowdown_model slowdown;        // unset: no task slows another down
+    time_point next_usage;
+    std::deque<taken_sample> usage; // taken, not yet reported
 };
 
 // Ends tasks whose run time is over, and checkpoints all running ones when the lease has lapsed.
