policy: score placements, learn interference, evict, quarantine and hold quotas

Cause: placement was first come with best headroom; services had no protection, nothing was refused or parked by worker, and every tick sorted all tasks. Interference is estimated by a Kalman filter per service class from the means of one sample time, less the slowdown that all services of the worker share. cell_control carries decisions out; `parked` now counts failures on different workers.

--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -2,7 +2,8 @@
 
 #include "cell_lease.hpp"
 #include "cell_reports.hpp"
-#include "placement.hpp"
+#include "interference.hpp"
+#include "policy.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -35,6 +36,7 @@
             task.attempt = checkpoint->second.attempt;
             task.checkpoint = checkpoint->second.checkpoint;
         }
+        note_waiting(cell.tables, task);
     }
 }
 
@@ -161,27 +163,61 @@
     cell.tables.workers[worker].next_sync = {};
 }
 
+// Ends the waiting tasks of a job that fits on no worker of the cell.
+void refuse_job(cell_state& cell, const job_id& id) {
+    auto& progress = cell.progress.jobs[id];
+    for (auto at = cell.tables.tasks.lower_bound({id, 0});
+         at != cell.tables.tasks.end() && at->first.job == id;) {
+        if (at->second.phase != task_phase::waiting || at->second.may_be_elsewhere) {
+            ++at;
+            continue;
+        }
+        progress.parked.insert(at->first.index);
+        cell.counters->count("fulmar_tasks_ended_total", fits_no_worker);
+        at = cell.tables.tasks.erase(at);
+    }
+    mark_dirty(cell);
+}
+
+// Checkpoints the tasks that the responses to interference call for.
+void respond_to_interference(cell_state& cell, time_point now) {
+    for (auto* task : update_responses(cell.tables, now)) {
+        set_phase(cell.tables, *task, task_phase::evicting, task->worker);
+        cell.counters->count("fulmar_evictions_total", "interference");
+    }
+}
+
+// Carries one decision of the policy out.
+void carry_out(cell_state& cell, const decision& made, time_point now) {
+    switch (made.kind) {
+    case decision_kind::start:
+        assign(cell, *made.task, made.worker);
+        note_placed(cell.tables, *made.task, now);
+        break;
+    case decision_kind::evict:
+        for (auto* victim : made.evictions) {
+            set_phase(cell.tables, *victim, task_phase::evicting, victim->worker);
+            cell.counters->count("fulmar_evictions_total", "urgent");
+        }
+        break;
+    case decision_kind::refuse:
+        refuse_job(cell, job_id(made.task->id.job));
+        break;
+    }
+}
+
 // Places waiting tasks while starts are permitted.
 void place_waiting(cell_state& cell, time_point now) {
     if (const auto obstacle = find_start_obstacle(cell, now)) {
         cell.counters->set("fulmar_start_obstacle", 1, *obstacle);
         return;
     }
-    for (auto* task : order_waiting(cell.tables, now)) {
-        const auto job = cell.tables.jobs.find(task->id.job);
-        if (job == cell.tables.jobs.end() || job->second.record.cancelled) {
-            continue;
-        }
-        if (task->may_be_elsewhere) {
-            task->wait_reason = "takeover_unsettled";
-            continue;
-        }
-        const std::size_t worker = choose_worker(cell.tables, *task, now);
-        if (worker == no_worker) {
-            task->wait_reason = "no_capacity";
-            continue;
-        }
-        assign(cell, *task, worker);
+    if (!round_is_due(cell.tables, now)) {
+        return;
+    }
+    auto order = rank_waiting(cell.tables, now);
+    while (const auto made = next_decision(cell.tables, order, now)) {
+        carry_out(cell, *made, now);
     }
 }
 
@@ -232,6 +268,13 @@
                 requeue(cell, task, "stale_state", now);
             }
             break;
+        case task_phase::running:
+            if (task.share != task.share_known) {
+                auto throttle = make_command(task, command_kind::throttle, never);
+                throttle.share = task.share_sent = task.share;
+                list.push_back(throttle);
+            }
+            break;
         case task_phase::evicting:
             list.push_back(make_command(task, command_kind::evict, never));
             break;
@@ -349,6 +392,7 @@
     if (cell.claim_revision.value != 0) {
         fresh.claim_to_release = cell.claim_revision;
     }
+    fresh.tables.options = cell.tables.options;
     fresh.state = cell.state;
     fresh.state_confirmed = cell.state_confirmed;
     cell = std::move(fresh);
@@ -436,8 +480,14 @@
     }
 }
 
+void on_config(cell_state& cell, const runtime_config& config) {
+    cell.tables.options.throttle_slowdown_percent = config.throttle_slowdown_percent;
+    cell.tables.options.evict_slowdown_percent = config.evict_slowdown_percent;
+}
+
 void on_sync(cell_state& cell, const worker_id& id, time_point sent,
              const result<sync_reply>& reply, time_point now) {
+    cell.tables.now = now;
     const auto found = cell.tables.worker_index.find(id);
     if (found == cell.tables.worker_index.end()) {
         return;
@@ -477,11 +527,13 @@
     if (cell.epoch.value == 0) {
         return actions;
     }
+    cell.tables.now = now;
     track_majority(cell, now);
     settle_takeover(cell, now);
     release_lost_workers(cell, now);
     cancel_requeued(cell);
     evict_for_drain(cell);
+    respond_to_interference(cell, now);
     place_waiting(cell, now);
     send_syncs(cell, now, actions);
     write_progress(cell, now, actions);
--- a/src/cell_control.hpp
+++ b/src/cell_control.hpp
@@ -4,6 +4,7 @@
 
 #include "cell_progress.hpp"
 #include "fulmar/metrics.hpp"
+#include "fulmar/runtime_config.hpp"
 #include "fulmar/store.hpp"
 #include "scheduler_tables.hpp"
 
@@ -96,6 +97,9 @@
 void on_job(cell_state& cell, const job_id& id, const job_record& record, revision_number revision,
             time_point now);
 
+// Takes the configuration in force.
+void on_config(cell_state& cell, const runtime_config& config);
+
 // Takes the reply to a sync sent at `sent`, or its failure.
 void on_sync(cell_state& cell, const worker_id& worker, time_point sent,
              const result<sync_reply>& reply, time_point now);
--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -1,5 +1,8 @@
 #include "cell_reports.hpp"
 
+#include "interference.hpp"
+#include "quarantine.hpp"
+
 #include <array>
 #include <cassert>
 #include <set>
@@ -8,10 +11,6 @@
 
 namespace {
 
-// A task is parked after failing this often, as a task that fails everywhere would otherwise use up
-// starts forever.
-constexpr std::uint32_t failures_before_parking = 3;
-
 job_progress& progress_of(cell_state& cell, const task_id& id) {
     return cell.progress.jobs[id.job];
 }
@@ -31,6 +30,39 @@
     cell.tables.workers.at(worker).acks.push_back({id, attempt});
 }
 
+// Takes back the failures charged to jobs on a worker that turned out to be at fault itself.
+void take_back_failures(cell_state& cell, worker_row& worker) {
+    for (const auto& id : worker.charged) {
+        auto& job = progress_of(cell, id);
+        const auto count = job.failures.find(id.index);
+        if (count != job.failures.end() && --count->second == 0) {
+            job.failures.erase(count);
+        }
+        const auto row = cell.tables.tasks.find(id);
+        if (row == cell.tables.tasks.end()) {
+            continue; // its end is recorded already
+        }
+        std::erase(row->second.failed_workers, worker.id);
+        job.parked.erase(id.index);
+    }
+    worker.charged.clear();
+}
+
+// Charges a failure to the task, or to the worker when that fails every job.
+void charge_failure(cell_state& cell, task_row& task) {
+    auto& job = progress_of(cell, task.id);
+    const auto failed_before = task.failed_workers.size();
+    const bool quarantined = record_failure(cell.tables, task.worker, task, cell.tables.now);
+    const bool counted = task.failed_workers.size() > failed_before;
+    if (counted && ++job.failures[task.id.index] >= failures_before_parking) {
+        job.parked.insert(task.id.index);
+    }
+    if (quarantined) {
+        cell.counters->count("fulmar_worker_quarantines_total");
+        take_back_failures(cell, cell.tables.workers.at(task.worker));
+    }
+}
+
 // Begins to record the end of a task; the worker is told once it is stored.
 void begin_commit(cell_state& cell, task_row& task, const task_report& report) {
     auto& job = progress_of(cell, task.id);
@@ -38,6 +70,7 @@
     job.intents.erase(index);
     switch (report.state) {
     case task_state::finished:
+        record_success(cell.tables, task.worker, task);
         job.finished.insert(index);
         job.checkpoints.erase(index);
         break;
@@ -46,9 +79,7 @@
         task.checkpoint = report.checkpoint;
         break;
     case task_state::failed:
-        if (++job.failures[index] >= failures_before_parking) {
-            job.parked.insert(index);
-        }
+        charge_failure(cell, task);
         break;
     case task_state::stopped:
         job.cancelled.insert(index);
@@ -173,8 +204,11 @@
         return;
     }
     auto& task = found->second;
-    if (task.worker != worker || task.attempt != outcome.attempt ||
-        task.phase != task_phase::starting) {
+    const bool concerns = task.worker == worker && task.attempt == outcome.attempt;
+    if (concerns && task.phase == task_phase::running && !outcome.refused) {
+        task.share_known = task.share_sent;
+    }
+    if (!concerns || task.phase != task_phase::starting) {
         return;
     }
     if (!outcome.refused) {
@@ -219,6 +253,9 @@
     const bool restarted = row.inventoried && reply.incarnation != row.incarnation;
     row.clock = reply.now;
     row.clock_received = now;
+    if (row.capacity != reply.capacity || full_inventory) {
+        ++cell.tables.placement_inputs;
+    }
     row.capacity = reply.capacity;
     row.incarnation = reply.incarnation;
     if (restarted) {
@@ -235,6 +272,8 @@
         apply_report(cell, worker, report);
     }
 
+    apply_usage(cell.tables, worker, reply.usage, now);
+
     // Step 3: a full inventory also tells what is not there.
     if (full_inventory) {
         row.inventoried = true;
--- /dev/null
+++ b/src/interference.cpp
@@ -0,0 +1,440 @@
+#include "interference.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <numeric>
+
+namespace fulmar {
+
+namespace {
+
+// An unknown pair is taken to interfere a little, so that known harmless pairs are preferred and
+// unknown ones are still tried. The deviation is that of effects found in practice: most pairs are
+// harmless, some add more than the run time itself.
+constexpr double unknown_effect = 0.12;
+constexpr double unknown_deviation = 0.4;
+constexpr double mild_effect = 0.25;
+constexpr double largest_effect = 10.0;
+constexpr double largest_slowdown = 3.0;
+
+// Slot 0 explains slowdowns that go with no batch class.
+constexpr double base_deviation = 0.05;
+
+// Bounds the memory and time of an update; batch classes beyond it keep the unknown effect.
+constexpr std::size_t most_slots = 64;
+
+// Deviation of one sample, and of the part that averaging samples of one time doesn't reduce.
+constexpr double sample_deviation = 0.1;
+constexpr double common_deviation = 0.03;
+
+// A residual beyond this many deviations counts as one of this many, as noise has heavy tails.
+constexpr double largest_surprise = 2.5;
+
+// Growth of the variances per update, so that the estimates follow load shifts.
+constexpr double variance_growth = 1.0005;
+
+// Smoothing of the slowdown that decides on responses; at a sample every 2 s it spans about 8 s.
+constexpr double response_weight = 0.25;
+constexpr duration raise_delay{4'000};
+constexpr duration lower_delay{10'000};
+
+// Samples lag, so an eviction shows in them only after this time.
+constexpr duration eviction_interval{8'000};
+constexpr std::int64_t throttled_share = 50;
+
+// A class is throttled or evicted only if the model attributes this much slowdown to it; otherwise
+// the slowdown is noise that a response would not end.
+constexpr double smallest_attribution = 0.04;
+
+struct class_load {
+    std::size_t index = 0;
+    double load = 0.0; // running processors over the worker's
+};
+
+double as_share(std::int64_t processors, const worker_row& worker) {
+    const auto whole = std::max<std::int64_t>(1, worker.capacity.processors.value);
+    return static_cast<double>(processors) / static_cast<double>(whole);
+}
+
+// Returns the batch classes that ran on a worker at an earlier time.
+std::vector<class_load> loads_at(const cell_tables& tables, const worker_row& worker,
+                                 time_point at) {
+    std::vector<class_load> loads;
+    const auto add = [&](std::size_t index, std::int64_t processors) {
+        if (tables.classes[index].latency_critical) {
+            return;
+        }
+        for (auto& known : loads) {
+            if (known.index == index) {
+                known.load += as_share(processors, worker);
+                return;
+            }
+        }
+        loads.push_back({index, as_share(processors, worker)});
+    };
+    for (const auto& resident : worker.residents) {
+        add(resident.index, resident.running);
+    }
+    for (auto change = worker.changes.rbegin(); change != worker.changes.rend() && change->at > at;
+         ++change) {
+        add(change->index, -change->processors);
+    }
+    return loads;
+}
+
+// Gives a batch class a slot among the estimates. Returns no_index when there is none left.
+std::size_t find_slot(cell_tables& tables, std::size_t batch) {
+    auto& row = tables.classes[batch];
+    if (row.slot == no_index && tables.effect_slots < most_slots) {
+        row.slot = tables.effect_slots++;
+    }
+    return row.slot;
+}
+
+// Returns the estimates of a service class with room for every slot given out.
+effect_estimates& find_estimates(cell_tables& tables, std::size_t service) {
+    if (tables.effects.size() <= service) {
+        tables.effects.resize(service + 1);
+    }
+    auto& known = tables.effects[service];
+    const std::size_t old_size = known.mean.size();
+    const std::size_t size = tables.effect_slots;
+    if (old_size == size) {
+        return known;
+    }
+    std::vector<double> covariance(size * size, 0.0);
+    for (std::size_t i = 0; i < size; ++i) {
+        const double deviation = i == 0 ? base_deviation : unknown_deviation;
+        covariance[i * size + i] = deviation * deviation;
+        for (std::size_t j = 0; i < old_size && j < old_size; ++j) {
+            covariance[i * size + j] = known.covariance[i * old_size + j];
+        }
+    }
+    known.covariance = std::move(covariance);
+    known.mean.resize(size, unknown_effect);
+    if (old_size == 0) {
+        known.mean[0] = 0.0;
+    }
+    return known;
+}
+
+// Returns the inputs of the estimates: 1 for the base, then the load of each batch class.
+std::vector<double> make_inputs(cell_tables& tables, const std::vector<class_load>& loads) {
+    std::vector<std::pair<std::size_t, double>> slots;
+    for (const auto& each : loads) {
+        if (const auto slot = find_slot(tables, each.index); slot != no_index) {
+            slots.emplace_back(slot, std::max(0.0, each.load));
+        }
+    }
+    std::vector<double> inputs(tables.effect_slots, 0.0);
+    inputs[0] = 1.0;
+    for (const auto& [slot, load] : slots) {
+        inputs[slot] = load;
+    }
+    return inputs;
+}
+
+// Slowdown of one service class in one report of a worker.
+struct class_mean {
+    std::size_t index = 0;
+    double sum = 0.0;
+    int samples = 0;
+    double residual = 0.0; // measured mean less the expected one
+
+    [[nodiscard]] double mean() const { return sum / samples; }
+};
+
+// Expected slowdown of a service class.
+double expect(const effect_estimates& known, const std::vector<double>& inputs) {
+    return std::inner_product(inputs.begin(), inputs.end(), known.mean.begin(), 1.0);
+}
+
+// Returns the slowdown that all services of a worker share beyond what is expected. A batch class
+// disturbs some services more than others, so the common part is a wave of other noise.
+double common_noise(const std::vector<class_mean>& means) {
+    constexpr std::size_t enough_classes = 3;
+    if (means.size() < enough_classes) {
+        return 0.0;
+    }
+    std::vector<double> residuals;
+    residuals.reserve(means.size());
+    for (const auto& mean : means) {
+        residuals.push_back(mean.residual);
+    }
+    const auto middle = residuals.begin() + static_cast<std::ptrdiff_t>((residuals.size() - 1) / 2);
+    std::ranges::nth_element(residuals, middle);
+    return std::max(0.0, *middle);
+}
+
+// Moves the estimates of one service class by its residual: a Kalman filter whose state are the
+// effects. It needs fewer samples than a gradient step, as it knows which effects are uncertain.
+void learn(effect_estimates& known, const std::vector<double>& inputs, const class_mean& measured,
+           double residual) {
+    const std::size_t size = known.mean.size();
+    std::vector<double> spread(size, 0.0); // covariance times inputs
+    double variance = common_deviation * common_deviation +
+                      sample_deviation * sample_deviation / measured.samples;
+    for (std::size_t i = 0; i < size; ++i) {
+        const auto* line = &known.covariance[i * size];
+        spread[i] = std::inner_product(inputs.begin(), inputs.end(), line, 0.0);
+        variance += inputs[i] * spread[i];
+    }
+    const double limit = largest_surprise * std::sqrt(variance);
+    const double error = std::clamp(residual, -limit, limit);
+    for (std::size_t i = 0; i < size; ++i) {
+        known.mean[i] =
+            std::clamp(known.mean[i] + spread[i] * error / variance, 0.0, largest_effect);
+        for (std::size_t j = 0; j < size; ++j) {
+            known.covariance[i * size + j] -= spread[i] * spread[j] / variance;
+        }
+        const double most = i == 0 ? base_deviation : unknown_deviation;
+        auto& own = known.covariance[i * size + i];
+        own = std::clamp(own * variance_growth, 1e-6, most * most);
+    }
+}
+
+bool is_latency_critical(const cell_tables& tables, const task_id& id) {
+    const auto job = tables.jobs.find(id.job);
+    return job != tables.jobs.end() && job->second.record.kind != job_kind::batch;
+}
+
+// Smooths the slowdown of the service class that suffers most.
+void note_slowdown(interference_response& response, const std::vector<class_mean>& means,
+                   double noise, time_point sampled) {
+    if (means.empty()) {
+        return;
+    }
+    double worst = 0.0;
+    for (const auto& mean : means) {
+        worst = std::max(worst, mean.mean());
+    }
+    response.slowdown += response_weight * (worst - noise - response.slowdown);
+    response.last_sample = std::max(response.last_sample, sampled);
+}
+
+// Slowdowns at which the stages begin.
+std::array<double, 4> stage_thresholds(const policy_options& options) {
+    const double throttle = static_cast<double>(options.throttle_slowdown_percent) / 100.0;
+    const double evict = static_cast<double>(options.evict_slowdown_percent) / 100.0;
+    return {1.0, admission_limit(options), throttle, evict};
+}
+
+// Moves one worker by at most one stage, after the slowdown has stayed beyond a threshold. Returns
+// whether the stage changed.
+bool change_stage(interference_response& response, const policy_options& options, time_point now) {
+    const auto thresholds = stage_thresholds(options);
+    const auto stage = static_cast<std::size_t>(response.stage);
+    const bool above =
+        stage + 1 < thresholds.size() && response.slowdown >= thresholds.at(stage + 1);
+    // A stage ends well below the threshold at which it began, or a noisy wave would toggle it.
+    const double lower = 1.0 + (thresholds.at(stage) - 1.0) * 0.7;
+    const bool below = stage > 0 && response.slowdown < lower;
+    const auto track = [&](time_point& since, bool holds) {
+        since = !holds ? time_point{} : since == time_point{} ? now : since;
+    };
+    track(response.above_since, above);
+    track(response.below_since, below);
+    // The present stage must have had the time to show in the samples.
+    const bool settled = response.last_sample >= response.changed;
+    const bool raise = above && settled && now - response.above_since >= raise_delay;
+    const bool lower_now = below && now - response.below_since >= lower_delay;
+    if (!raise && !lower_now) {
+        return false;
+    }
+    response.stage = static_cast<response_stage>(raise ? stage + 1 : stage - 1);
+    response.changed = now;
+    response.above_since = response.below_since = {};
+    return true;
+}
+
+// Returns the slowdown that the model attributes to a batch class on a worker: over its services,
+// the worst.
+double attributed(const cell_tables& tables, const worker_row& worker, std::size_t batch,
+                  std::int64_t processors) {
+    double worst = 0.0;
+    for (const auto& resident : worker.residents) {
+        if (tables.classes[resident.index].latency_critical && resident.running > 0) {
+            worst = std::max(worst, pair_effect(tables, resident.index, batch) *
+                                        as_share(processors, worker));
+        }
+    }
+    return worst;
+}
+
+// Returns the batch class that does most harm on a worker, or no_index if none does enough.
+std::size_t find_culprit(const cell_tables& tables, const worker_row& worker) {
+    std::size_t culprit = no_index;
+    double most = tables.options.interference_model ? smallest_attribution : -1.0;
+    for (const auto& resident : worker.residents) {
+        if (tables.classes[resident.index].latency_critical || resident.running <= 0) {
+            continue;
+        }
+        // Without a model, the class with the largest use is the first suspect.
+        const double harm = tables.options.interference_model
+                                ? attributed(tables, worker, resident.index, resident.running)
+                                : as_share(resident.running, worker);
+        if (harm > most) {
+            most = harm;
+            culprit = resident.index;
+        }
+    }
+    return culprit;
+}
+
+template <class Function>
+void for_running_batch(cell_tables& tables, std::size_t worker, Function&& visit) {
+    for (auto& [id, task] : tables.tasks) {
+        if (task.worker != worker || task.phase != task_phase::running) {
+            continue;
+        }
+        const auto job = tables.jobs.find(id.job);
+        if (job != tables.jobs.end() && job->second.record.kind == job_kind::batch) {
+            visit(task, job->second.record);
+        }
+    }
+}
+
+// Throttles the class that does most harm, or ends all throttling on the worker.
+void apply_shares(cell_tables& tables, std::size_t worker) {
+    const auto& row = tables.workers[worker];
+    const bool throttled = row.response.stage >= response_stage::throttle;
+    const std::size_t culprit = throttled ? find_culprit(tables, row) : no_index;
+    for_running_batch(tables, worker, [&](task_row& task, const job_record& record) {
+        if (record.urgent) {
+            return;
+        }
+        if (!throttled) {
+            set_share(tables, task, 100);
+        } else if (task.class_index == culprit) {
+            set_share(tables, task, throttled_share);
+        }
+    });
+}
+
+// Returns the task whose eviction relieves a worker most for its cost: the largest of the class
+// that does most harm, and among equals the one that ran for the shortest time.
+task_row* find_victim(cell_tables& tables, std::size_t worker) {
+    const std::size_t culprit = find_culprit(tables, tables.workers[worker]);
+    task_row* victim = nullptr;
+    for_running_batch(tables, worker, [&](task_row& task, const job_record& record) {
+        if (task.class_index != culprit || record.urgent || !record.idempotent) {
+            return;
+        }
+        const auto rank = [](const task_row& each) {
+            return std::tuple{each.need.processors.value, each.started};
+        };
+        if (victim == nullptr || rank(task) > rank(*victim)) {
+            victim = &task;
+        }
+    });
+    return victim;
+}
+
+} // namespace
+
+void apply_usage(cell_tables& tables, std::size_t worker, const std::vector<usage_sample>& samples,
+                 time_point now) {
+    // Step 1: group by time and service class. A report mostly holds samples of one time.
+    std::map<time_point, std::vector<class_mean>> reports;
+    for (const auto& sample : samples) {
+        const bool usable = std::isfinite(sample.slowdown) && sample.slowdown > 0.0 &&
+                            sample.age_ms >= 0 && duration(sample.age_ms) <= occupancy_history;
+        if (!usable || !is_latency_critical(tables, sample.task)) {
+            continue;
+        }
+        const std::size_t service = find_class(tables, sample.task_class);
+        tables.classes[service].latency_critical = true;
+        auto& means = reports[now - duration(sample.age_ms)];
+        auto mean = std::ranges::find(means, service, &class_mean::index);
+        if (mean == means.end()) {
+            mean = means.insert(means.end(), class_mean{service});
+        }
+        mean->sum += std::min(sample.slowdown, largest_slowdown);
+        ++mean->samples;
+    }
+
+    // Step 2: learn from each time's means, with the tasks that ran at that time.
+    auto& row = tables.workers.at(worker);
+    const bool learns = tables.options.interference_model && tables.options.learn_effects;
+    for (auto& [at, means] : reports) {
+        double noise = 0.0;
+        if (learns) {
+            const auto inputs = make_inputs(tables, loads_at(tables, row, at));
+            for (auto& mean : means) {
+                mean.residual = mean.mean() - expect(find_estimates(tables, mean.index), inputs);
+            }
+            noise = common_noise(means);
+            for (const auto& mean : means) {
+                learn(find_estimates(tables, mean.index), inputs, mean, mean.residual - noise);
+            }
+        }
+        note_slowdown(row.response, means, noise, at);
+    }
+}
+
+double pair_effect(const cell_tables& tables, std::size_t service, std::size_t batch) {
+    const std::size_t slot = tables.classes[batch].slot;
+    if (service >= tables.effects.size() || slot >= tables.effects[service].mean.size()) {
+        return unknown_effect;
+    }
+    return tables.effects[service].mean[slot];
+}
+
+double admission_limit(const policy_options& options) {
+    constexpr double part = 0.6;
+    return 1.0 + part * (static_cast<double>(options.throttle_slowdown_percent) / 100.0 - 1.0);
+}
+
+interference_forecast forecast(const cell_tables& tables, const worker_row& worker,
+                               std::size_t batch, std::int64_t processors) {
+    interference_forecast sum;
+    for (const auto& service : worker.residents) {
+        if (!tables.classes[service.index].latency_critical || service.tasks == 0) {
+            continue;
+        }
+        const double effect = pair_effect(tables, service.index, batch);
+        const double added = effect * as_share(processors, worker);
+        sum.added += added * static_cast<double>(service.tasks);
+        sum.harmful = sum.harmful || effect > mild_effect;
+        // A class that disturbs a service only mildly isn't the one to keep out.
+        if (effect <= mild_effect) {
+            continue;
+        }
+        double total = 1.0 + added;
+        for (const auto& other : worker.residents) {
+            if (!tables.classes[other.index].latency_critical) {
+                total += pair_effect(tables, service.index, other.index) *
+                         as_share(other.committed, worker);
+            }
+        }
+        sum.worst = std::max(sum.worst, total);
+    }
+    return sum;
+}
+
+std::vector<task_row*> update_responses(cell_tables& tables, time_point now) {
+    std::vector<task_row*> evictions;
+    for (std::size_t i = 0; i < tables.workers.size(); ++i) {
+        auto& response = tables.workers[i].response;
+        if (change_stage(response, tables.options, now)) {
+            apply_shares(tables, i);
+        }
+        // Evict while the stage lasts, but only as fast as the samples can show the effect.
+        const bool due = response.stage == response_stage::evict &&
+                         now - response.last_eviction >= eviction_interval &&
+                         response.slowdown >= stage_thresholds(tables.options).back() &&
+                         response.last_sample >= response.last_eviction;
+        if (!due) {
+            continue;
+        }
+        if (auto* victim = find_victim(tables, i)) {
+            response.last_eviction = now;
+            evictions.push_back(victim);
+        }
+    }
+    return evictions;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/interference.hpp
@@ -0,0 +1,34 @@
+// Interference of batch tasks with services: learned from lagging usage samples, and answered in
+// steps of growing cost.
+#pragma once
+
+#include "scheduler_tables.hpp"
+
+namespace fulmar {
+
+// Learns from the samples of one worker. Each one is attributed to the tasks that ran on the worker
+// at the sample's own time.
+void apply_usage(cell_tables& tables, std::size_t worker, const std::vector<usage_sample>& samples,
+                 time_point now);
+
+// Returns the learned effect of a batch class on a service class; unknown pairs have a small one.
+double pair_effect(const cell_tables& tables, std::size_t service, std::size_t batch);
+
+struct interference_forecast {
+    double added = 0.0;   // summed over the service tasks of the worker
+    double worst = 1.0;   // slowdown of the worst service among those that the class harms
+    bool harmful = false; // the class harms a service of the worker
+};
+
+// Forecasts the slowdowns on a worker if a task of this batch class were added.
+interference_forecast forecast(const cell_tables& tables, const worker_row& worker,
+                               std::size_t batch, std::int64_t processors);
+
+// Returns the forecast slowdown beyond which a worker admits no further batch task.
+double admission_limit(const policy_options& options);
+
+// Moves each worker between the stages of response, sets the shares of throttled tasks and returns
+// the tasks to evict.
+std::vector<task_row*> update_responses(cell_tables& tables, time_point now);
+
+} // namespace fulmar
--- a/src/placement.cpp
+++ b/src/placement.cpp
@@ -1,66 +1,418 @@
 #include "placement.hpp"
 
+#include "interference.hpp"
+#include "quarantine.hpp"
+#include "quota.hpp"
+
 #include <algorithm>
+#include <array>
 #include <tuple>
 
 namespace fulmar {
 
 namespace {
 
-// Remaining share of the scarcest resource after a placement; higher is better.
-double headroom_after(const worker_row& worker, const resources& need) {
-    const resources left = worker.capacity - worker.committed - need;
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole);
+// Tiers of waiting jobs, first to last.
+enum class tier : std::uint8_t { urgent, starving, deadline, fair_share };
+
+// A job that waited this long without a start goes before deadlines and shares: nothing starves.
+constexpr duration starvation_time{120'000};
+
+// Starving jobs may keep one worker free for themselves, for at most this long.
+constexpr duration reservation_time{60'000};
+
+// Deadlines count once the slack is below this, or below half of the run time.
+constexpr double tight_slack_ms = 60'000.0;
+
+// Declared run times are off by large factors, so the estimate errs on the long side.
+constexpr double run_time_margin = 1.5;
+
+// Weights of the score. Added slowdown is summed over service tasks; 0.01 of it counts as much as
+// a tenth of a worker's headroom.
+constexpr double interference_weight = 10.0;
+constexpr double observed_weight = 2.0;
+constexpr double accelerator_weight = 4.0;
+constexpr double rack_weight = 2.0;
+constexpr double headroom_weight = 1.0;
+
+double share_of(std::int64_t part, std::int64_t whole) {
+    return whole == 0 ? 1.0 : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+// Remaining share of the scarcer of processors and memory.
+double headroom(const worker_row& worker, const resources& left) {
+    return std::min(share_of(left.processors.value, worker.capacity.processors.value),
+                    share_of(left.memory.value, worker.capacity.memory.value));
+}
+
+// What the choice needs to know of the task, looked up once.
+struct request {
+    const task_row& task;
+    std::size_t class_index = no_index;
+    bool batch = false;
+    bool urgent = false;
+};
+
+request make_request(const cell_tables& tables, const task_row& task) {
+    request made{task};
+    const auto job = tables.jobs.find(task.id.job);
+    if (job != tables.jobs.end()) {
+        made.class_index = job->second.class_index;
+        made.batch = job->second.record.kind == job_kind::batch;
+        made.urgent = job->second.record.urgent;
+    }
+    return made;
+}
+
+// Counts tasks of a class on a rack, for the spread of services.
+std::int64_t count_on_rack(const cell_tables& tables, const rack_id& rack, std::size_t index) {
+    std::int64_t count = 0;
+    for (const auto& worker : tables.workers) {
+        if (worker.rack != rack) {
+            continue;
+        }
+        for (const auto& resident : worker.residents) {
+            count += resident.index == index ? resident.tasks : 0;
+        }
+    }
+    return count;
+}
+
+// Why a worker doesn't get a task, in the order of precedence for the user: a later one means that
+// the task came closer to a start.
+enum class obstacle : std::uint8_t {
+    no_worker,
+    fits_no_worker,
+    no_capacity,
+    reserved,
+    urgent_reserve,
+    worker_suspect,
+    quarantined,
+    failed_there,
+    interference,
+    none,
+};
+
+constexpr std::array<std::string_view, 10> obstacle_names{
+    "no_worker",      fits_no_worker, "no_capacity",  "reserved",     "urgent_reserve",
+    "worker_suspect", "quarantined",  "failed_there", "interference", ""};
+static_assert(obstacle_names.size() == static_cast<std::size_t>(obstacle::none) + 1);
+
+obstacle to_obstacle(std::string_view health) {
+    const auto at = std::ranges::find(obstacle_names, health) - obstacle_names.begin();
+    return static_cast<obstacle>(at);
+}
+
+obstacle find_obstacle(const cell_tables& tables, const worker_row& worker, const request& wanted,
+                       time_point now) {
+    const auto& task = wanted.task;
+    if (!worker.inventoried) {
+        return obstacle::no_worker;
+    }
+    if (!fits(task.need, worker.capacity)) {
+        return obstacle::fits_no_worker;
+    }
+    if (!fits(task.need, worker.capacity - worker.committed)) {
+        return obstacle::no_capacity;
+    }
+    if (worker.reserved_for && now < worker.reserved_until && *worker.reserved_for != task.id) {
+        return obstacle::reserved;
+    }
+    const bool in_reserve =
+        wanted.batch && !wanted.urgent && tables.options.urgent_reserve_percent > 0 &&
+        (worker.capacity - worker.committed - task.need).processors.value * 100 <
+            worker.capacity.processors.value * tables.options.urgent_reserve_percent;
+    if (in_reserve) {
+        return obstacle::urgent_reserve;
+    }
+    if (const auto health = find_health_obstacle(worker, task, now); !health.empty()) {
+        return to_obstacle(health);
+    }
+    // With a model, only the classes that harm a service are kept out; see score.
+    const bool blind = tables.options.kind == placement_kind::full && wanted.batch &&
+                       !tables.options.interference_model;
+    if (blind && worker.response.stage != response_stage::none && !wanted.urgent) {
+        return obstacle::interference;
+    }
+    return obstacle::none;
+}
+
+// Scores a feasible worker; higher is better. Returns nothing when the forecast slowdown forbids
+// it.
+std::optional<double> score(const cell_tables& tables, const worker_row& worker,
+                            const request& wanted) {
+    const auto& task = wanted.task;
+    const resources left = worker.capacity - worker.committed - task.need;
+    double sum = headroom_weight * headroom(worker, left);
+    if (tables.options.kind == placement_kind::least_loaded) {
+        return sum;
+    }
+    // Tasks without accelerators leave workers with free accelerators to those that need them, and
+    // those that need some fill up a worker before they begin another.
+    if (worker.capacity.accelerators.value > 0) {
+        const double free = share_of(left.accelerators.value, worker.capacity.accelerators.value);
+        sum -= accelerator_weight * free;
+    }
+    if (!wanted.batch) {
+        const auto same = wanted.class_index == no_index
+                              ? 0
+                              : count_on_rack(tables, worker.rack, wanted.class_index);
+        return sum - rack_weight * static_cast<double>(same);
+    }
+    sum -= observed_weight * std::max(0.0, worker.response.slowdown - 1.0);
+    if (!tables.options.interference_model || wanted.class_index == no_index) {
+        return sum;
+    }
+    const auto expected = forecast(tables, worker, wanted.class_index, task.need.processors.value);
+    const bool disturbed = worker.response.stage != response_stage::none;
+    const bool refused = !wanted.urgent && ((disturbed && expected.harmful) ||
+                                            expected.worst > admission_limit(tables.options));
+    if (refused) {
+        return std::nullopt;
+    }
+    return sum - interference_weight * expected.added;
+}
+
+// Estimates the run time still ahead of a job's tasks, in milliseconds.
+double estimate_run_ms(const cell_tables& tables, const job_row& job) {
+    const double factor = tables.classes[job.class_index].run_factor;
+    return static_cast<double>(job.record.run_ms) * factor * run_time_margin;
+}
+
+ranked_job rank_job(cell_tables& tables, const job_id& id, job_row& job, waiting_group& group,
+                    time_point now) {
+    const auto make = [&](tier level, double rank) {
+        return ranked_job{static_cast<std::uint8_t>(level), rank, &id, &job, &group};
     };
-    return std::min(share(left.processors.value, worker.capacity.processors.value),
-                    share(left.memory.value, worker.capacity.memory.value));
+    resolve_job(tables, job);
+    const auto age_rank = static_cast<double>(group.since.time_since_epoch().count());
+    if (job.record.urgent) {
+        return make(tier::urgent, age_rank);
+    }
+    if (now - group.since >= starvation_time) {
+        return make(tier::starving, age_rank);
+    }
+    if (job.record.deadline_unix_ms > 0) {
+        const auto unix_now = now.time_since_epoch().count() + tables.unix_offset_ms;
+        const double run = estimate_run_ms(tables, job);
+        const double slack = static_cast<double>(job.record.deadline_unix_ms - unix_now) - run;
+        if (slack < std::max(tight_slack_ms, run / 2)) {
+            return make(tier::deadline, slack);
+        }
+    }
+    return make(tier::fair_share, fair_share_use(tables, job.team_index));
+}
+
+// Rebuilds the index of waiting tasks from the task table, and gives each task its job's reason.
+void rebuild_waiting(cell_tables& tables, time_point now) {
+    tables.waiting_rebuilt = now;
+    for (auto& [id, group] : tables.waiting) {
+        group.indexes.clear();
+    }
+    for (auto& [id, task] : tables.tasks) {
+        if (task.phase != task_phase::waiting) {
+            continue;
+        }
+        const auto [found, created] = tables.waiting.try_emplace(id.job);
+        auto& group = found->second;
+        if (created) {
+            group.since = task.waiting_since;
+        } else if (group.reason != "new") {
+            task.wait_reason = group.reason;
+        }
+        group.indexes.push_back(id.index);
+    }
+    std::erase_if(tables.waiting, [](const auto& entry) { return entry.second.indexes.empty(); });
+}
+
+// Keeps the emptiest worker free for a starving job whose tasks are too large for the gaps that
+// smaller tasks leave.
+void reserve_worker(cell_tables& tables, const task_row& task, time_point now) {
+    worker_row* best = nullptr;
+    for (auto& worker : tables.workers) {
+        const bool reserved = worker.reserved_for && now < worker.reserved_until;
+        if (reserved && worker.reserved_for->job == task.id.job) {
+            return;
+        }
+        const bool possible = worker.inventoried && !reserved && fits(task.need, worker.capacity) &&
+                              find_health_obstacle(worker, task, now).empty();
+        if (possible &&
+            (best == nullptr || headroom(worker, worker.capacity - worker.committed) >
+                                    headroom(*best, best->capacity - best->committed))) {
+            best = &worker;
+        }
+    }
+    if (best != nullptr) {
+        best->reserved_for = task.id;
+        best->reserved_until = now + reservation_time;
+    }
+}
+
+// Tells whether one need is at least the other in every resource.
+bool covers(const resources& larger, const resources& smaller) {
+    return fits(smaller, larger);
+}
+
+constexpr auto later = [](const ranked_job& a, const ranked_job& b) { return b < a; };
+
+void push(waiting_order& order, const ranked_job& job) {
+    order.heap.push_back(job);
+    std::ranges::push_heap(order.heap, later);
+}
+
+ranked_job pop(waiting_order& order) {
+    std::ranges::pop_heap(order.heap, later);
+    const auto job = order.heap.back();
+    order.heap.pop_back();
+    return job;
+}
+
+// Takes a waiting task out of a group, or returns null when it has none.
+task_row* take_task(cell_tables& tables, const job_id& id, waiting_group& group) {
+    while (!group.indexes.empty()) {
+        const auto found = tables.tasks.find({id, group.indexes.back()});
+        group.indexes.pop_back();
+        if (found != tables.tasks.end() && found->second.phase == task_phase::waiting) {
+            return &found->second;
+        }
+    }
+    return nullptr;
 }
 
 } // namespace
 
-std::size_t choose_worker(const cell_tables& tables, const task_row& task, time_point now) {
+std::string_view find_known_failure(const waiting_order& order, const task_row& task,
+                                    const job_row& job) {
+    if (!task.failed_workers.empty()) {
+        return {};
+    }
+    for (const auto& shape : order.failed_shapes) {
+        if (shape.class_index == job.class_index && shape.urgent == job.record.urgent &&
+            covers(task.need, shape.need)) {
+            return shape.reason;
+        }
+    }
+    return {};
+}
+
+void note_failure(waiting_order& order, const task_row& task, const job_row& job,
+                  std::string_view reason) {
+    if (task.failed_workers.empty()) {
+        order.failed_shapes.push_back({job.class_index, job.record.urgent, task.need, reason});
+    }
+}
+
+placement choose_worker(const cell_tables& tables, const task_row& task, time_point now) {
+    const auto wanted = make_request(tables, task);
     std::size_t best = no_worker;
-    std::tuple<std::int64_t, double> best_score;
+    double best_score = 0.0;
+    obstacle closest = obstacle::no_worker;
     for (std::size_t i = 0; i < tables.workers.size(); ++i) {
         const auto& worker = tables.workers[i];
-        if (!worker.inventoried || !fits(task.need, worker.capacity - worker.committed)) {
+        const auto found = find_obstacle(tables, worker, wanted, now);
+        if (found != obstacle::none) {
+            closest = std::max(closest, found);
             continue;
         }
-        if (worker.quarantined_until && now < *worker.quarantined_until) {
+        if (tables.options.kind == placement_kind::first_fit) {
+            return {i, {}};
+        }
+        const auto value = score(tables, worker, wanted);
+        if (!value) {
+            closest = std::max(closest, obstacle::interference);
             continue;
         }
-        // Tasks without accelerators leave workers with free accelerators to those that need them.
-        const std::int64_t wasted =
-            task.need.accelerators.value > 0
-                ? 0
-                : worker.capacity.accelerators.value - worker.committed.accelerators.value;
-        const std::tuple score{-wasted, headroom_after(worker, task.need)};
-        if (best == no_worker || score > best_score) {
+        if (best == no_worker || *value > best_score) {
             best = i;
-            best_score = score;
+            best_score = *value;
         }
     }
-    return best;
+    return {best, best == no_worker ? obstacle_names.at(static_cast<std::size_t>(closest)) : ""};
 }
 
-std::vector<task_row*> order_waiting(cell_tables& tables, time_point /*now*/) {
-    std::vector<task_row*> waiting;
-    for (auto& [id, task] : tables.tasks) {
-        if (task.phase == task_phase::waiting) {
-            waiting.push_back(&task);
+waiting_order rank_waiting(cell_tables& tables, time_point now) {
+    tables.last_round = now;
+    if (now >= tables.waiting_rebuilt + rebuild_interval || tables.waiting_rebuilt > now) {
+        rebuild_waiting(tables, now);
+    }
+    tables.placement_inputs_seen = tables.placement_inputs;
+    tables.round_capacity = cell_capacity(tables);
+    waiting_order order;
+    order.heap.reserve(tables.waiting.size());
+    for (auto& [id, group] : tables.waiting) {
+        const auto job = tables.jobs.find(id);
+        if (job != tables.jobs.end() && !group.indexes.empty()) {
+            order.heap.push_back(rank_job(tables, id, job->second, group, now));
         }
     }
-    const auto rank = [&](const task_row* task) {
-        const auto& record = tables.jobs.at(task->id.job).record;
-        const auto deadline = record.deadline_unix_ms == 0
-                                  ? std::numeric_limits<std::int64_t>::max()
-                                  : record.deadline_unix_ms;
-        return std::tuple{!record.urgent, deadline, task->waiting_since};
+    std::ranges::make_heap(order.heap, later);
+    return order;
+}
+
+task_row* next_waiting(cell_tables& tables, waiting_order& order, time_point now) {
+    const auto again = [&](const ranked_job& job) {
+        return rank_job(tables, *job.id, *job.job, *job.group, now);
     };
-    std::stable_sort(waiting.begin(), waiting.end(),
-                     [&](const task_row* a, const task_row* b) { return rank(a) < rank(b); });
-    return waiting;
+    if (order.current) {
+        push(order, again(*order.current));
+        order.current.reset();
+    }
+    while (!order.heap.empty()) {
+        const auto job = pop(order);
+        // Another job of the team may have been served since this one was ranked.
+        const auto present = again(job);
+        if (job < present) {
+            push(order, present);
+            continue;
+        }
+        if (auto* task = take_task(tables, *job.id, *job.group)) {
+            order.current = job;
+            return task;
+        }
+    }
+    for (const auto& id : order.deferred) {
+        tables.waiting.at(id.job).indexes.push_back(id.index);
+    }
+    order.deferred.clear();
+    return nullptr;
+}
+
+void set_aside(cell_tables& tables, waiting_order& order, task_row& task, std::string_view reason,
+               bool whole_job, time_point now) {
+    task.wait_reason = reason;
+    auto& group = *order.current->group;
+    if (!whole_job) {
+        order.deferred.push_back(task.id);
+        return;
+    }
+    group.indexes.push_back(task.id.index);
+    group.reason = reason;
+    order.current.reset();
+    const bool starving = now - group.since >= starvation_time;
+    if (starving && tables.options.kind == placement_kind::full && reason != "over_quota") {
+        reserve_worker(tables, task, now);
+    }
+}
+
+void note_placed(cell_tables& tables, const task_row& task, time_point now) {
+    auto& group = tables.waiting.at(task.id.job);
+    group.since = now;
+    auto& worker = tables.workers.at(task.worker);
+    if (worker.reserved_for == task.id) {
+        worker.reserved_for.reset();
+    }
+}
+
+std::vector<task_row*> order_waiting(cell_tables& tables, time_point now) {
+    tables.waiting_rebuilt = {};
+    std::vector<task_row*> ordered;
+    rebuild_waiting(tables, now);
+    auto order = rank_waiting(tables, now);
+    while (auto* task = next_waiting(tables, order, now)) {
+        ordered.push_back(task);
+    }
+    rebuild_waiting(tables, now);
+    return ordered;
 }
 
 } // namespace fulmar
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -51,6 +51,13 @@
     return {host.value + "." + std::to_string(entropy())};
 }
 
+// Unix time minus this host's monotonic time, for deadlines.
+std::int64_t unix_offset_ms() {
+    const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<duration>(unix_now).count() -
+           steady_now().time_since_epoch().count();
+}
+
 struct scheduler {
     scheduler_settings options;
     host_id instance;
@@ -430,6 +437,7 @@
     while (!stop_signal_arrived(duration(0))) {
         self.queue.run_for(self.options.tick);
         for (auto& [id, cell] : self.cells) {
+            cell.tables.unix_offset_ms = unix_offset_ms();
             auto actions = tick(cell, steady_now());
             for (auto& action : actions.syncs) {
                 workers.sync(action.worker, std::move(action.request),
--- a/src/scheduler_tables.cpp
+++ b/src/scheduler_tables.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_tables.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 
@@ -11,22 +12,169 @@
     "waiting", "committing_intent", "starting", "running", "evicting", "stopping", "committing"};
 static_assert(phase_names.size() == static_cast<std::size_t>(task_phase::committing) + 1);
 
+// Returns the entry of a class on a worker, which is added if new.
+resident_class& find_resident(worker_row& worker, std::size_t index) {
+    for (auto& resident : worker.residents) {
+        if (resident.index == index) {
+            return resident;
+        }
+    }
+    return worker.residents.emplace_back(resident_class{index});
+}
+
+// Notes that a task began (sign 1) or ended (sign -1) to run, and drops old notes in bulk.
+void note_running(cell_tables& tables, worker_row& worker, const task_row& task, int sign) {
+    const std::int64_t change = sign * task.need.processors.value * task.share / 100;
+    find_resident(worker, task.class_index).running += change;
+    worker.changes.push_back({tables.now, task.class_index, change});
+    if (worker.changes.front().at + 2 * occupancy_history < tables.now) {
+        const auto keep = std::ranges::find_if(worker.changes, [&](const auto& each) {
+            return each.at + occupancy_history >= tables.now;
+        });
+        worker.changes.erase(worker.changes.begin(), keep);
+    }
+}
+
+// Adds a task to the totals of its worker and team (sign 1), or takes it out (sign -1).
+void note_committed(cell_tables& tables, worker_row& worker, task_row& task, int sign) {
+    auto& resident = find_resident(worker, task.class_index);
+    tables.placement_inputs += sign < 0 ? 1 : 0;
+    resident.tasks += sign;
+    resident.committed += sign * task.need.processors.value;
+    worker.placed += static_cast<std::size_t>(sign);
+    if (sign > 0) {
+        task.trial = is_unproven(worker);
+        worker.last_trial = task.trial ? tables.now : worker.last_trial;
+    }
+    worker.trials += static_cast<std::size_t>(task.trial ? sign : 0);
+    const auto change = [&](resources& sum) { sum = sign > 0 ? sum + task.need : sum - task.need; };
+    change(worker.committed);
+    if (task.team_index != no_index) {
+        change(tables.teams[task.team_index].used);
+    }
+    if (resident.tasks == 0 && resident.running == 0) {
+        resident = worker.residents.back();
+        worker.residents.pop_back();
+    }
+}
+
+// Looks up the class and team of a task that is about to hold resources.
+void resolve_indexes(cell_tables& tables, task_row& task) {
+    const auto job = tables.jobs.find(task.id.job);
+    if (job == tables.jobs.end()) {
+        task.class_index = find_class(tables, task.task_class);
+        task.team_index = no_index;
+        return;
+    }
+    auto& row = job->second;
+    resolve_job(tables, row);
+    const bool as_declared = task.task_class == row.record.task_class;
+    task.class_index = as_declared ? row.class_index : find_class(tables, task.task_class);
+    task.team_index = row.team_index;
+}
+
+// Learns how far a class's declared run times are from the true ones. Resumed tasks tell nothing,
+// as they run for part of their time.
+void learn_run_time(cell_tables& tables, const task_row& task) {
+    const auto job = tables.jobs.find(task.id.job);
+    if (job == tables.jobs.end() || job->second.record.run_ms <= 0 || !task.checkpoint.empty() ||
+        task.started == time_point{}) {
+        return;
+    }
+    constexpr double weight = 0.05;
+    const double ratio = static_cast<double>((tables.now - task.started).count()) /
+                         static_cast<double>(job->second.record.run_ms);
+    auto& row = tables.classes[task.class_index];
+    row.run_factor += (ratio - row.run_factor) * (row.run_samples == 0 ? 1.0 : weight);
+    ++row.run_samples;
+}
+
 } // namespace
 
+std::size_t find_class(cell_tables& tables, const std::string& name) {
+    const auto [found, created] = tables.class_lookup.try_emplace(name, tables.classes.size());
+    if (created) {
+        tables.classes.push_back({name});
+    }
+    return found->second;
+}
+
+std::size_t find_team(cell_tables& tables, const team_id& id) {
+    const auto [found, created] = tables.team_lookup.try_emplace(id, tables.teams.size());
+    if (created) {
+        tables.teams.push_back({id, {}, {}, 1.0});
+    }
+    return found->second;
+}
+
+void resolve_job(cell_tables& tables, job_row& job) {
+    if (job.class_index != no_index) {
+        return;
+    }
+    job.class_index = find_class(tables, job.record.task_class);
+    job.team_index = find_team(tables, job.record.team);
+    if (job.record.kind != job_kind::batch) {
+        tables.classes[job.class_index].latency_critical = true;
+    }
+}
+
+void note_waiting(cell_tables& tables, const task_row& task) {
+    auto& group = tables.waiting[task.id.job];
+    if (group.indexes.empty()) {
+        group.since = task.waiting_since;
+    }
+    group.indexes.push_back(task.id.index);
+    ++tables.placement_inputs;
+}
+
 std::string_view to_string(task_phase phase) {
     return phase_names.at(static_cast<std::size_t>(phase));
 }
 
+void set_share(cell_tables& tables, task_row& task, std::int64_t share) {
+    if (!is_running(task.phase) || task.worker == no_worker || task.share == share) {
+        return;
+    }
+    auto& worker = tables.workers.at(task.worker);
+    note_running(tables, worker, task, -1);
+    task.share = share;
+    note_running(tables, worker, task, 1);
+}
+
 void set_phase(cell_tables& tables, task_row& task, task_phase phase, std::size_t worker) {
-    if (holds_resources(task.phase) && task.worker != no_worker) {
-        auto& from = tables.workers.at(task.worker);
-        from.committed = from.committed - task.need;
+    // Step 1: take the task out of the totals of the worker that it leaves.
+    const bool ran = is_running(task.phase) && task.worker != no_worker;
+    const bool runs = is_running(phase) && worker != no_worker;
+    const bool moves = task.worker != worker;
+    const bool held = holds_resources(task.phase) && task.worker != no_worker;
+    const bool holds = holds_resources(phase) && worker != no_worker;
+    if (ran && (!runs || moves)) {
+        note_running(tables, tables.workers.at(task.worker), task, -1);
+        if (phase == task_phase::committing && task.ended_as == task_state::finished) {
+            learn_run_time(tables, task);
+        }
     }
+    if (held && (!holds || moves)) {
+        note_committed(tables, tables.workers.at(task.worker), task, -1);
+    }
+
+    // Step 2: change the row.
+    const bool begins_to_wait = phase == task_phase::waiting && task.phase != task_phase::waiting;
     task.phase = phase;
     task.worker = worker;
-    if (holds_resources(phase) && worker != no_worker) {
-        auto& to = tables.workers.at(worker);
-        to.committed = to.committed + task.need;
+
+    // Step 3: add it to the totals of the worker that it enters.
+    if (holds && (!held || moves)) {
+        resolve_indexes(tables, task);
+        note_committed(tables, tables.workers.at(worker), task, 1);
+        task.share = task.share_sent = task.share_known = 100;
+    }
+    if (runs && (!ran || moves)) {
+        note_running(tables, tables.workers.at(worker), task, 1);
+        task.started = tables.now;
+    }
+    if (begins_to_wait) {
+        note_waiting(tables, task);
     }
 }
 
