--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -50,6 +50,13 @@
                 "age beyond which state read from the store permits no start"},
 };
 
+// Unix time minus this host's monotonic time, for deadlines.
+std::int64_t unix_offset_ms() {
+    const auto unix_now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<duration>(unix_now).count() -
+           steady_now().time_since_epoch().count();
+}
+
 // Notes which cells changed hands by themselves in a tick or reply, so that membership knows.
 void note_lost_cell(scheduler& self, const cell_id& id, epoch_number epoch) {
     auto& known = self.members.cells[id];
@@ -199,6 +206,8 @@
         const epoch_number before = self.members.cells[id].owner == self.instance
                                         ? self.members.cells[id].highest_epoch
                                         : epoch_number{};
+        cell.tables.unix_offset_ms = unix_offset_ms();
+        on_config(cell, self.config.values());
         perform(self, workers, store, id, tick(cell, steady_now()));
         if (before.value != 0 && cell.epoch.value == 0) {
             note_lost_cell(self, id, before);
