settings, http, metrics: refuse text that inih misreads, keep errors as values

Cause: inih cuts lines at 200 bytes and names at 50 without an error, and stops at a NUL byte; a quantity such as h overflowed; addresses such as 999.1.1.1:80 and 1...:80 were accepted; the row "*" hid rows after it; error_response threw on a detail that is not UTF-8, and parse_error_response on an "error" member that is not text; each count copied two strings. Change: check lines before inih reads them, check the product, parse addresses with inet_pton, prefer exact rows, replace bad UTF-8, read members by type, look metrics up without copies.

--- a/include/fulmar/metrics.hpp
+++ b/include/fulmar/metrics.hpp
@@ -33,11 +33,19 @@
 
   private:
     using series = std::pair<std::string, std::string>;
+    using series_view = std::pair<std::string_view, std::string_view>;
+
+    // Lets counts look a series up without a copy of its name.
+    struct series_less {
+        using is_transparent = void;
+
+        bool operator()(const series_view& a, const series_view& b) const { return a < b; }
+    };
 
     mutable std::mutex mutex_;
     std::shared_ptr<prometheus::Registry> registry_;
-    std::map<series, prometheus::Counter*> counters_;
-    std::map<series, prometheus::Gauge*> gauges_;
+    std::map<series, prometheus::Counter*, series_less> counters_;
+    std::map<series, prometheus::Gauge*, series_less> gauges_;
 };
 
 } // namespace fulmar
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -24,6 +24,8 @@
     status_row{error_kind::lease_held, 423},        status_row{error_kind::expired, 410},
     status_row{error_kind::protocol_error, 400}};
 
+static_assert(statuses.size() == static_cast<std::size_t>(error_kind::protocol_error) + 1);
+
 bool equal_without_case(std::string_view a, std::string_view b) {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
         return std::tolower(static_cast<unsigned char>(x)) ==
@@ -61,6 +63,12 @@
     return decoded;
 }
 
+// Returns a text member; empty when it is missing or of another type.
+std::string text_member(const json& from, const char* name) {
+    const auto member = from.find(name);
+    return member != from.end() && member->is_string() ? member->get<std::string>() : std::string();
+}
+
 } // namespace
 
 std::optional<std::string> find_header(const std::vector<http_header>& headers,
@@ -94,17 +102,19 @@
     const auto row = std::find_if(statuses.begin(), statuses.end(),
                                   [&](const status_row& r) { return r.kind == failure.kind; });
     const int status = row == statuses.end() ? 500 : row->status;
-    return json_response(
-        status, json{{"error", to_string(failure.kind)}, {"detail", failure.detail}}.dump());
+    // A detail may quote bytes of a request that are not UTF-8; dump would throw on them.
+    return json_response(status,
+                         json{{"error", to_string(failure.kind)}, {"detail", failure.detail}}.dump(
+                             -1, ' ', false, json::error_handler_t::replace));
 }
 
 error parse_error_response(const http_response& response) {
     const auto body = parse_json<json>(response.body);
     if (body.has_value() && body.value().is_object()) {
-        const std::string name = body.value().value("error", "");
+        const std::string name = text_member(body.value(), "error");
         for (const auto& row : statuses) {
             if (to_string(row.kind) == name) {
-                return {row.kind, body.value().value("detail", "")};
+                return {row.kind, text_member(body.value(), "detail")};
             }
         }
     }
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -18,27 +18,27 @@
 
 void metrics::count(std::string_view name, std::string_view reason, double amount) {
     const std::lock_guard lock(mutex_);
-    auto& counter = counters_[{std::string(name), std::string(reason)}];
-    if (counter == nullptr) {
+    auto found = counters_.find(series_view{name, reason});
+    if (found == counters_.end()) {
         auto& family = prometheus::BuildCounter().Name(std::string(name)).Register(*registry_);
-        counter = &family.Add(reason_label(reason));
+        found = counters_.emplace(series{name, reason}, &family.Add(reason_label(reason))).first;
     }
-    counter->Increment(amount);
+    found->second->Increment(amount);
 }
 
 void metrics::set(std::string_view name, double value, std::string_view reason) {
     const std::lock_guard lock(mutex_);
-    auto& gauge = gauges_[{std::string(name), std::string(reason)}];
-    if (gauge == nullptr) {
+    auto found = gauges_.find(series_view{name, reason});
+    if (found == gauges_.end()) {
         auto& family = prometheus::BuildGauge().Name(std::string(name)).Register(*registry_);
-        gauge = &family.Add(reason_label(reason));
+        found = gauges_.emplace(series{name, reason}, &family.Add(reason_label(reason))).first;
     }
-    gauge->Set(value);
+    found->second->Set(value);
 }
 
 double metrics::value(std::string_view name, std::string_view reason) const {
     const std::lock_guard lock(mutex_);
-    const auto found = counters_.find({std::string(name), std::string(reason)});
+    const auto found = counters_.find(series_view{name, reason});
     return found == counters_.end() ? 0 : found->second->Value();
 }
 
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,5 +1,6 @@
 #include "fulmar/settings.hpp"
 
+#include <arpa/inet.h>
 #include <ini.h>
 
 #include <array>
@@ -28,6 +29,11 @@
                            unit_row{setting_kind::size, "KiB", 1024},
                            unit_row{setting_kind::size, "MiB", 1024 * 1024}};
 
+// inih reads lines into a buffer of 200 bytes and names into buffers of 50 bytes. It takes the rest
+// of a longer line for a new line and cuts longer names without an error.
+constexpr std::size_t line_limit = 198;
+constexpr std::size_t name_limit = 48;
+
 struct ini_entry {
     std::string section;
     std::string key;
@@ -65,8 +71,11 @@
         return unit.empty() ? number : std::nullopt;
     }
     for (const auto& row : units) {
+        std::int64_t quantity = 0;
         if (row.kind == kind && row.name == unit) {
-            return *number * row.factor;
+            return __builtin_mul_overflow(*number, row.factor, &quantity)
+                       ? std::nullopt
+                       : std::optional<std::int64_t>(quantity);
         }
     }
     return std::nullopt;
@@ -117,13 +126,41 @@
     return "expected " + std::string(expected_form(row.kind));
 }
 
+// Returns the row of an entry; a row with the entry's own key takes precedence over "*".
 const setting_row* find_row(std::span<const setting_row> rows, const ini_entry& entry) {
+    const setting_row* any_key = nullptr;
     for (const auto& row : rows) {
-        if (row.section == entry.section && (row.key == entry.key || row.key == "*")) {
+        if (row.section != entry.section) {
+            continue;
+        }
+        if (row.key == entry.key) {
             return &row;
         }
+        any_key = row.key == "*" ? &row : any_key;
+    }
+    return any_key;
+}
+
+// Returns the reason why inih would misread the text, or nothing when it reads it as written.
+std::optional<std::string> find_unreadable(const std::string& text) {
+    if (text.find('\0') != std::string::npos) {
+        return "contains a NUL byte";
+    }
+    std::istringstream lines(text);
+    int number = 0;
+    for (std::string line; std::getline(lines, line);) {
+        ++number;
+        const auto name = line.substr(0, line.find_first_of("=:]"));
+        const bool comment = line.find_first_not_of(" \t") != std::string::npos &&
+                             std::string_view(";#").find(line[line.find_first_not_of(" \t")]) !=
+                                 std::string_view::npos;
+        if (line.size() > line_limit || (!comment && name.size() > name_limit)) {
+            return "line " + std::to_string(number) + ": too long, allowed are " +
+                   std::to_string(line_limit) + " bytes, and " + std::to_string(name_limit) +
+                   " for a name";
+        }
     }
-    return nullptr;
+    return std::nullopt;
 }
 
 error setting_error(const std::string& file, std::string_view section, std::string_view key,
@@ -149,21 +186,15 @@
     }
     std::string_view rest;
     const auto port = parse_number(text.substr(colon + 1), rest);
-    if (!port || !rest.empty() || *port < 0 || *port > 65535) {
+    if (!port || !rest.empty() || text[colon + 1] == '-' || *port > 65535) {
         return malformed;
     }
-    const auto host = text.substr(0, colon);
-    int dots = 0;
-    for (const char c : host) {
-        if (c != '.' && (c < '0' || c > '9')) {
-            return malformed;
-        }
-        dots += c == '.' ? 1 : 0;
-    }
-    if (dots != 3) {
+    const std::string host(text.substr(0, colon));
+    in_addr parsed{};
+    if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) {
         return malformed;
     }
-    return socket_address{std::string(host), static_cast<std::uint16_t>(*port)};
+    return socket_address{host, static_cast<std::uint16_t>(*port)};
 }
 
 std::string to_string(const socket_address& address) {
@@ -173,6 +204,9 @@
 result<settings> parse_settings(const std::string& file, const std::string& text,
                                 std::span<const setting_row> rows) {
     // Step 1: split the text into entries.
+    if (const auto problem = find_unreadable(text)) {
+        return error{error_kind::invalid_argument, file + ": " + *problem};
+    }
     std::vector<ini_entry> entries;
     const int bad_line = ini_parse_string(text.c_str(), collect_entry, &entries);
     if (bad_line != 0) {
@@ -204,6 +238,7 @@
         if (row.default_value.empty()) {
             return setting_error(file, row.section, row.key, "missing, and there is no default");
         }
+        assert(!find_problem(row, std::string(row.default_value)));
         parsed.values.emplace(std::move(name), row.default_value);
     }
     return parsed;
