--- a/tests/fault_harness.cpp
+++ b/tests/fault_harness.cpp
@@ -250,7 +250,7 @@
 
 // Adopts the cell's workers when the other owner has been silent for 3 s.
 void adopt(harness& self, harness_owner& owner, const harness_owner& other) {
-    if (other.alive && !other.paused) {
+    if (other.alive && !other.paused && self.heartbeats_up) {
         owner.silent_since = self.now;
         return;
     }
--- a/tests/fault_harness.hpp
+++ b/tests/fault_harness.hpp
@@ -53,6 +53,7 @@
     time_point state_changed;
     std::optional<cell_id> handover_target;
     std::int64_t handover_budget = 0; // of each step
+    bool heartbeats_up = true;
     int longest_commit_reply_ms = 300;
     bool ignore_epochs = false; // mutation: workers obey commands of superseded owners
 
--- a/tests/fault_matrix_test.cpp
+++ b/tests/fault_matrix_test.cpp
@@ -65,6 +65,8 @@
      }},
     {"owner_paused", [](harness& h) { victim(h).paused = true; }, revive},
     {"owner_dead", [](harness& h) { victim(h).alive = false; }, revive},
+    {"heartbeats_lost", [](harness& h) { h.heartbeats_up = false; },
+     [](harness& h) { h.heartbeats_up = true; }},
     {"owner_cut_off_from_store", [](harness& h) { victim(h).store_up = false; },
      [](harness& h) { h.owners[0].store_up = h.owners[1].store_up = true; }},
     {"owner_cut_off_from_workers",
