cell_reports: keep a late result of a task whose outcome was unknown

Cause: a worker that was given up and returned with the result of a non-idempotent task had that result acknowledged and thrown away; the task stayed unknown for the operator. Change: a finished report of such a task replaces the unknown outcome through the usual group commit and counts fulmar_outcomes_revised_total. The task had this one run only, so the result is its own.

--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -127,7 +127,17 @@
            at->second == report.attempt;
 }
 
+// Takes back the verdict "outcome unknown" when the worker of the only run returns with its result.
+void revise_unknown(cell_state& cell, const task_report& report) {
+    const auto job = cell.progress.jobs.find(report.task.job);
+    if (report.state == task_state::finished && job != cell.progress.jobs.end() &&
+        job->second.outcome_unknown.erase(report.task.index) > 0) {
+        cell.counters->count("fulmar_outcomes_revised_total");
+    }
+}
+
 void apply_report(cell_state& cell, std::size_t worker, const task_report& report) {
+    revise_unknown(cell, report);
     if (has_ended(cell, report.task)) {
         const auto row = cell.tables.tasks.find(report.task);
         const bool committing = row != cell.tables.tasks.end() &&
--- a/tests/fault_matrix_test.cpp
+++ b/tests/fault_matrix_test.cpp
@@ -370,4 +370,19 @@
     CHECK(all_ended(self));
 }
 
+// Guards against a result that is thrown away because its worker was given up in the meantime.
+TEST_CASE("a late result replaces an unknown outcome", "[fault_matrix]") {
+    harness self(1);
+    run_for(self, duration(8'000));
+    submit(self, "once", make_job(5, 6'000, false));
+    run_for(self, duration(3'000));
+    set_links(self, 0, 4, link_state::request_lost);
+    run_for(self, duration(40'000));
+    set_links(self, 0, 4, link_state::up);
+    run_for(self, recovery_bound(self.timing));
+    CHECK(self.violations.empty());
+    CHECK(stored_progress(self).jobs.at({"once"}).finished.size() == 5);
+    CHECK(stored_progress(self).jobs.at({"once"}).outcome_unknown.empty());
+}
+
 } // namespace fulmar
