admin: add conditional, idempotent and audited changes, status and watches

Cause: the first version could create a job and set a data centre's state; it had one token, no revisions, no idempotency, no list, no cancellation, no watch and no configuration, and it answered a write whose reply was lost and which another write followed as a conflict although it had been made. Change: access (tokens by role and team), resource_fields (validation by tables that names the field), change_log (record under changes/<request> before each write, idempotency keys, lost replies settled by the history of request ids in the record), resources_api, resource_status, cell_choice, config_api, resource_watch (one upstream watch per prefix and host, bounded history), admin_routes. The scheduler's /status also gives the room of each worker and what each job's tasks wait for (cell_status); progress/<cell> tells stopped tasks from those cancelled before their start. error_response replaces text that is not UTF-8, on which it threw.

--- a/include/fulmar/records.hpp
+++ b/include/fulmar/records.hpp
@@ -19,6 +19,12 @@
 inline constexpr std::string_view members_prefix = "members/";
 inline constexpr std::string_view idempotency_prefix = "idem/";
 inline constexpr std::string_view config_key = "config/current";
+inline constexpr std::string_view teams_prefix = "teams/";
+inline constexpr std::string_view changes_prefix = "changes/";
+
+// Ids of the requests that changed a record: the first is the creator's, then the latest ones in
+// order. They tell whether a write whose reply was lost took effect, even when others followed it.
+using request_history = std::vector<std::string>;
 
 enum class data_centre_state : std::uint8_t { in, draining, out, returning };
 
@@ -30,6 +36,16 @@
 struct data_centre_record {
     data_centre_state state = data_centre_state::in;
     std::string changed_by;
+    std::int64_t changed_unix_ms = 0;
+    request_history requests;
+};
+
+// teams/<name>: what a team's tasks may use at once, over all cells.
+struct team_record {
+    resources quota;
+    std::string changed_by;
+    std::int64_t changed_unix_ms = 0;
+    request_history requests;
 };
 
 // cells/<cell>: who owns a cell. The record stays when its owner goes, so that epochs only grow;
@@ -62,6 +78,7 @@
     std::string document; // JSON text, see parse_runtime_config
     std::string accepted_by;
     std::int64_t accepted_unix_ms = 0;
+    request_history requests;
 };
 
 enum class endpoint_state : std::uint8_t { live, leaving };
@@ -93,6 +110,32 @@
     bool idempotent = true;
     bool cancelled = false;
     epoch_number created_epoch; // claim epoch of the cell that was read before the job was created
+    bool deleted =
+        false; // hidden; the key stays because progress/<cell> still knows the job's name
+    std::string created_by;
+    std::int64_t created_unix_ms = 0;
+    std::string changed_by;
+    std::int64_t changed_unix_ms = 0;
+    request_history requests;
+};
+
+enum class change_state : std::uint8_t { started, applied, refused };
+
+// changes/<request>: one change asked of the administration API. It is the audit record, and it
+// makes a change idempotent under the client's key: a repeated request continues or repeats it.
+struct change_record {
+    std::string who;
+    std::string action;
+    std::string fingerprint; // hash of the request that the key was first used for
+    std::int64_t unix_ms = 0;
+    change_state state = change_state::started;
+    std::string key; // that is written, with the value and the revision it replaces
+    std::string value;
+    revision_number expected;
+    bool removes = false;
+    revision_number revision; // of the key after the change
+    std::string refusal;      // kind and detail of a refused change
+    std::string detail;
 };
 
 // Conversions between records and stored text. Parsing returns protocol_error.
@@ -103,6 +146,8 @@
 std::string serialize(const config_record& record);
 std::string serialize(const endpoint_record& record);
 std::string serialize(const job_record& record);
+std::string serialize(const team_record& record);
+std::string serialize(const change_record& record);
 result<data_centre_record> parse_data_centre_record(std::string_view text);
 result<cell_claim> parse_cell_claim(std::string_view text);
 result<member_record> parse_member_record(std::string_view text);
@@ -110,5 +155,7 @@
 result<config_record> parse_config_record(std::string_view text);
 result<endpoint_record> parse_endpoint_record(std::string_view text);
 result<job_record> parse_job_record(std::string_view text);
+result<team_record> parse_team_record(std::string_view text);
+result<change_record> parse_change_record(std::string_view text);
 
 } // namespace fulmar
--- a/src/admin.hpp
+++ b/src/admin.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fulmar/daemon.hpp"
+#include "resource_watch.hpp"
 
 #include <span>
 
@@ -11,7 +12,9 @@
     socket_address address;
     socket_address store_address;
     duration store_timeout{1'000};
+    duration status_timeout{500};
     std::string token_file;
+    watch_limits watch;
 };
 
 // The accepted keys of fulmar_admin's settings file.
--- a/src/cell_progress.cpp
+++ b/src/cell_progress.cpp
@@ -52,6 +52,7 @@
     put_set(out, "parked", in.parked);
     put_set(out, "unknown", in.outcome_unknown);
     put_set(out, "cancelled", in.cancelled);
+    put_set(out, "stopped", in.stopped);
     if (!in.checkpoints.empty()) {
         out["checkpoints"] = in.checkpoints;
     }
@@ -68,6 +69,7 @@
     out.parked = take_set(in, "parked");
     out.outcome_unknown = take_set(in, "unknown");
     out.cancelled = take_set(in, "cancelled");
+    out.stopped = take_set(in, "stopped");
     out.checkpoints = in.value("checkpoints", out.checkpoints);
     out.intents = in.value("intents", out.intents);
     out.failures = in.value("failures", out.failures);
--- a/src/cell_progress.hpp
+++ b/src/cell_progress.hpp
@@ -29,6 +29,7 @@
     std::set<std::uint32_t> parked;
     std::set<std::uint32_t> outcome_unknown;
     std::set<std::uint32_t> cancelled;
+    std::set<std::uint32_t> stopped; // those of `cancelled` that had started
 };
 
 // progress/<cell>: written by the cell's owner only, at its epoch.
--- a/src/cell_reports.cpp
+++ b/src/cell_reports.cpp
@@ -52,6 +52,7 @@
         break;
     case task_state::stopped:
         job.cancelled.insert(index);
+        job.stopped.insert(index);
         break;
     case task_state::running:
         assert(false);
--- /dev/null
+++ b/src/change_log.cpp
@@ -0,0 +1,307 @@
+#include "change_log.hpp"
+
+#include "fulmar/json.hpp"
+
+#include <spdlog/spdlog.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace fulmar {
+
+namespace {
+
+// The creator's id and the latest ones: enough that a writer whose reply was lost still finds its
+// own id when a few operators changed the record meanwhile.
+constexpr std::size_t history_limit = 8;
+
+// A second try settles a write that is not visible after the first: both expect the same revision,
+// so only one of them can take effect.
+constexpr int write_tries = 2;
+
+std::string hash_parts(std::initializer_list<std::string_view> parts) {
+    std::string joined;
+    for (const auto part : parts) {
+        // The length keeps ("ab", "c") apart from ("a", "bc").
+        joined += std::to_string(part.size()) + ':' + std::string(part);
+    }
+    const auto hash = XXH3_128bits(joined.data(), joined.size());
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string text;
+    for (const auto half : {hash.high64, hash.low64}) {
+        for (int shift = 60; shift >= 0; shift -= 4) {
+            text += digits.at((half >> shift) & 0xF);
+        }
+    }
+    return text;
+}
+
+// Reads the history of a stored record; empty when it has none.
+request_history history_of(std::string_view value) {
+    const auto record = parse_json<json>(value);
+    if (!record || !record.value().is_object() || !record.value().contains("requests")) {
+        return {};
+    }
+    const auto history = parse_json<request_history>(record.value()["requests"].dump());
+    return history ? history.value() : request_history{};
+}
+
+bool contains(const request_history& history, const std::string& id) {
+    return std::find(history.begin(), history.end(), id) != history.end();
+}
+
+bool is_ambiguous(const error& failure) {
+    return failure.kind == error_kind::timeout || failure.kind == error_kind::outcome_unknown;
+}
+
+enum class write_finding : std::uint8_t { applied, refused, not_visible, unclear };
+
+// Concludes from the present record whether a write took effect.
+write_finding judge(const planned_write& write, const std::string& id,
+                    const std::optional<store_entry>& present) {
+    const auto revision = present ? present->revision : revision_number{};
+    if (revision == write.expected) {
+        return write_finding::not_visible;
+    }
+    if (write.removes) {
+        // Gone means that the record with the expected revision was removed, by whomever.
+        return present ? write_finding::unclear : write_finding::applied;
+    }
+    if (!present) {
+        return write_finding::unclear;
+    }
+    const auto history = history_of(present->value);
+    if (contains(history, id)) {
+        return write_finding::applied;
+    }
+    // The record that ours was based on is still in the history, so ours would be too.
+    const auto planned = history_of(write.value);
+    const bool created_by_other = write.expected.value == 0 && !history.empty();
+    const bool complete =
+        created_by_other || (planned.size() >= 2 && history.size() < history_limit &&
+                             contains(history, planned.at(planned.size() - 2)));
+    return complete ? write_finding::refused : write_finding::unclear;
+}
+
+error conflict_error(const planned_write& write, const std::optional<store_entry>& present) {
+    if (!present) {
+        return {error_kind::conflict, write.key + ": was deleted"};
+    }
+    if (write.expected.value == 0) {
+        return {error_kind::conflict,
+                write.key + ": exists at revision " + std::to_string(present->revision.value)};
+    }
+    return {error_kind::conflict, write.key + ": revision is " +
+                                      std::to_string(present->revision.value) + ", expected " +
+                                      std::to_string(write.expected.value)};
+}
+
+result<revision_number> send_write(store_client& store, const planned_write& write) {
+    return write.removes ? store.remove(write.key, write.expected)
+                         : store.compare_and_swap({write.key, write.value, write.expected, {}});
+}
+
+std::string change_key(const std::string& id) {
+    return std::string(changes_prefix) + id;
+}
+
+struct stored_change {
+    change_record record;
+    revision_number revision;
+};
+
+// Reads the earlier request with this id. Returns conflict when it asked for something else.
+result<std::optional<stored_change>> find_change(store_client& store,
+                                                 const change_request& request) {
+    BOOST_OUTCOME_TRY(entry, store.get(change_key(request.id)));
+    if (!entry) {
+        return std::optional<stored_change>{};
+    }
+    BOOST_OUTCOME_TRY(record, parse_change_record(entry->value));
+    if (record.fingerprint != request.fingerprint) {
+        return error{error_kind::conflict, "Idempotency-Key: was used for another request"};
+    }
+    return std::optional(stored_change{std::move(record), entry->revision});
+}
+
+// Writes the change's record before anything changes, so that no change goes unrecorded.
+result<stored_change> start_change(store_client& store, const change_request& request,
+                                   const planned_write& write) {
+    change_record record;
+    record.who = request.who.name;
+    record.action = request.action;
+    record.fingerprint = request.fingerprint;
+    record.unix_ms = request.now_unix_ms;
+    record.key = write.key;
+    record.value = write.value;
+    record.expected = write.expected;
+    record.removes = write.removes;
+    const auto written =
+        write_and_settle(store, {change_key(request.id), serialize(record), {}, {}});
+    if (written) {
+        return stored_change{std::move(record), written.value()};
+    }
+    if (written.error().kind == error_kind::conflict && request.keyed) {
+        BOOST_OUTCOME_TRY(found, find_change(store, request));
+        if (found) {
+            return std::move(*found);
+        }
+    }
+    // Without its record the change is not attempted, so it is known not to have happened.
+    return error{error_kind::unavailable,
+                 "not changed, as the change can't be recorded: " + written.error().detail};
+}
+
+// Records the outcome. A failure leaves the record as started, from which a repeated request with
+// the same key continues.
+void finish_change(store_client& store, const change_request& request, stored_change change,
+                   const result<revision_number>& outcome) {
+    auto& record = change.record;
+    record.state = outcome ? change_state::applied : change_state::refused;
+    if (outcome) {
+        record.revision = outcome.value();
+    } else {
+        record.refusal = to_string(outcome.error().kind);
+        record.detail = outcome.error().detail;
+    }
+    const auto written =
+        store.compare_and_swap({change_key(request.id), serialize(record), change.revision, {}});
+    if (!written) {
+        spdlog::warn("audit: outcome of change {} not recorded: {}", request.id,
+                     written.error().detail);
+    }
+}
+
+void log_change(const change_request& request, const result<revision_number>& outcome) {
+    if (outcome) {
+        spdlog::info("audit: {} did {}, revision {}, request {}", request.who.name, request.action,
+                     outcome.value().value, request.id);
+    } else {
+        spdlog::info("audit: {} tried {}, {}: {}, request {}", request.who.name, request.action,
+                     to_string(outcome.error().kind), outcome.error().detail, request.id);
+    }
+}
+
+// Repeats the answer of a change that has ended.
+result<applied_change> replay(const change_record& record) {
+    if (record.state == change_state::refused) {
+        return error{error_kind::conflict, record.detail};
+    }
+    return applied_change{record.key, record.value, record.revision, true};
+}
+
+} // namespace
+
+std::string make_request_id(const principal& who, std::string_view idempotency_key) {
+    return hash_parts({who.name, who.team.value, idempotency_key});
+}
+
+std::string make_fingerprint(std::string_view method, std::string_view path, std::string_view query,
+                             std::string_view body) {
+    return hash_parts({method, path, query, body});
+}
+
+void note_request(request_history& history, const std::string& id) {
+    if (history.size() >= history_limit) {
+        history.erase(history.begin() + 1);
+    }
+    history.push_back(id);
+}
+
+result<revision_number> write_settled(store_client& store, const planned_write& write,
+                                      const std::string& id, bool attempted) {
+    bool may_be_applied = attempted;
+    for (int i = 0; i < write_tries; ++i) {
+        // Step 1: write.
+        auto written = send_write(store, write);
+        if (written) {
+            return written;
+        }
+        const auto& failure = written.error();
+        const bool refused = failure.kind == error_kind::conflict;
+        if (!is_ambiguous(failure) && !refused) {
+            return may_be_applied ? error{error_kind::outcome_unknown, failure.detail} : failure;
+        }
+        may_be_applied = may_be_applied || !refused;
+
+        // Step 2: read back. A conflict may also come from an earlier request with the same id.
+        const auto present = store.get(write.key);
+        if (!present) {
+            return may_be_applied ? error{error_kind::outcome_unknown,
+                                          write.key + ": reply lost, and reading back failed: " +
+                                              present.error().detail}
+                                  : failure;
+        }
+        switch (judge(write, id, present.value())) {
+        case write_finding::applied:
+            // Somebody else's removal is no success of ours when the store refused ours.
+            if (write.removes && !may_be_applied) {
+                return conflict_error(write, present.value());
+            }
+            return present.value() ? present.value()->revision : write.expected;
+        case write_finding::refused:
+            return conflict_error(write, present.value());
+        case write_finding::unclear:
+            return may_be_applied ? error{error_kind::outcome_unknown,
+                                          write.key + ": reply lost, and others changed it since"}
+                                  : conflict_error(write, present.value());
+        case write_finding::not_visible:
+            break;
+        }
+    }
+    return error{error_kind::outcome_unknown, write.key + ": replies lost, write not visible"};
+}
+
+result<applied_change> perform_change(store_client& store, const change_request& request,
+                                      const std::function<result<planned_write>()>& plan) {
+    // Step 1: find an earlier request with the same key.
+    std::optional<stored_change> change;
+    bool attempted = false;
+    if (request.keyed) {
+        BOOST_OUTCOME_TRY(found, find_change(store, request));
+        change = std::move(found);
+        attempted = change.has_value();
+    }
+    if (change && change->record.state != change_state::started) {
+        return replay(change->record);
+    }
+
+    // Step 2: plan the write and record it, unless an earlier request did.
+    if (!change) {
+        BOOST_OUTCOME_TRY(write, plan());
+        if (request.dry_run) {
+            return applied_change{write.key, write.value, write.expected, false};
+        }
+        BOOST_OUTCOME_TRY(started, start_change(store, request, write));
+        if (started.record.state != change_state::started) {
+            return replay(started.record);
+        }
+        change = std::move(started);
+    }
+
+    // Step 3: write, and record the outcome unless it is open.
+    const auto& record = change->record;
+    const planned_write write{record.key, record.value, record.expected, record.removes};
+    const auto written = write_settled(store, write, request.id, attempted);
+    log_change(request, written);
+    if (written || written.error().kind == error_kind::conflict) {
+        finish_change(store, request, *change, written);
+    }
+    if (!written) {
+        return written.error();
+    }
+    return applied_change{write.key, write.value, written.value(), false};
+}
+
+result<void> check_condition(const change_request& request, const std::string& key,
+                             revision_number present) {
+    if (request.if_match && *request.if_match != present) {
+        return error{error_kind::conflict, key + ": revision is " + std::to_string(present.value) +
+                                               ", expected " +
+                                               std::to_string(request.if_match->value)};
+    }
+    return outcome::success();
+}
+
+} // namespace fulmar
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -94,8 +94,10 @@
     const auto row = std::find_if(statuses.begin(), statuses.end(),
                                   [&](const status_row& r) { return r.kind == failure.kind; });
     const int status = row == statuses.end() ? 500 : row->status;
-    return json_response(
-        status, json{{"error", to_string(failure.kind)}, {"detail", failure.detail}}.dump());
+    // Details may quote what a client sent, and dump() throws on text that is not UTF-8.
+    return json_response(status,
+                         json{{"error", to_string(failure.kind)}, {"detail", failure.detail}}.dump(
+                             -1, ' ', false, json::error_handler_t::replace));
 }
 
 error parse_error_response(const http_response& response) {
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -16,17 +16,55 @@
                                         {job_kind::service, "service"},
                                         {job_kind::standing_watch, "standing_watch"}})
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(data_centre_record, state, changed_by)
+NLOHMANN_JSON_SERIALIZE_ENUM(change_state, {{change_state::started, "started"},
+                                            {change_state::applied, "applied"},
+                                            {change_state::refused, "refused"}})
+
+// Fields that came later are optional, so that records of earlier versions stay readable; the first
+// ones are required, so that a damaged record is an error.
+void to_json(json& out, const data_centre_record& in) {
+    out = json{{"state", in.state},
+               {"changed_by", in.changed_by},
+               {"changed_unix_ms", in.changed_unix_ms},
+               {"requests", in.requests}};
+}
+
+void from_json(const json& in, data_centre_record& out) {
+    in.at("state").get_to(out.state);
+    in.at("changed_by").get_to(out.changed_by);
+    out.changed_unix_ms = in.value("changed_unix_ms", std::int64_t{0});
+    out.requests = in.value("requests", request_history{});
+}
+
+void to_json(json& out, const config_record& in) {
+    out = json{{"generation", in.generation},
+               {"document", in.document},
+               {"accepted_by", in.accepted_by},
+               {"accepted_unix_ms", in.accepted_unix_ms},
+               {"requests", in.requests}};
+}
+
+void from_json(const json& in, config_record& out) {
+    in.at("generation").get_to(out.generation);
+    in.at("document").get_to(out.document);
+    in.at("accepted_by").get_to(out.accepted_by);
+    in.at("accepted_unix_ms").get_to(out.accepted_unix_ms);
+    out.requests = in.value("requests", request_history{});
+}
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(team_record, quota, changed_by, changed_unix_ms, requests)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_record, who, action, fingerprint, unix_ms, state, key,
+                                   value, expected, removes, revision, refusal, detail)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cell_claim, owner, epoch)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(config_record, generation, document, accepted_by,
-                                   accepted_unix_ms)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_record, program, host, address, data_centre, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(worker_record, address, cell, data_centre, rack)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(endpoint_record, address, data_centre, region, state,
                                    incarnation, slots)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(job_record, kind, team, cell, tasks, need,
                                                 task_class, run_ms, deadline_unix_ms, urgent,
-                                                idempotent, cancelled, created_epoch)
+                                                idempotent, cancelled, created_epoch, deleted,
+                                                created_by, created_unix_ms, changed_by,
+                                                changed_unix_ms, requests)
 
 namespace {
 
@@ -84,6 +122,14 @@
     return json(record).dump();
 }
 
+std::string serialize(const team_record& record) {
+    return json(record).dump();
+}
+
+std::string serialize(const change_record& record) {
+    return json(record).dump();
+}
+
 result<data_centre_record> parse_data_centre_record(std::string_view text) {
     return parse_json<data_centre_record>(text);
 }
@@ -112,4 +158,12 @@
     return parse_json<job_record>(text);
 }
 
+result<team_record> parse_team_record(std::string_view text) {
+    return parse_json<team_record>(text);
+}
+
+result<change_record> parse_change_record(std::string_view text) {
+    return parse_json<change_record>(text);
+}
+
 } // namespace fulmar
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -1,5 +1,6 @@
 #include "scheduler.hpp"
 
+#include "cell_status.hpp"
 #include "control_queue.hpp"
 #include "fulmar/http_client.hpp"
 #include "fulmar/json.hpp"
@@ -148,23 +149,7 @@
 void publish_status(scheduler& self) {
     json cells = json::object();
     for (const auto& [id, cell] : self.cells) {
-        std::map<std::string, int> phases;
-        for (const auto& [task_key, task] : cell.tables.tasks) {
-            ++phases[std::string(to_string(task.phase))];
-        }
-        json jobs = json::object();
-        for (const auto& [job, progress] : cell.progress.jobs) {
-            jobs[job.value] = {{"finished", progress.finished.size()},
-                               {"parked", progress.parked.size()},
-                               {"unknown", progress.outcome_unknown.size()},
-                               {"cancelled", progress.cancelled.size()}};
-        }
-        cells[id.value] = {{"epoch", cell.epoch},
-                           {"claimed", cell.claim_revision.value != 0},
-                           {"workers", cell.tables.workers.size()},
-                           {"state", to_string(cell.state)},
-                           {"tasks", phases},
-                           {"jobs", jobs}};
+        cells[id.value] = describe_cell(cell, steady_now());
     }
     const std::lock_guard lock(self.shared_mutex);
     self.status = json{{"instance", self.instance}, {"cells", cells}}.dump();
--- /dev/null
+++ b/tests/faulty_store.hpp
@@ -0,0 +1,82 @@
+// A store for tests that lets a test act or fail around each call.
+#pragma once
+
+#include "store_memory.hpp"
+
+#include <functional>
+#include <string>
+
+namespace fulmar {
+
+// Runs `before` ahead of each write and `after` behind it; an error from either replaces the
+// write's result, where one from `after` stands for a reply that was lost.
+class faulty_store final : public store_client {
+  public:
+    using hook = std::function<std::optional<error>(const std::string& key)>;
+
+    hook before_write;
+    hook after_write;
+    hook before_read;
+    store_memory inner{[] { return time_point(); }};
+    int watch_calls = 0;
+
+    result<std::optional<store_entry>> get(const std::string& key) override {
+        if (const auto failure = run(before_read, key)) {
+            return *failure;
+        }
+        return inner.get(key);
+    }
+    result<store_listing> list(const std::string& prefix) override {
+        if (const auto failure = run(before_read, prefix)) {
+            return *failure;
+        }
+        return inner.list(prefix);
+    }
+    result<revision_number> compare_and_swap(const store_write& write) override {
+        return around(write.key, [&] { return inner.compare_and_swap(write); });
+    }
+    result<revision_number> remove(const std::string& key, revision_number expected) override {
+        return around(key, [&] { return inner.remove(key, expected); });
+    }
+    result<lease_id> grant_lease(duration ttl) override { return inner.grant_lease(ttl); }
+    result<void> keep_alive(lease_id lease) override { return inner.keep_alive(lease); }
+    result<store_events> watch(const std::string& prefix, revision_number after,
+                               duration wait) override {
+        ++watch_calls;
+        if (const auto failure = run(before_read, prefix)) {
+            return *failure;
+        }
+        return inner.watch(prefix, after, wait);
+    }
+
+    // Writes behind the tested code's back, whatever is there.
+    void put(const std::string& key, const std::string& value) {
+        const auto present = inner.get(key).value();
+        static_cast<void>(inner.compare_and_swap(
+            {key, value, present ? present->revision : revision_number{}, {}}));
+    }
+
+    std::string value_of(const std::string& key) {
+        const auto present = inner.get(key).value();
+        return present ? present->value : std::string();
+    }
+
+  private:
+    static std::optional<error> run(const hook& wanted, const std::string& key) {
+        return wanted ? wanted(key) : std::nullopt;
+    }
+
+    template <class Call>
+    result<revision_number> around(const std::string& key, const Call& call) {
+        if (const auto failure = run(before_write, key)) {
+            return *failure;
+        }
+        auto written = call();
+        if (const auto failure = run(after_write, key); failure && written) {
+            return *failure;
+        }
+        return written;
+    }
+};
+
+} // namespace fulmar
