--- a/src/fulmarctl_main.cpp
+++ b/src/fulmarctl_main.cpp
@@ -1,73 +1,107 @@
 // Entry point of fulmarctl, the operators' command line.
 #include "fulmar/daemon.hpp"
-#include "fulmar/http_client.hpp"
-#include "fulmar/json.hpp"
+#include "operator_cli.hpp"
 
 #include <popt.h>
 
-#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <memory>
+#include <optional>
+#include <random>
 
 namespace fulmar {
 
 namespace {
 
-struct command_line {
-    std::string server;
-    std::string token;
-    std::string verb;
-    std::string name;
-    std::string file;
-};
+// Above the longest wait of a watch.
+constexpr duration call_timeout{40'000};
 
-struct verb_row {
-    std::string_view verb;
-    std::string_view method;
-    std::string_view path;
-    std::string_view body; // empty: from the file, or none
-    std::string_view help;
-};
+std::optional<std::string> read_file(const char* name) {
+    std::ifstream in(name);
+    if (!in) {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(in), {});
+}
 
-constexpr std::array verbs{
-    verb_row{"submit", "POST", "/v1/jobs/", "", "submit a job from a JSON file"},
-    verb_row{"get", "GET", "/v1/jobs/", "", "show a job"},
-    verb_row{"drain", "PUT", "/v1/data-centres/", R"({"state":"draining"})",
-             "take a data centre out"},
-    verb_row{"resume", "PUT", "/v1/data-centres/", R"({"state":"in"})", "bring it back"}};
+// Reads the token: the first word of the first line that has one.
+std::string read_token(const char* file) {
+    const auto text = read_file(file).value_or("");
+    const auto begin = text.find_first_not_of(" \t\r\n");
+    return begin == std::string::npos
+               ? std::string()
+               : text.substr(begin, text.find_first_of(" \t\r\n", begin) - begin);
+}
 
-std::string read_file(const std::string& name) {
-    std::ifstream in(name);
-    return {std::istreambuf_iterator<char>(in), {}};
+std::string make_key() {
+    std::random_device device;
+    std::string key;
+    for (int i = 0; i < 4; ++i) {
+        key += std::to_string(device()) + (i < 3 ? "-" : "");
+    }
+    return key;
 }
 
-int run(const command_line& line) {
-    for (const auto& row : verbs) {
-        if (row.verb != line.verb) {
-            continue;
-        }
-        http_client http;
-        http_call call;
-        call.method = std::string(row.method);
-        call.url = "http://" + line.server + std::string(row.path) + line.name;
-        call.headers = {{"Authorization", "Bearer " + line.token}};
-        call.body =
-            row.body.empty() && !line.file.empty() ? read_file(line.file) : std::string(row.body);
-        call.fresh_connection = row.method != "GET";
-        const auto response = http.call(std::move(call));
-        if (!response) {
-            std::fprintf(stderr, "fulmarctl: %s\n", response.error().detail.c_str());
-            return exit_failure;
+cli_transport make_transport(http_client& http, const std::string& server,
+                             const std::string& token) {
+    return
+        [&http, server, token](const std::string& method, const std::string& path,
+                               const std::vector<http_header>& headers, const std::string& body) {
+            http_call call;
+            call.method = method;
+            call.url = "http://" + server + path;
+            call.headers = headers;
+            call.headers.push_back({"Authorization", "Bearer " + token});
+            call.body = body;
+            call.timeout = call_timeout;
+            call.fresh_connection = method != "GET";
+            return http.call(std::move(call));
+        };
+}
+
+struct option_values {
+    char* server = nullptr;
+    char* token_file = nullptr;
+    char* file = nullptr;
+    char* output = nullptr;
+    char* revision = nullptr;
+    char* key = nullptr;
+    int dry_run = 0;
+};
+
+int run(const option_values& given, cli_request request) {
+    const std::string output = given.output == nullptr ? "table" : given.output;
+    if (output != "table" && output != "json") {
+        std::fprintf(stderr, "fulmarctl: --output: expected table or json\n");
+        return exit_usage;
+    }
+    request.as_json = output == "json";
+    request.dry_run = given.dry_run != 0;
+    request.revision = given.revision == nullptr ? "" : given.revision;
+    request.key = given.key == nullptr ? make_key() : given.key;
+    if (request.revision.find_first_not_of("0123456789") != std::string::npos) {
+        std::fprintf(stderr, "fulmarctl: --revision: expected a whole number\n");
+        return exit_usage;
+    }
+    if (given.file != nullptr) {
+        auto body = read_file(given.file);
+        if (!body) {
+            std::fprintf(stderr, "fulmarctl: %s: can't be read\n", given.file);
+            return exit_usage;
         }
-        const bool good = response.value().status == 200;
-        std::fprintf(good ? stdout : stderr, "%s\n", response.value().body.c_str());
-        return good ? exit_ok : exit_failure;
+        request.body = std::move(*body);
+    }
+    const auto token = read_token(given.token_file);
+    if (token.empty()) {
+        std::fprintf(stderr, "fulmarctl: %s: no token\n", given.token_file);
+        return exit_usage;
     }
-    std::fprintf(stderr, "fulmarctl: unknown command '%s'; see --help\n", line.verb.c_str());
-    return exit_usage;
+    http_client http;
+    return run_command(request, make_transport(http, given.server, token), std::cout, std::cerr);
 }
 
 } // namespace
@@ -76,30 +110,42 @@
 
 int main(int argc, const char** argv) {
     using namespace fulmar;
-    char* server = nullptr;
-    char* token_file = nullptr;
-    char* file = nullptr;
+    option_values given;
+    int help = 0;
     const poptOption options[] = {
-        {"server", 's', POPT_ARG_STRING, &server, 0, "administration API (host:port)", "ADDRESS"},
-        {"token-file", 't', POPT_ARG_STRING, &token_file, 0, "file that holds the token", "FILE"},
-        {"file", 'f', POPT_ARG_STRING, &file, 0, "JSON file of the resource", "FILE"},
-        POPT_AUTOHELP POPT_TABLEEND};
+        {"server", 's', POPT_ARG_STRING, &given.server, 0, "administration API", "HOST:PORT"},
+        {"token-file", 't', POPT_ARG_STRING, &given.token_file, 0, "file that holds the token",
+         "FILE"},
+        {"file", 'f', POPT_ARG_STRING, &given.file, 0, "JSON file of the resource", "FILE"},
+        {"output", 'o', POPT_ARG_STRING, &given.output, 0, "table or json", "FORM"},
+        {"revision", 'r', POPT_ARG_STRING, &given.revision, 0,
+         "change only this revision; watch from it", "NUMBER"},
+        {"idempotency-key", 'k', POPT_ARG_STRING, &given.key, 0,
+         "repeat the change made under this key", "KEY"},
+        {"dry-run", 'n', POPT_ARG_NONE, &given.dry_run, 0, "validate only", nullptr},
+        {"help", 'h', POPT_ARG_NONE, &help, 0, "print this help and exit", nullptr},
+        POPT_TABLEEND};
     const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
         poptGetContext(nullptr, argc, argv, options, 0), poptFreeContext);
-    poptSetOtherOptionHelp(context.get(), "submit|get|drain|resume NAME");
-    if (poptGetNextOpt(context.get()) < -1 || server == nullptr || token_file == nullptr) {
-        std::fprintf(stderr, "fulmarctl: --server and --token-file are needed; see --help\n");
+    poptSetOtherOptionHelp(context.get(), "COMMAND ...");
+    const int status = poptGetNextOpt(context.get());
+    if (status < -1) {
+        std::fprintf(stderr, "fulmarctl: %s: %s; see --help\n", poptBadOption(context.get(), 0),
+                     poptStrerror(status));
         return exit_usage;
     }
-    const char* verb = poptGetArg(context.get());
-    const char* name = poptGetArg(context.get());
-    if (verb == nullptr || name == nullptr) {
-        std::fprintf(stderr, "fulmarctl: a command and a name are needed; see --help\n");
+    if (help != 0) {
+        poptPrintHelp(context.get(), stdout, 0);
+        std::fputs(command_help().c_str(), stdout);
+        return exit_ok;
+    }
+    if (given.server == nullptr || given.token_file == nullptr) {
+        std::fprintf(stderr, "fulmarctl: --server and --token-file are needed; see --help\n");
         return exit_usage;
     }
-    std::string token = read_file(token_file);
-    while (!token.empty() && token.back() == '\n') {
-        token.pop_back();
+    cli_request request;
+    while (const char* word = poptGetArg(context.get())) {
+        request.words.emplace_back(word);
     }
-    return run({server, token, verb, name, file == nullptr ? "" : file});
+    return run(given, std::move(request));
 }
--- /dev/null
+++ b/tests/operator_cli_test.cpp
@@ -0,0 +1,203 @@
+#include "operator_cli.hpp"
+
+#include "cell_choice.hpp"
+#include "faulty_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <deque>
+#include <sstream>
+
+namespace fulmar {
+
+namespace {
+
+// Answers calls in order and notes what was asked.
+struct fake_api {
+    std::deque<result<http_response>> answers;
+    std::vector<std::string> asked;
+    std::ostringstream out;
+    std::ostringstream problems;
+
+    int run(cli_request request) {
+        request.key = "key-1";
+        return run_command(
+            request,
+            [&](const std::string& method, const std::string& path, const std::vector<http_header>&,
+                const std::string&) -> result<http_response> {
+                asked.push_back(method + " " + path);
+                if (answers.empty()) {
+                    return error{error_kind::unavailable, "no more answers"};
+                }
+                auto answer = std::move(answers.front());
+                answers.pop_front();
+                return answer;
+            },
+            out, problems);
+    }
+};
+
+cell_summary make_cell_summary(const std::string& id, const std::string& data_centre,
+                               std::int64_t free, std::int64_t capacity) {
+    return {{id}, {data_centre}, true, 1, {{{free}, {1000}, {0}}}, {{{capacity}, {1000}, {0}}}};
+}
+
+} // namespace
+
+// Guards against scripts that can't tell a refusal from an unknown outcome.
+TEST_CASE("each outcome has its exit code", "[operator_cli]") {
+    struct row {
+        error failure;
+        int code;
+        std::size_t calls;
+    };
+    const std::vector<row> rows{{{error_kind::invalid_argument, "tasks: bad"}, cli_failure, 1},
+                                {{error_kind::conflict, "taken"}, cli_conflict, 1},
+                                {{error_kind::unavailable, "away"}, cli_unavailable, 1},
+                                // Repeated under the same key, as that tells the outcome.
+                                {{error_kind::outcome_unknown, "lost"}, cli_outcome_unknown, 3},
+                                {{error_kind::timeout, "lost"}, cli_outcome_unknown, 3}};
+    for (const auto& row : rows) {
+        CAPTURE(row.failure.detail);
+        fake_api api;
+        for (int i = 0; i < 4; ++i) {
+            api.answers.emplace_back(error_response(row.failure));
+        }
+        CHECK(api.run({{"drain", "jepara-a"}}) == row.code);
+        CHECK(api.asked.size() == row.calls);
+        CHECK(api.out.str().empty());
+        CHECK(api.problems.str().find(row.failure.detail) != std::string::npos);
+    }
+    fake_api api;
+    api.answers.emplace_back(error{error_kind::outcome_unknown, "connection broke"});
+    api.answers.emplace_back(json_response(200, R"({"revision":4})"));
+    CHECK(api.run({{"drain", "jepara-a"}}) == cli_ok);
+}
+
+// Guards against arguments that reach another route or a command that is half given.
+TEST_CASE("wrong usage is refused before any call", "[operator_cli]") {
+    const std::vector<std::vector<std::string>> lines{{},
+                                                      {"fly"},
+                                                      {"drain"},
+                                                      {"drain", "a", "b"},
+                                                      {"drain", "../config"},
+                                                      {"get", ""},
+                                                      {"submit", "job"},
+                                                      {"config", "put"},
+                                                      {"apply"},
+                                                      {"cancel", "a?b=c"}};
+    for (const auto& words : lines) {
+        CAPTURE(words);
+        fake_api api;
+        CHECK(api.run({words}) == cli_usage);
+        CHECK(api.asked.empty());
+        CHECK(!api.problems.str().empty());
+    }
+}
+
+// Guards against a listing that stops at its first page.
+TEST_CASE("a listing follows its pages and prints a table", "[operator_cli]") {
+    const std::string one = R"({"revision":9,"next":"a","items":[{"name":"a","revision":3,)"
+                            R"("spec":{"state":"in"},"changed_by":"ana"}]})";
+    const std::string two = R"({"revision":12,"items":[{"name":"jepara-a","revision":5,)"
+                            R"("spec":{"state":"draining"},"changed_by":"budi"}]})";
+    const bool as_json = GENERATE(false, true);
+    fake_api api;
+    api.answers.emplace_back(json_response(200, one));
+    api.answers.emplace_back(json_response(200, two));
+    CHECK(api.run({{"get", "data-centres"}, "", "", "", as_json}) == cli_ok);
+    CHECK(api.asked.at(1) == "GET /v1/data-centres?limit=500&after=a");
+    if (as_json) {
+        const auto printed = json::parse(api.out.str());
+        CHECK(printed["items"].size() == 2);
+        CHECK(printed["revision"] == 9);
+    } else {
+        CHECK(api.out.str() == "NAME      STATE     CHANGED BY  REVISION\n"
+                               "a         in        ana         3\n"
+                               "jepara-a  draining  budi        5\n");
+    }
+}
+
+// Guards against a watch that ends or repeats when it fell too far behind.
+TEST_CASE("a watch lists again after a gap", "[operator_cli]") {
+    fake_api api;
+    api.answers.emplace_back(error_response({error_kind::expired, "gap"}));
+    api.answers.emplace_back(json_response(200, R"({"revision":50,"items":[]})"));
+    api.answers.emplace_back(json_response(
+        200, R"({"revision":51,"events":[{"name":"j","revision":51,"deleted":true}]})"));
+    cli_request request{{"watch", "jobs"}, "", "7"};
+    request.watch_pages = 2;
+    CHECK(api.run(request) == cli_ok);
+    CHECK(api.asked == std::vector<std::string>{"GET /v1/watch/jobs?after=7&wait_ms=20000",
+                                                "GET /v1/jobs?limit=1",
+                                                "GET /v1/watch/jobs?after=50&wait_ms=20000"});
+    CHECK(api.out.str() == "51  j  deleted\n");
+}
+
+// Guards against a job placed where it must not start, where there is less room, or that waits for
+// ever because no worker is large enough.
+TEST_CASE("a cell is chosen by its free room", "[cell_choice]") {
+    cell_survey survey;
+    survey.cells = {make_cell_summary("a-1", "a", 2'000, 64'000),
+                    make_cell_summary("a-2", "a", 9'000, 32'000),
+                    make_cell_summary("b-1", "b", 64'000, 64'000)};
+    survey.open = {{"a"}};
+    survey.complete = true;
+    job_record job;
+    job.need = {{1'000}, {0}, {0}};
+    job.tasks = 20;
+    CHECK(choose_cell(job, survey).value().value == "a-2");
+    job.need.processors.value = 40'000;
+    CHECK(choose_cell(job, survey).value().value == "a-1");
+    job.need.processors.value = 65'000;
+    CHECK(choose_cell(job, survey).error().kind == error_kind::capacity_exceeded);
+    survey.complete = false;
+    CHECK(choose_cell(job, survey).error().kind == error_kind::unavailable);
+    survey.complete = true;
+    survey.open = {{"c"}};
+    job.need.processors.value = 1'000;
+    CHECK(choose_cell(job, survey).error().kind == error_kind::unavailable);
+    job.cell = {"b-1"};
+    CHECK(choose_cell(job, survey).value().value == "b-1");
+    job.need.processors.value = 65'000;
+    CHECK(choose_cell(job, survey).error().kind == error_kind::capacity_exceeded);
+    // One worker that was not reached yet may be large enough.
+    survey.cells[2].workers = 2;
+    CHECK(choose_cell(job, survey));
+}
+
+// Guards against a survey that takes a scheduler's silence for a lack of room.
+TEST_CASE("a survey asks the live schedulers", "[cell_choice]") {
+    faulty_store store;
+    const auto add = [&](const std::string& name, const std::string& program) {
+        store.put("members/" + name, serialize(member_record{program, "h", name, {"a"}, {}}));
+    };
+    add("s1", "fulmar_scheduler");
+    add("g1", "fulmar_gate");
+    store.put("dcs/a", serialize(data_centre_record{data_centre_state::in, "ana", 0, {}}));
+    store.put("dcs/b", serialize(data_centre_record{data_centre_state::draining, "ana", 0, {}}));
+    metrics counters;
+    auto cell = make_cell({"a-1"}, {"a"}, {"s1"}, {}, counters);
+    cell.claim_revision = {4};
+    add_worker(cell, {"w1"}, {"x", {"a-1"}, {"a"}, {"r"}});
+    cell.tables.workers[0].capacity = {{4'000}, {1'000}, {0}};
+    cell.tables.workers[0].committed = {{1'000}, {0}, {0}};
+    cell.tables.workers[0].inventoried = true;
+    const json status{{"cells", {{"a-1", describe_cell(cell, {})}}}};
+    const status_source ask = [&](const std::string& address) -> result<json> {
+        if (address != "s1") {
+            return error{error_kind::unavailable, "silent"};
+        }
+        return status;
+    };
+    auto survey = survey_cells(store, ask).value();
+    CHECK(survey.complete);
+    CHECK(survey.open == std::set<data_centre_id>{{"a"}});
+    REQUIRE(survey.cells.size() == 1);
+    CHECK(survey.cells[0].free.at(0).processors.value == 3'000);
+    CHECK(survey.cells[0].workers == 1);
+    add("s2", "fulmar_scheduler");
+    CHECK(!survey_cells(store, ask).value().complete);
+}
+
+} // namespace fulmar
