admin: prune change records and tell failures before a write apart

Cause: records under changes/ were kept for ever; a read that timed out before the first write was answered as a time-out, which fulmarctl took for an unknown outcome, and a repetition that found nobody hid that an earlier request might have been applied; a team that was created, removed and created again behind a lost reply was reported as a conflict.

--- a/src/access.cpp
+++ b/src/access.cpp
@@ -1,5 +1,7 @@
 #include "access.hpp"
 
+#include "resource_fields.hpp"
+
 #include <array>
 #include <sstream>
 
@@ -32,7 +34,8 @@
         return access_token{words[0], {"operator", access_role::operator_role, {}}};
     }
     for (const auto& row : roles) {
-        if (words.size() == row.words && words[1] == row.name) {
+        if (words.size() == row.words && words[1] == row.name && check_name("name", words[2]) &&
+            check_name("team", words.back())) {
             return access_token{words[0],
                                 {words[2], row.role, {row.words == 4 ? words[3] : std::string()}}};
         }
--- a/src/access.hpp
+++ b/src/access.hpp
@@ -26,8 +26,9 @@
 };
 
 // Parses a tokens file: one token a line as "secret role name [team]", where the role is viewer,
-// operator or team; "#" starts a comment. A line with only a secret is an operator's. Returns
-// invalid_argument that names the line but never its content.
+// operator or team, and name and team are restricted as names of resources are; "#" starts a
+// comment. A line with only a secret is an operator's. Returns invalid_argument that names the line
+// but never its content.
 result<std::vector<access_token>> parse_access_tokens(std::string_view text);
 
 // Finds the principal of a request's bearer token. Every token is compared in full, so that the
--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -1,6 +1,7 @@
 #include "admin.hpp"
 
 #include "admin_routes.hpp"
+#include "change_log.hpp"
 #include "fulmar/http_client.hpp"
 #include "fulmar/store_http.hpp"
 #include "steady_clock.hpp"
@@ -22,6 +23,10 @@
 constexpr duration upstream_wait{5'000};
 constexpr duration retry_interval{500};
 constexpr duration expiry_interval{100};
+// All parts are swept once in 21 hours; at the design scale of about 8,200 changes a day that
+// removes about 32 records per part and sweep.
+constexpr duration prune_interval{300'000};
+constexpr std::size_t prune_limit = 500;
 // Several changes a second share one answer of each scheduler.
 constexpr duration status_lifetime{1'000};
 
@@ -31,6 +36,8 @@
                 "file that holds the tokens, one \"secret role name [team]\" a line"},
     setting_row{"admin", "status_timeout", setting_kind::duration, "500 ms", 10, 10'000,
                 "longest wait for a scheduler's status"},
+    setting_row{"admin", "change_retention", setting_kind::duration, "168 h", 3'600'000,
+                8'784LL * 3'600'000, "how long records of changes and idempotency keys are kept"},
     setting_row{"store", "address", setting_kind::address, "", 0, 0, "the platform's store"},
     setting_row{"store", "timeout", setting_kind::duration, "1 s", 10, 10'000,
                 "longest wait for a store call"},
@@ -117,6 +124,25 @@
     }
 }
 
+// Removes old records of changes, one part of them at a time.
+void run_pruning(admin_api& api, duration retention, const std::atomic<bool>& stopping) {
+    unsigned part = std::random_device()() % change_parts;
+    time_point next = steady_now() + prune_interval;
+    while (!stopping) {
+        std::this_thread::sleep_for(expiry_interval);
+        if (steady_now() < next) {
+            continue;
+        }
+        next = steady_now() + prune_interval;
+        const auto removed = prune_changes(api.store, part, api.unix_ms(), retention, prune_limit);
+        if (removed) {
+            api.counters.count("fulmar_admin_changes_pruned_total", {},
+                               static_cast<double>(removed.value()));
+            part = (part + 1) % change_parts;
+        }
+    }
+}
+
 } // namespace
 
 std::span<const setting_row> admin_setting_rows() {
@@ -128,6 +154,7 @@
     options.address = address_setting(from, "admin", "address");
     options.token_file = text_setting(from, "admin", "token_file");
     options.status_timeout = duration_setting(from, "admin", "status_timeout");
+    options.change_retention = duration_setting(from, "admin", "change_retention");
     options.store_address = address_setting(from, "store", "address");
     options.store_timeout = duration_setting(from, "store", "timeout");
     options.watch.history_bytes = static_cast<std::size_t>(size_setting(from, "watch", "history"));
@@ -156,10 +183,11 @@
                   make_random_id};
     add_watches(api, options.watch);
 
+    std::atomic<bool> stopping{false};
     // Store calls block, so several threads keep one slow call from delaying the others.
     const auto server = http_server::start(
         {options.address, 4, {}}, [&](const http_request& request, const http_responder& respond) {
-            if (auto standard = answer_operator_route(request, counters, true)) {
+            if (auto standard = answer_operator_route(request, counters, !stopping)) {
                 respond(std::move(*standard));
                 return;
             }
@@ -171,13 +199,13 @@
     }
     spdlog::info("administration API listens on {}", to_string(options.address));
 
-    std::atomic<bool> stopping{false};
-    std::vector<std::jthread> upstreams;
+    std::vector<std::jthread> threads;
     for (auto& [prefix, watch] : api.watches) {
-        upstreams.emplace_back([&watch = *watch, &store = *store, &stopping] {
+        threads.emplace_back([&watch = *watch, &store = *store, &stopping] {
             run_upstream(watch, store, stopping);
         });
     }
+    threads.emplace_back([&] { run_pruning(api, options.change_retention, stopping); });
     while (!stop_signal_arrived(expiry_interval)) {
         for (auto& [prefix, watch] : api.watches) {
             watch->expire(steady_now());
--- a/src/admin.hpp
+++ b/src/admin.hpp
@@ -13,6 +13,7 @@
     socket_address store_address;
     duration store_timeout{1'000};
     duration status_timeout{500};
+    duration change_retention{168 * 3'600'000};
     std::string token_file;
     watch_limits watch;
 };
--- a/src/change_log.cpp
+++ b/src/change_log.cpp
@@ -55,6 +55,14 @@
     return failure.kind == error_kind::timeout || failure.kind == error_kind::outcome_unknown;
 }
 
+// Turns a failed read into unavailable: no write was sent, so the outcome is not in doubt.
+error before_write(error failure) {
+    if (is_ambiguous(failure)) {
+        failure.kind = error_kind::unavailable;
+    }
+    return failure;
+}
+
 enum class write_finding : std::uint8_t { applied, refused, not_visible, unclear };
 
 // Concludes from the present record whether a write took effect.
@@ -77,7 +85,10 @@
     }
     // The record that ours was based on is still in the history, so ours would be too.
     const auto planned = history_of(write.value);
-    const bool created_by_other = write.expected.value == 0 && !history.empty();
+    // A job's key is never removed, so its first request is the one that created it. Another record
+    // may have been created by us, removed and created again.
+    const bool created_by_other =
+        write.expected.value == 0 && write.key.starts_with(jobs_prefix) && !history.empty();
     const bool complete =
         created_by_other || (planned.size() >= 2 && history.size() < history_limit &&
                              contains(history, planned.at(planned.size() - 2)));
@@ -143,9 +154,12 @@
         return stored_change{std::move(record), written.value()};
     }
     if (written.error().kind == error_kind::conflict && request.keyed) {
-        BOOST_OUTCOME_TRY(found, find_change(store, request));
-        if (found) {
-            return std::move(*found);
+        auto found = find_change(store, request);
+        if (!found) {
+            return before_write(found.error());
+        }
+        if (found.value()) {
+            return std::move(*found.value());
         }
     }
     // Without its record the change is not attempted, so it is known not to have happened.
@@ -166,7 +180,7 @@
         record.detail = outcome.error().detail;
     }
     const auto written =
-        store.compare_and_swap({change_key(request.id), serialize(record), change.revision, {}});
+        write_and_settle(store, {change_key(request.id), serialize(record), change.revision, {}});
     if (!written) {
         spdlog::warn("audit: outcome of change {} not recorded: {}", request.id,
                      written.error().detail);
@@ -259,8 +273,11 @@
     std::optional<stored_change> change;
     bool attempted = false;
     if (request.keyed) {
-        BOOST_OUTCOME_TRY(found, find_change(store, request));
-        change = std::move(found);
+        auto found = find_change(store, request);
+        if (!found) {
+            return before_write(found.error());
+        }
+        change = std::move(found.value());
         attempted = change.has_value();
     }
     if (change && change->record.state != change_state::started) {
@@ -269,7 +286,11 @@
 
     // Step 2: plan the write and record it, unless an earlier request did.
     if (!change) {
-        BOOST_OUTCOME_TRY(write, plan());
+        const auto planned = plan();
+        if (!planned) {
+            return before_write(planned.error());
+        }
+        const auto& write = planned.value();
         if (request.dry_run) {
             return applied_change{write.key, write.value, write.expected, false};
         }
@@ -294,6 +315,26 @@
     return applied_change{write.key, write.value, written.value(), false};
 }
 
+result<std::size_t> prune_changes(store_client& store, unsigned part, std::int64_t now_unix_ms,
+                                  duration retention, std::size_t limit) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    const std::string prefix = change_key({digits.at(part / 16 % 16), digits.at(part % 16)});
+    BOOST_OUTCOME_TRY(listing, store.list(prefix));
+    std::size_t removed = 0;
+    for (const auto& entry : listing.entries) {
+        const auto record = parse_change_record(entry.value);
+        if (removed >= limit || !record ||
+            now_unix_ms - record.value().unix_ms <= retention.count()) {
+            continue;
+        }
+        // Another host may have removed it already.
+        if (store.remove(entry.key, entry.revision)) {
+            ++removed;
+        }
+    }
+    return removed;
+}
+
 result<void> check_condition(const change_request& request, const std::string& key,
                              revision_number present) {
     if (request.if_match && *request.if_match != present) {
--- a/src/change_log.hpp
+++ b/src/change_log.hpp
@@ -60,10 +60,20 @@
                                       const std::string& id, bool attempted);
 
 // Performs a change: finds an earlier request with the same key, plans, records the change under
-// changes/<id>, writes, and records the outcome. The plan is made only once per key.
+// changes/<id>, writes, and records the outcome. The plan is made only once per key. An error other
+// than outcome_unknown means that this request changed nothing.
 result<applied_change> perform_change(store_client& store, const change_request& request,
                                       const std::function<result<planned_write>()>& plan);
 
+// How many parts the change records are divided into by the first digits of their ids, so that a
+// sweep lists a small part at a time.
+inline constexpr unsigned change_parts = 256;
+
+// Removes the records of one part that are older than the retention time, at most `limit` of them;
+// a key older than that is no longer known. Returns how many were removed.
+result<std::size_t> prune_changes(store_client& store, unsigned part, std::int64_t now_unix_ms,
+                                  duration retention, std::size_t limit);
+
 // Returns conflict unless the request's condition, if any, names the present revision.
 result<void> check_condition(const change_request& request, const std::string& key,
                              revision_number present);
--- a/src/operator_cli.cpp
+++ b/src/operator_cli.cpp
@@ -49,6 +49,15 @@
     return parse_json<json>(response.body);
 }
 
+// Makes a call that changes nothing, so that a lost reply leaves no outcome in doubt.
+result<json> read_api(const command_context& context, const std::string& path) {
+    auto answer = call_api(context, "GET", path, {}, "");
+    if (!answer && exit_code_of(answer.error().kind) == cli_outcome_unknown) {
+        return error{error_kind::unavailable, answer.error().detail};
+    }
+    return answer;
+}
+
 std::string with_query(const command_context& context, const std::string& path) {
     return context.request.dry_run ? path + "?dry_run=true" : path;
 }
@@ -61,13 +70,19 @@
     if (!revision.empty()) {
         headers.push_back({"If-Match", revision});
     }
+    bool may_be_applied = false;
     auto answer = call_api(context, method, with_query(context, path), headers, body);
     for (int i = 1; i < change_tries && !answer; ++i) {
         if (exit_code_of(answer.error().kind) != cli_outcome_unknown) {
             break;
         }
+        may_be_applied = true;
         answer = call_api(context, method, with_query(context, path), headers, body);
     }
+    // A repetition that could not be tried tells nothing of the earlier request.
+    if (may_be_applied && !answer && answer.error().kind == error_kind::unavailable) {
+        return error{error_kind::outcome_unknown, answer.error().detail};
+    }
     return answer;
 }
 
@@ -187,8 +202,7 @@
     json answer;
     std::string after;
     do {
-        auto page =
-            call_api(context, "GET", "/v1/" + collection + "?limit=500&after=" + after, {}, "");
+        auto page = read_api(context, "/v1/" + collection + "?limit=500&after=" + after);
         if (!page) {
             return report(context, page.error());
         }
@@ -221,7 +235,7 @@
     if (words.size() == 1 && is_collection(words[0])) {
         return run_list(context, words[0]);
     }
-    const auto answer = call_api(context, "GET", resource_path(words), {}, "");
+    const auto answer = read_api(context, resource_path(words));
     if (!answer) {
         return report(context, answer.error());
     }
@@ -230,7 +244,7 @@
 }
 
 int run_describe(const command_context& context, const word_list& words) {
-    return print_answer(context, call_api(context, "GET", resource_path(words), {}, ""));
+    return print_answer(context, read_api(context, resource_path(words)));
 }
 
 int run_delete(const command_context& context, const word_list& words) {
@@ -284,7 +298,7 @@
 
 int run_config(const command_context& context, const word_list& words) {
     if (words[0] == "get") {
-        return print_answer(context, call_api(context, "GET", "/v1/config", {}, ""));
+        return print_answer(context, read_api(context, "/v1/config"));
     }
     if (words[0] == "set") {
         return print_answer(context, change_api(context, "PUT", "/v1/config", context.request.body,
@@ -295,7 +309,7 @@
 }
 
 int run_rollout(const command_context& context, const word_list&) {
-    const auto answer = call_api(context, "GET", "/v1/rollout", {}, "");
+    const auto answer = read_api(context, "/v1/rollout");
     if (!answer || context.request.as_json) {
         return print_answer(context, answer);
     }
@@ -317,7 +331,7 @@
     for (int pages = 0; context.request.watch_pages == 0 || pages < context.request.watch_pages;) {
         // Step 1: list when there is no revision to continue from.
         if (after.empty()) {
-            const auto listing = call_api(context, "GET", "/v1/" + words[0] + "?limit=1", {}, "");
+            const auto listing = read_api(context, "/v1/" + words[0] + "?limit=1");
             if (!listing) {
                 return report(context, listing.error());
             }
@@ -325,9 +339,8 @@
         }
 
         // Step 2: wait for changes; one too far behind starts from the present state.
-        const auto page =
-            call_api(context, "GET",
-                     "/v1/watch/" + words[0] + "?after=" + after + std::string(watch_wait), {}, "");
+        const auto page = read_api(context, "/v1/watch/" + words[0] + "?after=" + after +
+                                                std::string(watch_wait));
         if (!page && page.error().kind == error_kind::expired) {
             context.problems
                 << "fulmarctl: changes were missed; continuing from the present state\n";
@@ -336,7 +349,9 @@
             continue;
         }
         if (!page) {
-            return report(context, page.error());
+            const int code = report(context, page.error());
+            context.problems << "fulmarctl: continue with --revision " << after << "\n";
+            return code;
         }
         ++pages;
         after = page.value().at("revision").dump();
--- a/tests/admin_routes_test.cpp
+++ b/tests/admin_routes_test.cpp
@@ -2,12 +2,14 @@
 
 #include "admin.hpp"
 #include "faulty_store.hpp"
+#include "fulmar/http_client.hpp"
 #include "gate.hpp"
 #include "scheduler.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <fstream>
+#include <future>
 #include <map>
 #include <set>
 #include <sstream>
@@ -136,11 +138,49 @@
     CHECK(f.call("PUT", "/v1/jobs/j", urgent, {{"If-Match", revision}})->status == 409);
 }
 
+// Guards against a watch that blocks the server's threads or whose answer is lost between threads.
+TEST_CASE("a watch over HTTP waits without holding a thread", "[admin_routes]") {
+    fixture f;
+    const auto server = http_server::start(
+        {{"127.0.0.1", 0}, 1, {}}, [&](const http_request& request, const http_responder& respond) {
+            answer_admin(f.api, request, respond);
+        });
+    REQUIRE(server);
+    const std::string base = "http://127.0.0.1:" + std::to_string(server.value()->port()) + "/v1/";
+    http_client http;
+    const auto call = [&](const std::string& method, const std::string& path) {
+        http_call made;
+        made.method = method;
+        made.url = base + path;
+        made.headers = {{"Authorization", "Bearer op-secret"}};
+        made.body = method == "POST" ? job_body : "";
+        made.timeout = duration(60'000);
+        return made;
+    };
+    std::vector<std::promise<http_call_result>> watchers(3);
+    for (auto& watcher : watchers) {
+        http.submit(call("GET", "watch/jobs?after=1"),
+                    [&](http_call_result done) { watcher.set_value(std::move(done)); });
+    }
+    // The server has one thread, so this is answered only if no watch holds it.
+    const auto created = http.call(call("POST", "jobs/renders-1"));
+    REQUIRE(created);
+    CHECK(created.value().status == 200);
+    // A watch that comes after this call reads the event from the store or the history.
+    REQUIRE(f.api.watches.at("jobs/")->poll(f.store, duration(0)));
+    for (auto& watcher : watchers) {
+        const auto done = watcher.get_future().get();
+        REQUIRE(done.response);
+        CHECK(json::parse(done.response.value().body)["events"][0]["name"] == "renders-1");
+    }
+}
+
 // Guards against a secret that is shown in an error, and against lines that are half understood.
 TEST_CASE("the tokens file is checked by line", "[access]") {
     for (const auto* const text :
          {"", "# only a comment\n", "secret-x king ana\n", "secret-x team rina\n",
-          "secret-x viewer\n", "secret-x operator ana team extra\n"}) {
+          "secret-x viewer\n", "secret-x operator ana team extra\n", "secret-x viewer v\xff\n",
+          "secret-x team rina a/b\n"}) {
         CAPTURE(text);
         const auto tokens = parse_access_tokens(text);
         REQUIRE(!tokens);
--- a/tests/faulty_store.hpp
+++ b/tests/faulty_store.hpp
@@ -62,7 +62,9 @@
     }
 
   private:
-    static std::optional<error> run(const hook& wanted, const std::string& key) {
+    // Calls a copy of the hook, as the hook may replace itself.
+    static std::optional<error> run(const hook& given, const std::string& key) {
+        const hook wanted = given;
         return wanted ? wanted(key) : std::nullopt;
     }
 
--- a/tests/operator_cli_test.cpp
+++ b/tests/operator_cli_test.cpp
@@ -72,6 +72,15 @@
     api.answers.emplace_back(error{error_kind::outcome_unknown, "connection broke"});
     api.answers.emplace_back(json_response(200, R"({"revision":4})"));
     CHECK(api.run({{"drain", "jepara-a"}}) == cli_ok);
+
+    // The first request may have been applied, and nobody can be asked any more.
+    fake_api cut_off;
+    cut_off.answers.emplace_back(error{error_kind::outcome_unknown, "connection broke"});
+    CHECK(cut_off.run({{"drain", "jepara-a"}}) == cli_outcome_unknown);
+
+    fake_api reader;
+    reader.answers.emplace_back(error{error_kind::timeout, "no answer"});
+    CHECK(reader.run({{"describe", "job"}}) == cli_unavailable);
 }
 
 // Guards against arguments that reach another route or a command that is half given.
--- a/tests/resources_api_test.cpp
+++ b/tests/resources_api_test.cpp
@@ -178,6 +178,7 @@
 TEST_CASE("a lost reply is settled or reported as outcome unknown", "[resources_api]") {
     faulty_store store;
     add_cell(store);
+    const json quota{{"quota", {{"processors", 1}}}};
     const auto lose_job_replies = [](const std::string& key) -> std::optional<error> {
         return key.starts_with("jobs/") ? std::optional(lost()) : std::nullopt;
     };
@@ -231,6 +232,27 @@
         CHECK(create_job(store, request_of(ana, "r1"), job_document()).error().kind ==
               error_kind::outcome_unknown);
     }
+    SECTION("the record was created, removed and created again") {
+        store.after_write = [&](const std::string& key) -> std::optional<error> {
+            if (!key.starts_with("teams/")) {
+                return std::nullopt;
+            }
+            store.after_write = nullptr;
+            CHECK(delete_resource(store, request_of(budi, "r2"), teams, "t"));
+            CHECK(put_resource(store, request_of(budi, "r3"), teams, "t", quota, named_cell));
+            return lost();
+        };
+        CHECK(put_resource(store, request_of(ana, "r1"), teams, "t", quota, named_cell)
+                  .error()
+                  .kind == error_kind::outcome_unknown);
+    }
+    SECTION("a removal took effect") {
+        REQUIRE(put_resource(store, request_of(ana, "r1"), teams, "t", quota, named_cell));
+        store.after_write = [](const std::string& key) -> std::optional<error> {
+            return key.starts_with("teams/") ? std::optional(lost()) : std::nullopt;
+        };
+        CHECK(delete_resource(store, request_of(ana, "r2"), teams, "t"));
+    }
     SECTION("so many changes followed that the history no longer tells") {
         REQUIRE(put_resource(store, request_of(ana, "r0"), data_centres, "d", {{"state", "in"}},
                              named_cell));
@@ -300,6 +322,20 @@
         CHECK(record.cancelled == applied);
         CHECK(record.requests.front() == request.id);
     }
+    SECTION("the same request at two hosts at once") {
+        result<applied_change> second = error{};
+        store.before_write = [&](const std::string& key) -> std::optional<error> {
+            if (key.starts_with("jobs/")) {
+                store.before_write = nullptr;
+                second = create_job(store, request, document);
+            }
+            return std::nullopt;
+        };
+        const auto first = create_job(store, request, document);
+        REQUIRE(first);
+        REQUIRE(second);
+        CHECK(first.value().revision == second.value().revision);
+    }
     SECTION("a key keeps its answer when the job is deleted") {
         REQUIRE(create_job(store, request, document));
         cell_progress progress;
@@ -336,6 +372,41 @@
     CHECK(!parse_job_record(store.value_of("jobs/renders-1")).value().cancelled);
 }
 
+// Guards against change records that fill the store, and against recent keys being forgotten.
+TEST_CASE("old change records are pruned", "[change_log]") {
+    faulty_store store;
+    const auto add = [&](const std::string& id, std::int64_t unix_ms) {
+        change_record record;
+        record.unix_ms = unix_ms;
+        store.put("changes/" + id, serialize(record));
+    };
+    add("3f01", 100);
+    add("3f02", 200);
+    add("3f03", 900);
+    add("4001", 100);
+    const auto prune = [&](std::size_t limit) {
+        return prune_changes(store, 0x3f, 1'000, duration(500), limit).value();
+    };
+    CHECK(prune(1) == 1);
+    CHECK(prune(10) == 1);
+    CHECK(prune(10) == 0);
+    CHECK(store.inner.list("changes/").value().entries.size() == 2);
+    store.inner.set_faults({true, false, duration(0)});
+    CHECK(!prune_changes(store, 0x3f, 1'000, duration(500), 1));
+}
+
+// Guards against a failed read that is reported as a change of unknown outcome.
+TEST_CASE("a failure before the first write leaves no doubt", "[change_log]") {
+    faulty_store store;
+    add_cell(store);
+    const auto keyed = keyed_request(ana, "k", job_document());
+    store.before_read = [](const std::string&) -> std::optional<error> { return lost(); };
+    for (const auto& request : {keyed, request_of(ana, "r1")}) {
+        CHECK(create_job(store, request, job_document()).error().kind == error_kind::unavailable);
+    }
+    CHECK(store.value_of("jobs/renders-1").empty());
+}
+
 // Guards against a team that sees or changes another team's jobs.
 TEST_CASE("teams are kept apart", "[resources_api]") {
     faulty_store store;
