gate: wait for running responders before the server is destroyed

Cause: one of 15 runs of build/fulmar_tests '[gate]' ended with SIGSEGV at the start of a test case, after the destruction of the gate of the test before. A store thread may still be inside a responder of http_server when the destructor stops and destroys that server; this is the probable cause, not a proven one (60 runs of four short cases under AddressSanitizer did not show it). Change: the threads that pass an answer to the server are counted, and the destructor waits for them after it has set the stage; later answers are dropped.

--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -124,6 +124,9 @@
 gate::~gate() {
     auto& self = *state_;
     self.stage = gate_stage::abandoned;
+    while (self.responding > 0) {
+        std::this_thread::yield();
+    }
     for (auto* server : {&self.callers, &self.operators}) {
         if (*server) {
             (*server)->stop();
--- a/src/gate_requests.cpp
+++ b/src/gate_requests.cpp
@@ -27,7 +27,13 @@
         const std::lock_guard lock(self.mutex);
         self.active.erase(request->number);
     }
-    request->respond(std::move(response));
+    // The server must not be destroyed while a responder runs, so the destructor waits for the
+    // count after it has set the stage.
+    ++self.responding;
+    if (self.stage != gate_stage::abandoned) {
+        request->respond(std::move(response));
+    }
+    --self.responding;
     --self.in_progress;
 }
 
--- a/src/gate_state.hpp
+++ b/src/gate_state.hpp
@@ -53,6 +53,7 @@
     std::atomic<bool> listed{false};
     std::atomic<std::int64_t> in_progress{0};
     std::atomic<std::uint64_t> next_number{1};
+    std::atomic<int> responding{0}; // threads that are passing an answer to the server
 
     std::mutex mutex; // guards the control state below
     endpoint_table endpoints;
