interference: skip the zero inputs of an update and allocate nothing in it

Change: the covariance with the slowdown is summed over the classes that ran, into a fixed array. The signature is the same as before. no functional change

--- a/src/interference.cpp
+++ b/src/interference.cpp
@@ -174,26 +174,40 @@
 // effects. It needs fewer samples than a gradient step, as it knows which effects are uncertain.
 void learn(effect_estimates& known, const std::vector<double>& inputs, const class_mean& measured,
            double residual) {
+    // Step 1: the covariance of each effect with the slowdown. Most inputs are zero.
     const std::size_t size = known.mean.size();
-    std::vector<double> spread(size, 0.0); // covariance times inputs
-    double variance = common_deviation * common_deviation +
-                      sample_deviation * sample_deviation / measured.samples;
-    for (std::size_t i = 0; i < size; ++i) {
-        const auto* line = &known.covariance[i * size];
-        spread[i] = std::inner_product(inputs.begin(), inputs.end(), line, 0.0);
-        variance += inputs[i] * spread[i];
+    std::array<double, most_slots> spread{};
+    for (std::size_t j = 0; j < size; ++j) {
+        if (inputs[j] == 0.0) {
+            continue;
+        }
+        const auto* line = &known.covariance[j * size];
+        for (std::size_t i = 0; i < size; ++i) {
+            spread[i] += inputs[j] * line[i];
+        }
     }
+    const double noise = common_deviation * common_deviation +
+                         sample_deviation * sample_deviation / measured.samples;
+    const double uncertainty =
+        std::inner_product(inputs.begin(), inputs.end(), spread.begin(), 0.0);
+    const double variance = noise + uncertainty;
+
+    // Step 2: move the effects.
     const double limit = largest_surprise * std::sqrt(variance);
-    const double error = std::clamp(residual, -limit, limit);
+    const double step = std::clamp(residual, -limit, limit) / variance;
+    for (std::size_t i = 0; i < size; ++i) {
+        known.mean[i] = std::clamp(known.mean[i] + spread[i] * step, 0.0, largest_effect);
+    }
+
+    // Step 3: what was learned lowers the variances; time raises them.
     for (std::size_t i = 0; i < size; ++i) {
-        known.mean[i] =
-            std::clamp(known.mean[i] + spread[i] * error / variance, 0.0, largest_effect);
+        auto* line = &known.covariance[i * size];
+        const double part = spread[i] / variance;
         for (std::size_t j = 0; j < size; ++j) {
-            known.covariance[i * size + j] -= spread[i] * spread[j] / variance;
+            line[j] -= part * spread[j];
         }
         const double most = i == 0 ? base_deviation : unknown_deviation;
-        auto& own = known.covariance[i * size + i];
-        own = std::clamp(own * variance_growth, 1e-6, most * most);
+        line[i] = std::clamp(line[i] * variance_growth, 1e-6, most * most);
     }
 }
 
