scheduler, admin, gate: move drained jobs, follow the configuration, flush last answers

Cause: the driver never called the hand-over of evicted jobs, so the work of a drained data centre waited there until it returned; the administration daemon took no part in rollouts and cut off requests at SIGTERM; the gate slept 250 ms for its last answers instead of knowing that they had left. The administration daemon registers itself and reports the configuration in force; at SIGTERM it answers its watches and lets requests end.

--- a/src/admin.cpp
+++ b/src/admin.cpp
@@ -2,6 +2,7 @@
 
 #include "admin_routes.hpp"
 #include "change_log.hpp"
+#include "daemon_presence.hpp"
 #include "fulmar/http_client.hpp"
 #include "fulmar/store_http.hpp"
 #include "steady_clock.hpp"
@@ -30,7 +31,12 @@
 // Several changes a second share one answer of each scheduler.
 constexpr duration status_lifetime{1'000};
 
+// Longest time that a shutdown waits for requests in progress.
+constexpr duration stop_limit{10'000};
+
 constexpr std::array rows{
+    setting_row{"host", "name", setting_kind::text, "", 0, 0, "name of this host"},
+    setting_row{"host", "data_centre", setting_kind::text, "", 0, 0, "data centre of this host"},
     setting_row{"admin", "address", setting_kind::address, "", 0, 0, "where operators connect"},
     setting_row{"admin", "token_file", setting_kind::text, "", 0, 0,
                 "file that holds the tokens, one \"secret role name [team]\" a line"},
@@ -151,6 +157,8 @@
 
 admin_settings parse_admin_settings(const settings& from) {
     admin_settings options;
+    options.host = {text_setting(from, "host", "name")};
+    options.data_centre = {text_setting(from, "host", "data_centre")};
     options.address = address_setting(from, "admin", "address");
     options.token_file = text_setting(from, "admin", "token_file");
     options.status_timeout = duration_setting(from, "admin", "status_timeout");
@@ -162,6 +170,32 @@
     return options;
 }
 
+namespace {
+
+presence_options make_presence(const admin_settings& options) {
+    presence_options presence;
+    presence.record.program = "fulmar_admin";
+    presence.record.host = options.host.value;
+    presence.record.address = to_string(options.address);
+    presence.record.data_centre = options.data_centre;
+    presence.store_address = options.store_address;
+    presence.store_timeout = options.store_timeout;
+    return presence;
+}
+
+// Ends waiting watches and lets the other requests in progress end.
+void finish_requests(admin_api& api, const http_server& server) {
+    const auto deadline = steady_now() + stop_limit;
+    while (server.requests_in_progress() > 0 && steady_now() < deadline) {
+        for (auto& [prefix, watch] : api.watches) {
+            watch->expire(time_point::max());
+        }
+        std::this_thread::sleep_for(expiry_interval);
+    }
+}
+
+} // namespace
+
 int run_admin(const admin_settings& options) {
     auto tokens = read_tokens(options.token_file);
     if (!tokens) {
@@ -191,6 +225,10 @@
                 respond(std::move(*standard));
                 return;
             }
+            if (stopping) {
+                respond(error_response({error_kind::unavailable, "shutting down"}));
+                return;
+            }
             answer_admin(api, request, respond);
         });
     if (!server) {
@@ -198,6 +236,7 @@
         return exit_failure;
     }
     spdlog::info("administration API listens on {}", to_string(options.address));
+    const daemon_presence member(make_presence(options), http, counters);
 
     std::vector<std::jthread> threads;
     for (auto& [prefix, watch] : api.watches) {
@@ -212,6 +251,7 @@
         }
     }
     stopping = true;
+    finish_requests(api, *server.value());
     spdlog::info("administration API stops");
     return exit_ok;
 }
--- a/src/admin.hpp
+++ b/src/admin.hpp
@@ -9,6 +9,8 @@
 namespace fulmar {
 
 struct admin_settings {
+    host_id host;
+    data_centre_id data_centre;
     socket_address address;
     socket_address store_address;
     duration store_timeout{1'000};
--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -14,8 +14,8 @@
 
 constexpr duration queue_interval{10};
 constexpr duration drain_poll{10};
-// The server offers no notice of a written answer, so the last answers get this long to leave.
-constexpr duration answer_flush{250};
+// Longest wait for the last answers to leave.
+constexpr duration answer_flush{2'000};
 // Above the longest deadline, or the server would close the connection of a request in progress.
 constexpr duration longest_request{610'000};
 // Jobs that may wait for a store thread; at 20 intents/s more than this means a stuck store.
@@ -181,7 +181,11 @@
                      self.in_progress.load());
         end_all_requests(self);
     }
-    std::this_thread::sleep_for(answer_flush);
+    // Step 4: the last answers have to reach the system before the connections are closed.
+    const auto flush_limit = steady_now() + answer_flush;
+    while (self.callers->requests_in_progress() > 0 && steady_now() < flush_limit) {
+        std::this_thread::sleep_for(drain_poll);
+    }
 }
 
 int run_gate(const gate_settings& options, gate_dependencies dependencies) {
--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "fulmar/json.hpp"
 #include "fulmar/worker_http.hpp"
 #include "peer_rpc.hpp"
+#include "scheduler_handover.hpp"
 #include "scheduler_state.hpp"
 #include "scheduler_store.hpp"
 #include "steady_clock.hpp"
@@ -194,6 +195,7 @@
         cell.tables.unix_offset_ms = unix_offset_ms();
         on_config(cell, self.config.values());
         perform(self, workers, store, id, tick(cell, steady_now()));
+        run_handovers(self, store, cell, steady_now());
         if (before.value != 0 && cell.epoch.value == 0) {
             note_lost_cell(self, id, before);
         }
--- a/src/scheduler_entries.cpp
+++ b/src/scheduler_entries.cpp
@@ -10,6 +10,7 @@
 
 // Takes a worker's description and creates its cell when it is new.
 void take_worker(scheduler& self, const worker_id& id, const worker_record& record) {
+    self.cell_homes[record.cell] = record.data_centre;
     if (record.data_centre != self.options.data_centre) {
         return;
     }
@@ -32,9 +33,9 @@
 void take_job(scheduler& self, const job_id& id, const job_record& record,
               revision_number revision) {
     self.jobs[id] = {record, revision};
-    const auto cell = self.cells.find(record.cell);
-    if (cell != self.cells.end()) {
-        on_job(cell->second, id, record, revision, steady_now());
+    // A cell that handed the job over learns from the record that the move took effect.
+    for (auto& [cell_key, cell] : self.cells) {
+        on_job(cell, id, record, revision, steady_now());
     }
 }
 
@@ -89,9 +90,13 @@
         if (const auto record = parse_member_record(entry.value)) {
             take_member(self, {tail(members_prefix)}, record.value());
         }
-    } else if (entry.key == std::string(data_centres_prefix) + self.options.data_centre.value) {
+    } else if (entry.key.starts_with(data_centres_prefix)) {
+        const data_centre_id name{tail(data_centres_prefix)};
         if (const auto record = parse_data_centre_record(entry.value)) {
-            take_state(self, record.value().state, sent);
+            self.data_centre_states[name] = record.value().state;
+            if (name == self.options.data_centre) {
+                take_state(self, record.value().state, sent);
+            }
         }
     }
 }
--- a/src/scheduler_state.hpp
+++ b/src/scheduler_state.hpp
@@ -17,6 +17,13 @@
 
 namespace fulmar {
 
+// Paces the jobs that leave a drained data centre and spreads them over the cells that take starts.
+struct handover_budget {
+    std::int64_t bytes = 0; // may be sent now
+    time_point filled;
+    std::size_t next_target = 0;
+};
+
 struct scheduler {
     scheduler_settings options;
     host_id instance;
@@ -32,6 +39,9 @@
     // Owned by the control thread.
     std::map<cell_id, cell_state> cells;
     std::map<job_id, job_row> jobs; // of all cells of this data centre, owned by us or not
+    std::map<cell_id, data_centre_id> cell_homes; // of all data centres
+    std::map<data_centre_id, data_centre_state> data_centre_states;
+    handover_budget handovers;
     std::optional<data_centre_state> state;
     std::optional<time_point> state_confirmed;
     membership members;
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -90,6 +90,7 @@
         token = self.folder / "token"
         token.write_text("demo-token\n")
         self.start("fulmar_admin", "admin", {
+            "host": {"name": "entry-admin", "data_centre": DATA_CENTRES[0]},
             "admin": {"address": self.address("admin"), "token_file": token}, "store": store,
         })
 
@@ -222,18 +223,16 @@
     check("each of its tasks started once", installation.worker_starts(first) == 23)
 
     print("4. a data centre is taken out and brought back")
+    submit(installation, "renders-2", f"{second}-1", 5, 6000)
+    wait_for("all 5 tasks run there", lambda:
+             installation.status(second)["cells"][f"{second}-1"]["tasks"].get("running") == 5)
     code, _ = installation.ctl("drain", second)
     check(f"{second} is being drained", code == 0)
-    wait_for("its scheduler knows",
-             lambda: installation.status(second)["cells"][f"{second}-1"]["state"] == "draining")
-    submit(installation, "renders-2", f"{second}-1", 5, 100)
-    wait_for("the job's tasks wait there", lambda:
-             installation.status(second)["cells"][f"{second}-1"]["tasks"].get("waiting") == 5)
-    time.sleep(2)
-    check("nothing started there", installation.worker_starts(second) == 0)
+    wait_for("the tasks were checkpointed, moved and finished elsewhere",
+             lambda: finished(installation, "renders-2") == 5)
+    check(f"each was resumed once in {first}", installation.worker_starts(first) == 23 + 5)
+    check(f"nothing more started in {second}", installation.worker_starts(second) == 5)
     check(f"{second} is brought back", installation.ctl("resume", second)[0] == 0)
-    wait_for("all 5 tasks finished", lambda: finished(installation, "renders-2") == 5)
-    check("each of its tasks started once", installation.worker_starts(second) == 5)
 
 
     print("5. a scheduler is killed while tasks run")
@@ -248,7 +247,7 @@
     wait_for("a new job finished under the new owner",
              lambda: finished(installation, "renders-4") == 5)
     wait_for("the tasks that ran on finished", lambda: finished(installation, "renders-3") == 4)
-    check("no task started twice", installation.worker_starts(first) == 23 + 4 + 5)
+    check("no task started twice", installation.worker_starts(first) == 28 + 4 + 5)
 
     print("6. the store is away while tasks run and the gates answer")
     submit(installation, "renders-5", f"{second}-1", 3, 8000)
