--- a/src/scheduler.cpp
+++ b/src/scheduler.cpp
@@ -4,6 +4,7 @@
 #include "fulmar/json.hpp"
 #include "fulmar/worker_http.hpp"
 #include "peer_rpc.hpp"
+#include "scheduler_entries.hpp"
 #include "scheduler_handover.hpp"
 #include "scheduler_state.hpp"
 #include "scheduler_store.hpp"
@@ -20,6 +21,9 @@
 
 namespace {
 
+// The status lists every job, so it is not made anew at each tick.
+constexpr duration status_interval{500};
+
 // Longest time that a shutdown waits for the last group commits.
 constexpr duration hand_over_limit{3'000};
 
@@ -130,6 +134,7 @@
         }
         const epoch_number epoch{std::max(found.epoch, at->second.highest_epoch).value + 1};
         activate(at->second, epoch, now);
+        self.quotas_changed = true;
         note_claim(self.members, found.cell, self.instance, epoch, now);
         for (const auto& [job, row] : self.jobs) {
             on_job(at->second, job, row.record, row.revision, now);
@@ -207,13 +212,24 @@
     }
 }
 
+// Handles events for the length of one tick. Ticks keep their interval however many events arrive,
+// as each costs a pass over the tables.
+void run_events(scheduler& self) {
+    const auto end = steady_now() + self.options.tick;
+    for (auto now = steady_now(); now < end; now = steady_now()) {
+        self.queue.run_for(end - now);
+    }
+}
+
 // Runs ticks until SIGTERM.
 void run_control(scheduler& self, worker_client& workers, store_client& store,
                  heartbeat_socket& socket) {
     time_point next_heartbeat;
+    time_point next_status;
     time_point next_rebalance = steady_now() + self.members.timing.settle;
     while (!stop_signal_arrived(duration(0))) {
-        self.queue.run_for(self.options.tick);
+        run_events(self);
+        apply_quotas(self);
         tick_cells(self, workers, store);
         adopt_cells(self);
         const auto now = steady_now();
@@ -225,7 +241,10 @@
             next_rebalance = now + self.members.timing.settle;
             rebalance(self);
         }
-        publish_status(self);
+        if (now >= next_status) {
+            next_status = now + status_interval;
+            publish_status(self);
+        }
         self.ready = !self.cells.empty() && self.config.is_confirmed();
     }
 }
@@ -344,7 +363,8 @@
 
     // Step 3: run until SIGTERM, then hand the cells over.
     std::vector<std::jthread> threads;
-    for (const auto prefix : {workers_prefix, jobs_prefix, data_centres_prefix, members_prefix}) {
+    for (const auto prefix :
+         {workers_prefix, jobs_prefix, data_centres_prefix, members_prefix, teams_prefix}) {
         threads.emplace_back([&self, prefix] { run_watch(self, std::string(prefix)); });
     }
     threads.emplace_back([&self] { run_registration(self); });
--- a/src/scheduler_entries.cpp
+++ b/src/scheduler_entries.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_entries.hpp"
 
+#include "quota.hpp"
 #include "steady_clock.hpp"
 
 #include <spdlog/spdlog.h>
@@ -11,6 +12,8 @@
 // Takes a worker's description and creates its cell when it is new.
 void take_worker(scheduler& self, const worker_id& id, const worker_record& record) {
     self.cell_homes[record.cell] = record.data_centre;
+    self.worker_cells[id] = record.cell;
+    self.quotas_changed = true;
     if (record.data_centre != self.options.data_centre) {
         return;
     }
@@ -76,6 +79,10 @@
     const auto& entry = event.entry;
     const auto tail = [&](std::string_view prefix) { return entry.key.substr(prefix.size()); };
     if (event.deleted) {
+        if (entry.key.starts_with(teams_prefix)) {
+            self.quotas[{tail(teams_prefix)}] = {};
+            self.quotas_changed = true;
+        }
         return;
     }
     if (entry.key.starts_with(workers_prefix)) {
@@ -90,6 +97,11 @@
         if (const auto record = parse_member_record(entry.value)) {
             take_member(self, {tail(members_prefix)}, record.value());
         }
+    } else if (entry.key.starts_with(teams_prefix)) {
+        if (const auto record = parse_team_record(entry.value)) {
+            self.quotas[{tail(teams_prefix)}] = record.value().quota;
+            self.quotas_changed = true;
+        }
     } else if (entry.key.starts_with(data_centres_prefix)) {
         const data_centre_id name{tail(data_centres_prefix)};
         if (const auto record = parse_data_centre_record(entry.value)) {
@@ -101,6 +113,20 @@
     }
 }
 
+void apply_quotas(scheduler& self) {
+    if (!std::exchange(self.quotas_changed, false)) {
+        return;
+    }
+    const auto whole = static_cast<std::int64_t>(self.worker_cells.size());
+    for (auto& [id, cell] : self.cells) {
+        const auto part = static_cast<std::int64_t>(cell.tables.workers.size());
+        for (const auto& [team, quota] : self.quotas) {
+            auto& row = cell.tables.teams.at(find_team(cell.tables, team));
+            row.quota = cell_quota(quota, {{part}, {part}, {part}}, {{whole}, {whole}, {whole}});
+        }
+    }
+}
+
 void confirm_state(scheduler& self, time_point sent) {
     if (self.state) {
         take_state(self, *self.state, sent);
--- a/src/scheduler_state.hpp
+++ b/src/scheduler_state.hpp
@@ -42,6 +42,9 @@
     std::map<cell_id, data_centre_id> cell_homes; // of all data centres
     std::map<data_centre_id, data_centre_state> data_centre_states;
     handover_budget handovers;
+    std::map<team_id, resources> quotas;
+    std::map<worker_id, cell_id> worker_cells; // of all data centres
+    bool quotas_changed = false;               // quotas, workers or the cells we own
     std::optional<data_centre_state> state;
     std::optional<time_point> state_confirmed;
     membership members;
--- a/src/scheduler_store.cpp
+++ b/src/scheduler_store.cpp
@@ -50,6 +50,7 @@
     }
     if (epoch > cell.epoch) {
         activate(cell, epoch, now);
+        self.quotas_changed = true;
     }
     note_claim(self.members, id, self.instance, epoch, now);
     on_claim_confirmed(cell, revision, sent);
--- a/src/standin_store_main.cpp
+++ b/src/standin_store_main.cpp
@@ -9,6 +9,7 @@
 #include <spdlog/spdlog.h>
 
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <list>
 #include <thread>
@@ -32,6 +33,8 @@
 
 // Calls that wait: watches for an event, others for the injected delay to pass.
 struct parked_calls {
+    std::atomic<std::uint64_t> received{
+        0}; // a waiting watch counts once, however often it is tried
     std::mutex mutex;
     std::list<parked_call> calls;
 };
@@ -98,13 +101,14 @@
         return;
     }
     if (request.path == "/calls") {
-        respond(json_response(200, json{{"calls", store.calls()}}.dump()));
+        respond(json_response(200, json{{"calls", parked.received.load()}}.dump()));
         return;
     }
     if (!request.path.starts_with(prefix)) {
         respond(http_response{200, {}, "ok\n"});
         return;
     }
+    ++parked.received;
     const std::string name = request.path.substr(prefix.size());
     const bool is_watch = name == "watch";
     const duration wait = is_watch ? watch_wait(request.body) : store.faults().delay;
@@ -119,8 +123,10 @@
 int run(const socket_address& address) {
     store_memory store(steady_now);
     parked_calls parked;
+    http_server_limits limits;
+    limits.body_bytes = 4 * 1024 * 1024; // a value of 1 MiB, escaped as JSON text
     const auto server = http_server::start(
-        {address, 2, {}}, [&](const http_request& request, const http_responder& respond) {
+        {address, 2, limits}, [&](const http_request& request, const http_responder& respond) {
             handle(store, parked, request, respond);
         });
     if (!server) {
--- a/src/store_http.cpp
+++ b/src/store_http.cpp
@@ -22,6 +22,9 @@
 
 namespace {
 
+// A listing of jobs/ at the design scale grows by about 5 MB a day, as ended jobs are kept.
+constexpr std::size_t listing_limit_bytes = 64 * 1024 * 1024;
+
 class store_over_http final : public store_client {
   public:
     store_over_http(http_client& http, const socket_address& address, duration timeout)
@@ -93,6 +96,7 @@
         request.body = arguments.dump();
         request.timeout = timeout_ + extra;
         request.connect_timeout = timeout_;
+        request.response_limit_bytes = listing_limit_bytes;
         // A repeated write would report a conflict with itself, so writes never share a connection
         // on which libcurl might repeat them.
         request.fresh_connection = name == "compare_and_swap" || name == "remove";
--- a/tools/measure_gate.py
+++ b/tools/measure_gate.py
@@ -15,6 +15,8 @@
 import time
 import urllib.request
 
+from ports import reserve_ports
+
 SERVICE = "load"
 ENDPOINTS = 10
 GATES = 2
@@ -26,21 +28,6 @@
 IDLE_CONNECTIONS = 500
 
 
-def free_ports(count):
-    """Returns ports below the ephemeral range, where no outgoing connection can take them."""
-    ports = []
-    candidate = 25000 + os.getpid() % 5000
-    while len(ports) < count:
-        candidate += 1
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", candidate))
-                ports.append(candidate)
-            except OSError:
-                continue
-    return ports
-
-
 class Installation:
     """A store, endpoints and gates; stopped by close()."""
 
@@ -55,7 +42,7 @@
             raise
 
     def start_all(self, gate_settings, service_ms, kind, slow_ms, slots):
-        ports = free_ports(1 + ENDPOINTS + 2 * GATES)
+        self.lock, ports = reserve_ports()
         store = f"127.0.0.1:{ports.pop()}"
         self.endpoints = [f"127.0.0.1:{ports.pop()}" for _ in range(ENDPOINTS)]
         self.gates = [f"127.0.0.1:{ports.pop()}" for _ in range(GATES)]
@@ -120,6 +107,7 @@
                 process.kill()
                 process.wait()
         self.directory.cleanup()
+        self.lock.close()
 
     def __enter__(self):
         return self
