--- a/src/fulmarwind_capacity_main.cpp
+++ b/src/fulmarwind_capacity_main.cpp
@@ -194,6 +194,7 @@
     std::printf("%s\n", name);
     const auto fit = [&](const char* what, double cost::*field) {
         std::vector<point> points;
+        points.reserve(costs.size());
         for (const auto& [size, measured] : costs) {
             points.push_back({size, measured.*field});
         }
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -271,8 +271,8 @@
         problem = None
         try:
             run(installation)
-        except Failure as failure:
-            problem = str(failure)
+        except (Failure, OSError, ValueError, KeyError) as failure:
+            problem = str(failure) or repr(failure)
         print("7. stop everything with SIGTERM")
         bad = installation.stop_all()
         if not bad:
