--- a/tools/demo.py
+++ b/tools/demo.py
@@ -116,6 +116,15 @@
         owner = self.owner(data_centre)
         return json.loads(get(self.address(owner), "/status")[1]) if owner else {"cells": {}}
 
+    def restart(self, name):
+        """Kills a program and starts it again with the same settings."""
+        program = self.processes[name].args[0]
+        self.kill(name)
+        log = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [program, "--settings", self.folder / f"{name}.ini"], stdout=log, stderr=log
+        )
+
     def kill(self, name):
         process = self.processes.pop(name)
         process.kill()
@@ -264,6 +273,39 @@
              lambda: finished(installation, "renders-5") == 3)
     check("no task started twice", installation.worker_starts(second) == 5 + 3)
 
+    print("7. a configuration change reaches every daemon and is not undone")
+    check_rollout(installation, 1, 20)
+    installation.restart(f"gate-{second}")
+    check_rollout(installation, 2, 30)
+    bad = installation.folder / "bad-config.json"
+    bad.write_text('{"retry_budget_percent": 99}')
+    code, text = installation.ctl("--file", str(bad), "config", "set")
+    check(f"an invalid configuration is refused: {text.strip()}", code != 0)
+    check("the last valid one stays in force", rollout(installation)["generation"] == 2)
+
+
+def rollout(installation):
+    code, text = installation.ctl("--output", "json", "rollout", "status")
+    return json.loads(text) if code == 0 else {}
+
+
+def check_rollout(installation, generation, percent):
+    """Changes the configuration and waits until every running daemon reports it in force."""
+    file = installation.folder / "config.json"
+    file.write_text(json.dumps({"retry_budget_percent": percent}))
+    code, text = installation.ctl("--file", str(file), "config", "set")
+    check(f"configuration {generation} is accepted", code == 0)
+    began = time.monotonic()
+    daemons = [name for name in installation.processes if name.startswith(("sch", "gate", "adm"))]
+
+    def is_in_force():
+        status = rollout(installation)
+        rows = [row for row in status["members"] if row["state"] == "in_force"]
+        return status["generation"] == generation and len(rows) == len(daemons)
+
+    wait_for(f"all {len(daemons)} daemons have it in force", is_in_force)
+    print(f"  (after {time.monotonic() - began:.1f} s; the target is 17 s)", flush=True)
+
 
 def main():
     with tempfile.TemporaryDirectory(prefix="fulmarwind-demo-") as folder:
@@ -273,7 +315,7 @@
             run(installation)
         except (Failure, OSError, ValueError, KeyError) as failure:
             problem = str(failure) or repr(failure)
-        print("7. stop everything with SIGTERM")
+        print("8. stop everything with SIGTERM")
         bad = installation.stop_all()
         if not bad:
             print("  ok: every program ended with exit code 0")
