--- a/src/gate.cpp
+++ b/src/gate.cpp
@@ -1,6 +1,7 @@
 #include "gate.hpp"
 
 #include "gate_state.hpp"
+#include "member_registration.hpp"
 #include "steady_clock.hpp"
 
 #include <spdlog/spdlog.h>
@@ -21,12 +22,6 @@
 // Jobs that may wait for a store thread; at 20 intents/s more than this means a stuck store.
 constexpr std::size_t store_job_limit = 256;
 
-// Names one run of this process, so that a restarted gate's records aren't taken for its own.
-std::string make_instance(const host_id& host) {
-    std::random_device entropy;
-    return host.value + "." + std::to_string(entropy()) + std::to_string(entropy());
-}
-
 void answer_operator(gate_state& self, const http_request& request, const http_responder& respond) {
     const bool ready = self.stage == gate_stage::serving && self.listed;
     const auto standard = answer_operator_route(request, self.counters, ready);
@@ -86,7 +81,7 @@
     auto initial = std::make_unique<gate_state>(std::move(dependencies));
     auto& self = *initial;
     self.options = options;
-    self.instance = make_instance(options.host);
+    self.instance = make_instance(options.host.value).value;
     self.routing.random.seed(std::random_device()());
     self.store_pool = std::make_unique<blocking_pool>(options.store_threads, store_job_limit);
     self.http = std::make_unique<http_client>();
--- a/src/member_registration.cpp
+++ b/src/member_registration.cpp
@@ -31,7 +31,8 @@
 
 host_id make_instance(const std::string& host) {
     std::random_device entropy;
-    return {host + "." + std::to_string(entropy())};
+    // 64 bits: records of an earlier run must never pass for those of a later one.
+    return {host + "." + std::to_string(entropy()) + std::to_string(entropy())};
 }
 
 registration_outcome keep_registered(member_registration& member, store_client& store,
