--- a/include/fulmar/http_client.hpp
+++ b/include/fulmar/http_client.hpp
@@ -3,6 +3,8 @@
 
 #include "fulmar/http.hpp"
 
+#include <asio/io_context.hpp>
+
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -71,6 +73,10 @@
     http_client();
     explicit http_client(std::size_t threads);
 
+    // Uses the caller's loop instead of threads: all functions and callbacks run on its thread, and
+    // call() is not available.
+    explicit http_client(asio::io_context& io);
+
     // Ends calls in progress: each is reported before the destructor returns.
     ~http_client();
     http_client(const http_client&) = delete;
--- a/include/fulmar/metrics.hpp
+++ b/include/fulmar/metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <map>
@@ -25,6 +26,10 @@
     // Sets the gauge `name`, labelled with the reason unless that is empty.
     void set(std::string_view name, double value, std::string_view reason = {});
 
+    // Adds a value in milliseconds to the histogram `name`, labelled with the reason unless that is
+    // empty.
+    void observe(std::string_view name, double milliseconds, std::string_view reason = {});
+
     // Returns the present value of a counter; 0 when it was never counted.
     double value(std::string_view name, std::string_view reason = {}) const;
 
@@ -46,6 +51,7 @@
     std::shared_ptr<prometheus::Registry> registry_;
     std::map<series, prometheus::Counter*, series_less> counters_;
     std::map<series, prometheus::Gauge*, series_less> gauges_;
+    std::map<series, prometheus::Histogram*, series_less> histograms_;
 };
 
 } // namespace fulmar
--- a/include/fulmar/settings.hpp
+++ b/include/fulmar/settings.hpp
@@ -16,6 +16,7 @@
 enum class setting_kind : std::uint8_t {
     text,     // any non-empty text
     integer,  // decimal number
+    number,   // decimal number that may have a fraction
     duration, // number with the unit ms, s, min or h
     size,     // number with the unit B, KiB or MiB
     address,  // IPv4 address and port, such as 127.0.0.1:8080
@@ -67,6 +68,7 @@
 // with.
 std::string text_setting(const settings& from, std::string_view section, std::string_view key);
 std::int64_t integer_setting(const settings& from, std::string_view section, std::string_view key);
+double number_setting(const settings& from, std::string_view section, std::string_view key);
 duration duration_setting(const settings& from, std::string_view section, std::string_view key);
 std::int64_t size_setting(const settings& from, std::string_view section, std::string_view key);
 socket_address address_setting(const settings& from, std::string_view section,
--- /dev/null
+++ b/src/decision_log.cpp
@@ -0,0 +1,117 @@
+#include "fulmar/decision_log.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+// Lines are collected this long before they are written, so that a burst costs one write.
+constexpr std::chrono::milliseconds write_interval{250};
+
+std::string timestamp() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return fmt::format("ts={}.{:03}", ms / 1000, ms % 1000);
+}
+
+} // namespace
+
+decision_log::decision_log(std::string common, const decision_log_limits& limits, sink out)
+    : common_(std::move(common))
+    , limits_(limits)
+    , out_(std::move(out))
+    , tokens_(limits.burst)
+    , refilled_(std::chrono::steady_clock::now()) {
+    if (out_) {
+        thread_ = std::thread([this] { run(); });
+    }
+}
+
+decision_log::~decision_log() {
+    {
+        const std::lock_guard lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+bool decision_log::admit() {
+    if (!out_) {
+        return false;
+    }
+    const std::lock_guard lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - refilled_;
+    refilled_ = now;
+    tokens_ = std::min<double>(limits_.burst, tokens_ + passed.count() * limits_.lines_per_second);
+    if (tokens_ < 1 || buffer_.size() > limits_.buffer_bytes) {
+        ++dropped_;
+        return false;
+    }
+    --tokens_;
+    return true;
+}
+
+void decision_log::append(const std::string& text) {
+    const std::lock_guard lock(mutex_);
+    const bool first = buffer_.empty();
+    buffer_ += timestamp();
+    buffer_ += ' ';
+    buffer_ += common_;
+    buffer_ += ' ';
+    buffer_ += text;
+    if (dropped_ != reported_) {
+        buffer_ += fmt::format(" dropped_lines={}", dropped_ - reported_);
+        reported_ = dropped_;
+    }
+    buffer_ += '\n';
+    if (first) {
+        wake_.notify_one();
+    }
+}
+
+void decision_log::flush() {
+    std::unique_lock lock(mutex_);
+    flushing_ = true;
+    wake_.notify_all();
+    idle_.wait(lock, [this] { return (buffer_.empty() && !writing_) || !thread_.joinable(); });
+    flushing_ = false;
+}
+
+std::uint64_t decision_log::dropped() const {
+    const std::lock_guard lock(mutex_);
+    return dropped_;
+}
+
+// Waits for lines, lets more of them gather, and writes them out.
+void decision_log::run() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+        wake_.wait(lock, [this] { return stopping_ || !buffer_.empty(); });
+        wake_.wait_for(lock, write_interval, [this] { return stopping_ || flushing_; });
+        std::string batch;
+        batch.swap(buffer_);
+        writing_ = true;
+        lock.unlock();
+        if (!batch.empty()) {
+            out_(batch);
+        }
+        lock.lock();
+        writing_ = false;
+        idle_.notify_all();
+        if (stopping_ && buffer_.empty()) {
+            return;
+        }
+    }
+}
+
+decision_log& null_log() {
+    static decision_log none("", {}, {});
+    return none;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/host_control.cpp
@@ -0,0 +1,472 @@
+#include "host_control.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// Located jobs that a host remembers; about 100 bytes each.
+constexpr std::size_t located_limit = 20'000;
+
+// Orders are confirmed by each reply of their watch, so its wait bounds their age.
+constexpr duration orders_wait{1'500};
+constexpr duration meta_wait{10'000};
+constexpr duration workers_wait{10'000};
+
+} // namespace
+
+host_control::host_control(host_options options, event_loop& loop, async_store& store,
+                           run_worker& workers, peer_link& peers, metrics& counters,
+                           decision_log& log)
+    : options_(std::move(options))
+    , self_{options_.name.value + "/" + options_.incarnation}
+    , loop_(loop)
+    , store_(store)
+    , workers_(workers)
+    , peers_link_(peers)
+    , counters_(counters)
+    , log_(log)
+    , started_(loop.now())
+    , meta_(
+          store, loop, {.prefix = std::string(meta_prefix), .wait = meta_wait},
+          [this](const auto& key, const auto* entry) { on_meta_change(key, entry); },
+          [this] { maintain_claims(); })
+    , orders_(
+          store, loop, {.prefix = options_.layout.orders_prefix, .wait = orders_wait},
+          [this](const auto& key, const auto* entry) { on_orders_change(key, entry); }, [] {})
+    , worker_view_(
+          store, loop, {.prefix = options_.layout.workers_prefix, .wait = workers_wait},
+          [this](const auto& key, const auto* entry) { on_workers_change(key, entry); },
+          [this] { maintain_shard_list(); }) {}
+
+host_control::~host_control() {
+    *alive_ = false;
+    meta_.stop();
+    orders_.stop();
+    worker_view_.stop();
+}
+
+void host_control::start() {
+    log_.write("event=host_started incarnation={} data_centre={}", options_.incarnation,
+               options_.data_centre.value);
+    orders_.start();
+    meta_.start();
+    worker_view_.start();
+    register_host();
+    tick();
+}
+
+bool host_control::ready() const {
+    return config_.generation.value != 0 && !leaving_;
+}
+
+// Registration.
+
+void host_control::register_host() {
+    store_.grant_lease(options_.timing.host_lease, [this, alive = alive_](result<lease_id> lease) {
+        if (!*alive) {
+            return;
+        }
+        if (!lease) {
+            loop_.call_after(options_.timing.region_silence, [this, alive] {
+                if (*alive) {
+                    register_host();
+                }
+            });
+            return;
+        }
+        lease_ = lease.value();
+        put_host_record(lease.value());
+        loop_.call_after(options_.timing.host_lease / 3, [this, alive] {
+            if (*alive) {
+                keep_registration();
+            }
+        });
+    });
+}
+
+void host_control::put_host_record(lease_id lease) {
+    const host_record record{options_.name, options_.incarnation, options_.data_centre,
+                             options_.peer_address, options_.weight};
+    store_transaction put;
+    put.puts.push_back({std::string(hosts_prefix) + options_.name.value, encode(record), lease});
+    store_.commit(std::move(put), [this, alive = alive_](result<transaction_reply> reply) {
+        if (*alive && !reply) {
+            log_.write("event=registration_failed reason={}", to_string(reply.error().kind));
+        }
+    });
+}
+
+// Renews the lease of this host's entry; makes a new one when the store has dropped it.
+void host_control::keep_registration() {
+    const auto again = [this, alive = alive_] {
+        loop_.call_after(options_.timing.host_lease / 3, [this, alive] {
+            if (*alive) {
+                keep_registration();
+            }
+        });
+    };
+    store_.keep_alive(*lease_, [this, alive = alive_, again](result<void> reply) {
+        if (!*alive) {
+            return;
+        }
+        if (!reply && reply.error().kind == error_kind::expired) {
+            log_.write("event=registration_expired");
+            register_host();
+            return;
+        }
+        again();
+    });
+}
+
+// Changes in the store.
+
+void host_control::on_meta_change(const std::string& key, const store_entry* entry) {
+    const auto reject = [&](const error& failure) {
+        counters_.count("unreadable_records");
+        log_.write("event=record_unreadable key={} detail=\"{}\"", key, failure.detail);
+    };
+    if (key.starts_with(hosts_prefix)) {
+        const host_id name{key.substr(hosts_prefix.size())};
+        if (name == options_.name) {
+            if (entry == nullptr && lease_) {
+                // The store took the entry away although this host is alive.
+                log_.write("event=registration_removed");
+                put_host_record({});
+            }
+            return;
+        }
+        if (entry == nullptr) {
+            return; // liveness comes from datagrams; the address stays useful
+        }
+        const auto record = parse_host_record(entry->value);
+        if (!record) {
+            reject(record.error());
+            return;
+        }
+        auto& peer = peers_[name];
+        if (peer.record.incarnation != record.value().incarnation) {
+            peer.heard.reset();
+            log_.write("event=peer_registered peer={} incarnation={}", name.value,
+                       record.value().incarnation);
+        }
+        peer.record = record.value();
+        return;
+    }
+    if (key == shard_list_key) {
+        shard_list_revision_ = entry == nullptr ? revision_number{} : entry->revision;
+        if (entry == nullptr) {
+            return;
+        }
+        auto shards = parse_shards(entry->value);
+        if (!shards) {
+            reject(shards.error());
+            return;
+        }
+        shard_list_ = std::move(shards).value();
+        for (const auto& [id, shard] : owned_) {
+            for (const auto& record : shard_list_) {
+                if (record.id == id) {
+                    shard->state.racks.insert(record.racks.begin(), record.racks.end());
+                    attach_workers(*shard);
+                }
+            }
+        }
+        next_claims_ = loop_.now();
+        return;
+    }
+    if (key.starts_with(claims_prefix) && entry != nullptr) {
+        const shard_id id{key.substr(claims_prefix.size())};
+        const auto record = parse_claim(entry->value);
+        if (!record) {
+            reject(record.error());
+            return;
+        }
+        auto& row = claims_[id];
+        if (entry->revision <= row.revision) {
+            return;
+        }
+        row = {record.value(), entry->revision};
+        const auto own = find_owned(id);
+        if (own && record.value().epoch > own->state.epoch) {
+            drop_shard(id, "claim_taken");
+        }
+        next_claims_ = loop_.now();
+    }
+}
+
+void host_control::on_orders_change(const std::string& key, const store_entry* entry) {
+    const auto& layout = options_.layout;
+    if (key == layout.config_key && entry != nullptr) {
+        auto config = layout.parse_config(entry->value);
+        if (!config) {
+            counters_.count("configurations", "unreadable");
+            log_.write("event=configuration_unreadable detail=\"{}\"", config.error().detail);
+            return;
+        }
+        if (config.value().generation <= config_.generation) {
+            return; // a configuration in force is never replaced by an older one
+        }
+        config_ = std::move(config).value();
+        counters_.count("configurations", "applied");
+        counters_.set("configuration_generation", static_cast<double>(config_.generation.value));
+        log_.write("event=configuration_applied generation={} queues={}", config_.generation.value,
+                   config_.queues.size());
+        return;
+    }
+    if (key.starts_with(layout.evacuations_prefix)) {
+        const data_centre_id data_centre{key.substr(layout.evacuations_prefix.size())};
+        if (entry != nullptr) {
+            evacuated_.insert(data_centre);
+        } else {
+            evacuated_.erase(data_centre);
+        }
+        log_.write("event=data_centre_{} data_centre={}",
+                   entry != nullptr ? "taken_out" : "taken_back", data_centre.value);
+        update_shard_flags();
+    }
+}
+
+void host_control::on_workers_change(const std::string& key, const store_entry* entry) {
+    const worker_id id{key.substr(options_.layout.workers_prefix.size())};
+    if (entry == nullptr) {
+        worker_entries_.erase(id);
+        for (const auto& [name, shard] : owned_) {
+            on_worker_unlisted(shard->state, id, loop_.now());
+        }
+        return;
+    }
+    auto worker = options_.layout.parse_worker(id.value, entry->value);
+    if (!worker) {
+        // Other writers may leave entries here; each is reported once.
+        if (unreadable_.insert(key).second) {
+            counters_.count("unreadable_worker_entries");
+            log_.write("event=worker_entry_unreadable key={} detail=\"{}\"", key,
+                       worker.error().detail);
+        }
+        return;
+    }
+    worker_entries_[id] = worker.value();
+    for (const auto& [name, shard] : owned_) {
+        if (shard->loaded && owns_worker(*shard, worker.value())) {
+            on_worker_entry(shard->state, worker.value(), loop_.now());
+            schedule_shard(shard);
+        }
+    }
+    maintain_shard_list();
+}
+
+// Membership.
+
+bool host_control::is_alive(const peer_row& peer) const {
+    return peer.heard && loop_.now() - *peer.heard <= options_.timing.region_silence &&
+           !peer.status.leaving;
+}
+
+// Returns 0 for the same data centre, 1 for the same region, 2 otherwise.
+int host_control::distance_to(const data_centre_id& data_centre) const {
+    if (data_centre == options_.data_centre) {
+        return 0;
+    }
+    const auto here = options_.regions.find(options_.data_centre);
+    const auto there = options_.regions.find(data_centre);
+    const bool same = here != options_.regions.end() && there != options_.regions.end() &&
+                      here->second == there->second;
+    return same ? 1 : 2;
+}
+
+void host_control::on_datagram(const std::string& datagram) {
+    auto parsed = parse_host_status(datagram);
+    if (!parsed) {
+        counters_.count("datagrams_unreadable");
+        return;
+    }
+    auto& status = parsed.value();
+    if (status.name == options_.name) {
+        return;
+    }
+    auto& peer = peers_[status.name];
+    if (!peer.heard) {
+        log_.write("event=peer_heard peer={}", status.name.value);
+    }
+    peer.heard = loop_.now();
+    peer.status = std::move(status);
+    if (peer.status.orders_revision > orders_.revision() && !orders_.healthy()) {
+        fetch_orders();
+    }
+}
+
+host_status host_control::make_status() const {
+    host_status status;
+    status.name = options_.name;
+    status.incarnation = options_.incarnation;
+    status.data_centre = options_.data_centre;
+    status.leaving = leaving_;
+    status.store_reachable = orders_.healthy();
+    status.generation = config_.generation;
+    status.orders_revision = orders_.revision();
+    for (const auto& [id, shard] : owned_) {
+        if (shard->loaded) {
+            status.shards.push_back(summarize(shard->state));
+        }
+    }
+    return status;
+}
+
+// Sends this host's status to the hosts of its data centre, and, while it owns shards, to all.
+void host_control::gossip() {
+    const auto now = loop_.now();
+    const bool near = now >= next_near_gossip_;
+    const bool far = now >= next_far_gossip_ && (!owned_.empty() || leaving_);
+    if (!near && !far) {
+        return;
+    }
+    const auto datagram = encode(make_status());
+    for (const auto& [name, peer] : peers_) {
+        const bool local = peer.record.data_centre == options_.data_centre;
+        if (peer.record.address.port != 0 && ((local && near) || (!local && far))) {
+            peers_link_.send(peer.record.address, datagram);
+        }
+    }
+    if (near) {
+        next_near_gossip_ = now + options_.timing.near_gossip;
+    }
+    if (far) {
+        next_far_gossip_ = now + options_.timing.far_gossip;
+    }
+}
+
+// Tells whether the operators' orders that this host knows are recent enough for starts: confirmed
+// by the store, by a peer that reaches it and knows no newer ones, or out of reach for all.
+bool host_control::orders_fresh() const {
+    const auto now = loop_.now();
+    if (orders_.confirmed() && now - *orders_.confirmed() <= options_.timing.freshness) {
+        return true;
+    }
+    std::size_t heard = 1;
+    bool reached = false;
+    for (const auto& [name, peer] : peers_) {
+        if (!peer.heard || now - *peer.heard > options_.timing.region_silence) {
+            continue;
+        }
+        ++heard;
+        if (peer.status.store_reachable) {
+            reached = true;
+            if (peer.status.orders_revision <= orders_.revision()) {
+                return true;
+            }
+        }
+    }
+    // Operators write to the same store: when it is out of reach for most hosts, no order is
+    // missed.
+    return !reached && heard * 2 > peers_.size() + 1;
+}
+
+// Asks a peer that knows newer operators' orders for them.
+void host_control::fetch_orders() {
+    if (fetching_orders_) {
+        return;
+    }
+    const peer_row* best = nullptr;
+    for (const auto& [name, peer] : peers_) {
+        const bool usable = is_alive(peer) && peer.status.store_reachable &&
+                            peer.status.orders_revision > orders_.revision();
+        if (usable && (best == nullptr || distance_to(peer.record.data_centre) <
+                                              distance_to(best->record.data_centre))) {
+            best = &peer;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    fetching_orders_ = true;
+    const auto sent = loop_.now();
+    peers_link_.call(best->record.address, "orders", "", options_.timing.peer_timeout,
+                     [this, alive = alive_, sent](result<std::string> reply) {
+                         if (!*alive) {
+                             return;
+                         }
+                         fetching_orders_ = false;
+                         if (!reply) {
+                             return;
+                         }
+                         try {
+                             const auto in = json::parse(reply.value());
+                             std::map<std::string, store_entry> entries;
+                             for (const auto& row : in.at("entries")) {
+                                 const auto key = row.at(0).get<std::string>();
+                                 entries[key] = {key, row.at(1).get<std::string>(),
+                                                 row.at(2).get<revision_number>()};
+                             }
+                             log_.write("event=orders_from_peer revision={}",
+                                        in.at("revision").get<std::uint64_t>());
+                             orders_.merge(entries, in.at("revision").get<revision_number>(), sent);
+                         } catch (const std::exception& failure) {
+                             log_.write("event=orders_unreadable detail=\"{}\"", failure.what());
+                         }
+                     });
+}
+
+void host_control::tick() {
+    gossip();
+    if (loop_.now() >= next_claims_) {
+        maintain_claims();
+    }
+    update_shard_flags();
+    for (const auto& [id, shard] : owned_) {
+        if (shard->loaded) {
+            schedule_shard(shard);
+        }
+    }
+    loop_.call_after(options_.timing.tick, [this, alive = alive_] {
+        if (*alive) {
+            tick();
+        }
+    });
+}
+
+void host_control::update_shard_flags() {
+    const bool fresh = orders_fresh();
+    for (const auto& [id, shard] : owned_) {
+        auto& state = shard->state;
+        const bool open = !evacuated_.contains(state.data_centre);
+        if (state.starts_allowed != fresh || state.data_centre_open != open) {
+            log_.write("event=shard_starts shard={} orders_fresh={} data_centre_open={}", id.value,
+                       fresh, open);
+            state.starts_allowed = fresh;
+            state.data_centre_open = open;
+            state.place_needed = true;
+        }
+    }
+}
+
+void host_control::drain(std::function<void()> done) {
+    log_.write("event=host_leaving shards={}", owned_.size());
+    leaving_ = true;
+    drained_ = std::move(done);
+    next_near_gossip_ = loop_.now();
+    next_far_gossip_ = loop_.now();
+    gossip();
+    maintain_claims();
+}
+
+void host_control::remember(const job_id& id, const shard_id& shard) {
+    if (!located_.insert_or_assign(id, shard).second) {
+        return;
+    }
+    if (located_order_.size() < located_limit) {
+        located_order_.push_back(id);
+        return;
+    }
+    located_.erase(std::exchange(located_order_[located_next_], id));
+    located_next_ = (located_next_ + 1) % located_limit;
+}
+
+host_control::shard_pointer host_control::find_owned(const shard_id& id) const {
+    const auto found = owned_.find(id);
+    return found == owned_.end() ? nullptr : found->second;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/host_gossip.cpp
@@ -0,0 +1,134 @@
+#include "host_gossip.hpp"
+
+#include "fulmar/json.hpp"
+
+namespace fulmar {
+
+namespace {
+
+service_load& find_load(std::vector<service_load>& loads, const service_id& service) {
+    for (auto& load : loads) {
+        if (load.service == service) {
+            return load;
+        }
+    }
+    return loads.emplace_back(service_load{.service = service});
+}
+
+} // namespace
+
+std::string encode(const host_record& record) {
+    return json{{"name", record.name},
+                {"incarnation", record.incarnation},
+                {"data_centre", record.data_centre},
+                {"address", to_string(record.address)},
+                {"weight", record.weight}}
+        .dump();
+}
+
+result<host_record> parse_host_record(std::string_view text) {
+    try {
+        const auto in = json::parse(text);
+        const auto address = parse_address(in.at("address").get<std::string>());
+        if (!address) {
+            return address.error();
+        }
+        return host_record{in.at("name").get<host_id>(), in.at("incarnation").get<std::string>(),
+                           in.at("data_centre").get<data_centre_id>(), address.value(),
+                           in.at("weight").get<std::int64_t>()};
+    } catch (const std::exception& failure) {
+        return error{error_kind::protocol_error, failure.what()};
+    }
+}
+
+std::string encode(const host_status& status) {
+    json shards = json::array();
+    for (const auto& shard : status.shards) {
+        json loads = json::array();
+        for (const auto& load : shard.loads) {
+            loads.push_back(
+                {load.service, load.capacity, load.committed, load.fillers, load.waiting});
+        }
+        json pending = json::array();
+        for (const auto& [queue, count] : shard.pending) {
+            pending.push_back({queue, count});
+        }
+        shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending)});
+    }
+    const json out{status.name,
+                   status.incarnation,
+                   status.data_centre,
+                   status.leaving,
+                   status.store_reachable,
+                   status.generation,
+                   status.orders_revision,
+                   std::move(shards)};
+    std::string text;
+    json::to_msgpack(out, text);
+    return text;
+}
+
+result<host_status> parse_host_status(std::string_view datagram) {
+    try {
+        const auto in = json::from_msgpack(datagram);
+        host_status status;
+        status.name = in.at(0).get<host_id>();
+        status.incarnation = in.at(1).get<std::string>();
+        status.data_centre = in.at(2).get<data_centre_id>();
+        status.leaving = in.at(3).get<bool>();
+        status.store_reachable = in.at(4).get<bool>();
+        status.generation = in.at(5).get<generation_number>();
+        status.orders_revision = in.at(6).get<revision_number>();
+        for (const auto& row : in.at(7)) {
+            shard_status shard;
+            shard.id = row.at(0).get<shard_id>();
+            shard.epoch = row.at(1).get<epoch_number>();
+            for (const auto& load : row.at(2)) {
+                shard.loads.push_back({load.at(0).get<service_id>(), load.at(1).get<std::int64_t>(),
+                                       load.at(2).get<std::int64_t>(),
+                                       load.at(3).get<std::int64_t>(),
+                                       load.at(4).get<std::int64_t>()});
+            }
+            for (const auto& entry : row.at(3)) {
+                shard.pending[entry.at(0).get<queue_id>()] = entry.at(1).get<std::uint64_t>();
+            }
+            status.shards.push_back(std::move(shard));
+        }
+        return status;
+    } catch (const std::exception& failure) {
+        return error{error_kind::protocol_error, failure.what()};
+    }
+}
+
+shard_status summarize(const shard_state& shard) {
+    shard_status status;
+    status.id = shard.id;
+    status.epoch = shard.epoch;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (!worker.listed || worker.entry.draining || worker.contact != reach::reachable) {
+            continue;
+        }
+        auto& load = find_load(status.loads, worker.entry.service);
+        load.capacity += worker.entry.capacity.processors.value;
+        load.committed += worker.committed.processors.value;
+        load.fillers += worker.filler_demand;
+    }
+    for (const auto& id : shard.active) {
+        const auto& job = shard.tables.jobs.at(id);
+        if (job.phase == job_phase::queued) {
+            ++status.pending[job.queue.id];
+        }
+        auto& load = find_load(status.loads, job.queue.service);
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const auto& stage : occurrence.stages) {
+                if (stage.open) {
+                    load.waiting += static_cast<std::int64_t>(stage.waiting.size()) *
+                                    job.spec.steps[stage.step].need.processors.value;
+                }
+            }
+        }
+    }
+    return status;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/host_gossip.hpp
@@ -0,0 +1,60 @@
+// What hosts tell each other in datagrams, and the record of a host in the store.
+#pragma once
+
+#include "fulmar/settings.hpp"
+#include "shard_control.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fulmar {
+
+// A host's entry in the store.
+struct host_record {
+    host_id name;
+    std::string incarnation;
+    data_centre_id data_centre;
+    socket_address address; // for datagrams and calls
+    std::int64_t weight = 100;
+};
+
+// Load of one service's workers in a shard. Processors are in thousandths of a core.
+struct service_load {
+    service_id service;
+    std::int64_t capacity = 0;
+    std::int64_t committed = 0; // by tasks that hold their processors
+    std::int64_t fillers = 0;   // asked for by fillers
+    std::int64_t waiting = 0;   // asked for by tasks that wait for room
+};
+
+struct shard_status {
+    shard_id id;
+    epoch_number epoch;
+    std::vector<service_load> loads;
+    std::map<queue_id, std::uint64_t> pending; // accepted jobs that have not begun
+};
+
+struct host_status {
+    host_id name;
+    std::string incarnation;
+    data_centre_id data_centre;
+    bool leaving = false;
+    bool store_reachable = false;
+    generation_number generation;    // of the configuration in force
+    revision_number orders_revision; // of the newest operators' order that was seen
+    std::vector<shard_status> shards;
+};
+
+std::string encode(const host_record& record);
+result<host_record> parse_host_record(std::string_view text);
+
+// Formats a datagram as MessagePack. Parsing returns protocol_error for anything malformed.
+std::string encode(const host_status& status);
+result<host_status> parse_host_status(std::string_view datagram);
+
+// Sums up a shard's load.
+shard_status summarize(const shard_state& shard);
+
+} // namespace fulmar
--- /dev/null
+++ b/src/host_requests.cpp
@@ -0,0 +1,467 @@
+// Callers' requests: each is passed to the owner of the shard that has, or will have, the job.
+#include "host_control.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// How much fuller a shard of another data centre or region may not be to get a job, in thousandths
+// of its capacity: its traffic between data centres costs more than a little queueing here.
+constexpr std::int64_t distance_penalty[] = {0, 60, 150};
+
+// A caller that is refused because the store or the owner can't be reached comes back after this;
+// takeovers and short outages are over by then.
+constexpr duration unavailable_retry_after{1'000};
+
+enum class request_kind : std::uint8_t { submit, query, cancel };
+
+std::string encode_answer(const submit_answer& answer) {
+    return json{{"outcome", static_cast<int>(answer.outcome)},
+                {"retry_after", answer.retry_after.count()},
+                {"reason", answer.reason}}
+        .dump();
+}
+
+result<submit_answer> parse_answer(const std::string& text) {
+    try {
+        const auto in = json::parse(text);
+        return submit_answer{0, static_cast<submit_outcome>(in.at("outcome").get<int>()),
+                             duration(in.at("retry_after").get<std::int64_t>()),
+                             in.at("reason").get<std::string>()};
+    } catch (const std::exception& failure) {
+        return error{error_kind::protocol_error, failure.what()};
+    }
+}
+
+constexpr std::string_view not_owner = "not_owner";
+
+} // namespace
+
+struct host_control::request {
+    request_kind kind = request_kind::submit;
+    job_id id;
+    queue_spec queue;
+    job_spec spec;
+    time_point began;
+    time_point deadline;
+    bool unsure = false;     // an attempt may have stored the job
+    bool from_index = false; // the shard comes from the store, not from memory
+    std::string last_reason = "no_shard";
+    submit_callback on_submit;
+    phase_callback on_phase;
+};
+
+void host_control::submit(const job_id& id, const queue_spec& queue, job_spec spec,
+                          duration patience, submit_callback done) {
+    auto next = std::make_shared<request>();
+    next->kind = request_kind::submit;
+    next->id = id;
+    next->queue = queue;
+    next->spec = std::move(spec);
+    next->began = loop_.now();
+    next->deadline = next->began + patience;
+    next->on_submit = std::move(done);
+    route_submit(next);
+}
+
+void host_control::query(const job_id& id, duration patience, phase_callback done) {
+    auto next = std::make_shared<request>();
+    next->kind = request_kind::query;
+    next->id = id;
+    next->began = loop_.now();
+    next->deadline = next->began + patience;
+    next->on_phase = std::move(done);
+    locate(next);
+}
+
+void host_control::cancel(const job_id& id, duration patience, phase_callback done) {
+    auto next = std::make_shared<request>();
+    next->kind = request_kind::cancel;
+    next->id = id;
+    next->began = loop_.now();
+    next->deadline = next->began + patience;
+    next->on_phase = std::move(done);
+    locate(next);
+}
+
+std::uint64_t host_control::pending(const queue_id& queue) const {
+    std::uint64_t total = 0;
+    std::set<shard_id> counted;
+    for (const auto& [id, shard] : owned_) {
+        if (!shard->loaded) {
+            continue;
+        }
+        counted.insert(id);
+        const auto status = summarize(shard->state);
+        if (const auto found = status.pending.find(queue); found != status.pending.end()) {
+            total += found->second;
+        }
+    }
+    // Of two hosts that report a shard, the one with the higher epoch owns it.
+    std::map<shard_id, const shard_status*> newest;
+    for (const auto& [name, peer] : peers_) {
+        for (const auto& shard : peer.status.shards) {
+            auto& known = newest[shard.id];
+            if (known == nullptr || known->epoch < shard.epoch) {
+                known = &shard;
+            }
+        }
+    }
+    for (const auto& [id, status] : newest) {
+        const auto found = status->pending.find(queue);
+        if (!counted.contains(id) && found != status->pending.end()) {
+            total += found->second;
+        }
+    }
+    return total;
+}
+
+// Calls `again` after a pause, or answers that the request can't be served now when its deadline
+// is too near.
+void host_control::retry_request(const request_pointer& request, std::function<void()> again) {
+    const auto pause = options_.timing.request_retry;
+    if (loop_.now() + pause < request->deadline) {
+        loop_.call_after(pause, [alive = alive_, again = std::move(again)] {
+            if (*alive) {
+                again();
+            }
+        });
+        return;
+    }
+    counters_.count("requests_unserved", request->last_reason);
+    log_.write("event=request_unserved kind={} job={} reason={} waited_ms={}",
+               static_cast<int>(request->kind), request->id.value, request->last_reason,
+               (loop_.now() - request->began).count());
+    if (request->kind == request_kind::submit) {
+        const auto outcome =
+            request->unsure ? submit_outcome::unknown : submit_outcome::unavailable;
+        request->on_submit({0, outcome, unavailable_retry_after, request->last_reason});
+    } else {
+        request->on_phase(error{error_kind::unavailable, request->last_reason});
+    }
+}
+
+// Chooses the shard with the least load for its capacity, near ones first.
+std::optional<shard_id> host_control::choose_shard(const request& request) const {
+    struct option {
+        std::int64_t load;
+        shard_id id;
+    };
+    std::optional<option> best;
+    const auto consider = [&](const shard_status& status) {
+        const auto record =
+            std::find_if(shard_list_.begin(), shard_list_.end(),
+                         [&](const shard_record& row) { return row.id == status.id; });
+        if (record == shard_list_.end() || evacuated_.contains(record->data_centre)) {
+            return;
+        }
+        for (const auto& load : status.loads) {
+            if (load.service != request.queue.service || load.capacity == 0) {
+                continue;
+            }
+            const auto used = load.committed + load.fillers + load.waiting;
+            const auto distance = distance_to(record->data_centre);
+            const auto next =
+                option{used * 1000 / load.capacity + distance_penalty[distance], status.id};
+            if (!best || std::tie(next.load, next.id) < std::tie(best->load, best->id)) {
+                best = next;
+            }
+        }
+    };
+    for (const auto& [id, shard] : owned_) {
+        if (shard->loaded) {
+            consider(summarize(shard->state));
+        }
+    }
+    for (const auto& [name, peer] : peers_) {
+        if (!is_alive(peer)) {
+            continue;
+        }
+        for (const auto& status : peer.status.shards) {
+            if (!owned_.contains(status.id)) {
+                consider(status);
+            }
+        }
+    }
+    if (best) {
+        return best->id;
+    }
+    return std::nullopt;
+}
+
+const host_control::peer_row* host_control::find_owner(const shard_id& id) const {
+    const auto claim = claims_.find(id);
+    if (claim == claims_.end()) {
+        return nullptr;
+    }
+    const auto& owner = claim->second.record.owner.value;
+    const auto peer = peers_.find(host_id{owner.substr(0, owner.find('/'))});
+    return peer == peers_.end() ? nullptr : &peer->second;
+}
+
+void host_control::route_submit(const request_pointer& request) {
+    const auto shard = choose_shard(*request);
+    if (!shard) {
+        retry_request(request, [this, request] { route_submit(request); });
+        return;
+    }
+    submit_to(request, *shard);
+}
+
+void host_control::submit_to(const request_pointer& request, const shard_id& shard) {
+    const auto finish = [this, request, shard](const submit_answer& answer) {
+        const bool elsewhere =
+            answer.outcome == submit_outcome::unknown ||
+            (answer.outcome == submit_outcome::unavailable && answer.reason == not_owner);
+        if (elsewhere) {
+            request->unsure = request->unsure || answer.outcome == submit_outcome::unknown;
+            request->last_reason = answer.reason;
+            retry_request(request, [this, request] { route_submit(request); });
+            return;
+        }
+        auto final = answer;
+        if (request->unsure && answer.outcome != submit_outcome::accepted) {
+            final.outcome = submit_outcome::unknown;
+        }
+        if (answer.outcome == submit_outcome::accepted && answer.reason.empty()) {
+            remember(request->id, shard);
+        }
+        log_.write("event=hand_in job={} queue={} shard={} outcome={} reason={} ms={}",
+                   request->id.value, request->queue.id.value, shard.value,
+                   static_cast<int>(final.outcome), final.reason,
+                   (loop_.now() - request->began).count());
+        counters_.observe("hand_in_ms",
+                          static_cast<double>((loop_.now() - request->began).count()));
+        request->on_submit(final);
+    };
+    if (const auto own = find_owned(shard)) {
+        submit_local(own, request->id, request->queue, request->spec, finish);
+        return;
+    }
+    const auto* owner = find_owner(shard);
+    if (owner == nullptr || owner->record.address.port == 0) {
+        retry_request(request, [this, request] { route_submit(request); });
+        return;
+    }
+    const json body{{"shard", shard},
+                    {"job", request->id},
+                    {"queue", encode_queue(request->queue)},
+                    {"spec", encode_spec(request->spec)}};
+    const auto limit = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
+    peers_link_.call(
+        owner->record.address, "submit", body.dump(), limit,
+        [alive = alive_, finish](const result<std::string>& reply) {
+            if (!*alive) {
+                return;
+            }
+            const auto answer =
+                reply ? parse_answer(reply.value()) : result<submit_answer>(reply.error());
+            if (answer) {
+                finish(answer.value());
+            } else if (answer.error().kind == error_kind::unavailable) {
+                finish({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+            } else {
+                finish({0, submit_outcome::unknown, duration(0), "owner_silent"});
+            }
+        });
+}
+
+void host_control::submit_local(const shard_pointer& shard, const job_id& id,
+                                const queue_spec& queue, const job_spec& spec,
+                                submit_callback done) {
+    if (!shard->loaded) {
+        shard->waiting.push_back([this, name = shard->state.id, id, queue, spec, done] {
+            const auto again = find_owned(name);
+            if (again && again->loaded) {
+                submit_local(again, id, queue, spec, done);
+            } else {
+                done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+            }
+        });
+        return;
+    }
+    if (shard->state.releasing) {
+        done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+        return;
+    }
+    const auto token = next_token_++;
+    submit_waiting_[token] = std::move(done);
+    submit_job(shard->state, id, queue, spec, token, loop_.now(), loop_.unix_now());
+    schedule_shard(shard);
+}
+
+// Finds out which shard has a job: from memory, or from the index in the store.
+void host_control::locate(const request_pointer& request) {
+    for (const auto& [id, shard] : owned_) {
+        if (shard->loaded && shown_phase(shard->state, request->id)) {
+            ask_owner(request, id);
+            return;
+        }
+    }
+    const auto known = located_.find(request->id);
+    if (known != located_.end() && !request->from_index) {
+        ask_owner(request, known->second);
+        return;
+    }
+    store_.get(job_index_key(request->id),
+               [this, alive = alive_, request](result<std::optional<store_entry>> entry) {
+                   if (!*alive) {
+                       return;
+                   }
+                   if (!entry) {
+                       request->last_reason = "store";
+                       retry_request(request, [this, request] { locate(request); });
+                       return;
+                   }
+                   if (!entry.value()) {
+                       request->on_phase(error{error_kind::not_found, "no such job"});
+                       return;
+                   }
+                   const shard_id shard{entry.value()->value};
+                   remember(request->id, shard);
+                   request->from_index = true;
+                   ask_owner(request, shard);
+               });
+}
+
+void host_control::ask_owner(const request_pointer& request, const shard_id& shard) {
+    const auto finish = [this, request](result<job_phase> phase) {
+        if (phase) {
+            counters_.observe("ask_ms",
+                              static_cast<double>((loop_.now() - request->began).count()));
+            request->on_phase(phase);
+            return;
+        }
+        request->last_reason = phase.error().detail;
+        // A job that its supposed owner doesn't know may have moved or been removed: the index
+        // tells, so the memory isn't trusted again.
+        request->from_index = true;
+        retry_request(request, [this, request] { locate(request); });
+    };
+    const bool cancel = request->kind == request_kind::cancel;
+    if (const auto own = find_owned(shard)) {
+        ask_local(own, request->id, cancel, finish);
+        return;
+    }
+    const auto* owner = find_owner(shard);
+    if (owner == nullptr || owner->record.address.port == 0) {
+        finish(error{error_kind::unavailable, "owner_unknown"});
+        return;
+    }
+    const json body{{"shard", shard}, {"job", request->id}};
+    const auto limit = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
+    peers_link_.call(
+        owner->record.address, cancel ? "cancel" : "phase", body.dump(), limit,
+        [alive = alive_, finish](const result<std::string>& reply) {
+            if (!*alive) {
+                return;
+            }
+            if (!reply) {
+                finish(error{error_kind::unavailable, "owner_silent"});
+                return;
+            }
+            try {
+                const auto in = json::parse(reply.value());
+                if (in.contains("phase")) {
+                    finish(static_cast<job_phase>(in.at("phase").get<int>()));
+                } else {
+                    finish(error{error_kind::unavailable, in.at("error").get<std::string>()});
+                }
+            } catch (const std::exception&) {
+                finish(error{error_kind::unavailable, "reply_unreadable"});
+            }
+        });
+}
+
+void host_control::ask_local(const shard_pointer& shard, const job_id& id, bool cancel,
+                             phase_callback done) {
+    if (!shard->loaded) {
+        shard->waiting.push_back([this, name = shard->state.id, id, cancel, done] {
+            const auto again = find_owned(name);
+            if (again && again->loaded) {
+                ask_local(again, id, cancel, done);
+            } else {
+                done(error{error_kind::unavailable, "owner_changed"});
+            }
+        });
+        return;
+    }
+    const auto phase = shown_phase(shard->state, id);
+    if (!phase) {
+        done(error{error_kind::not_found, "job_unknown_here"});
+        return;
+    }
+    if (!cancel || has_ended(*phase)) {
+        done(*phase);
+        return;
+    }
+    const auto token = next_token_++;
+    cancel_waiting_[token] = std::move(done);
+    cancel_job(shard->state, id, token, loop_.now(), loop_.unix_now());
+    schedule_shard(shard);
+}
+
+// Peers' calls.
+
+void host_control::answer_submit_call(const std::string& body, const peer_reply& reply) {
+    try {
+        const auto in = json::parse(body);
+        const auto shard = find_owned(in.at("shard").get<shard_id>());
+        const auto done = [reply](const submit_answer& answer) { reply(encode_answer(answer)); };
+        if (!shard) {
+            done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+            return;
+        }
+        submit_local(shard, in.at("job").get<job_id>(), decode_queue(in.at("queue")),
+                     decode_spec(in.at("spec")), done);
+    } catch (const std::exception& failure) {
+        reply(error{error_kind::protocol_error, failure.what()});
+    }
+}
+
+void host_control::answer_phase_call(const std::string& body, const peer_reply& reply,
+                                     bool cancel) {
+    try {
+        const auto in = json::parse(body);
+        const auto shard = find_owned(in.at("shard").get<shard_id>());
+        if (!shard) {
+            reply(json{{"error", not_owner}}.dump());
+            return;
+        }
+        ask_local(shard, in.at("job").get<job_id>(), cancel, [reply](result<job_phase> phase) {
+            if (phase) {
+                reply(json{{"phase", static_cast<int>(phase.value())}}.dump());
+            } else {
+                reply(json{{"error", phase.error().detail}}.dump());
+            }
+        });
+    } catch (const std::exception& failure) {
+        reply(error{error_kind::protocol_error, failure.what()});
+    }
+}
+
+void host_control::on_peer_call(const std::string& method, const std::string& body,
+                                peer_reply reply) {
+    if (method == "submit") {
+        answer_submit_call(body, reply);
+    } else if (method == "phase" || method == "cancel") {
+        answer_phase_call(body, reply, method == "cancel");
+    } else if (method == "claims") {
+        // A shard was handed over to this host; its view of the claims may lag.
+        next_claims_ = loop_.now();
+        reply(std::string());
+    } else if (method == "orders") {
+        json entries = json::array();
+        for (const auto& [key, entry] : orders_.entries()) {
+            entries.push_back({key, entry.value, entry.revision});
+        }
+        reply(json{{"revision", orders_.revision()}, {"entries", std::move(entries)}}.dump());
+    } else {
+        reply(error{error_kind::invalid_argument, "unknown method " + method});
+    }
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/host_shards.cpp
@@ -0,0 +1,488 @@
+// Ownership of shards: who claims, loads, drives and hands over.
+#include "host_control.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+constexpr duration claims_interval{200};
+
+// Splits "name/incarnation".
+host_id name_of(const host_id& owner) {
+    return {owner.value.substr(0, owner.value.find('/'))};
+}
+
+std::uint64_t rendezvous(const shard_id& shard, const host_id& host) {
+    const auto text = shard.value + "|" + host.value;
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+// Adds racks that no shard has yet. One value lists all shards, so that two hosts never assign a
+// rack differently.
+void host_control::maintain_shard_list() {
+    if (!worker_view_.loaded() || !meta_.loaded() || shard_list_write_ || leaving_) {
+        return;
+    }
+    std::map<std::pair<data_centre_id, rack_id>, std::size_t> racks;
+    for (const auto& [id, worker] : worker_entries_) {
+        ++racks[{worker.data_centre, worker.rack}];
+    }
+    auto next = shard_list_;
+    const auto size_of = [&](const shard_record& shard) {
+        std::size_t size = 0;
+        for (const auto& rack : shard.racks) {
+            const auto found = racks.find({shard.data_centre, rack});
+            size += found == racks.end() ? 0 : found->second;
+        }
+        return size;
+    };
+    bool changed = false;
+    for (const auto& [place, count] : racks) {
+        const auto& [data_centre, rack] = place;
+        shard_record* home = nullptr;
+        bool known = false;
+        std::size_t number = 0;
+        for (auto& shard : next) {
+            if (shard.data_centre != data_centre) {
+                continue;
+            }
+            ++number;
+            known = known ||
+                    std::find(shard.racks.begin(), shard.racks.end(), rack) != shard.racks.end();
+            if (size_of(shard) < options_.workers_per_shard) {
+                home = &shard;
+            }
+        }
+        if (known) {
+            continue;
+        }
+        changed = true;
+        if (home != nullptr) {
+            home->racks.push_back(rack);
+        } else {
+            next.push_back(
+                {{data_centre.value + "." + std::to_string(number)}, data_centre, {rack}});
+        }
+    }
+    if (!changed) {
+        return;
+    }
+    shard_list_write_ = true;
+    store_transaction put;
+    put.conditions.push_back({std::string(shard_list_key), shard_list_revision_});
+    put.puts.push_back({std::string(shard_list_key), encode(next), {}});
+    log_.write("event=shard_list_extended shards={}", next.size());
+    store_.commit(std::move(put), [this, alive = alive_](result<transaction_reply>) {
+        if (!*alive) {
+            return;
+        }
+        // The view shows the outcome; a lost race or reply is retried from what it shows.
+        loop_.call_after(options_.timing.near_silence, [this, alive] {
+            if (*alive) {
+                shard_list_write_ = false;
+                maintain_shard_list();
+            }
+        });
+    });
+}
+
+std::size_t host_control::count_owned(const host_id& owner) const {
+    return static_cast<std::size_t>(
+        std::count_if(claims_.begin(), claims_.end(),
+                      [&](const auto& row) { return name_of(row.second.record.owner) == owner; }));
+}
+
+// Returns the host that should own a shard: of the nearest live hosts the one with the fewest
+// shards for its processor share; ties go to the highest rendezvous hash.
+host_id host_control::choose_owner(const shard_record& shard, const host_id& except) const {
+    struct option {
+        int distance;
+        double load;
+        std::uint64_t hash;
+        host_id name;
+    };
+    const auto region_of = [&](const data_centre_id& data_centre) {
+        const auto found = options_.regions.find(data_centre);
+        return found == options_.regions.end() ? region_id{} : found->second;
+    };
+    const auto make = [&](const host_id& name, const data_centre_id& data_centre,
+                          std::int64_t weight) {
+        const int distance = data_centre == shard.data_centre                         ? 0
+                             : region_of(data_centre) == region_of(shard.data_centre) ? 1
+                                                                                      : 2;
+        const auto load = static_cast<double>(count_owned(name) + 1) /
+                          static_cast<double>(std::max<std::int64_t>(1, weight));
+        return option{distance, load, rendezvous(shard.id, name), name};
+    };
+    std::optional<option> best;
+    const auto consider = [&](const option& next) {
+        if (next.name == except) {
+            return;
+        }
+        if (!best || std::tie(next.distance, next.load, best->hash, next.name) <
+                         std::tie(best->distance, best->load, next.hash, best->name)) {
+            best = next;
+        }
+    };
+    if (!leaving_) {
+        consider(make(options_.name, options_.data_centre, options_.weight));
+    }
+    for (const auto& [name, peer] : peers_) {
+        if (is_alive(peer) && peer.status.incarnation == peer.record.incarnation) {
+            consider(make(name, peer.record.data_centre, peer.record.weight));
+        }
+    }
+    return best ? best->name : host_id{};
+}
+
+// Tells whether this host should claim a shard now.
+bool host_control::should_claim(const shard_record& shard, const claim_record* claim) const {
+    const auto now = loop_.now();
+    const auto& timing = options_.timing;
+    const int distance = distance_to(shard.data_centre);
+    const auto silence = distance == 0   ? timing.near_silence
+                         : distance == 1 ? timing.region_silence
+                                         : timing.far_silence;
+    const bool released = claim == nullptr || claim->owner.value.empty();
+    if (released) {
+        // Nearer hosts go first; they may not have started yet.
+        return choose_owner(shard, {}) == options_.name &&
+               now >= started_ + (distance == 0 ? timing.near_gossip * 2 : silence);
+    }
+    const auto owner = name_of(claim->owner);
+    if (owner == options_.name) {
+        return claim->owner != self_; // an earlier run of this host
+    }
+    const auto peer = peers_.find(owner);
+    const auto heard = peer != peers_.end() && peer->second.heard
+                           ? std::max(*peer->second.heard, started_)
+                           : started_;
+    const bool restarted =
+        peer != peers_.end() && !peer->second.record.incarnation.empty() &&
+        claim->owner.value != owner.value + "/" + peer->second.record.incarnation;
+    if (restarted && now >= started_ + timing.near_gossip * 2) {
+        return choose_owner(shard, {}) == options_.name;
+    }
+    if (now - heard <= silence) {
+        return false;
+    }
+    return choose_owner(shard, owner) == options_.name || now - heard > silence * 2;
+}
+
+void host_control::maintain_claims() {
+    next_claims_ = loop_.now() + claims_interval;
+    if (!meta_.loaded()) {
+        return;
+    }
+    if (leaving_) {
+        bool left = true;
+        for (const auto& [id, shard] : std::map(owned_)) {
+            transfer_shard(shard);
+            left = false;
+        }
+        if (left && drained_) {
+            std::exchange(drained_, {})();
+        }
+        return;
+    }
+    for (const auto& shard : std::vector(shard_list_)) {
+        if (owned_.contains(shard.id) || claiming_.contains(shard.id)) {
+            continue;
+        }
+        const auto row = claims_.find(shard.id);
+        const auto* claim = row == claims_.end() ? nullptr : &row->second.record;
+        const auto revision = row == claims_.end() ? revision_number{} : row->second.revision;
+        if (claim != nullptr && claim->owner == self_) {
+            begin_shard(shard, claim->epoch, revision); // handed over to this host
+        } else if (should_claim(shard, claim)) {
+            claim_shard(shard, claim, revision);
+        }
+    }
+}
+
+void host_control::claim_shard(const shard_record& shard, const claim_record* claim,
+                               revision_number revision) {
+    const claim_record next{self_, {claim == nullptr ? 1 : claim->epoch.value + 1}};
+    claiming_.insert(shard.id);
+    log_.write("event=claim_attempt shard={} epoch={} previous_owner={}", shard.id.value,
+               next.epoch.value, claim == nullptr ? "" : claim->owner.value);
+    store_transaction put;
+    put.conditions.push_back({claim_key(shard.id), revision});
+    put.puts.push_back({claim_key(shard.id), encode(next), {}});
+    store_.commit(std::move(put),
+                  [this, alive = alive_, shard, next](result<transaction_reply> reply) {
+                      if (!*alive) {
+                          return;
+                      }
+                      claiming_.erase(shard.id);
+                      counters_.count("claims", !reply ? to_string(reply.error().kind)
+                                                : reply.value().applied ? "applied"
+                                                                        : "conflict");
+                      // Without an answer the view shows whether the claim took effect.
+                      if (reply && reply.value().applied) {
+                          const auto applied = *reply.value().applied;
+                          claims_[shard.id] = {next, applied};
+                          begin_shard(shard, next.epoch, applied);
+                      }
+                  });
+}
+
+void host_control::begin_shard(const shard_record& shard, epoch_number epoch,
+                               revision_number revision) {
+    if (owned_.contains(shard.id)) {
+        return;
+    }
+    log_.write("event=shard_claimed shard={} epoch={}", shard.id.value, epoch.value);
+    auto next = std::make_shared<owned_shard>();
+    next->state = make_shard(shard, self_, epoch, revision, options_.shard, counters_, log_);
+    owned_.emplace(shard.id, next);
+    load_shard_page(next, "");
+}
+
+void host_control::load_shard_page(const shard_pointer& shard, const std::string& after) {
+    store_.list(data_prefix(shard->state.id), after, read_mode::linearizable,
+                [this, alive = alive_, shard, after](result<store_page> page) {
+                    if (!*alive || shard->state.lost) {
+                        return;
+                    }
+                    if (!page) {
+                        loop_.call_after(options_.shard.commit_retry, [this, alive, shard, after] {
+                            if (*alive && !shard->state.lost) {
+                                load_shard_page(shard, after);
+                            }
+                        });
+                        return;
+                    }
+                    auto& got = page.value();
+                    for (auto& entry : got.entries) {
+                        shard->loading.push_back(std::move(entry));
+                    }
+                    if (got.more && !shard->loading.empty()) {
+                        load_shard_page(shard, shard->loading.back().key);
+                        return;
+                    }
+                    load_shard(shard->state, shard->loading);
+                    shard->loading = {};
+                    shard->loaded = true;
+                    shard->state.claim_confirmed = loop_.now();
+                    attach_workers(*shard);
+                    update_shard_flags();
+                    schedule_shard(shard);
+                    for (const auto& waiting : std::exchange(shard->waiting, {})) {
+                        waiting();
+                    }
+                });
+}
+
+bool host_control::owns_worker(const owned_shard& shard, const worker_entry& worker) const {
+    return worker.data_centre == shard.state.data_centre && shard.state.racks.contains(worker.rack);
+}
+
+void host_control::attach_workers(owned_shard& shard) {
+    if (!shard.loaded) {
+        return;
+    }
+    for (const auto& [id, worker] : worker_entries_) {
+        if (owns_worker(shard, worker)) {
+            on_worker_entry(shard.state, worker, loop_.now());
+        }
+    }
+}
+
+void host_control::drop_shard(const shard_id& id, std::string_view reason) {
+    const auto found = owned_.find(id);
+    if (found == owned_.end()) {
+        return;
+    }
+    const auto shard = found->second;
+    owned_.erase(found);
+    shard->state.lost = true;
+    log_.write("event=shard_dropped shard={} epoch={} reason={}", id.value,
+               shard->state.epoch.value, reason);
+    counters_.count("shards_dropped", reason);
+    // Whether an unanswered hand-in or cancellation was stored is for the next owner to tell.
+    for (const auto& [job, tokens] : shard->state.hand_ins) {
+        for (const auto token : tokens) {
+            const auto waiting = submit_waiting_.extract(token);
+            if (!waiting.empty()) {
+                waiting.mapped()({token, submit_outcome::unknown, duration(0), "owner_changed"});
+            }
+        }
+    }
+    for (const auto& [job, tokens] : shard->state.cancellations) {
+        for (const auto token : tokens) {
+            const auto waiting = cancel_waiting_.extract(token);
+            if (!waiting.empty()) {
+                waiting.mapped()(error{error_kind::unavailable, "the shard's owner changed"});
+            }
+        }
+    }
+    for (const auto& waiting : std::exchange(shard->waiting, {})) {
+        waiting();
+    }
+    next_claims_ = loop_.now();
+}
+
+// Hands a shard over to another host once everything is stored.
+void host_control::transfer_shard(const shard_pointer& shard) {
+    auto& state = shard->state;
+    if (!shard->loaded || shard->transferring) {
+        return;
+    }
+    state.releasing = true;
+    schedule_shard(shard);
+    if (!is_clean(state)) {
+        return;
+    }
+    shard_record record{state.id, state.data_centre, {}};
+    const auto successor = choose_owner(record, options_.name);
+    claim_record next{{}, state.epoch};
+    if (!successor.value.empty()) {
+        next = {{successor.value + "/" + peers_.at(successor).record.incarnation},
+                {state.epoch.value + 1}};
+    }
+    shard->transferring = true;
+    log_.write("event=shard_handed_over shard={} epoch={} successor={}", state.id.value,
+               next.epoch.value, next.owner.value);
+    store_transaction put;
+    put.conditions.push_back({claim_key(state.id), state.claim_revision});
+    put.conditions.push_back({head_key(state.id), state.head_revision});
+    put.puts.push_back({claim_key(state.id), encode(next), {}});
+    store_.commit(std::move(put), [this, alive = alive_, shard, next,
+                                   successor](result<transaction_reply> reply) {
+        if (!*alive) {
+            return;
+        }
+        shard->transferring = false;
+        if (!reply) {
+            return; // tried again with the next round
+        }
+        if (reply.value().applied) {
+            claims_[shard->state.id] = {next, *reply.value().applied};
+            if (const auto peer = peers_.find(successor); peer != peers_.end()) {
+                peers_link_.call(peer->second.record.address, "claims", "",
+                                 options_.timing.peer_timeout, [](const result<std::string>&) {});
+            }
+        }
+        drop_shard(shard->state.id, "handed_over");
+        maintain_claims();
+    });
+}
+
+// Driving a shard.
+
+void host_control::schedule_shard(const shard_pointer& shard) {
+    if (std::exchange(shard->run_pending, true)) {
+        return;
+    }
+    loop_.call_after(duration(0), [this, alive = alive_, shard] {
+        if (*alive) {
+            shard->run_pending = false;
+            run_shard(shard);
+        }
+    });
+}
+
+void host_control::run_shard(const shard_pointer& shard) {
+    if (!shard->loaded || shard->state.lost) {
+        if (shard->state.lost && find_owned(shard->state.id) == shard) {
+            drop_shard(shard->state.id, "lost");
+        }
+        return;
+    }
+    shard_actions actions;
+    advance(shard->state, loop_.now(), loop_.unix_now(), actions);
+    execute(shard, actions);
+    if (needs_claim_check(shard->state, loop_.now())) {
+        check_claim(shard);
+    }
+}
+
+// Reads the claim, so that an owner that reaches few of its workers knows whether it is still one.
+void host_control::check_claim(const shard_pointer& shard) {
+    if (shard->checking) {
+        return;
+    }
+    shard->checking = true;
+    const auto sent = loop_.now();
+    store_.get(claim_key(shard->state.id), [this, alive = alive_, shard,
+                                            sent](result<std::optional<store_entry>> entry) {
+        if (!*alive) {
+            return;
+        }
+        loop_.call_after(options_.shard.commit_retry, [shard] { shard->checking = false; });
+        if (!entry || !entry.value()) {
+            return;
+        }
+        if (entry.value()->revision == shard->state.claim_revision) {
+            shard->state.claim_confirmed = sent;
+        }
+    });
+}
+
+void host_control::execute(const shard_pointer& shard, shard_actions& actions) {
+    for (auto& action : actions.holds) {
+        const auto id = action.target.id;
+        const auto sent = loop_.now();
+        workers_.hold(action.target, action.order,
+                      [this, alive = alive_, shard, id, sent](result<hold_reply> reply) {
+                          if (*alive) {
+                              on_hold_reply(shard->state, id, reply, sent, loop_.now(),
+                                            loop_.unix_now());
+                              schedule_shard(shard);
+                          }
+                      });
+    }
+    for (auto& action : actions.starts) {
+        const auto run = action.order.run;
+        workers_.start(action.target, action.order,
+                       [this, alive = alive_, shard, run](result<order_reply> reply) {
+                           if (*alive) {
+                               on_start_reply(shard->state, run, reply, loop_.now());
+                               schedule_shard(shard);
+                           }
+                       });
+    }
+    for (auto& action : actions.stops) {
+        const auto run = action.order.run;
+        workers_.stop(action.target, action.order,
+                      [this, alive = alive_, shard, run](result<order_reply> reply) {
+                          if (*alive) {
+                              on_stop_reply(shard->state, run, reply, loop_.now());
+                              schedule_shard(shard);
+                          }
+                      });
+    }
+    if (actions.commit) {
+        const auto sent = loop_.now();
+        store_.commit(std::move(*actions.commit),
+                      [this, alive = alive_, shard, sent](result<transaction_reply> reply) {
+                          if (*alive) {
+                              on_commit_reply(shard->state, reply, sent, loop_.now());
+                              schedule_shard(shard);
+                          }
+                      });
+    }
+    for (const auto& answer : actions.submit_answers) {
+        const auto waiting = submit_waiting_.extract(answer.token);
+        if (!waiting.empty()) {
+            waiting.mapped()(answer);
+        }
+    }
+    for (const auto& answer : actions.cancel_answers) {
+        const auto waiting = cancel_waiting_.extract(answer.token);
+        if (!waiting.empty()) {
+            waiting.mapped()(answer.known ? result<job_phase>(job_phase::cancelled)
+                                          : error{error_kind::not_found, "no such job"});
+        }
+    }
+}
+
+} // namespace fulmar
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -49,6 +49,12 @@
     }
 }
 
+http_client::http_client(asio::io_context& io)
+    : state_(std::make_unique<state>()) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    state_->threads.push_back(std::make_shared<client_thread>(io));
+}
+
 http_client::~http_client() {
     for (const auto& thread : state_->threads) {
         thread->stop();
--- a/src/http_client_thread.cpp
+++ b/src/http_client_thread.cpp
@@ -20,7 +20,20 @@
 } // namespace
 
 client_thread::client_thread()
-    : multi_(curl_multi_init()) {
+    : own_io_(std::make_unique<asio::io_context>(1))
+    , io_(*own_io_)
+    , multi_(curl_multi_init()) {
+    prepare();
+    thread_ = std::thread([this] { run(); });
+}
+
+client_thread::client_thread(asio::io_context& io)
+    : io_(io)
+    , multi_(curl_multi_init()) {
+    prepare();
+}
+
+void client_thread::prepare() {
     assert(multi_ != nullptr);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, on_socket);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
@@ -28,7 +41,6 @@
     curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kept_connections);
     curl_multi_setopt(multi_, CURLMOPT_PIPELINING, static_cast<long>(CURLPIPE_NOTHING));
-    thread_ = std::thread([this] { run(); });
 }
 
 client_thread::~client_thread() {
@@ -84,8 +96,12 @@
             return;
         }
     }
-    io_.stop();
-    thread_.join();
+    if (own_io_) {
+        io_.stop();
+        thread_.join();
+    } else {
+        end_all();
+    }
 }
 
 // Called by libcurl when it wants other events of a socket.
@@ -241,11 +257,15 @@
     }
 }
 
-// Runs transfers until stop, then ends those in progress. Their callbacks may submit more, which
-// are ended as well.
+// Runs transfers until stop, then ends those in progress.
 void client_thread::run() {
     const auto work = asio::make_work_guard(io_);
     io_.run();
+    end_all();
+}
+
+// Ends the transfers in progress and those that their callbacks start.
+void client_thread::end_all() {
     bool more = true;
     while (more) {
         start_submitted();
--- a/src/http_client_thread.hpp
+++ b/src/http_client_thread.hpp
@@ -1,4 +1,4 @@
-// One thread of the HTTP client: an Asio loop that drives libcurl's multi interface.
+// An Asio loop that drives libcurl's multi interface, on a thread of its own or on the caller's.
 #pragma once
 
 #include "http_transfer.hpp"
@@ -17,6 +17,9 @@
 class client_thread {
   public:
     client_thread();
+
+    // Uses the caller's loop, whose thread makes and ends all calls.
+    explicit client_thread(asio::io_context& io);
     ~client_thread();
     client_thread(const client_thread&) = delete;
     client_thread& operator=(const client_thread&) = delete;
@@ -52,9 +55,12 @@
     void start(std::shared_ptr<transfer> next);
     void complete(CURL* easy, CURLcode code);
     void collect_finished();
+    void prepare();
     void run();
+    void end_all();
 
-    asio::io_context io_{1};
+    std::unique_ptr<asio::io_context> own_io_;
+    asio::io_context& io_;
     asio::steady_timer timer_{io_};
     CURLM* multi_ = nullptr;
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> sockets_;
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -11,6 +11,10 @@
                           : prometheus::Labels{{"reason", std::string(reason)}};
 }
 
+// Bounds in milliseconds: from one hop within a data centre to a caller's longest patience.
+const prometheus::Histogram::BucketBoundaries millisecond_bounds{
+    1, 2, 5, 10, 20, 50, 100, 200, 500, 1'000, 2'000, 5'000, 10'000};
+
 } // namespace
 
 metrics::metrics()
@@ -36,6 +40,19 @@
     found->second->Set(value);
 }
 
+void metrics::observe(std::string_view name, double milliseconds, std::string_view reason) {
+    const std::lock_guard lock(mutex_);
+    auto found = histograms_.find(series_view{name, reason});
+    if (found == histograms_.end()) {
+        auto& family = prometheus::BuildHistogram().Name(std::string(name)).Register(*registry_);
+        found = histograms_
+                    .emplace(series{name, reason},
+                             &family.Add(reason_label(reason), millisecond_bounds))
+                    .first;
+    }
+    found->second->Observe(milliseconds);
+}
+
 double metrics::value(std::string_view name, std::string_view reason) const {
     const std::lock_guard lock(mutex_);
     const auto found = counters_.find(series_view{name, reason});
--- /dev/null
+++ b/src/net_peer_link.cpp
@@ -0,0 +1,138 @@
+#include "net_peer_link.hpp"
+
+#include <asio/ip/udp.hpp>
+#include <asio/post.hpp>
+
+#include <array>
+
+namespace fulmar {
+
+namespace {
+
+// A status of 60 shards fits; larger datagrams are cut and fail to parse.
+constexpr std::size_t datagram_limit_bytes = 16 * 1024;
+
+// A job of 20,000 tasks, or all operators' orders.
+constexpr std::size_t call_limit_bytes = 8 * 1024 * 1024;
+
+constexpr duration connect_timeout{400};
+
+constexpr std::string_view call_prefix = "/peer/";
+
+} // namespace
+
+struct net_peer_link::state {
+    asio::io_context& io;
+    http_client& http;
+    peer_handlers handlers;
+    asio::ip::udp::socket socket;
+    asio::ip::udp::endpoint sender;
+    std::array<char, datagram_limit_bytes> buffer{};
+    std::unique_ptr<http_server> server;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+
+    void receive() {
+        socket.async_receive_from(
+            asio::buffer(buffer), sender,
+            [this, alive = alive](const asio::error_code& failure, std::size_t size) {
+                if (!*alive || failure == asio::error::operation_aborted) {
+                    return;
+                }
+                if (!failure) {
+                    handlers.on_datagram(std::string(buffer.data(), size));
+                }
+                receive();
+            });
+    }
+};
+
+net_peer_link::net_peer_link(std::unique_ptr<state> initial)
+    : state_(std::move(initial)) {}
+
+net_peer_link::~net_peer_link() {
+    *state_->alive = false;
+    state_->server.reset();
+}
+
+result<std::unique_ptr<net_peer_link>> net_peer_link::open(const socket_address& address,
+                                                           asio::io_context& io, http_client& http,
+                                                           peer_handlers handlers) {
+    auto initial = std::unique_ptr<state>(new state{.io = io,
+                                                    .http = http,
+                                                    .handlers = std::move(handlers),
+                                                    .socket = asio::ip::udp::socket(io),
+                                                    .sender = {},
+                                                    .server = {}});
+    asio::error_code failure;
+    const auto host = asio::ip::make_address(address.host, failure);
+    if (!failure) {
+        initial->socket.open(asio::ip::udp::v4(), failure);
+    }
+    if (!failure) {
+        initial->socket.bind({host, address.port}, failure);
+    }
+    if (!failure) {
+        initial->socket.non_blocking(true, failure);
+    }
+    if (failure) {
+        return error{error_kind::unavailable,
+                     "can't bind UDP " + to_string(address) + ": " + failure.message()};
+    }
+    http_server_options options;
+    options.address = address;
+    options.limits.body_bytes = call_limit_bytes;
+    // Idle connections between hosts are kept; opening one costs a round trip.
+    options.limits.read_timeout = duration(60'000);
+    auto server = http_server::start(options, [raw = initial.get(), alive = initial->alive](
+                                                  http_request request, http_responder respond) {
+        if (request.method != "POST" || !request.path.starts_with(call_prefix)) {
+            respond(error_response({error_kind::not_found, "no such method"}));
+            return;
+        }
+        asio::post(raw->io,
+                   [raw, alive, request = std::move(request), respond = std::move(respond)] {
+                       if (!*alive) {
+                           return;
+                       }
+                       raw->handlers.on_call(request.path.substr(call_prefix.size()), request.body,
+                                             [respond](result<std::string> reply) {
+                                                 respond(reply ? json_response(200, reply.value())
+                                                               : error_response(reply.error()));
+                                             });
+                   });
+    });
+    if (!server) {
+        return server.error();
+    }
+    initial->server = std::move(server).value();
+    initial->receive();
+    return std::unique_ptr<net_peer_link>(new net_peer_link(std::move(initial)));
+}
+
+void net_peer_link::send(const socket_address& to, const std::string& datagram) {
+    asio::error_code ignored; // a lost datagram is replaced by the next one
+    const auto host = asio::ip::make_address(to.host, ignored);
+    state_->socket.send_to(asio::buffer(datagram), {host, to.port}, 0, ignored);
+}
+
+void net_peer_link::call(const socket_address& to, const std::string& method, std::string body,
+                         duration timeout, peer_reply done) {
+    http_call call;
+    call.method = "POST";
+    call.url = "http://" + to_string(to) + std::string(call_prefix) + method;
+    call.body = std::move(body);
+    call.timeout = std::max(timeout, duration(1));
+    call.connect_timeout = std::min(connect_timeout, call.timeout);
+    call.response_limit_bytes = call_limit_bytes;
+    state_->http.submit(std::move(call), [done = std::move(done)](http_call_result outcome) {
+        if (!outcome.response) {
+            done(outcome.response.error());
+        } else if (outcome.response.value().status != 200) {
+            done(parse_error_response(outcome.response.value()));
+        } else {
+            done(std::move(outcome.response.value().body));
+        }
+    });
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/net_peer_link.hpp
@@ -0,0 +1,46 @@
+// Peer messages over the network: datagrams by UDP, calls by HTTP, both at one address.
+#pragma once
+
+#include "fulmar/http_client.hpp"
+#include "fulmar/http_server.hpp"
+#include "fulmar/peer_link.hpp"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fulmar {
+
+// Receives what peers send, on the control thread.
+struct peer_handlers {
+    std::function<void(const std::string& datagram)> on_datagram;
+    std::function<void(const std::string& method, const std::string& body, peer_reply reply)>
+        on_call;
+};
+
+class net_peer_link final : public peer_link {
+  public:
+    // Binds UDP and TCP; returns unavailable when the address can't be bound. The client must run
+    // on the loop `io`.
+    static result<std::unique_ptr<net_peer_link>> open(const socket_address& address,
+                                                       asio::io_context& io, http_client& http,
+                                                       peer_handlers handlers);
+    ~net_peer_link() override;
+    net_peer_link(const net_peer_link&) = delete;
+    net_peer_link& operator=(const net_peer_link&) = delete;
+    net_peer_link(net_peer_link&&) = delete;
+    net_peer_link& operator=(net_peer_link&&) = delete;
+
+    void send(const socket_address& to, const std::string& datagram) override;
+    void call(const socket_address& to, const std::string& method, std::string body,
+              duration timeout, peer_reply done) override;
+
+  private:
+    struct state;
+    explicit net_peer_link(std::unique_ptr<state> initial);
+    std::unique_ptr<state> state_;
+};
+
+} // namespace fulmar
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cassert>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -81,10 +82,20 @@
     return std::nullopt;
 }
 
+// Parses a decimal number that may have a fraction; nullopt for anything else.
+std::optional<double> parse_decimal(std::string_view text) {
+    double number = 0;
+    const auto [end, problem] = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool whole = problem == std::errc{} && end == text.data() + text.size();
+    return whole && std::isfinite(number) ? std::optional(number) : std::nullopt;
+}
+
 std::string_view expected_form(setting_kind kind) {
     switch (kind) {
     case setting_kind::integer:
         return "a whole number";
+    case setting_kind::number:
+        return "a number";
     case setting_kind::duration:
         return "a duration with the unit ms, s, min or h";
     case setting_kind::size:
@@ -110,6 +121,14 @@
         valid = value == "yes" || value == "no";
     } else if (row.kind == setting_kind::address) {
         valid = parse_address(value).has_value();
+    } else if (row.kind == setting_kind::number) {
+        const auto number = parse_decimal(value);
+        if (number && (*number < static_cast<double>(row.minimum) ||
+                       *number > static_cast<double>(row.maximum))) {
+            return "out of range, allowed are " + std::to_string(row.minimum) + " to " +
+                   std::to_string(row.maximum);
+        }
+        valid = number.has_value();
     } else if (const auto number = parse_quantity(row.kind, value)) {
         if (*number < row.minimum || *number > row.maximum) {
             return "out of range, allowed are " + std::to_string(row.minimum) + " to " +
@@ -260,6 +279,10 @@
     return found->second;
 }
 
+double number_setting(const settings& from, std::string_view section, std::string_view key) {
+    return parse_decimal(text_setting(from, section, key)).value_or(0);
+}
+
 std::int64_t integer_setting(const settings& from, std::string_view section, std::string_view key) {
     return quantity_setting(from, section, key, setting_kind::integer);
 }
--- /dev/null
+++ b/src/shard_commit.cpp
@@ -0,0 +1,317 @@
+// Group commit: one transaction at a time carries hand-ins, progress and removals to the store.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// Entries of a transaction that every commit has: the conditions on claim and head, and the head.
+constexpr std::size_t fixed_entries = 3;
+constexpr std::size_t hand_in_entries = 3; // condition and put of the index, put of the job
+constexpr std::size_t purge_entries = 3;   // removals of index, job and progress
+
+// Acknowledges ends whose job's record is stored, in the order of their numbers.
+void release_ends(shard_state& shard, worker_row& worker, time_point now) {
+    const auto before = worker.acknowledged_end;
+    while (!worker.ends.empty()) {
+        const auto& end = worker.ends.front();
+        const auto job = shard.tables.jobs.find(end.job);
+        if (job != shard.tables.jobs.end() && job->second.stored < end.version) {
+            break;
+        }
+        worker.acknowledged_end = std::max(worker.acknowledged_end, end.number);
+        worker.ends.pop_front();
+    }
+    if (worker.acknowledged_end != before && worker.contact == reach::reachable) {
+        worker.next_hold = std::min(worker.next_hold, now);
+    }
+}
+
+// Answers everybody who waits for the hand-in of a job.
+void answer_hand_ins(shard_state& shard, const job_id& id, const submit_answer& answer,
+                     shard_actions& actions) {
+    const auto waiting = shard.hand_ins.extract(id);
+    if (waiting.empty()) {
+        return;
+    }
+    for (const auto token : waiting.mapped()) {
+        auto next = answer;
+        next.token = token;
+        actions.submit_answers.push_back(std::move(next));
+    }
+    shard.log->write("event=hand_in_answered job={} shard={} outcome={} reason={}", id.value,
+                     shard.id.value, static_cast<int>(answer.outcome), answer.reason);
+}
+
+// Answers what no longer has to wait for a transaction.
+void answer_settled(shard_state& shard, shard_actions& actions) {
+    for (auto it = shard.hand_ins.begin(); it != shard.hand_ins.end();) {
+        const auto id = it->first;
+        ++it;
+        const auto job = shard.tables.jobs.find(id);
+        if (job != shard.tables.jobs.end() && job->second.spec_stored) {
+            answer_hand_ins(shard, id, {0, submit_outcome::accepted, duration(0), ""}, actions);
+        }
+    }
+    for (auto it = shard.cancellations.begin(); it != shard.cancellations.end();) {
+        const auto job = shard.tables.jobs.find(it->first);
+        const bool known = job != shard.tables.jobs.end();
+        if (known && job->second.stored < job->second.version) {
+            ++it;
+            continue;
+        }
+        for (const auto token : it->second) {
+            actions.cancel_answers.push_back({token, known});
+        }
+        it = shard.cancellations.erase(it);
+    }
+}
+
+std::string make_worker_list(const shard_state& shard) {
+    std::vector<known_worker> rows;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        rows.push_back({worker.entry.target});
+    }
+    return encode(rows);
+}
+
+// Tells whether the stored list differs from the tables.
+bool worker_list_stale(const shard_state& shard) {
+    const auto& workers = shard.tables.workers;
+    return workers.size() != shard.stored_workers.size() ||
+           std::any_of(workers.begin(), workers.end(),
+                       [&](const auto& row) { return !shard.stored_workers.contains(row.first); });
+}
+
+// Collects what is to be stored into one transaction.
+store_transaction build_transaction(shard_state& shard) {
+    auto& commit = shard.commit;
+    store_transaction next;
+    commit.versions.clear();
+    commit.hand_ins.clear();
+    commit.purged.clear();
+    ++commit.number;
+    next.conditions.push_back({claim_key(shard.id), shard.claim_revision});
+    next.conditions.push_back({head_key(shard.id), shard.head_revision});
+    next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
+    std::size_t entries = fixed_entries;
+    commit.workers = worker_list_stale(shard);
+    if (commit.workers) {
+        next.puts.push_back({worker_list_key(shard.id), make_worker_list(shard), {}});
+        ++entries;
+        commit.listed.clear();
+        for (const auto& [id, worker] : shard.tables.workers) {
+            commit.listed.insert(id);
+        }
+    }
+    for (const auto& [id, tokens] : shard.hand_ins) {
+        auto& job = shard.tables.jobs.at(id);
+        if (job.spec_stored || entries + hand_in_entries > transaction_entries) {
+            continue;
+        }
+        next.conditions.push_back({job_index_key(id), revision_number{0}});
+        next.puts.push_back({job_index_key(id), shard.id.value, {}});
+        next.puts.push_back({job_key(shard.id, id), encode_job(job), {}});
+        commit.hand_ins.push_back(id);
+        entries += hand_in_entries;
+    }
+    for (const auto& [id, job] : shard.tables.jobs) {
+        if (entries == transaction_entries) {
+            break;
+        }
+        if (job.stored == job.version || !job.spec_stored) {
+            continue;
+        }
+        next.puts.push_back({progress_key(shard.id, id), encode_progress(job), {}});
+        commit.versions.emplace_back(id, job.version);
+        ++entries;
+    }
+    for (const auto& id : shard.to_purge) {
+        if (entries + purge_entries > transaction_entries) {
+            break;
+        }
+        next.removals.push_back(job_index_key(id));
+        next.removals.push_back(job_key(shard.id, id));
+        next.removals.push_back(progress_key(shard.id, id));
+        commit.purged.push_back(id);
+        entries += purge_entries;
+    }
+    return next;
+}
+
+// Tells whether something is left to store.
+bool is_dirty(const shard_state& shard) {
+    const auto& jobs = shard.tables.jobs;
+    return worker_list_stale(shard) || !shard.to_purge.empty() ||
+           std::any_of(jobs.begin(), jobs.end(), [](const auto& row) {
+               return !row.second.spec_stored || row.second.stored != row.second.version;
+           });
+}
+
+// Takes over the effects of a transaction that was applied.
+void settle_applied(shard_state& shard, revision_number head, time_point sent, time_point now) {
+    auto& commit = shard.commit;
+    shard.head_revision = head;
+    shard.claim_confirmed = std::max(shard.claim_confirmed.value_or(sent), sent);
+    for (const auto& id : commit.hand_ins) {
+        auto& job = shard.tables.jobs.at(id);
+        job.spec_stored = true;
+        if (!has_ended(job.phase)) {
+            shard.active.insert(id);
+        }
+        shard.counters->count("jobs_accepted");
+    }
+    for (const auto& [id, version] : commit.versions) {
+        if (const auto job = shard.tables.jobs.find(id); job != shard.tables.jobs.end()) {
+            job->second.stored = std::max(job->second.stored, version);
+        }
+    }
+    for (const auto& id : commit.purged) {
+        shard.tables.jobs.erase(id);
+        std::erase(shard.to_purge, id);
+    }
+    if (commit.workers) {
+        shard.stored_workers = commit.listed;
+    }
+    commit.sent.reset();
+    commit.unsure = false;
+    commit.next = now;
+    commit.dirty_since.reset();
+    commit.urgent = false;
+    if (is_dirty(shard)) {
+        commit.dirty_since = now;
+        commit.urgent =
+            std::any_of(shard.hand_ins.begin(), shard.hand_ins.end(), [&](const auto& row) {
+                return !shard.tables.jobs.at(row.first).spec_stored;
+            });
+    }
+    shard.place_needed = true;
+    for (auto& [id, worker] : shard.tables.workers) {
+        release_ends(shard, worker, now);
+    }
+}
+
+// Handles a transaction that was refused because a condition did not hold.
+void settle_conflict(shard_state& shard, const std::vector<store_entry>& present, time_point sent,
+                     time_point now) {
+    auto& commit = shard.commit;
+    const auto find = [&](const std::string& key) -> const store_entry* {
+        const auto found = std::find_if(present.begin(), present.end(),
+                                        [&](const store_entry& entry) { return entry.key == key; });
+        return found == present.end() ? nullptr : &*found;
+    };
+    const auto* claim = find(claim_key(shard.id));
+    if (claim == nullptr || claim->revision != shard.claim_revision) {
+        lose_shard(shard, "claim_taken");
+        return;
+    }
+    const auto* head = find(head_key(shard.id));
+    const auto revision = head == nullptr ? revision_number{0} : head->revision;
+    if (revision != shard.head_revision) {
+        const auto record =
+            head == nullptr ? result<head_record>(head_record{}) : parse_head(head->value);
+        if (record && record.value().epoch == shard.epoch &&
+            record.value().number == commit.number) {
+            settle_applied(shard, revision, sent, now); // an earlier attempt took effect
+        } else {
+            lose_shard(shard, "head_moved");
+        }
+        return;
+    }
+    // Some job ids were handed in to another shard before; those jobs exist there.
+    for (const auto& id : commit.hand_ins) {
+        if (find(job_index_key(id)) != nullptr) {
+            shard.tables.jobs.erase(id);
+            shard.counters->count("hand_ins_duplicate");
+        }
+    }
+    commit.sent.reset();
+    commit.unsure = false;
+    commit.next = now;
+}
+
+} // namespace
+
+void on_commit_reply(shard_state& shard, const result<transaction_reply>& reply, time_point sent,
+                     time_point now) {
+    auto& commit = shard.commit;
+    commit.in_flight = false;
+    if (shard.lost || !commit.sent) {
+        return;
+    }
+    if (reply) {
+        shard.counters->count("commits", reply.value().applied ? "applied" : "conflict");
+        if (reply.value().applied) {
+            settle_applied(shard, *reply.value().applied, sent, now);
+        } else {
+            settle_conflict(shard, reply.value().present, sent, now);
+        }
+        return;
+    }
+    const auto kind = reply.error().kind;
+    shard.counters->count("commits", to_string(kind));
+    commit.next = now + shard.timing.commit_retry;
+    if (kind != error_kind::unavailable) {
+        commit.unsure = true;
+    } else if (!commit.unsure) {
+        commit.sent.reset(); // certainly not applied; the next attempt may differ
+        commit.dirty_since = commit.dirty_since.value_or(now);
+    }
+}
+
+void prepare_commit(shard_state& shard, time_point now, shard_actions& actions) {
+    auto& commit = shard.commit;
+    // Jobs of hand-ins that turned out to exist elsewhere have no row any more.
+    for (auto it = shard.hand_ins.begin(); it != shard.hand_ins.end();) {
+        const auto id = it->first;
+        ++it;
+        if (!shard.tables.jobs.contains(id)) {
+            answer_hand_ins(shard, id, {0, submit_outcome::accepted, duration(0), "duplicate"},
+                            actions);
+        }
+    }
+    // While the store doesn't answer, new jobs are refused at once instead of kept waiting.
+    if (commit.unsure || (!commit.in_flight && !commit.sent && commit.next > now)) {
+        for (auto it = shard.hand_ins.begin(); it != shard.hand_ins.end();) {
+            const auto id = it->first;
+            ++it;
+            const bool sent =
+                commit.sent && std::find(commit.hand_ins.begin(), commit.hand_ins.end(), id) !=
+                                   commit.hand_ins.end();
+            if (!sent && !shard.tables.jobs.at(id).spec_stored) {
+                shard.tables.jobs.erase(id);
+                answer_hand_ins(
+                    shard, id,
+                    {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"},
+                    actions);
+            }
+        }
+    }
+    answer_settled(shard, actions);
+    for (auto& [id, worker] : shard.tables.workers) {
+        release_ends(shard, worker, now);
+    }
+    if (commit.in_flight || now < commit.next) {
+        return;
+    }
+    if (!commit.sent) {
+        if (!commit.dirty_since && !shard.to_purge.empty()) {
+            commit.dirty_since = now;
+        }
+        if (!commit.dirty_since && worker_list_stale(shard)) {
+            commit.dirty_since = now;
+        }
+        if (!commit.dirty_since ||
+            (!commit.urgent && now < *commit.dirty_since + shard.timing.commit_delay)) {
+            return;
+        }
+        commit.sent = build_transaction(shard);
+    }
+    commit.in_flight = true;
+    actions.commit = commit.sent;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/shard_control.cpp
@@ -0,0 +1,421 @@
+#include "shard_control.hpp"
+
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// A placement round without a change only serves conditions that depend on time.
+constexpr duration place_interval{200};
+
+// Opens the occurrences that are due.
+void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
+    const auto total = std::max<std::uint32_t>(1, job.spec.occurrences);
+    while (job.next_occurrence < total) {
+        const auto due = job.spec.first_due.value + job.spec.interval.count() * job.next_occurrence;
+        if (job.spec.occurrences > 0 && unix_now.value < due) {
+            return;
+        }
+        const auto number = job.next_occurrence++;
+        job.occurrences.emplace(number, make_occurrence(job.spec, number));
+        shard.place_needed = true;
+    }
+}
+
+// Sends stops that are due. A stop is repeated until the worker reports the end.
+void send_stops(shard_state& shard, time_point now, shard_actions& actions) {
+    for (auto& [key, run] : shard.tables.runs) {
+        if (run.phase != run_phase::stopping || run.stop_in_flight || run.next_stop > now) {
+            continue;
+        }
+        const auto& worker = shard.tables.workers.at(run.worker);
+        run.stop_in_flight = true;
+        run.next_stop = now + shard.timing.stop_retry;
+        actions.stops.push_back({worker.entry.target, {key, shard.epoch}});
+    }
+}
+
+// Frees tasks from workers that can't be reached and whose leases have ended, and forgets workers
+// that have left.
+void expire_workers(shard_state& shard, time_point now) {
+    for (auto it = shard.tables.workers.begin(); it != shard.tables.workers.end();) {
+        auto& worker = it->second;
+        if (worker.contact == reach::unreachable && !worker.runs.empty() &&
+            has_lapsed(shard, worker, now)) {
+            drop_worker_runs(shard, worker, "lease_lapsed");
+        }
+        const bool gone = !worker.listed && worker.contact != reach::reachable &&
+                          worker.runs.empty() && !worker.hold_in_flight && worker.ends.empty() &&
+                          has_lapsed(shard, worker, now) && !shard.predecessors.contains(it->first);
+        if (gone) {
+            shard.log->write("event=worker_forgotten shard={} worker={}", shard.id.value,
+                             it->first.value);
+            it = shard.tables.workers.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+// Settles the takeover when no run of a predecessor can be unseen: every worker it used was
+// reached, or none of the others can hold a lease any more. An owner that was superseded stops
+// renewing once a majority of the workers refuses it and its evidence has grown old.
+void settle_takeover(shard_state& shard, time_point now) {
+    if (shard.settled) {
+        return;
+    }
+    std::size_t reached = 0;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        reached += worker.looked ? 1 : 0;
+    }
+    if (!shard.majority_since && reached * 2 > shard.tables.workers.size()) {
+        shard.majority_since = now;
+    }
+    const auto longest = shard.timing.evidence +
+                         shard.timing.lease * (100 + shard.timing.clock_drift_percent) / 100 +
+                         shard.timing.lease_margin * 2;
+    const bool waited = shard.majority_since && now >= *shard.majority_since + longest;
+    if (shard.predecessors.empty() || waited) {
+        shard.log->write("event=takeover_settled shard={} epoch={} unreached={}", shard.id.value,
+                         shard.epoch.value, shard.predecessors.size());
+        shard.predecessors.clear();
+        shard.settled = true;
+        shard.place_needed = true;
+    }
+}
+
+// Sends the next hold to each worker that is due for one.
+void send_holds(shard_state& shard, time_point now, shard_actions& actions) {
+    const bool authority = has_authority(shard, now);
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (worker.hold_in_flight || worker.next_hold > now) {
+            continue;
+        }
+        hold_order order;
+        order.epoch = shard.epoch;
+        order.acknowledged = worker.acknowledged_end;
+        const bool steady = worker.contact == reach::reachable && worker.looked;
+        if (steady && authority) {
+            order.lease_until = next_lease(shard, worker, now);
+            worker.lease_until = std::max(worker.lease_until, *order.lease_until);
+        }
+        order.wait = steady ? shard.timing.hold_wait : duration(0);
+        worker.hold_in_flight = true;
+        worker.hold_sent = now;
+        actions.holds.push_back({worker.entry.target, order});
+    }
+}
+
+// Forgets ended jobs whose retention is over; their records go with the next transaction.
+void find_purgeable(shard_state& shard, time_point now, unix_time unix_now) {
+    constexpr std::size_t purge_batch = 8; // three removals each, so that a transaction holds them
+    constexpr duration purge_interval{2'000};
+    if (!shard.to_purge.empty() || now < shard.next_purge) {
+        return;
+    }
+    shard.next_purge = now + purge_interval;
+    for (const auto& [id, job] : shard.tables.jobs) {
+        if (has_ended(job.phase) && job.stored == job.version &&
+            unix_now.value - job.ended.value > shard.timing.retention.count()) {
+            shard.to_purge.push_back(id);
+            if (shard.to_purge.size() == purge_batch) {
+                return;
+            }
+        }
+    }
+}
+
+} // namespace
+
+shard_state make_shard(const shard_record& record, const host_id& self, epoch_number epoch,
+                       revision_number claim_revision, const shard_timing& timing,
+                       metrics& counters, decision_log& log) {
+    shard_state shard;
+    shard.id = record.id;
+    shard.data_centre = record.data_centre;
+    shard.racks.insert(record.racks.begin(), record.racks.end());
+    shard.self = self;
+    shard.epoch = epoch;
+    shard.claim_revision = claim_revision;
+    shard.timing = timing;
+    shard.counters = &counters;
+    shard.log = &log;
+    return shard;
+}
+
+void load_shard(shard_state& shard, const std::vector<store_entry>& entries) {
+    const auto prefix = data_prefix(shard.id);
+    const auto jobs = prefix + "job/";
+    const auto progress = prefix + "progress/";
+    const auto reject = [&](const store_entry& entry, const error& failure) {
+        shard.counters->count("unreadable_records");
+        shard.log->write("event=record_unreadable key={} detail=\"{}\"", entry.key, failure.detail);
+    };
+    std::size_t unfinished = 0;
+    for (const auto& entry : entries) {
+        if (!entry.key.starts_with(jobs)) {
+            continue;
+        }
+        const job_id id{entry.key.substr(jobs.size())};
+        auto job = parse_job(id, entry.value);
+        if (!job) {
+            reject(entry, job.error());
+            continue;
+        }
+        job.value().inherited = true;
+        shard.tables.jobs.insert_or_assign(id, std::move(job).value());
+    }
+    for (const auto& entry : entries) {
+        if (entry.key == head_key(shard.id)) {
+            shard.head_revision = entry.revision;
+        } else if (entry.key == worker_list_key(shard.id)) {
+            const auto known = parse_known_workers(entry.value);
+            if (!known) {
+                reject(entry, known.error());
+                continue;
+            }
+            for (const auto& worker : known.value()) {
+                auto& row = shard.tables.workers[worker.target.id];
+                row.entry.target = worker.target;
+                row.entry.data_centre = shard.data_centre;
+                shard.predecessors.insert(worker.target.id);
+                shard.stored_workers.insert(worker.target.id);
+            }
+        } else if (entry.key.starts_with(progress)) {
+            const auto job = shard.tables.jobs.find(job_id{entry.key.substr(progress.size())});
+            if (job == shard.tables.jobs.end()) {
+                continue;
+            }
+            if (const auto parsed = parse_progress(job->second, entry.value); !parsed) {
+                reject(entry, parsed.error());
+            }
+        }
+    }
+    for (auto& [id, job] : shard.tables.jobs) {
+        if (!has_ended(job.phase)) {
+            shard.active.insert(id);
+            ++unfinished;
+        }
+    }
+    shard.log->write("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={}",
+                     shard.id.value, shard.epoch.value, shard.tables.jobs.size(), unfinished,
+                     shard.tables.workers.size());
+}
+
+void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now) {
+    auto& worker = shard.tables.workers[entry.target.id];
+    const bool first_drain = entry.draining && !worker.entry.draining;
+    if (first_drain) {
+        worker.draining_at = now;
+    }
+    if (!worker.listed || first_drain || worker.entry.draining != entry.draining) {
+        shard.log->write("event=worker_listed shard={} worker={} draining={} cpu={} mem={}",
+                         shard.id.value, entry.target.id.value, entry.draining,
+                         entry.capacity.processors.value, entry.capacity.memory.value);
+    }
+    worker.entry = entry;
+    worker.listed = true;
+    shard.place_needed = true;
+}
+
+void on_worker_unlisted(shard_state& shard, const worker_id& id, time_point now) {
+    const auto found = shard.tables.workers.find(id);
+    if (found == shard.tables.workers.end() || !found->second.listed) {
+        return;
+    }
+    found->second.listed = false;
+    found->second.unlisted_at = now;
+    shard.log->write("event=worker_unlisted shard={} worker={}", shard.id.value, id.value);
+}
+
+void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
+                request_token token, time_point now, unix_time unix_now) {
+    if (const auto known = shard.tables.jobs.find(id);
+        known != shard.tables.jobs.end() && known->second.spec_stored) {
+        shard.hand_ins[id].push_back(token);
+        return;
+    }
+    shard.hand_ins[id].push_back(token);
+    if (shard.tables.jobs.contains(id)) {
+        return;
+    }
+    auto& job = shard.tables.jobs[id];
+    job.id = id;
+    job.queue = queue;
+    job.spec = std::move(spec);
+    job.accepted = unix_now;
+    shard.commit.urgent = true;
+    if (!shard.commit.dirty_since) {
+        shard.commit.dirty_since = now;
+    }
+}
+
+void cancel_job(shard_state& shard, const job_id& id, request_token token, time_point now,
+                unix_time unix_now) {
+    shard.cancellations[id].push_back(token);
+    const auto found = shard.tables.jobs.find(id);
+    if (found == shard.tables.jobs.end() || has_ended(found->second.phase)) {
+        return;
+    }
+    end_job(shard, found->second, job_phase::cancelled, now, unix_now);
+}
+
+std::optional<job_phase> shown_phase(const shard_state& shard, const job_id& id) {
+    const auto found = shard.tables.jobs.find(id);
+    if (found == shard.tables.jobs.end() || !found->second.spec_stored) {
+        return std::nullopt;
+    }
+    const auto& job = found->second;
+    if (has_ended(job.phase) && job.stored < job.version) {
+        return job.shown_running ? job_phase::running : job_phase::queued;
+    }
+    return job.phase;
+}
+
+void end_job(shard_state& shard, job_row& job, job_phase phase, time_point now,
+             unix_time unix_now) {
+    assert(!has_ended(job.phase));
+    job.shown_running = job.phase == job_phase::running;
+    job.phase = phase;
+    job.ended = unix_now;
+    note_change(shard, job, true, now);
+    shard.active.erase(job.id);
+    const auto cause =
+        phase == job_phase::cancelled ? stop_cause::cancelled : stop_cause::job_failed;
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& stage : occurrence.stages) {
+            for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
+                for (const auto run : stage.tasks[index].runs) {
+                    const run_key key{{job.id, number, stage.step, index}, run};
+                    request_stop(shard.tables.runs.at(key), cause, now);
+                }
+            }
+        }
+    }
+    // Runs that are still there keep their rows; the tasks behind them are no longer needed.
+    job.occurrences.clear();
+    shard.log->write("event=job_ended job={} shard={} phase={} age_ms={}", job.id.value,
+                     shard.id.value, to_string(phase), unix_now.value - job.accepted.value);
+    shard.counters->count("jobs_ended", to_string(phase));
+}
+
+void request_stop(run_row& run, stop_cause cause, time_point now) {
+    if (run.phase == run_phase::stopping) {
+        return;
+    }
+    run.phase = run_phase::stopping;
+    run.cause = cause;
+    run.next_stop = now;
+    run.stop_answered.reset();
+}
+
+void note_change(shard_state& shard, job_row& job, bool urgent, time_point now) {
+    touch(job);
+    shard.commit.urgent = shard.commit.urgent || urgent;
+    if (!shard.commit.dirty_since) {
+        shard.commit.dirty_since = now;
+    }
+}
+
+std::optional<worker_clock> earliest_clock(const shard_state& shard, const worker_row& worker,
+                                           time_point now) {
+    if (!worker.clock) {
+        return std::nullopt;
+    }
+    const auto passed = (now - worker.clock_at) * (100 - shard.timing.clock_drift_percent) / 100;
+    return worker_clock{worker.clock->value + passed.count()};
+}
+
+worker_clock next_lease(const shard_state& shard, const worker_row& worker, time_point now) {
+    assert(worker.clock);
+    return {worker.clock->value + (now - worker.clock_at + shard.timing.lease).count()};
+}
+
+bool has_lapsed(const shard_state& shard, const worker_row& worker, time_point now) {
+    const auto clock = earliest_clock(shard, worker, now);
+    if (!clock) {
+        return shard.settled;
+    }
+    return clock->value >= worker.lease_until.value + shard.timing.lease_margin.count();
+}
+
+bool has_authority(const shard_state& shard, time_point now) {
+    if (shard.lost) {
+        return false;
+    }
+    const auto since = now - shard.timing.evidence;
+    if (shard.claim_confirmed && *shard.claim_confirmed >= since) {
+        return true;
+    }
+    std::size_t accepted = 0;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        accepted += worker.clock && worker.clock_at >= since ? 1 : 0;
+    }
+    return accepted * 2 > shard.tables.workers.size();
+}
+
+bool needs_claim_check(const shard_state& shard, time_point now) {
+    return !shard.lost && !has_authority(shard, now + shard.timing.evidence / 2);
+}
+
+void lose_shard(shard_state& shard, std::string_view reason) {
+    if (!shard.lost) {
+        shard.lost = true;
+        shard.log->write("event=shard_lost shard={} epoch={} reason={}", shard.id.value,
+                         shard.epoch.value, reason);
+        shard.counters->count("shards_lost", reason);
+    }
+}
+
+void drop_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason) {
+    const auto runs = worker.runs;
+    for (const auto& key : runs) {
+        shard.log->write("event=run_lost task={}.{}.{}.{} run={} worker={} reason={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, worker.entry.target.id.value, reason);
+        shard.counters->count("runs_lost", reason);
+        if (auto* task = find_task(shard.tables, key.task)) {
+            const auto& run = shard.tables.runs.at(key);
+            if (!run.checkpoint.empty()) {
+                task->checkpoint = run.checkpoint;
+            }
+        }
+        remove_run(shard.tables, key);
+    }
+    shard.place_needed = true;
+}
+
+void advance(shard_state& shard, time_point now, unix_time unix_now, shard_actions& actions) {
+    if (shard.lost) {
+        return;
+    }
+    for (const auto& id : shard.active) {
+        auto& job = shard.tables.jobs.at(id);
+        if (job.spec_stored) {
+            open_due_occurrences(shard, job, unix_now);
+        }
+    }
+    settle_takeover(shard, now);
+    expire_workers(shard, now);
+    if (shard.place_needed || now >= shard.last_place + place_interval) {
+        shard.place_needed = false;
+        shard.last_place = now;
+        place_tasks(shard, now, actions);
+    }
+    send_stops(shard, now, actions);
+    find_purgeable(shard, now, unix_now);
+    prepare_commit(shard, now, actions);
+    send_holds(shard, now, actions);
+}
+
+bool is_clean(const shard_state& shard) {
+    const auto& commit = shard.commit;
+    return !commit.in_flight && !commit.sent && !commit.dirty_since && shard.hand_ins.empty() &&
+           shard.cancellations.empty();
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/shard_control.hpp
@@ -0,0 +1,180 @@
+// Control of one shard as a state machine: events go in, orders to workers and transactions for the
+// store come out. It does no I/O and reads no clock, so that every order of events can be tested.
+#pragma once
+
+#include "fulmar/decision_log.hpp"
+#include "fulmar/metrics.hpp"
+#include "shard_records.hpp"
+#include "shard_tables.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fulmar {
+
+// Times of the protocol with workers and the store. Those of the platform come from settings.
+struct shard_timing {
+    duration lease{6'000};       // the platform's longest lease of a worker
+    duration gang_wait{3'000};   // a worker's wait for the other members of a gang
+    duration retention{150'000}; // of ended jobs; callers ask for 120 s
+
+    // A hold waits this long for an end. Each end returns at once; without ends the reply renews
+    // the lease and shows the figures of serving tasks, which may be over their target for 4 s.
+    duration hold_wait{1'000};
+    // Between looks at a worker that doesn't answer.
+    duration look_interval{400};
+    // Between a hold whose ends aren't stored yet and the next one; such a hold returns at once.
+    duration unstored_hold_interval{300};
+    // A worker's clock may be 2% slow; the margin also covers timers that fire late.
+    std::int64_t clock_drift_percent = 2;
+    duration lease_margin{100};
+    // Without the store's confirmation, ownership rests on a majority of the workers having
+    // accepted our epoch within this time. At least two hold_wait.
+    duration evidence{2'500};
+    // Ends that complete no job are collected this long, so that one transaction stores many.
+    duration commit_delay{50};
+    // Between attempts to reach the store; calls to a store that is down are charged as well.
+    duration commit_retry{300};
+    duration stop_retry{700};
+    // An unhealthy worker gets no starts for this long; doubled with each failure in a row.
+    duration unhealthy_pause{500};
+    duration unhealthy_pause_limit{8'000};
+};
+
+using request_token = std::uint64_t;
+
+// Answer to the hand-in of a job. `refused` and `unavailable` mean that the job was not stored and
+// never runs; `unknown` that it may have been.
+enum class submit_outcome : std::uint8_t { accepted, refused, unavailable, unknown };
+
+struct submit_answer {
+    request_token token = 0;
+    submit_outcome outcome = submit_outcome::accepted;
+    duration retry_after{0};
+    std::string reason;
+};
+
+// Answer to a cancellation: stored, or no such job here.
+struct cancel_answer {
+    request_token token = 0;
+    bool known = false;
+};
+
+template <class Order>
+struct worker_action {
+    worker_target target;
+    Order order;
+};
+
+struct shard_actions {
+    std::vector<worker_action<start_order>> starts;
+    std::vector<worker_action<stop_order>> stops;
+    std::vector<worker_action<pace_order>> paces;
+    std::vector<worker_action<hold_order>> holds;
+    std::optional<store_transaction> commit;
+    std::vector<submit_answer> submit_answers;
+    std::vector<cancel_answer> cancel_answers;
+};
+
+// One transaction at a time. While its outcome is unknown the same one is sent again; the head's
+// revision lets it take effect once.
+struct commit_state {
+    bool in_flight = false;
+    bool unsure = false; // an attempt was not answered, so it may take effect at any time
+    std::optional<store_transaction> sent;
+    std::uint64_t number = 0;
+    std::vector<std::pair<job_id, std::uint64_t>> versions; // of the records in it
+    std::vector<job_id> hand_ins;                           // in it
+    std::vector<job_id> purged;                             // in it
+    bool workers = false;                                   // it holds the list of workers
+    std::set<worker_id> listed;                             // that list
+    time_point next;                                        // earliest time of the next attempt
+    std::optional<time_point> dirty_since;
+    bool urgent = false; // somebody waits for it
+};
+
+struct shard_state {
+    shard_id id;
+    data_centre_id data_centre;
+    std::set<rack_id> racks;
+    host_id self;
+    shard_timing timing;
+    shard_tables tables;
+    std::set<job_id> active; // jobs that haven't ended
+
+    // Ownership.
+    epoch_number epoch;
+    revision_number claim_revision;
+    revision_number head_revision;
+    bool lost = false;                         // a higher epoch exists; nothing more is sent
+    std::optional<time_point> claim_confirmed; // send time of the last call that showed our claim
+    std::set<worker_id>
+        predecessors; // workers that a predecessor used and that weren't reached yet
+    std::optional<time_point> majority_since;
+    bool settled = false; // no run of a predecessor is unseen
+
+    // What the host says.
+    bool starts_allowed = true;   // operators' orders are known to be fresh
+    bool data_centre_open = true; // operators have not taken it out of service
+    bool releasing = false;       // about to hand the shard over: no starts
+
+    commit_state commit;
+    std::map<job_id, std::vector<request_token>> hand_ins;      // not yet answered
+    std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
+    std::set<worker_id> stored_workers;                         // in the store's list
+    std::vector<job_id> to_purge;
+    bool place_needed = true; // something changed since the last placement
+    time_point last_place;
+    time_point next_purge;
+
+    metrics* counters = nullptr;
+    decision_log* log = nullptr;
+};
+
+// Makes the state of a shard whose claim was just written with this epoch and revision.
+shard_state make_shard(const shard_record& record, const host_id& self, epoch_number epoch,
+                       revision_number claim_revision, const shard_timing& timing,
+                       metrics& counters, decision_log& log);
+
+// Takes the shard's stored records; ignores and logs those that can't be parsed.
+void load_shard(shard_state& shard, const std::vector<store_entry>& entries);
+
+// Takes what the platform's store says of a worker, or that its entry is gone.
+void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now);
+void on_worker_unlisted(shard_state& shard, const worker_id& worker, time_point now);
+
+// Takes a hand-in; the answer follows in the actions, when the job is stored.
+void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
+                request_token token, time_point now, unix_time unix_now);
+
+// Takes a cancellation; the answer follows in the actions.
+void cancel_job(shard_state& shard, const job_id& id, request_token token, time_point now,
+                unix_time unix_now);
+
+// Returns a job's phase as it may be shown: ends only once they are stored.
+std::optional<job_phase> shown_phase(const shard_state& shard, const job_id& id);
+
+// Take the results of calls. `sent` is when the call was made.
+void on_hold_reply(shard_state& shard, const worker_id& worker, const result<hold_reply>& reply,
+                   time_point sent, time_point now, unix_time unix_now);
+void on_start_reply(shard_state& shard, const run_key& run, const result<order_reply>& reply,
+                    time_point now);
+void on_stop_reply(shard_state& shard, const run_key& run, const result<order_reply>& reply,
+                   time_point now);
+void on_commit_reply(shard_state& shard, const result<transaction_reply>& reply, time_point sent,
+                     time_point now);
+
+// Does what is due and collects the orders, transaction and answers to send.
+void advance(shard_state& shard, time_point now, unix_time unix_now, shard_actions& actions);
+
+// Tells whether nothing is left to store, so that the shard can be released without loss.
+bool is_clean(const shard_state& shard);
+
+// Tells whether the claim must be read from the store because too few workers confirm it.
+bool needs_claim_check(const shard_state& shard, time_point now);
+
+} // namespace fulmar
--- /dev/null
+++ b/src/shard_placement.cpp
@@ -0,0 +1,192 @@
+// Placement: which waiting task starts on which worker.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// Serving tasks use about half of the processors that they reserve; fillers run on the rest.
+constexpr std::int64_t lasting_use_percent = 50;
+
+// Attempts of a successor are numbered above those that its predecessors may have used unseen.
+constexpr std::uint64_t runs_per_epoch = 1'000;
+
+// Returns the number for the next run of a task.
+run_number next_run(const shard_state& shard, const task_row& task) {
+    const auto first = (shard.epoch.value - 1) * runs_per_epoch + 1;
+    return {std::max(first, task.last_run.value + 1)};
+}
+
+// Returns the processors of a worker that fillers may use: what is not reserved, and the part of
+// the reservations that lasting tasks leave idle on average.
+std::int64_t filler_room(const shard_state& shard, const worker_row& worker) {
+    std::int64_t idle = worker.entry.capacity.processors.value;
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        if (run.filler) {
+            continue;
+        }
+        const auto job = shard.tables.jobs.find(key.task.job);
+        const bool lasting = job != shard.tables.jobs.end() &&
+                             key.task.step < job->second.spec.steps.size() &&
+                             job->second.spec.steps[key.task.step].lasting;
+        idle -= run.need.processors.value * (lasting ? lasting_use_percent : 100) / 100;
+    }
+    return idle - worker.filler_demand;
+}
+
+// Tells whether any task may start on the worker now.
+bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now) {
+    return worker.contact == reach::reachable && worker.looked && worker.listed &&
+           !worker.entry.draining && worker.no_starts_before <= now &&
+           shard.stored_workers.contains(worker.entry.target.id);
+}
+
+bool has_label(const worker_row& worker, const std::string& label) {
+    const auto& labels = worker.entry.labels;
+    return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+// A stage with tasks to start.
+struct candidate {
+    job_row* job = nullptr;
+    stage_row* stage = nullptr;
+    std::int32_t priority = 0;
+    unix_time accepted;
+};
+
+std::vector<candidate> find_candidates(shard_state& shard) {
+    std::vector<candidate> found;
+    for (const auto& id : shard.active) {
+        auto& job = shard.tables.jobs.at(id);
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (auto& stage : occurrence.stages) {
+                if (stage.open && !stage.waiting.empty()) {
+                    found.push_back({&job, &stage, job.queue.priority, job.accepted});
+                }
+            }
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const candidate& a, const candidate& b) {
+        return std::tie(a.priority, a.accepted, a.job->id, a.stage->step) <
+               std::tie(b.priority, b.accepted, b.job->id, b.stage->step);
+    });
+    return found;
+}
+
+// Room that the tasks of a stage take, checked against one worker.
+bool fits_worker(const shard_state& shard, const worker_row& worker, const step_spec& step) {
+    auto free = free_resources(worker);
+    if (step.filler) {
+        const auto room = filler_room(shard, worker);
+        const bool alone = worker.filler_demand == 0;
+        if (room < step.need.processors.value && !(alone && room > 0)) {
+            return false;
+        }
+        free.processors = step.need.processors;
+    }
+    return fits(step.need, free);
+}
+
+// Returns how much of the worker would be left, from 0 to 1000; more is better.
+std::int64_t score_worker(const shard_state& shard, const worker_row& worker,
+                          const step_spec& step) {
+    const auto capacity = std::max<std::int64_t>(1, worker.entry.capacity.processors.value);
+    const auto left =
+        step.filler ? filler_room(shard, worker) : free_resources(worker).processors.value;
+    return (left - step.need.processors.value) * 1000 / capacity;
+}
+
+// Chooses the worker for one task of a stage, or nullptr.
+worker_row* choose_worker(shard_state& shard, const candidate& next, const step_spec& step,
+                          const task_row& task, time_point now) {
+    worker_row* best = nullptr;
+    std::int64_t best_score = 0;
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (!takes_starts(shard, worker, now) || worker.entry.service != next.job->queue.service ||
+            !has_label(worker, step.label) || task.last_failed_on == id ||
+            !fits_worker(shard, worker, step)) {
+            continue;
+        }
+        if (step.spread_limit > 0) {
+            const auto spread = next.stage->spread.find(id);
+            if (spread != next.stage->spread.end() && spread->second >= step.spread_limit) {
+                continue;
+            }
+        }
+        const auto score = score_worker(shard, worker, step);
+        if (best == nullptr || score > best_score) {
+            best = &worker;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+// Orders the start of one task.
+void start_task(shard_state& shard, const candidate& next, std::uint32_t index, run_number number,
+                worker_row& worker, time_point now, shard_actions& actions) {
+    const auto& step = next.job->spec.steps[next.stage->step];
+    const auto& task = next.stage->tasks[index];
+    start_order order;
+    order.run = {{next.job->id, next.stage->occurrence, next.stage->step, index}, number};
+    order.payload = next.job->spec.payload;
+    order.epoch = shard.epoch;
+    order.lease_until = next_lease(shard, worker, now);
+    order.checkpoint = task.checkpoint;
+    worker.lease_until = std::max(worker.lease_until, order.lease_until);
+    run_row run;
+    run.key = order.run;
+    run.worker = worker.entry.target.id;
+    run.need = step.need;
+    run.filler = step.filler;
+    run.ordered = now;
+    run.order_lease = order.lease_until;
+    run.checkpoint = task.checkpoint;
+    add_run(shard.tables, std::move(run));
+    next.job->phase = job_phase::running;
+    shard.log->write("event=start task={}.{}.{}.{} run={} worker={} age_ms={} load_age_ms={}",
+                     order.run.task.job.value, order.run.task.occurrence, order.run.task.step,
+                     index, number.value, worker.entry.target.id.value, next.accepted.value,
+                     (now - worker.clock_at).count());
+    actions.starts.push_back({worker.entry.target, std::move(order)});
+}
+
+// Starts as many waiting tasks of a stage as fit.
+void place_stage(shard_state& shard, const candidate& next, time_point now,
+                 shard_actions& actions) {
+    const auto& step = next.job->spec.steps[next.stage->step];
+    const auto waiting = next.stage->waiting;
+    for (const auto index : waiting) {
+        auto& task = next.stage->tasks[index];
+        auto* worker = choose_worker(shard, next, step, task, now);
+        if (worker == nullptr && task.last_failed_on) {
+            continue; // another task may use the worker that this one failed on
+        }
+        if (worker == nullptr) {
+            return;
+        }
+        start_task(shard, next, index, next_run(shard, task), *worker, now, actions);
+    }
+}
+
+} // namespace
+
+void place_tasks(shard_state& shard, time_point now, shard_actions& actions) {
+    const bool allowed = shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
+                         has_authority(shard, now);
+    if (!allowed) {
+        return;
+    }
+    for (const auto& next : find_candidates(shard)) {
+        // Until the takeover has settled, a task may run unseen on a worker of a predecessor.
+        if (shard.settled || !next.job->inherited) {
+            place_stage(shard, next, now, actions);
+        }
+    }
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/shard_records.cpp
@@ -0,0 +1,342 @@
+#include "shard_records.hpp"
+
+#include <charconv>
+
+namespace fulmar {
+
+namespace {
+
+constexpr std::string_view hex_digits = "0123456789abcdef";
+
+// Formats the done tasks as a bit per task, the lowest index in the highest bit of the first digit.
+std::string encode_done(const stage_row& stage) {
+    if (stage.done == stage.tasks.size()) {
+        return "*";
+    }
+    std::string text;
+    for (std::size_t first = 0; first < stage.tasks.size(); first += 4) {
+        unsigned digit = 0;
+        for (std::size_t bit = 0; bit < 4; ++bit) {
+            const auto index = first + bit;
+            digit = digit * 2 + (index < stage.tasks.size() && stage.tasks[index].done ? 1 : 0);
+        }
+        text += hex_digits[digit];
+    }
+    return text;
+}
+
+void decode_done(stage_row& stage, std::string_view text) {
+    for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
+        bool done = text == "*";
+        if (!done && index / 4 < text.size()) {
+            const auto digit = hex_digits.find(text[index / 4]);
+            done = digit != std::string_view::npos && ((digit >> (3 - index % 4)) & 1U) != 0;
+        }
+        if (done) {
+            stage.tasks[index].done = true;
+            stage.waiting.erase(index);
+            ++stage.done;
+        }
+    }
+}
+
+// Formats what must outlive the owner about tasks that aren't done.
+json encode_tasks(const stage_row& stage) {
+    json rows = json::array();
+    for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
+        const auto& task = stage.tasks[index];
+        const bool blank =
+            task.failures == 0 && task.last_run.value == 0 && task.checkpoint.empty();
+        if (task.done || blank) {
+            continue;
+        }
+        rows.push_back({index, task.failures, task.last_run.value, task.checkpoint});
+    }
+    return rows;
+}
+
+// Runs a parser that throws and returns its failure as a value.
+template <class Parse>
+auto parse_record(std::string_view text, Parse parse) -> result<decltype(parse(json()))> {
+    try {
+        return parse(json::parse(text));
+    } catch (const std::exception& failure) {
+        return error{error_kind::protocol_error, failure.what()};
+    }
+}
+
+template <class T>
+void put_unless(json& out, const char* name, const T& value, const T& blank) {
+    if (!(value == blank)) {
+        out[name] = value;
+    }
+}
+
+} // namespace
+
+std::string job_index_key(const job_id& job) {
+    return "ids/" + job.value;
+}
+
+std::string claim_key(const shard_id& shard) {
+    return std::string(claims_prefix) + shard.value;
+}
+
+std::string data_prefix(const shard_id& shard) {
+    return "data/" + shard.value + "/";
+}
+
+std::string head_key(const shard_id& shard) {
+    return data_prefix(shard) + "head";
+}
+
+std::string worker_list_key(const shard_id& shard) {
+    return data_prefix(shard) + "workers";
+}
+
+std::string job_key(const shard_id& shard, const job_id& job) {
+    return data_prefix(shard) + "job/" + job.value;
+}
+
+std::string progress_key(const shard_id& shard, const job_id& job) {
+    return data_prefix(shard) + "progress/" + job.value;
+}
+
+std::string encode(const claim_record& record) {
+    return json{{"owner", record.owner}, {"epoch", record.epoch}}.dump();
+}
+
+std::string encode(const head_record& record) {
+    return json{{"epoch", record.epoch}, {"number", record.number}}.dump();
+}
+
+std::string encode(const std::vector<known_worker>& record) {
+    json rows = json::array();
+    for (const auto& worker : record) {
+        rows.push_back({worker.target.id, to_string(worker.target.address)});
+    }
+    return rows.dump();
+}
+
+std::string encode(const std::vector<shard_record>& record) {
+    json rows = json::array();
+    for (const auto& shard : record) {
+        rows.push_back(
+            {{"id", shard.id}, {"data_centre", shard.data_centre}, {"racks", shard.racks}});
+    }
+    return rows.dump();
+}
+
+result<claim_record> parse_claim(std::string_view text) {
+    return parse_record(text, [](const json& in) {
+        return claim_record{in.at("owner").get<host_id>(), in.at("epoch").get<epoch_number>()};
+    });
+}
+
+result<head_record> parse_head(std::string_view text) {
+    return parse_record(text, [](const json& in) {
+        return head_record{in.at("epoch").get<epoch_number>(),
+                           in.at("number").get<std::uint64_t>()};
+    });
+}
+
+result<std::vector<known_worker>> parse_known_workers(std::string_view text) {
+    return parse_record(text, [](const json& in) {
+        std::vector<known_worker> workers;
+        for (const auto& row : in) {
+            const auto address = parse_address(row.at(1).get<std::string>());
+            if (address) {
+                workers.push_back({{row.at(0).get<worker_id>(), address.value()}});
+            }
+        }
+        return workers;
+    });
+}
+
+result<std::vector<shard_record>> parse_shards(std::string_view text) {
+    return parse_record(text, [](const json& in) {
+        std::vector<shard_record> shards;
+        for (const auto& row : in) {
+            shards.push_back({row.at("id").get<shard_id>(),
+                              row.at("data_centre").get<data_centre_id>(),
+                              row.at("racks").get<std::vector<rack_id>>()});
+        }
+        return shards;
+    });
+}
+
+json encode_spec(const job_spec& spec) {
+    json steps = json::array();
+    for (const auto& step : spec.steps) {
+        json row{{"n", step.count},
+                 {"cpu", step.need.processors},
+                 {"mem", step.need.memory},
+                 {"est", step.estimate.count()}};
+        put_unless(row, "gpu", step.need.accelerators.value, std::int64_t{0});
+        put_unless(row, "after", step.after, {});
+        put_unless(row, "ckpt", step.checkpoints, false);
+        put_unless(row, "gang", step.gang, false);
+        put_unless(row, "rack", step.one_rack, false);
+        put_unless(row, "label", step.label, {});
+        put_unless(row, "data", step.data_rack.value, {});
+        put_unless(row, "spread", step.spread_limit, 0U);
+        put_unless(row, "copies", step.speculative, false);
+        put_unless(row, "lasts", step.lasting, false);
+        put_unless(row, "image", step.image, {});
+        put_unless(row, "tail", step.tail_target.count(), std::int64_t{0});
+        put_unless(row, "fills", step.filler, false);
+        put_unless(row, "away", step.absences, 0U);
+        steps.push_back(std::move(row));
+    }
+    json out{{"payload", spec.payload}, {"steps", std::move(steps)}};
+    if (spec.occurrences > 0) {
+        out["times"] = spec.occurrences;
+        out["first"] = spec.first_due;
+        out["every"] = spec.interval.count();
+    }
+    return out;
+}
+
+job_spec decode_spec(const json& from) {
+    job_spec spec;
+    spec.payload = from.at("payload").get<std::string>();
+    for (const auto& row : from.at("steps")) {
+        step_spec step;
+        step.count = row.at("n").get<std::uint32_t>();
+        step.need = {row.at("cpu").get<millicores>(),
+                     row.at("mem").get<mebibytes>(),
+                     {row.value("gpu", std::int64_t{0})}};
+        step.estimate = duration(row.at("est").get<std::int64_t>());
+        step.after = row.value("after", step.after);
+        step.checkpoints = row.value("ckpt", false);
+        step.gang = row.value("gang", false);
+        step.one_rack = row.value("rack", false);
+        step.label = row.value("label", "");
+        step.data_rack.value = row.value("data", "");
+        step.spread_limit = row.value("spread", 0U);
+        step.speculative = row.value("copies", false);
+        step.lasting = row.value("lasts", false);
+        step.image = row.value("image", "");
+        step.tail_target = duration(row.value("tail", std::int64_t{0}));
+        step.filler = row.value("fills", false);
+        step.absences = row.value("away", 0U);
+        spec.steps.push_back(std::move(step));
+    }
+    spec.occurrences = from.value("times", 0U);
+    spec.first_due.value = from.value("first", std::int64_t{0});
+    spec.interval = duration(from.value("every", std::int64_t{0}));
+    return spec;
+}
+
+json encode_queue(const queue_spec& queue) {
+    json out{{"id", queue.id},
+             {"service", queue.service},
+             {"priority", queue.priority},
+             {"attempts", queue.max_attempts},
+             {"stretch", queue.stretch},
+             {"objective", queue.objective.count()}};
+    if (queue.needs_advice) {
+        out["advice"] = {queue.advice.decision.count(), queue.advice.per_worker.count(),
+                         queue.advice.validity.count()};
+    }
+    return out;
+}
+
+queue_spec decode_queue(const json& from) {
+    queue_spec queue;
+    queue.id = from.at("id").get<queue_id>();
+    queue.service = from.at("service").get<service_id>();
+    queue.priority = from.at("priority").get<std::int32_t>();
+    queue.max_attempts = from.at("attempts").get<std::uint32_t>();
+    queue.stretch = from.at("stretch").get<double>();
+    queue.objective = duration(from.at("objective").get<std::int64_t>());
+    if (from.contains("advice")) {
+        const auto& advice = from.at("advice");
+        queue.needs_advice = true;
+        queue.advice = {duration(advice.at(0).get<std::int64_t>()),
+                        duration(advice.at(1).get<std::int64_t>()),
+                        duration(advice.at(2).get<std::int64_t>())};
+    }
+    return queue;
+}
+
+std::string encode_job(const job_row& job) {
+    return json{{"queue", encode_queue(job.queue)},
+                {"spec", encode_spec(job.spec)},
+                {"accepted", job.accepted}}
+        .dump();
+}
+
+result<job_row> parse_job(const job_id& id, std::string_view text) {
+    return parse_record(text, [&](const json& in) {
+        job_row job;
+        job.id = id;
+        job.queue = decode_queue(in.at("queue"));
+        job.spec = decode_spec(in.at("spec"));
+        job.accepted = in.at("accepted").get<unix_time>();
+        job.spec_stored = true;
+        return job;
+    });
+}
+
+std::string encode_progress(const job_row& job) {
+    json out{{"phase", static_cast<int>(job.phase)}};
+    put_unless(out, "ended", job.ended.value, std::int64_t{0});
+    put_unless(out, "next", job.next_occurrence, 0U);
+    put_unless(out, "done", job.occurrences_done, 0U);
+    if (has_ended(job.phase)) {
+        return out.dump();
+    }
+    json stages = json::array();
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const auto& stage : occurrence.stages) {
+            const auto tasks = encode_tasks(stage);
+            if (stage.done > 0 || !tasks.empty()) {
+                stages.push_back({number, stage.step, encode_done(stage), tasks});
+            }
+        }
+    }
+    out["open"] = json::array();
+    for (const auto& [number, occurrence] : job.occurrences) {
+        out["open"].push_back(number);
+    }
+    out["stages"] = std::move(stages);
+    return out.dump();
+}
+
+result<void> parse_progress(job_row& job, std::string_view text) {
+    const auto parsed = parse_record(text, [&](const json& in) {
+        job.phase = static_cast<job_phase>(in.at("phase").get<int>());
+        job.ended.value = in.value("ended", std::int64_t{0});
+        job.next_occurrence = in.value("next", 0U);
+        job.occurrences_done = in.value("done", 0U);
+        if (has_ended(job.phase)) {
+            return true;
+        }
+        for (const auto& number : in.at("open")) {
+            const auto occurrence = number.get<std::uint32_t>();
+            job.occurrences.emplace(occurrence, make_occurrence(job.spec, occurrence));
+        }
+        for (const auto& row : in.at("stages")) {
+            auto& occurrence = job.occurrences.at(row.at(0).get<std::uint32_t>());
+            auto& stage = occurrence.stages.at(row.at(1).get<std::uint32_t>());
+            decode_done(stage, row.at(2).get<std::string>());
+            for (const auto& entry : row.at(3)) {
+                auto& task = stage.tasks.at(entry.at(0).get<std::size_t>());
+                task.failures = entry.at(1).get<std::uint32_t>();
+                task.last_run = entry.at(2).get<run_number>();
+                task.checkpoint = entry.at(3).get<std::string>();
+            }
+        }
+        for (auto& [number, occurrence] : job.occurrences) {
+            open_stages(job.spec, occurrence);
+        }
+        return true;
+    });
+    if (!parsed) {
+        return parsed.error();
+    }
+    return outcome::success();
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/shard_reports.cpp
@@ -0,0 +1,387 @@
+// What workers report: replies to orders, the runs they list and the ends they repeat.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// After a refusal for want of room the worker gets no starts until its next report, at most this
+// long.
+constexpr duration no_room_pause{300};
+
+// Marks a task as done and stops its other runs.
+void finish_task(shard_state& shard, stage_row& stage, const task_key& key, time_point now) {
+    auto& task = stage.tasks[key.index];
+    if (task.done) {
+        return;
+    }
+    task.done = true;
+    ++stage.done;
+    stage.waiting.erase(key.index);
+    for (const auto number : task.runs) {
+        request_stop(shard.tables.runs.at({key, number}), stop_cause::duplicate, now);
+    }
+}
+
+// Handles a done end; returns whether the job's record should be stored at once.
+bool on_task_done(shard_state& shard, job_row& job, const run_key& run, time_point now,
+                  unix_time unix_now) {
+    auto& occurrence = job.occurrences.at(run.task.occurrence);
+    auto& stage = occurrence.stages[run.task.step];
+    const auto& step = job.spec.steps[run.task.step];
+    if (step.gang) {
+        // One end stands for all members.
+        for (std::uint32_t index = 0; index < step.count; ++index) {
+            task_key member = run.task;
+            member.index = index;
+            finish_task(shard, stage, member, now);
+        }
+    } else {
+        finish_task(shard, stage, run.task, now);
+    }
+    if (stage.done < step.count) {
+        return false;
+    }
+    open_stages(job.spec, occurrence);
+    shard.place_needed = true;
+    if (!occurrence.done) {
+        return false;
+    }
+    job.occurrences.erase(run.task.occurrence);
+    ++job.occurrences_done;
+    if (job.occurrences_done < std::max<std::uint32_t>(1, job.spec.occurrences)) {
+        return true;
+    }
+    end_job(shard, job, job_phase::completed, now, unix_now);
+    return true;
+}
+
+// Takes a run that a worker lists and this owner did not order: a predecessor's.
+void adopt_run(shard_state& shard, worker_row& worker, const running_row& row, time_point now) {
+    run_row run;
+    run.key = row.run;
+    run.worker = worker.entry.target.id;
+    run.phase = run_phase::running;
+    run.ordered = now;
+    run.confirmed = now;
+    const auto job = shard.tables.jobs.find(row.run.task.job);
+    if (job != shard.tables.jobs.end() && row.run.task.step < job->second.spec.steps.size()) {
+        const auto& step = job->second.spec.steps[row.run.task.step];
+        run.need = step.need;
+        run.filler = step.filler;
+    }
+    auto* task = find_task(shard.tables, row.run.task);
+    const bool wanted = task != nullptr && !task->done && task->runs.empty();
+    const auto cause = task == nullptr ? stop_cause::cancelled : stop_cause::duplicate;
+    auto& added = add_run(shard.tables, std::move(run));
+    if (!wanted) {
+        request_stop(added, cause, now);
+    } else {
+        shard.tables.jobs.at(row.run.task.job).phase = job_phase::running;
+    }
+    shard.log->write("event=run_adopted task={}.{}.{}.{} run={} worker={} wanted={}",
+                     row.run.task.job.value, row.run.task.occurrence, row.run.task.step,
+                     row.run.task.index, row.run.number.value, worker.entry.target.id.value,
+                     wanted);
+}
+
+// Updates a run from the worker's list.
+void update_run(run_row& run, const running_row& row, time_point now) {
+    run.checkpoint = row.checkpoint;
+    run.percent = row.percent;
+    run.figure = row.figure;
+    if (!run.confirmed) {
+        run.confirmed = now;
+    }
+    if (run.phase == run_phase::starting || run.phase == run_phase::unsure) {
+        run.phase = run_phase::running;
+    }
+}
+
+// Decides about a run that the worker doesn't list. The list may be older than an order's reply, so
+// only what was known before the hold was sent counts.
+void check_absent_run(shard_state& shard, const run_key& key, const worker_row& worker,
+                      time_point sent, time_point now) {
+    auto& run = shard.tables.runs.at(key);
+    const bool was_running = run.confirmed && sent > *run.confirmed;
+    const bool order_expired = run.phase != run_phase::starting &&
+                               worker.clock->value >= run.order_lease.value && sent > run.ordered;
+    const bool was_stopped = run.stop_answered && sent > *run.stop_answered;
+    if (was_running || was_stopped || (order_expired && !run.confirmed)) {
+        shard.log->write("event=run_absent task={}.{}.{}.{} run={} worker={} phase={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, run.worker.value, to_string(run.phase));
+        remove_run(shard.tables, key);
+        shard.place_needed = true;
+    } else if (run.phase == run_phase::unsure && sent > run.ordered) {
+        // The order may still be executed. A stop makes the worker refuse it.
+        request_stop(run, stop_cause::duplicate, now);
+    }
+}
+
+// Forgets what an earlier life of the worker knew. Orders without an answer may still be executed
+// by the new life, so their runs are kept until it refuses or lists them.
+void begin_life(shard_state& shard, worker_row& worker) {
+    shard.log->write("event=worker_restarted shard={} worker={} runs={}", shard.id.value,
+                     worker.entry.target.id.value, worker.runs.size());
+    const auto runs = worker.runs;
+    for (const auto& key : runs) {
+        auto& run = shard.tables.runs.at(key);
+        if (!run.confirmed) {
+            run.order_lease = {std::numeric_limits<std::int64_t>::max()};
+            continue;
+        }
+        if (auto* task = find_task(shard.tables, key.task); task && !run.checkpoint.empty()) {
+            task->checkpoint = run.checkpoint;
+        }
+        shard.counters->count("runs_lost", "worker_restarted");
+        remove_run(shard.tables, key);
+    }
+    worker.handled_end = 0;
+    worker.acknowledged_end = 0;
+    worker.ends.clear();
+    worker.failures = 0;
+    worker.lease_until = {};
+    worker.looked = false;
+    shard.place_needed = true;
+}
+
+// Handles the two lists of a reply.
+void take_lists(shard_state& shard, worker_row& worker, const hold_reply& reply, time_point sent,
+                time_point now, unix_time unix_now) {
+    for (const auto& row : reply.ended) {
+        if (row.number > worker.handled_end) {
+            on_run_ended(shard, worker, row, now, unix_now);
+            worker.handled_end = row.number;
+        }
+    }
+    std::set<run_key> listed;
+    for (const auto& row : reply.running) {
+        listed.insert(row.run);
+        const auto found = shard.tables.runs.find(row.run);
+        if (found == shard.tables.runs.end()) {
+            adopt_run(shard, worker, row, now);
+        } else if (found->second.worker == worker.entry.target.id) {
+            update_run(found->second, row, now);
+        }
+    }
+    if (reply.ended.size() >= ended_rows_limit) {
+        return; // more ends follow, so an absent run may be among them
+    }
+    const auto runs = worker.runs;
+    for (const auto& key : runs) {
+        if (!listed.contains(key) && shard.tables.runs.contains(key)) {
+            check_absent_run(shard, key, worker, sent, now);
+        }
+    }
+    worker.looked = true;
+    shard.predecessors.erase(worker.entry.target.id);
+}
+
+void note_unanswered(shard_state& shard, worker_row& worker, std::string_view reason,
+                     time_point sent, time_point now) {
+    worker.next_hold = now + shard.timing.look_interval;
+    if (worker.contact == reach::unreachable) {
+        return;
+    }
+    worker.contact = reach::unreachable;
+    worker.unanswered_since = sent;
+    shard.counters->count("workers_unreachable", reason);
+    shard.log->write("event=worker_unreachable shard={} worker={} reason={} runs={}",
+                     shard.id.value, worker.entry.target.id.value, reason, worker.runs.size());
+}
+
+// Keeps starts away from a worker that refuses or fails them.
+void pause_starts(const shard_state& shard, worker_row& worker, time_point now) {
+    constexpr std::uint32_t doublings = 4;
+    const auto pause = shard.timing.unhealthy_pause * (1U << std::min(worker.failures, doublings));
+    worker.no_starts_before = now + std::min(pause, shard.timing.unhealthy_pause_limit);
+}
+
+} // namespace
+
+void on_run_ended(shard_state& shard, worker_row& worker, const ended_row& row, time_point now,
+                  unix_time unix_now) {
+    const auto& key = row.run;
+    if (const auto run = shard.tables.runs.find(key);
+        run != shard.tables.runs.end() && run->second.worker == worker.entry.target.id) {
+        remove_run(shard.tables, key);
+    }
+    shard.place_needed = true;
+    shard.counters->count("runs_ended", to_string(row.kind));
+    auto* stage = find_stage(shard.tables, key.task);
+    auto* task = find_task(shard.tables, key.task);
+    if (row.kind == end_kind::failed) {
+        ++worker.failures;
+        if (worker.failures > 1) {
+            pause_starts(shard, worker, now);
+        }
+    } else if (row.kind == end_kind::done) {
+        worker.failures = 0;
+    }
+    if (row.kind != end_kind::done) {
+        shard.log->write("event=run_ended task={}.{}.{}.{} run={} worker={} end={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, worker.entry.target.id.value, to_string(row.kind));
+    }
+    if (task == nullptr || task->done) {
+        worker.ends.push_back({row.number, key.task.job, 0});
+        return;
+    }
+    auto& job = shard.tables.jobs.at(key.task.job);
+    const auto& step = job.spec.steps[key.task.step];
+    task->last_run = std::max(task->last_run, key.number);
+    if (!row.checkpoint.empty()) {
+        task->checkpoint = row.checkpoint;
+    }
+    bool urgent = false;
+    if (row.kind == end_kind::done && !step.lasting) {
+        urgent = on_task_done(shard, job, key, now, unix_now);
+    } else if (row.kind == end_kind::failed) {
+        ++task->failures;
+        task->last_failed_on = worker.entry.target.id;
+        if (!step.lasting && task->failures >= job.queue.max_attempts) {
+            end_job(shard, job, job_phase::failed, now, unix_now);
+            urgent = true;
+        }
+    }
+    if (task->runs.empty() && !has_ended(job.phase) && !urgent) {
+        assert(task->done || stage->waiting.contains(key.task.index));
+    }
+    note_change(shard, job, urgent, now);
+    worker.ends.push_back({row.number, job.id, job.version});
+}
+
+void on_hold_reply(shard_state& shard, const worker_id& id, const result<hold_reply>& reply,
+                   time_point sent, time_point now, unix_time unix_now) {
+    const auto found = shard.tables.workers.find(id);
+    if (shard.lost || found == shard.tables.workers.end()) {
+        return;
+    }
+    auto& worker = found->second;
+    worker.hold_in_flight = false;
+    if (!reply) {
+        note_unanswered(shard, worker, to_string(reply.error().kind), sent, now);
+        return;
+    }
+    const auto& report = reply.value();
+    if (report.outcome == order_outcome::fenced) {
+        lose_shard(shard, "fenced");
+        return;
+    }
+    if (report.outcome == order_outcome::other_life) {
+        note_unanswered(shard, worker, "other_life", sent, now);
+        begin_life(shard, worker);
+        drop_worker_runs(shard, worker, "other_life");
+        return;
+    }
+    if (report.outcome != order_outcome::done) {
+        note_unanswered(shard, worker, to_string(report.outcome), sent, now);
+        return;
+    }
+    const bool reborn = (worker.born && report.born && *worker.born != *report.born) ||
+                        (worker.clock && report.clock < *worker.clock);
+    if (reborn) {
+        begin_life(shard, worker);
+    }
+    if (report.born) {
+        worker.born = report.born;
+    }
+    if (worker.contact != reach::reachable) {
+        shard.log->write("event=worker_reached shard={} worker={}", shard.id.value, id.value);
+        shard.place_needed = true;
+    }
+    worker.contact = reach::reachable;
+    worker.clock = report.clock;
+    worker.clock_at = now;
+    if (!worker.looked) {
+        // A predecessor's lease may still run for this long.
+        worker.lease_until = std::max(
+            worker.lease_until, worker_clock{report.clock.value + shard.timing.lease.count()});
+    }
+    take_lists(shard, worker, report, sent, now, unix_now);
+    worker.next_hold = worker.ends.empty() ? now : now + shard.timing.unstored_hold_interval;
+}
+
+void on_start_reply(shard_state& shard, const run_key& key, const result<order_reply>& reply,
+                    time_point now) {
+    const auto found = shard.tables.runs.find(key);
+    if (shard.lost || found == shard.tables.runs.end()) {
+        return;
+    }
+    auto& run = found->second;
+    auto& worker = shard.tables.workers.at(run.worker);
+    const auto note = [&](std::string_view outcome) {
+        shard.counters->count("starts", outcome);
+        shard.log->write("event=start_answered task={}.{}.{}.{} run={} worker={} outcome={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, run.worker.value, outcome);
+    };
+    if (!reply) {
+        note(to_string(reply.error().kind));
+        pause_starts(shard, worker, now);
+        if (reply.error().kind == error_kind::unavailable) {
+            remove_run(shard.tables, key);
+            shard.place_needed = true;
+        } else if (run.phase == run_phase::starting) {
+            run.phase = run_phase::unsure;
+        }
+        return;
+    }
+    const auto outcome = reply.value().outcome;
+    if (outcome == order_outcome::done) {
+        shard.counters->count("starts", "done");
+        if (!run.confirmed) {
+            run.confirmed = now;
+        }
+        if (run.phase != run_phase::stopping) {
+            run.phase = run_phase::running;
+        }
+        return;
+    }
+    note(to_string(outcome));
+    if (outcome == order_outcome::fenced) {
+        lose_shard(shard, "fenced");
+        return;
+    }
+    if (outcome == order_outcome::no_room) {
+        worker.no_starts_before = std::max(worker.no_starts_before, now + no_room_pause);
+    } else if (outcome != order_outcome::superseded) {
+        ++worker.failures;
+        pause_starts(shard, worker, now);
+    }
+    if (outcome == order_outcome::late || outcome == order_outcome::other_life) {
+        worker.next_hold = now;
+    }
+    remove_run(shard.tables, key);
+    shard.place_needed = true;
+}
+
+void on_stop_reply(shard_state& shard, const run_key& key, const result<order_reply>& reply,
+                   time_point now) {
+    const auto found = shard.tables.runs.find(key);
+    if (shard.lost || found == shard.tables.runs.end()) {
+        return;
+    }
+    auto& run = found->second;
+    run.stop_in_flight = false;
+    if (!reply) {
+        shard.counters->count("stops", to_string(reply.error().kind));
+        return;
+    }
+    const auto outcome = reply.value().outcome;
+    shard.counters->count("stops", to_string(outcome));
+    if (outcome == order_outcome::fenced) {
+        lose_shard(shard, "fenced");
+        return;
+    }
+    if (outcome == order_outcome::done || outcome == order_outcome::superseded ||
+        outcome == order_outcome::missing) {
+        run.stop_answered = now;
+    }
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/shard_tables.cpp
@@ -0,0 +1,123 @@
+#include "shard_tables.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+std::string_view to_string(run_phase phase) {
+    switch (phase) {
+    case run_phase::starting:
+        return "starting";
+    case run_phase::running:
+        return "running";
+    case run_phase::unsure:
+        return "unsure";
+    case run_phase::stopping:
+        return "stopping";
+    }
+    return "";
+}
+
+stage_row* find_stage(shard_tables& tables, const task_key& key) {
+    const auto job = tables.jobs.find(key.job);
+    if (job == tables.jobs.end()) {
+        return nullptr;
+    }
+    const auto occurrence = job->second.occurrences.find(key.occurrence);
+    if (occurrence == job->second.occurrences.end() ||
+        key.step >= occurrence->second.stages.size()) {
+        return nullptr;
+    }
+    return &occurrence->second.stages[key.step];
+}
+
+task_row* find_task(shard_tables& tables, const task_key& key) {
+    auto* stage = find_stage(tables, key);
+    return stage != nullptr && key.index < stage->tasks.size() ? &stage->tasks[key.index] : nullptr;
+}
+
+run_row& add_run(shard_tables& tables, run_row run) {
+    auto* stage = find_stage(tables, run.key.task);
+    auto& worker = tables.workers.at(run.worker);
+    if (stage != nullptr) {
+        auto& task = stage->tasks[run.key.task.index];
+        task.runs.push_back(run.key.number);
+        task.last_run = std::max(task.last_run, run.key.number);
+        stage->waiting.erase(run.key.task.index);
+        ++stage->spread[run.worker];
+    }
+    worker.runs.insert(run.key);
+    worker.committed.memory.value += run.need.memory.value;
+    worker.committed.accelerators.value += run.need.accelerators.value;
+    (run.filler ? worker.filler_demand : worker.committed.processors.value) +=
+        run.need.processors.value;
+    const auto [row, added] = tables.runs.emplace(run.key, std::move(run));
+    assert(added);
+    return row->second;
+}
+
+void remove_run(shard_tables& tables, const run_key& key) {
+    const auto found = tables.runs.find(key);
+    assert(found != tables.runs.end());
+    const run_row run = std::move(found->second);
+    tables.runs.erase(found);
+    auto& worker = tables.workers.at(run.worker);
+    worker.runs.erase(key);
+    worker.committed.memory.value -= run.need.memory.value;
+    worker.committed.accelerators.value -= run.need.accelerators.value;
+    (run.filler ? worker.filler_demand : worker.committed.processors.value) -=
+        run.need.processors.value;
+    auto* stage = find_stage(tables, key.task);
+    if (stage == nullptr) {
+        return;
+    }
+    auto& task = stage->tasks[key.task.index];
+    std::erase(task.runs, key.number);
+    if (!task.done && task.runs.empty()) {
+        stage->waiting.insert(key.task.index);
+    }
+    const auto spread = stage->spread.find(run.worker);
+    if (spread != stage->spread.end() && --spread->second == 0) {
+        stage->spread.erase(spread);
+    }
+}
+
+occurrence_row make_occurrence(const job_spec& spec, std::uint32_t number) {
+    occurrence_row made;
+    made.number = number;
+    made.stages.resize(spec.steps.size());
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        auto& stage = made.stages[step];
+        stage.occurrence = number;
+        stage.step = step;
+        stage.tasks.resize(spec.steps[step].count);
+        for (std::uint32_t index = 0; index < spec.steps[step].count; ++index) {
+            stage.waiting.insert(stage.waiting.end(), index);
+        }
+    }
+    open_stages(spec, made);
+    return made;
+}
+
+void open_stages(const job_spec& spec, occurrence_row& occurrence) {
+    const auto complete = [&](std::uint32_t step) {
+        return occurrence.stages[step].done == spec.steps[step].count;
+    };
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        const auto& after = spec.steps[step].after;
+        occurrence.stages[step].open = std::all_of(after.begin(), after.end(), complete);
+    }
+    occurrence.done = std::all_of(occurrence.stages.begin(), occurrence.stages.end(),
+                                  [&](const stage_row& stage) { return complete(stage.step); });
+}
+
+resources free_resources(const worker_row& worker) {
+    return worker.entry.capacity - worker.committed;
+}
+
+void touch(job_row& job) {
+    ++job.version;
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/store_view.cpp
@@ -0,0 +1,152 @@
+#include "store_view.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+store_view::store_view(async_store& store, event_loop& loop, store_view_options options,
+                       change_handler on_change, load_handler on_load)
+    : state_(std::make_shared<state>(state{.store = store,
+                                           .loop = loop,
+                                           .options = std::move(options),
+                                           .on_change = std::move(on_change),
+                                           .on_load = std::move(on_load)})) {}
+
+void store_view::start() {
+    load_page(state_, "", state_->loop.now());
+}
+
+void store_view::stop() {
+    state_->stopped = true;
+}
+
+void store_view::merge(const std::map<std::string, store_entry>& entries, revision_number revision,
+                       time_point confirmed) {
+    auto& self = *state_;
+    if (revision > self.revision) {
+        replace(self, entries);
+        self.revision = revision;
+        const bool first = !std::exchange(self.loaded, true);
+        if (first) {
+            self.on_load();
+        }
+    }
+    if (revision >= self.revision) {
+        self.confirmed = std::max(self.confirmed.value_or(confirmed), confirmed);
+    }
+}
+
+// Replaces the content and reports what differs.
+void store_view::replace(state& self, std::map<std::string, store_entry> fresh) {
+    std::map<std::string, store_entry> old;
+    old.swap(self.entries);
+    self.entries = std::move(fresh);
+    for (const auto& [key, entry] : old) {
+        if (!self.entries.contains(key)) {
+            self.on_change(key, nullptr);
+        }
+    }
+    for (const auto& [key, entry] : self.entries) {
+        const auto known = old.find(key);
+        if (known == old.end() || known->second.revision != entry.revision) {
+            self.on_change(key, &entry);
+        }
+    }
+}
+
+void store_view::load_page(const std::shared_ptr<state>& self, const std::string& after,
+                           time_point began) {
+    if (after.empty()) {
+        self->listing.clear();
+        self->listing_revision = {};
+    }
+    self->store.list(self->options.prefix, after, read_mode::linearizable,
+                     [self, began, after](result<store_page> page) {
+                         if (self->stopped) {
+                             return;
+                         }
+                         if (!page) {
+                             retry(self, true);
+                             return;
+                         }
+                         auto& got = page.value();
+                         // Pages are no snapshot: watching from the first page's revision repeats
+                         // the changes that later pages may or may not show.
+                         if (after.empty()) {
+                             self->listing_revision = got.revision;
+                         }
+                         std::string last;
+                         for (auto& entry : got.entries) {
+                             last = entry.key;
+                             self->listing.insert_or_assign(last, std::move(entry));
+                         }
+                         if (got.more && !last.empty()) {
+                             load_page(self, last, began);
+                             return;
+                         }
+                         self->healthy = true;
+                         self->backoff = duration(0);
+                         if (self->listing_revision >= self->revision) {
+                             replace(*self, std::move(self->listing));
+                             self->revision = self->listing_revision;
+                             self->confirmed = std::max(self->confirmed.value_or(began), began);
+                             self->loaded = true;
+                             self->on_load();
+                         }
+                         watch(self);
+                     });
+}
+
+void store_view::watch(const std::shared_ptr<state>& self) {
+    const auto sent = self->loop.now();
+    self->store.watch(self->options.prefix, self->revision, self->options.wait,
+                      [self, sent](result<store_events> reply) {
+                          if (self->stopped) {
+                              return;
+                          }
+                          if (!reply) {
+                              retry(self, reply.error().kind == error_kind::expired);
+                              return;
+                          }
+                          self->healthy = true;
+                          self->backoff = duration(0);
+                          auto& got = reply.value();
+                          for (auto& event : got.events) {
+                              const auto key = event.entry.key;
+                              const auto known = self->entries.find(key);
+                              if (known != self->entries.end() &&
+                                  known->second.revision >= event.entry.revision) {
+                                  continue;
+                              }
+                              if (event.deleted) {
+                                  if (known != self->entries.end()) {
+                                      self->entries.erase(known);
+                                      self->on_change(key, nullptr);
+                                  }
+                              } else {
+                                  auto& entry = self->entries[key] = std::move(event.entry);
+                                  self->on_change(key, &entry);
+                              }
+                          }
+                          self->revision = std::max(self->revision, got.revision);
+                          self->confirmed = std::max(self->confirmed.value_or(sent), sent);
+                          watch(self);
+                      });
+}
+
+void store_view::retry(const std::shared_ptr<state>& self, bool reload) {
+    self->healthy = false;
+    self->backoff = std::clamp(self->backoff * 2, self->options.retry, self->options.retry_limit);
+    self->loop.call_after(self->backoff, [self, reload] {
+        if (self->stopped) {
+            return;
+        }
+        if (reload || !self->loaded) {
+            load_page(self, "", self->loop.now());
+        } else {
+            watch(self);
+        }
+    });
+}
+
+} // namespace fulmar
--- /dev/null
+++ b/src/store_view.hpp
@@ -0,0 +1,77 @@
+// A copy of the store's keys below one prefix, kept up to date by watching.
+#pragma once
+
+#include "fulmar/async_store.hpp"
+#include "fulmar/event_loop.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace fulmar {
+
+struct store_view_options {
+    std::string prefix;
+    duration wait{10'000};       // of one watch call
+    duration retry{300};         // after a failed call; doubled up to retry_limit
+    duration retry_limit{1'500}; // a store that is back is noticed within this time
+};
+
+class store_view {
+  public:
+    // Called for each change, `entry` being null when the key is gone, and once after the first
+    // load and after each reload.
+    using change_handler = std::function<void(const std::string& key, const store_entry* entry)>;
+    using load_handler = std::function<void()>;
+
+    store_view(async_store& store, event_loop& loop, store_view_options options,
+               change_handler on_change, load_handler on_load);
+
+    void start();
+    void stop();
+
+    bool loaded() const { return state_->loaded; }
+    const std::map<std::string, store_entry>& entries() const { return state_->entries; }
+
+    // Returns the send time of the last call that showed this content to be current.
+    std::optional<time_point> confirmed() const { return state_->confirmed; }
+
+    // Returns the store's revision up to which the content is complete.
+    revision_number revision() const { return state_->revision; }
+
+    // Tells whether the last call succeeded.
+    bool healthy() const { return state_->healthy; }
+
+    // Takes entries that a peer read at a later revision than this view's.
+    void merge(const std::map<std::string, store_entry>& entries, revision_number revision,
+               time_point confirmed);
+
+  private:
+    struct state {
+        async_store& store;
+        event_loop& loop;
+        store_view_options options;
+        change_handler on_change;
+        load_handler on_load;
+        std::map<std::string, store_entry> entries{};
+        std::map<std::string, store_entry> listing{}; // pages of a load in progress
+        revision_number listing_revision{};
+        revision_number revision{};
+        std::optional<time_point> confirmed{};
+        bool loaded = false;
+        bool healthy = false;
+        bool stopped = false;
+        duration backoff{0};
+    };
+
+    static void load_page(const std::shared_ptr<state>& self, const std::string& after,
+                          time_point began);
+    static void watch(const std::shared_ptr<state>& self);
+    static void retry(const std::shared_ptr<state>& self, bool reload);
+    static void replace(state& self, std::map<std::string, store_entry> fresh);
+
+    std::shared_ptr<state> state_;
+};
+
+} // namespace fulmar
