shard_pacing: learn which fillers disturb which serving tasks and pace them

Now a Kalman filter learns the effects, paces leave a slack of 1.15, serving tasks of one image share workers, and fillers go where their pace is predicted to be highest.

--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -460,6 +460,17 @@
                           }
                       });
     }
+    for (auto& action : actions.paces) {
+        const auto run = action.order.run;
+        const auto percent = action.order.percent;
+        workers_.pace(action.target, action.order,
+                      [this, alive = alive_, shard, run, percent](result<order_reply> reply) {
+                          if (*alive) {
+                              on_pace_reply(shard->state, run, percent, reply);
+                              schedule_shard(shard);
+                          }
+                      });
+    }
     if (actions.commit) {
         const auto sent = loop_.now();
         store_.commit(std::move(*actions.commit),
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -103,7 +103,9 @@
             order.lease_until = next_lease(shard, worker, now);
             worker.lease_until = std::max(worker.lease_until, *order.lease_until);
         }
-        order.wait = steady ? shard.timing.hold_wait : duration(0);
+        order.wait = !steady                    ? duration(0)
+                     : is_shared(shard, worker) ? shard.timing.watch_wait
+                                                : shard.timing.hold_wait;
         worker.hold_in_flight = true;
         worker.hold_sent = now;
         actions.holds.push_back({worker.entry.target, order});
@@ -407,6 +409,7 @@
         place_tasks(shard, now, actions);
     }
     send_stops(shard, now, actions);
+    send_paces(shard, actions);
     find_purgeable(shard, now, unix_now);
     prepare_commit(shard, now, actions);
     send_holds(shard, now, actions);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -2,6 +2,7 @@
 // store come out. It does no I/O and reads no clock, so that every order of events can be tested.
 #pragma once
 
+#include "filler_effects.hpp"
 #include "fulmar/decision_log.hpp"
 #include "fulmar/metrics.hpp"
 #include "shard_records.hpp"
@@ -25,6 +26,8 @@
     // A hold waits this long for an end. Each end returns at once; without ends the reply renews
     // the lease and shows the figures of serving tasks, which may be over their target for 4 s.
     duration hold_wait{1'000};
+    // The same for workers on which fillers run beside serving tasks: as often as figures change.
+    duration watch_wait{500};
     // Between looks at a worker that doesn't answer.
     duration look_interval{400};
     // Between a hold whose ends aren't stored yet and the next one; such a hold returns at once.
@@ -127,6 +130,7 @@
     std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
     std::set<worker_id> stored_workers;                         // in the store's list
     std::vector<job_id> to_purge;
+    filler_effects effects;   // learned from this shard's workers
     bool place_needed = true; // something changed since the last placement
     time_point last_place;
     time_point next_purge;
@@ -165,6 +169,8 @@
                     time_point now);
 void on_stop_reply(shard_state& shard, const run_key& run, const result<order_reply>& reply,
                    time_point now);
+void on_pace_reply(shard_state& shard, const run_key& run, int percent,
+                   const result<order_reply>& reply);
 void on_commit_reply(shard_state& shard, const result<transaction_reply>& reply, time_point sent,
                      time_point now);
 
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -37,6 +37,25 @@
 // Notes that a job's record changed; an urgent change is stored at once.
 void note_change(shard_state& shard, job_row& job, bool urgent, time_point now);
 
+// Fills in what a run's step says of its needs and of sharing a worker.
+void describe_run(run_row& run, const step_spec& step);
+
+// Learns from a worker's figures and chooses the pace of its fillers.
+void pace_fillers(shard_state& shard, worker_row& worker, time_point now);
+
+// Sends the paces that differ from what the workers know.
+void send_paces(shard_state& shard, shard_actions& actions);
+
+// Returns the part of full pace, 0 to 1, at which a filler may run on the worker now.
+double predict_pace(const shard_state& shard, const worker_row& worker, const step_spec& step,
+                    time_point now);
+
+// Returns the share of the worker that serving tasks of other images hold.
+double mixing_of(const shard_state& shard, const worker_row& worker, const std::string& image);
+
+// Tells whether fillers and serving tasks share the worker.
+bool is_shared(const shard_state& shard, const worker_row& worker);
+
 // Builds the next transaction when one is due.
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions);
 
--- /dev/null
+++ b/src/shard_pacing.cpp
@@ -0,0 +1,234 @@
+// Sharing of workers: keeps the tails of serving tasks under their targets by pacing the fillers
+// beside them. The pattern it answers: a serving task's own load swings within seconds, so that a
+// filler which was harmless becomes harmful for a while.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+
+namespace fulmar {
+
+namespace {
+
+// Slack that fillers leave to a serving task; 1 is its target.
+constexpr double kept_slack = 1.15;
+
+// A report shows the last half second and the next one comes after as long again.
+constexpr duration lookahead{700};
+
+// An effect on slack below this is taken for noise.
+constexpr double least_effect = 0.4;
+
+// A serving task may be over its target for 4 s on account of fillers. After these times all that
+// are blamed, then all, stand still, whatever the estimates say.
+constexpr duration over_blamed{1'200};
+constexpr duration over_all{2'200};
+
+// Paces are changed by at least this much, in percent, unless a filler starts or stops.
+constexpr int pace_step = 10;
+
+double slack_of(const run_row& run) {
+    return static_cast<double>(run.tail_target.count()) / static_cast<double>(run.figure);
+}
+
+// Tells whether the worker reports the tail of a serving task.
+bool is_serving(const run_row& run) {
+    return run.tail_target.count() > 0 && run.phase == run_phase::running && run.figure > 0;
+}
+
+double share_of(const worker_row& worker, std::int64_t processors) {
+    return static_cast<double>(processors) /
+           static_cast<double>(std::max<std::int64_t>(1, worker.entry.capacity.processors.value));
+}
+
+std::vector<filler_use> sum_uses(const worker_row& worker, const std::vector<run_row*>& fillers) {
+    std::vector<filler_use> uses;
+    for (const auto* run : fillers) {
+        const auto known = std::find_if(uses.begin(), uses.end(), [&](const filler_use& use) {
+            return use.image == run->image;
+        });
+        const auto share = share_of(worker, run->figure);
+        if (known == uses.end()) {
+            uses.push_back({run->image, share});
+        } else {
+            known->share += share;
+        }
+    }
+    return uses;
+}
+
+// Learns from the figures of a worker; returns how long a serving task has been over its target.
+duration learn_tails(shard_state& shard, worker_row& worker, const std::vector<run_row*>& serving,
+                     const std::vector<run_row*>& fillers, time_point now) {
+    const auto uses = sum_uses(worker, fillers);
+    duration over{0};
+    for (auto* run : serving) {
+        const double slack = slack_of(*run);
+        learn_effect(shard.effects, run->image, run->key.task.job.value, slack, uses, now);
+        if (slack >= 1.0) {
+            run->over_since.reset();
+            continue;
+        }
+        if (!run->over_since) {
+            run->over_since = now;
+        }
+        over = std::max(over, now - *run->over_since);
+    }
+    return over;
+}
+
+// Processors that a filler would use at full pace, and its image.
+struct filler_demand {
+    std::string image;
+    double share = 0;
+};
+
+// Returns the loss of slack that a filler causes to a serving task at full pace; 0 for noise.
+double loss_by(const shard_state& shard, const run_row& serving, const filler_demand& filler) {
+    const double effect = cautious_effect(shard.effects, serving.image, filler.image);
+    return effect < least_effect ? 0 : effect * filler.share;
+}
+
+// Returns the part of full pace, 0 to 1, at which a filler leaves enough slack to all serving tasks
+// if the other fillers that disturb the same tasks are slowed down alike.
+double allowed_pace(const shard_state& shard, const std::vector<const run_row*>& serving,
+                    const std::vector<filler_demand>& fillers, const filler_demand& filler,
+                    time_point now) {
+    double allowed = 1.0;
+    for (const auto* run : serving) {
+        if (loss_by(shard, *run, filler) == 0) {
+            continue;
+        }
+        double total = 0;
+        for (const auto& other : fillers) {
+            total += loss_by(shard, *run, other);
+        }
+        const double room =
+            expected_slack(shard.effects, run->key.task.job.value, now, lookahead) - kept_slack;
+        allowed = std::min(allowed, std::max(0.0, room) / total);
+    }
+    return allowed;
+}
+
+filler_demand demand_of(const worker_row& worker, const run_row& run) {
+    return {run.image, share_of(worker, run.need.processors.value)};
+}
+
+} // namespace
+
+void describe_run(run_row& run, const step_spec& step) {
+    run.need = step.need;
+    run.filler = step.filler;
+    run.image = step.image;
+    run.tail_target = step.lasting ? step.tail_target : duration(0);
+}
+
+void pace_fillers(shard_state& shard, worker_row& worker, time_point now) {
+    std::vector<run_row*> serving;
+    std::vector<run_row*> fillers;
+    for (const auto& key : worker.runs) {
+        auto& run = shard.tables.runs.at(key);
+        if (is_serving(run)) {
+            serving.push_back(&run);
+        } else if (run.filler && run.phase == run_phase::running) {
+            fillers.push_back(&run);
+        }
+    }
+    if (serving.empty()) {
+        for (auto* run : fillers) {
+            run->pace_wanted = 100;
+        }
+        return;
+    }
+    const auto over = learn_tails(shard, worker, serving, fillers, now);
+    const std::vector<const run_row*> watched(serving.begin(), serving.end());
+    std::vector<filler_demand> demands;
+    for (const auto* run : fillers) {
+        demands.push_back(demand_of(worker, *run));
+    }
+    for (std::size_t i = 0; i < fillers.size(); ++i) {
+        auto pace = static_cast<int>(100 * allowed_pace(shard, watched, demands, demands[i], now));
+        const bool blamed = std::any_of(watched.begin(), watched.end(), [&](const run_row* run) {
+            return run->over_since && loss_by(shard, *run, demands[i]) > 0;
+        });
+        if (over >= over_all || (over >= over_blamed && blamed)) {
+            pace = 0;
+        }
+        if (std::abs(pace - fillers[i]->pace_wanted) >= pace_step || pace == 0 || pace == 100) {
+            fillers[i]->pace_wanted = pace;
+        }
+    }
+}
+
+void send_paces(shard_state& shard, shard_actions& actions) {
+    for (auto& [key, run] : shard.tables.runs) {
+        if (run.phase != run_phase::running || run.pace_in_flight ||
+            run.pace_wanted == run.pace_known) {
+            continue;
+        }
+        run.pace_in_flight = true;
+        const auto& worker = shard.tables.workers.at(run.worker);
+        actions.paces.push_back({worker.entry.target, {key, shard.epoch, run.pace_wanted}});
+        shard.counters->count("paces");
+    }
+}
+
+void on_pace_reply(shard_state& shard, const run_key& key, int percent,
+                   const result<order_reply>& reply) {
+    const auto found = shard.tables.runs.find(key);
+    if (shard.lost || found == shard.tables.runs.end()) {
+        return;
+    }
+    auto& run = found->second;
+    run.pace_in_flight = false;
+    if (!reply) {
+        run.pace_known = -1; // unknown, so it is sent again
+        return;
+    }
+    if (reply.value().outcome == order_outcome::fenced) {
+        lose_shard(shard, "fenced");
+        return;
+    }
+    run.pace_known = percent;
+}
+
+bool is_shared(const shard_state& shard, const worker_row& worker) {
+    bool serving = false;
+    bool filling = false;
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        serving = serving || run.tail_target.count() > 0;
+        filling = filling || run.filler;
+    }
+    return serving && filling;
+}
+
+double predict_pace(const shard_state& shard, const worker_row& worker, const step_spec& step,
+                    time_point now) {
+    std::vector<const run_row*> serving;
+    std::vector<filler_demand> demands;
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        if (run.tail_target.count() > 0) {
+            serving.push_back(&run);
+        } else if (run.filler) {
+            demands.push_back(demand_of(worker, run));
+        }
+    }
+    demands.push_back({step.image, share_of(worker, step.need.processors.value)});
+    return allowed_pace(shard, serving, demands, demands.back(), now);
+}
+
+double mixing_of(const shard_state& shard, const worker_row& worker, const std::string& image) {
+    double other = 0;
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        if (run.tail_target.count() > 0 && run.image != image) {
+            other += share_of(worker, run.need.processors.value);
+        }
+    }
+    return other;
+}
+
+} // namespace fulmar
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -20,6 +20,18 @@
     return {std::max(first, task.last_run.value + 1)};
 }
 
+// A filler waits for a worker on which it may run at this part of its pace or more; it accepts less
+// the longer it waits.
+constexpr double accepted_pace = 0.6;
+constexpr double accepted_pace_per_second = 0.15;
+constexpr double least_pace = 0.1;
+
+// A worker on which a filler may run at full pace outweighs this many thousandths of room.
+constexpr double pace_weight = 1'000;
+
+// Serving tasks of one image go together: fillers that disturb them then find workers without any.
+constexpr double mixing_weight = 1'500; // thousandths of a worker's room for one of other images
+
 // Returns the processors of a worker that fillers may use: what is not reserved, and the part of
 // the reservations that lasting tasks leave idle on average.
 std::int64_t filler_room(const shard_state& shard, const worker_row& worker) {
@@ -105,6 +117,9 @@
                           const task_row& task, time_point now) {
     worker_row* best = nullptr;
     std::int64_t best_score = 0;
+    const auto waited = std::chrono::duration<double>(now - *next.stage->ready_since).count();
+    const double pace_limit =
+        std::max(least_pace, accepted_pace - accepted_pace_per_second * waited);
     for (auto& [id, worker] : shard.tables.workers) {
         if (!takes_starts(shard, worker, now) || worker.entry.service != next.job->queue.service ||
             !has_label(worker, step.label) || task.last_failed_on == id ||
@@ -117,7 +132,17 @@
                 continue;
             }
         }
-        const auto score = score_worker(shard, worker, step);
+        auto score = score_worker(shard, worker, step);
+        if (step.filler) {
+            const double pace = predict_pace(shard, worker, step, now);
+            if (pace < pace_limit) {
+                continue;
+            }
+            score += static_cast<std::int64_t>(pace * pace_weight);
+        } else if (step.lasting && step.tail_target.count() > 0) {
+            score = -score -
+                    static_cast<std::int64_t>(mixing_of(shard, worker, step.image) * mixing_weight);
+        }
         if (best == nullptr || score > best_score) {
             best = &worker;
             best_score = score;
@@ -141,8 +166,7 @@
     run_row run;
     run.key = order.run;
     run.worker = worker.entry.target.id;
-    run.need = step.need;
-    run.filler = step.filler;
+    describe_run(run, step);
     run.ordered = now;
     run.order_lease = order.lease_until;
     run.checkpoint = task.checkpoint;
@@ -159,6 +183,9 @@
 void place_stage(shard_state& shard, const candidate& next, time_point now,
                  shard_actions& actions) {
     const auto& step = next.job->spec.steps[next.stage->step];
+    if (!next.stage->ready_since) {
+        next.stage->ready_since = now;
+    }
     const auto waiting = next.stage->waiting;
     for (const auto index : waiting) {
         auto& task = next.stage->tasks[index];
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -69,9 +69,7 @@
     run.confirmed = now;
     const auto job = shard.tables.jobs.find(row.run.task.job);
     if (job != shard.tables.jobs.end() && row.run.task.step < job->second.spec.steps.size()) {
-        const auto& step = job->second.spec.steps[row.run.task.step];
-        run.need = step.need;
-        run.filler = step.filler;
+        describe_run(run, job->second.spec.steps[row.run.task.step]);
     }
     auto* task = find_task(shard.tables, row.run.task);
     const bool wanted = task != nullptr && !task->done && task->runs.empty();
@@ -303,6 +301,7 @@
             worker.lease_until, worker_clock{report.clock.value + shard.timing.lease.count()});
     }
     take_lists(shard, worker, report, sent, now, unix_now);
+    pace_fillers(shard, worker, now);
     worker.next_hold = worker.ends.empty() ? now : now + shard.timing.unstored_hold_interval;
 }
 
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -106,6 +106,14 @@
     std::string checkpoint;
     int percent = 100;
     std::int64_t figure = 0; // see running_row
+
+    // Sharing of a worker.
+    std::string image;
+    duration tail_target{0};              // of a serving task; 0: not one
+    std::optional<time_point> over_since; // when its tail was first seen over the target
+    int pace_wanted = 100;
+    int pace_known = 100; // last one that the worker took
+    bool pace_in_flight = false;
 };
 
 struct task_row {
@@ -124,6 +132,7 @@
     bool open = false; // the steps before it are done
     std::uint32_t done = 0;
     std::vector<task_row> tasks;
+    std::optional<time_point> ready_since;     // when its tasks were first seen waiting for room
     std::set<std::uint32_t> waiting;           // tasks that are neither done nor have an active run
     std::map<worker_id, std::uint32_t> spread; // active runs by worker
 };
