--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -15,6 +15,10 @@
 constexpr duration meta_wait{10'000};
 constexpr duration workers_wait{10'000};
 
+// Workers write every second or two, and each write is an event. A worker that leaves must get no
+// starts after 2.5 s.
+constexpr duration workers_spacing{800};
+
 } // namespace
 
 host_control::host_control(host_options options, event_loop& loop, async_store& store,
@@ -37,7 +41,10 @@
           store, loop, {.prefix = options_.layout.orders_prefix, .wait = orders_wait},
           [this](const auto& key, const auto* entry) { on_orders_change(key, entry); }, [] {})
     , worker_view_(
-          store, loop, {.prefix = options_.layout.workers_prefix, .wait = workers_wait},
+          store, loop,
+          {.prefix = options_.layout.workers_prefix,
+           .wait = workers_wait,
+           .spacing = workers_spacing},
           [this](const auto& key, const auto* entry) { on_workers_change(key, entry); },
           [this] { maintain_shard_list(); }) {}
 
@@ -166,6 +173,9 @@
             return;
         }
         shard_list_ = std::move(shards).value();
+        for (const auto& shard : shard_list_) {
+            shard_noticed_.try_emplace(shard.id, loop_.now());
+        }
         for (const auto& [id, shard] : owned_) {
             for (const auto& record : shard_list_) {
                 if (record.id == id) {
@@ -188,7 +198,7 @@
         if (entry->revision <= row.revision) {
             return;
         }
-        row = {record.value(), entry->revision};
+        row = {record.value(), entry->revision, loop_.now()};
         const auto own = find_owned(id);
         if (own && record.value().epoch > own->state.epoch) {
             drop_shard(id, "claim_taken");
@@ -415,6 +425,9 @@
         maintain_claims();
     }
     update_shard_flags();
+    if (loop_.now() >= next_rooms_) {
+        update_rooms();
+    }
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
             schedule_shard(shard);
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -44,6 +44,9 @@
     // Operators' orders must have been confirmed this recently for starts; they are to be obeyed
     // within 5 s.
     duration freshness{4'000};
+    // A host asks for a shard that it should own rather than the present owner, once both have been
+    // settled this long.
+    duration settle{3'000};
     duration host_lease{20'000}; // of the host's entry in the store
     duration peer_timeout{800};  // of a call to another host
     duration request_retry{80};  // between attempts to reach a shard's owner
@@ -108,12 +111,18 @@
         std::optional<time_point> heard;
         host_status status;
     };
+    struct claim_row {
+        claim_record record;
+        revision_number revision;
+        time_point noticed;
+    };
     struct owned_shard {
         shard_state state;
         bool loaded = false;
         bool run_pending = false;
         bool transferring = false;
         bool checking = false; // a read of the claim is in flight
+        host_id successor;     // asked for the shard; empty: none
         std::vector<store_entry> loading;
         std::vector<std::function<void()>> waiting; // for the end of loading
     };
@@ -137,12 +146,14 @@
 
     // Ownership of shards.
     void maintain_shard_list();
+    void extend_shard_list();
     void maintain_claims();
-    bool should_claim(const shard_record& shard, const claim_record* claim) const;
+    bool should_claim(const shard_record& shard, const claim_row* claim) const;
+    void ask_for_shards();
+    void answer_yield_call(const std::string& body, const peer_reply& reply);
     host_id choose_owner(const shard_record& shard, const host_id& except) const;
     std::size_t count_owned(const host_id& owner) const;
-    void claim_shard(const shard_record& shard, const claim_record* claim,
-                     revision_number revision);
+    void claim_shard(const shard_record& shard, const claim_row* claim);
     void begin_shard(const shard_record& shard, epoch_number epoch, revision_number revision);
     void load_shard_page(const shard_pointer& shard, const std::string& after);
     void attach_workers(owned_shard& shard);
@@ -155,6 +166,10 @@
     void run_shard(const shard_pointer& shard);
     void execute(const shard_pointer& shard, shard_actions& actions);
     void check_claim(const shard_pointer& shard);
+    void update_rooms();
+    void send_loan_message(const shard_pointer& shard, const loan_message& message);
+    void answer_loan_call(const std::string& body, const peer_reply& reply);
+    void take_loan_message(const shard_pointer& shard, const json& body, const peer_reply& reply);
 
     // Requests.
     struct request;
@@ -186,12 +201,10 @@
     std::map<host_id, peer_row> peers_; // by name, without this host
     std::vector<shard_record> shard_list_;
     revision_number shard_list_revision_;
-    bool shard_list_write_ = false;
-    struct claim_row {
-        claim_record record;
-        revision_number revision;
-    };
+    bool shard_list_due_ = false; // an extension is scheduled or being written
     std::map<shard_id, claim_row> claims_;
+    std::map<shard_id, time_point> shard_noticed_; // when it appeared in the list
+    time_point next_ask_;
     std::map<worker_id, worker_entry> worker_entries_;
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
@@ -209,6 +222,8 @@
     std::uint64_t next_token_ = 1;
     std::map<request_token, submit_callback> submit_waiting_;
     std::map<request_token, phase_callback> cancel_waiting_;
+    std::map<request_token, peer_reply> loan_waiting_;
+    time_point next_rooms_;
     std::map<job_id, shard_id> located_;
     std::vector<job_id> located_order_; // ring of the keys of located_
     std::size_t located_next_ = 0;
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -1,6 +1,9 @@
 #include "host_gossip.hpp"
 
 #include "fulmar/json.hpp"
+#include "shard_internal.hpp"
+
+#include <algorithm>
 
 namespace fulmar {
 
@@ -15,6 +18,24 @@
     return loads.emplace_back(service_load{.service = service});
 }
 
+service_room& find_room(std::vector<service_room>& rooms, const service_id& service) {
+    for (auto& room : rooms) {
+        if (room.service == service) {
+            return room;
+        }
+    }
+    return rooms.emplace_back(service_room{.service = service});
+}
+
+void add_room(service_room& room, const shard_state& shard, const worker_row& worker) {
+    const auto free = free_resources(worker);
+    room.free = room.free + free;
+    if (free.processors > room.largest.processors) {
+        room.largest = free;
+    }
+    room.fillers += std::max<std::int64_t>(0, filler_room(shard, worker));
+}
+
 } // namespace
 
 std::string encode(const host_record& record) {
@@ -53,7 +74,12 @@
         for (const auto& [queue, count] : shard.pending) {
             pending.push_back({queue, count});
         }
-        shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending)});
+        json rooms = json::array();
+        for (const auto& room : shard.rooms) {
+            rooms.push_back({room.service, room.free, room.largest, room.fillers});
+        }
+        shards.push_back(
+            {shard.id, shard.epoch, std::move(loads), std::move(pending), std::move(rooms)});
     }
     const json out{status.name,
                    status.incarnation,
@@ -92,6 +118,11 @@
             for (const auto& entry : row.at(3)) {
                 shard.pending[entry.at(0).get<queue_id>()] = entry.at(1).get<std::uint64_t>();
             }
+            for (const auto& room : row.at(4)) {
+                shard.rooms.push_back({room.at(0).get<service_id>(), room.at(1).get<resources>(),
+                                       room.at(2).get<resources>(),
+                                       room.at(3).get<std::int64_t>()});
+            }
             status.shards.push_back(std::move(shard));
         }
         return status;
@@ -112,6 +143,7 @@
         load.capacity += worker.entry.capacity.processors.value;
         load.committed += worker.committed.processors.value;
         load.fillers += worker.filler_demand;
+        add_room(find_room(status.rooms, worker.entry.service), shard, worker);
     }
     for (const auto& id : shard.active) {
         const auto& job = shard.tables.jobs.at(id);
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -33,6 +33,7 @@
     shard_id id;
     epoch_number epoch;
     std::vector<service_load> loads;
+    std::vector<service_room> rooms;
     std::map<queue_id, std::uint64_t> pending; // accepted jobs that have not begun
 };
 
--- /dev/null
+++ b/src/host_loans.cpp
@@ -0,0 +1,130 @@
+// Messages between the owners of shards about lent tasks.
+#include "host_control.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+constexpr duration rooms_interval{300};
+
+} // namespace
+
+// Tells each shard of this host what room the others have.
+void host_control::update_rooms() {
+    next_rooms_ = loop_.now() + rooms_interval;
+    std::map<shard_id, const shard_status*> newest;
+    for (const auto& [name, peer] : peers_) {
+        if (!is_alive(peer)) {
+            continue;
+        }
+        for (const auto& status : peer.status.shards) {
+            auto& known = newest[status.id];
+            if (known == nullptr || known->epoch < status.epoch) {
+                known = &status;
+            }
+        }
+    }
+    std::map<shard_id, shard_status> own;
+    for (const auto& [id, shard] : owned_) {
+        if (shard->loaded) {
+            newest[id] = &(own[id] = summarize(shard->state));
+        }
+    }
+    for (const auto& [id, shard] : owned_) {
+        for (const auto& record : shard_list_) {
+            if (record.id == id) {
+                continue;
+            }
+            auto& other = shard->state.others[record.id];
+            const auto status = newest.find(record.id);
+            other.shard = record.id;
+            other.racks = record.racks;
+            other.open = status != newest.end() && !evacuated_.contains(record.data_centre);
+            other.rooms =
+                other.open ? status->second->rooms : std::vector<service_room>();
+        }
+    }
+}
+
+void host_control::send_loan_message(const shard_pointer& shard, const loan_message& message) {
+    const auto done = [this, alive = alive_, shard, message](const result<std::string>& state) {
+        if (*alive) {
+            on_loan_reply(shard->state, message, state, loop_.now());
+            schedule_shard(shard);
+        }
+    };
+    if (find_owned(message.to)) {
+        // Not within this call: the answer may come at once and change the tables.
+        loop_.call_after(duration(0), [this, alive = alive_, message, done] {
+            if (*alive) {
+                answer_loan_call(message.body, done);
+            }
+        });
+        return;
+    }
+    const auto* owner = find_owner(message.to);
+    if (owner == nullptr || owner->record.address.port == 0) {
+        loop_.call_after(duration(0), [done] {
+            done(error{error_kind::unavailable, "the shard's owner is unknown"});
+        });
+        return;
+    }
+    peers_link_.call(owner->record.address, "loan", message.body, options_.timing.peer_timeout,
+                     done);
+}
+
+// Takes a message about lent tasks. A new offer is first checked against the lender's record in the
+// store: a message may arrive long after the loan has ended.
+void host_control::answer_loan_call(const std::string& body, const peer_reply& reply) {
+    try {
+        const auto in = json::parse(body);
+        const auto shard = find_owned(in.at("to").get<shard_id>());
+        if (!shard || !shard->loaded || shard->state.releasing) {
+            reply(error{error_kind::unavailable, "not the shard's owner"});
+            return;
+        }
+        if (!is_new_offer(shard->state, in)) {
+            take_loan_message(shard, in, reply);
+            return;
+        }
+        const auto key =
+            progress_key(in.at("from").get<shard_id>(), in.at("job").get<job_id>());
+        store_.get(key, [this, alive = alive_, shard, in,
+                         reply](result<std::optional<store_entry>> entry) {
+            if (!*alive) {
+                return;
+            }
+            if (!entry) {
+                reply(error{error_kind::unavailable, "the store can't be reached"});
+            } else if (!entry.value() || !confirms_offer(in, entry.value()->value)) {
+                log_.write("event=offer_outdated job={} loan={}",
+                           in.at("job").get<std::string>(), in.at("loan").get<std::uint64_t>());
+                reply(std::string("refused"));
+            } else {
+                take_loan_message(shard, in, reply);
+            }
+        });
+    } catch (const std::exception& failure) {
+        reply(error{error_kind::protocol_error, failure.what()});
+    }
+}
+
+void host_control::take_loan_message(const shard_pointer& shard, const json& body,
+                                     const peer_reply& reply) {
+    if (shard->state.lost) {
+        reply(error{error_kind::unavailable, "not the shard's owner"});
+        return;
+    }
+    try {
+        const auto token = next_token_++;
+        loan_waiting_[token] = reply;
+        on_loan_message(shard->state, body, token, loop_.now(), loop_.unix_now());
+        schedule_shard(shard);
+    } catch (const std::exception& failure) {
+        reply(error{error_kind::protocol_error, failure.what()});
+    }
+}
+
+} // namespace fulmar
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -449,6 +449,10 @@
         answer_submit_call(body, reply);
     } else if (method == "phase" || method == "cancel") {
         answer_phase_call(body, reply, method == "cancel");
+    } else if (method == "loan") {
+        answer_loan_call(body, reply);
+    } else if (method == "yield") {
+        answer_yield_call(body, reply);
     } else if (method == "claims") {
         // A shard was handed over to this host; its view of the claims may lag.
         next_claims_ = loop_.now();
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -12,6 +12,9 @@
 
 constexpr duration claims_interval{200};
 
+// Between the first worker of an unknown rack and the extension of the list.
+constexpr duration shard_list_delay{300};
+
 // Splits "name/incarnation".
 host_id name_of(const host_id& owner) {
     return {owner.value.substr(0, owner.value.find('/'))};
@@ -24,12 +27,34 @@
 
 } // namespace
 
-// Adds racks that no shard has yet. One value lists all shards, so that two hosts never assign a
-// rack differently.
+// Notices racks that no shard has yet. Workers appear one after the other, so the list is extended
+// once for those that come within a short time.
 void host_control::maintain_shard_list() {
-    if (!worker_view_.loaded() || !meta_.loaded() || shard_list_write_ || leaving_) {
+    if (shard_list_due_ || !worker_view_.loaded() || !meta_.loaded() || leaving_) {
+        return;
+    }
+    const bool complete =
+        std::all_of(worker_entries_.begin(), worker_entries_.end(), [&](const auto& row) {
+            return std::any_of(shard_list_.begin(), shard_list_.end(), [&](const auto& shard) {
+                return shard.data_centre == row.second.data_centre &&
+                       std::find(shard.racks.begin(), shard.racks.end(), row.second.rack) !=
+                           shard.racks.end();
+            });
+        });
+    if (complete) {
         return;
     }
+    shard_list_due_ = true;
+    loop_.call_after(shard_list_delay, [this, alive = alive_] {
+        if (*alive) {
+            extend_shard_list();
+        }
+    });
+}
+
+// Adds racks that no shard has yet. One value lists all shards, so that two hosts never assign a
+// rack differently.
+void host_control::extend_shard_list() {
     std::map<std::pair<data_centre_id, rack_id>, std::size_t> racks;
     for (const auto& [id, worker] : worker_entries_) {
         ++racks[{worker.data_centre, worker.rack}];
@@ -43,7 +68,6 @@
         }
         return size;
     };
-    bool changed = false;
     for (const auto& [place, count] : racks) {
         const auto& [data_centre, rack] = place;
         shard_record* home = nullptr;
@@ -54,8 +78,8 @@
                 continue;
             }
             ++number;
-            known = known ||
-                    std::find(shard.racks.begin(), shard.racks.end(), rack) != shard.racks.end();
+            known = known || std::find(shard.racks.begin(), shard.racks.end(), rack) !=
+                                 shard.racks.end();
             if (size_of(shard) < options_.workers_per_shard) {
                 home = &shard;
             }
@@ -63,18 +87,12 @@
         if (known) {
             continue;
         }
-        changed = true;
         if (home != nullptr) {
             home->racks.push_back(rack);
         } else {
-            next.push_back(
-                {{data_centre.value + "." + std::to_string(number)}, data_centre, {rack}});
+            next.push_back({{data_centre.value + "." + std::to_string(number)}, data_centre, {rack}});
         }
     }
-    if (!changed) {
-        return;
-    }
-    shard_list_write_ = true;
     store_transaction put;
     put.conditions.push_back({std::string(shard_list_key), shard_list_revision_});
     put.puts.push_back({std::string(shard_list_key), encode(next), {}});
@@ -84,9 +102,9 @@
             return;
         }
         // The view shows the outcome; a lost race or reply is retried from what it shows.
-        loop_.call_after(options_.timing.near_silence, [this, alive] {
+        loop_.call_after(shard_list_delay, [this, alive] {
             if (*alive) {
-                shard_list_write_ = false;
+                shard_list_due_ = false;
                 maintain_shard_list();
             }
         });
@@ -142,33 +160,35 @@
     return best ? best->name : host_id{};
 }
 
-// Tells whether this host should claim a shard now.
-bool host_control::should_claim(const shard_record& shard, const claim_record* claim) const {
+// Tells whether this host should claim a shard now. Nearer hosts act first.
+bool host_control::should_claim(const shard_record& shard, const claim_row* claim) const {
     const auto now = loop_.now();
     const auto& timing = options_.timing;
     const int distance = distance_to(shard.data_centre);
     const auto silence = distance == 0   ? timing.near_silence
                          : distance == 1 ? timing.region_silence
                                          : timing.far_silence;
-    const bool released = claim == nullptr || claim->owner.value.empty();
-    if (released) {
-        // Nearer hosts go first; they may not have started yet.
-        return choose_owner(shard, {}) == options_.name &&
-               now >= started_ + (distance == 0 ? timing.near_gossip * 2 : silence);
-    }
-    const auto owner = name_of(claim->owner);
+    const auto settled = started_ + timing.near_gossip * 2;
+    if (claim == nullptr || claim->record.owner.value.empty()) {
+        const auto noticed = claim != nullptr ? claim->noticed : shard_noticed_.at(shard.id);
+        const auto wait = distance == 0 ? duration(0) : silence;
+        return now >= std::max(settled, noticed + wait) &&
+               choose_owner(shard, {}) == options_.name;
+    }
+    const auto owner = name_of(claim->record.owner);
     if (owner == options_.name) {
-        return claim->owner != self_; // an earlier run of this host
+        return claim->record.owner != self_; // an earlier run of this host
     }
     const auto peer = peers_.find(owner);
-    const auto heard = peer != peers_.end() && peer->second.heard
-                           ? std::max(*peer->second.heard, started_)
-                           : started_;
     const bool restarted =
         peer != peers_.end() && !peer->second.record.incarnation.empty() &&
-        claim->owner.value != owner.value + "/" + peer->second.record.incarnation;
-    if (restarted && now >= started_ + timing.near_gossip * 2) {
-        return choose_owner(shard, {}) == options_.name;
+        claim->record.owner.value != owner.value + "/" + peer->second.record.incarnation;
+    if (restarted) {
+        return now >= settled && choose_owner(shard, {}) == options_.name;
+    }
+    auto heard = std::max(started_, claim->noticed);
+    if (peer != peers_.end() && peer->second.heard) {
+        heard = std::max(heard, *peer->second.heard);
     }
     if (now - heard <= silence) {
         return false;
@@ -176,6 +196,57 @@
     return choose_owner(shard, owner) == options_.name || now - heard > silence * 2;
 }
 
+// Asks the owners of shards that this host should own to hand them over: shards of its data centre
+// that a farther host owns, and one of several shards of a host while this one has none.
+void host_control::ask_for_shards() {
+    const auto now = loop_.now();
+    if (now < next_ask_ || now < started_ + options_.timing.settle) {
+        return;
+    }
+    for (const auto& shard : shard_list_) {
+        const auto claim = claims_.find(shard.id);
+        if (shard.data_centre != options_.data_centre || claim == claims_.end() ||
+            now < claim->second.noticed + options_.timing.settle) {
+            continue;
+        }
+        const auto owner = name_of(claim->second.record.owner);
+        const auto peer = peers_.find(owner);
+        if (peer == peers_.end() || !is_alive(peer->second)) {
+            continue;
+        }
+        const bool far = peer->second.record.data_centre != options_.data_centre;
+        if (!far && (!owned_.empty() || count_owned(owner) < 2)) {
+            continue;
+        }
+        next_ask_ = now + options_.timing.settle;
+        log_.write("event=shard_asked_for shard={} owner={}", shard.id.value, owner.value);
+        const json body{{"shard", shard.id}, {"host", options_.name}};
+        peers_link_.call(peer->second.record.address, "yield", body.dump(),
+                         options_.timing.peer_timeout, [](const result<std::string>&) {});
+        return;
+    }
+}
+
+// Hands a shard over to a host that asked for it, if that host has a better claim to it.
+void host_control::answer_yield_call(const std::string& body, const peer_reply& reply) {
+    const auto in = json::parse(body, nullptr, false);
+    const shard_id id{in.is_object() ? in.value("shard", "") : ""};
+    const host_id host{in.is_object() ? in.value("host", "") : ""};
+    const auto shard = find_owned(id);
+    const auto peer = peers_.find(host);
+    if (!shard || !shard->loaded || peer == peers_.end() || !orders_.healthy()) {
+        reply(error{error_kind::unavailable, "the shard can't be handed over now"});
+        return;
+    }
+    const bool nearer = peer->second.record.data_centre == shard->state.data_centre &&
+                        options_.data_centre != shard->state.data_centre;
+    if (nearer || owned_.size() > 1) {
+        shard->successor = host;
+        transfer_shard(shard);
+    }
+    reply(std::string());
+}
+
 void host_control::maintain_claims() {
     next_claims_ = loop_.now() + claims_interval;
     if (!meta_.loaded()) {
@@ -192,27 +263,32 @@
         }
         return;
     }
+    for (const auto& [id, shard] : std::map(owned_)) {
+        if (!shard->successor.value.empty()) {
+            transfer_shard(shard);
+        }
+    }
     for (const auto& shard : std::vector(shard_list_)) {
         if (owned_.contains(shard.id) || claiming_.contains(shard.id)) {
             continue;
         }
         const auto row = claims_.find(shard.id);
-        const auto* claim = row == claims_.end() ? nullptr : &row->second.record;
-        const auto revision = row == claims_.end() ? revision_number{} : row->second.revision;
-        if (claim != nullptr && claim->owner == self_) {
-            begin_shard(shard, claim->epoch, revision); // handed over to this host
+        const auto* claim = row == claims_.end() ? nullptr : &row->second;
+        if (claim != nullptr && claim->record.owner == self_) {
+            begin_shard(shard, claim->record.epoch, claim->revision); // handed over to this host
         } else if (should_claim(shard, claim)) {
-            claim_shard(shard, claim, revision);
+            claim_shard(shard, claim);
         }
     }
+    ask_for_shards();
 }
 
-void host_control::claim_shard(const shard_record& shard, const claim_record* claim,
-                               revision_number revision) {
-    const claim_record next{self_, {claim == nullptr ? 1 : claim->epoch.value + 1}};
+void host_control::claim_shard(const shard_record& shard, const claim_row* claim) {
+    const claim_record next{self_, {claim == nullptr ? 1 : claim->record.epoch.value + 1}};
+    const auto revision = claim == nullptr ? revision_number{} : claim->revision;
     claiming_.insert(shard.id);
     log_.write("event=claim_attempt shard={} epoch={} previous_owner={}", shard.id.value,
-               next.epoch.value, claim == nullptr ? "" : claim->owner.value);
+               next.epoch.value, claim == nullptr ? "" : claim->record.owner.value);
     store_transaction put;
     put.conditions.push_back({claim_key(shard.id), revision});
     put.puts.push_back({claim_key(shard.id), encode(next), {}});
@@ -228,7 +304,7 @@
                       // Without an answer the view shows whether the claim took effect.
                       if (reply && reply.value().applied) {
                           const auto applied = *reply.value().applied;
-                          claims_[shard.id] = {next, applied};
+                          claims_[shard.id] = {next, applied, loop_.now()};
                           begin_shard(shard, next.epoch, applied);
                       }
                   });
@@ -324,6 +400,12 @@
             }
         }
     }
+    for (const auto& answer : shard->state.loan_answers) {
+        const auto waiting = loan_waiting_.extract(answer.token);
+        if (!waiting.empty()) {
+            waiting.mapped()(error{error_kind::unavailable, "the shard's owner changed"});
+        }
+    }
     for (const auto& waiting : std::exchange(shard->waiting, {})) {
         waiting();
     }
@@ -342,7 +424,9 @@
         return;
     }
     shard_record record{state.id, state.data_centre, {}};
-    const auto successor = choose_owner(record, options_.name);
+    const auto successor = !leaving_ && !shard->successor.value.empty()
+                               ? shard->successor
+                               : choose_owner(record, options_.name);
     claim_record next{{}, state.epoch};
     if (!successor.value.empty()) {
         next = {{successor.value + "/" + peers_.at(successor).record.incarnation},
@@ -365,7 +449,7 @@
             return; // tried again with the next round
         }
         if (reply.value().applied) {
-            claims_[shard->state.id] = {next, *reply.value().applied};
+            claims_[shard->state.id] = {next, *reply.value().applied, loop_.now()};
             if (const auto peer = peers_.find(successor); peer != peers_.end()) {
                 peers_link_.call(peer->second.record.address, "claims", "",
                                  options_.timing.peer_timeout, [](const result<std::string>&) {});
@@ -481,6 +565,15 @@
                           }
                       });
     }
+    for (const auto& message : actions.loan_messages) {
+        send_loan_message(shard, message);
+    }
+    for (const auto& answer : actions.loan_answers) {
+        const auto waiting = loan_waiting_.extract(answer.token);
+        if (!waiting.empty()) {
+            waiting.mapped()(answer.state);
+        }
+    }
     for (const auto& answer : actions.submit_answers) {
         const auto waiting = submit_waiting_.extract(answer.token);
         if (!waiting.empty()) {
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -93,6 +93,7 @@
     commit.versions.clear();
     commit.hand_ins.clear();
     commit.purged.clear();
+    commit.arrivals.clear();
     ++commit.number;
     next.conditions.push_back({claim_key(shard.id), shard.claim_revision});
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
@@ -125,6 +126,14 @@
         if (job.stored == job.version || !job.spec_stored) {
             continue;
         }
+        if (shard.arrivals.contains(id)) {
+            if (entries + 2 > transaction_entries) {
+                continue;
+            }
+            next.puts.push_back({job_key(shard.id, id), encode_job(job), {}});
+            commit.arrivals.push_back(id);
+            ++entries;
+        }
         next.puts.push_back({progress_key(shard.id, id), encode_progress(job), {}});
         commit.versions.emplace_back(id, job.version);
         ++entries;
@@ -133,7 +142,9 @@
         if (entries + purge_entries > transaction_entries) {
             break;
         }
-        next.removals.push_back(job_index_key(id));
+        if (!is_guest(shard.tables.jobs.at(id))) {
+            next.removals.push_back(job_index_key(id));
+        }
         next.removals.push_back(job_key(shard.id, id));
         next.removals.push_back(progress_key(shard.id, id));
         commit.purged.push_back(id);
@@ -169,8 +180,12 @@
             job->second.stored = std::max(job->second.stored, version);
         }
     }
+    for (const auto& id : commit.arrivals) {
+        shard.arrivals.erase(id);
+    }
     for (const auto& id : commit.purged) {
         shard.tables.jobs.erase(id);
+        shard.active.erase(id);
         std::erase(shard.to_purge, id);
     }
     if (commit.workers) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -14,6 +14,9 @@
 
 // Opens the occurrences that are due.
 void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
+    if (is_guest(job)) {
+        return; // the lender says what runs here
+    }
     const auto total = std::max<std::uint32_t>(1, job.spec.occurrences);
     while (job.next_occurrence < total) {
         const auto due = job.spec.first_due.value + job.spec.interval.count() * job.next_occurrence;
@@ -121,7 +124,7 @@
     }
     shard.next_purge = now + purge_interval;
     for (const auto& [id, job] : shard.tables.jobs) {
-        if (has_ended(job.phase) && job.stored == job.version &&
+        if (has_ended(job.phase) && job.stored == job.version && job.loans.empty() &&
             unix_now.value - job.ended.value > shard.timing.retention.count()) {
             shard.to_purge.push_back(id);
             if (shard.to_purge.size() == purge_batch) {
@@ -197,6 +200,7 @@
             }
         }
     }
+    load_loans(shard);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
             shard.active.insert(id);
@@ -260,7 +264,8 @@
                 unix_time unix_now) {
     shard.cancellations[id].push_back(token);
     const auto found = shard.tables.jobs.find(id);
-    if (found == shard.tables.jobs.end() || has_ended(found->second.phase)) {
+    if (found == shard.tables.jobs.end() || has_ended(found->second.phase) ||
+        is_guest(found->second)) {
         return;
     }
     end_job(shard, found->second, job_phase::cancelled, now, unix_now);
@@ -268,7 +273,8 @@
 
 std::optional<job_phase> shown_phase(const shard_state& shard, const job_id& id) {
     const auto found = shard.tables.jobs.find(id);
-    if (found == shard.tables.jobs.end() || !found->second.spec_stored) {
+    if (found == shard.tables.jobs.end() || !found->second.spec_stored ||
+        is_guest(found->second)) {
         return std::nullopt;
     }
     const auto& job = found->second;
@@ -298,6 +304,12 @@
             }
         }
     }
+    for (const auto& [number, to] : job.loans) {
+        auto& loan = shard.tables.loans.at(number);
+        loan.withdrawn = true;
+        loan.version = job.version;
+        loan.next_send = now;
+    }
     // Runs that are still there keep their rows; the tasks behind them are no longer needed.
     job.occurrences.clear();
     shard.log->write("event=job_ended job={} shard={} phase={} age_ms={}", job.id.value,
@@ -411,6 +423,7 @@
     send_stops(shard, now, actions);
     send_paces(shard, actions);
     find_purgeable(shard, now, unix_now);
+    send_loans(shard, now, actions);
     prepare_commit(shard, now, actions);
     send_holds(shard, now, actions);
 }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -21,6 +21,13 @@
 struct shard_timing {
     duration lease{6'000};       // the platform's longest lease of a worker
     duration gang_wait{3'000};   // a worker's wait for the other members of a gang
+    // A task is lent after it has waited this long for room in its own shard; fillers wait longer,
+    // because their room returns within seconds.
+    duration lend_after{120};
+    duration lend_filler_after{1'500};
+    // A borrowed task without room goes back after this.
+    duration return_after{2'500};
+    duration loan_retry{400}; // between messages that weren't answered
     duration retention{150'000}; // of ended jobs; callers ask for 120 s
 
     // A hold waits this long for an end. Each end returns at once; without ends the reply renews
@@ -50,6 +57,37 @@
 
 using request_token = std::uint64_t;
 
+// Room of one service's workers in a shard. Processors are in thousandths of a core.
+struct service_room {
+    service_id service;
+    resources free{};         // of all workers, for tasks that aren't fillers
+    resources largest{};      // free on the worker with most free processors
+    std::int64_t fillers = 0; // processors left for fillers
+};
+
+// Room of another shard, as its owner reports it, and whether tasks may be lent to it now.
+struct lending_room {
+    shard_id shard;
+    bool open = false; // its data centre is in service and its owner is heard
+    std::vector<rack_id> racks;
+    std::vector<service_room> rooms;
+    time_point no_loans_before; // it returned tasks
+};
+
+// A message to the owner of another shard about lent tasks; the reply comes to on_loan_reply.
+struct loan_message {
+    shard_id to;
+    std::uint64_t loan = 0;
+    job_id job;
+    std::string body;
+};
+
+// Answer to a message of another shard's owner.
+struct loan_answer {
+    request_token token = 0;
+    std::string state;
+};
+
 // Answer to the hand-in of a job. `refused` and `unavailable` mean that the job was not stored and
 // never runs; `unknown` that it may have been.
 enum class submit_outcome : std::uint8_t { accepted, refused, unavailable, unknown };
@@ -81,6 +119,8 @@
     std::optional<store_transaction> commit;
     std::vector<submit_answer> submit_answers;
     std::vector<cancel_answer> cancel_answers;
+    std::vector<loan_message> loan_messages;
+    std::vector<loan_answer> loan_answers;
 };
 
 // One transaction at a time. While its outcome is unknown the same one is sent again; the head's
@@ -93,6 +133,7 @@
     std::vector<std::pair<job_id, std::uint64_t>> versions; // of the records in it
     std::vector<job_id> hand_ins;                           // in it
     std::vector<job_id> purged;                             // in it
+    std::vector<job_id> arrivals;                           // borrowed jobs in it
     bool workers = false;                                   // it holds the list of workers
     std::set<worker_id> listed;                             // that list
     time_point next;                                        // earliest time of the next attempt
@@ -130,6 +171,16 @@
     std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
     std::set<worker_id> stored_workers;                         // in the store's list
     std::vector<job_id> to_purge;
+    std::set<job_id> arrivals; // borrowed jobs whose records aren't stored yet
+    struct waiting_loan_answer {
+        request_token token = 0;
+        job_id job;
+        std::uint64_t version = 0; // of the job's record that must be stored first
+        std::string state;
+    };
+    std::vector<waiting_loan_answer> loan_answers;
+    std::map<shard_id, lending_room> others; // refreshed by the host
+    std::uint32_t loans_made = 0;            // under this epoch
     filler_effects effects;   // learned from this shard's workers
     bool place_needed = true; // something changed since the last placement
     time_point last_place;
@@ -174,6 +225,20 @@
 void on_commit_reply(shard_state& shard, const result<transaction_reply>& reply, time_point sent,
                      time_point now);
 
+// Takes a message of another shard's owner about lent tasks; the answer follows in the actions.
+// `body` was made by that owner. Offers must have been verified against the lender's record.
+void on_loan_message(shard_state& shard, const json& body, request_token token, time_point now,
+                     unix_time unix_now);
+
+// Tells whether an offer must be verified against the lender's record before it is taken, and
+// whether that record, as stored, holds the loan.
+bool is_new_offer(const shard_state& shard, const json& body);
+bool confirms_offer(const json& body, std::string_view lender_progress);
+
+// Takes the answer to a loan_message.
+void on_loan_reply(shard_state& shard, const loan_message& message,
+                   const result<std::string>& state, time_point now);
+
 // Does what is due and collects the orders, transaction and answers to send.
 void advance(shard_state& shard, time_point now, unix_time unix_now, shard_actions& actions);
 
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -56,6 +56,26 @@
 // Tells whether fillers and serving tasks share the worker.
 bool is_shared(const shard_state& shard, const worker_row& worker);
 
+// Completes a task of this shard's own job; returns whether its record should be stored at once.
+bool complete_task(shard_state& shard, job_row& job, const task_key& key, time_point now,
+                   unix_time unix_now);
+
+// Sets the result of a borrowed task.
+void report_task(shard_state& shard, job_row& job, task_row& task, loan_result result,
+                 time_point now);
+
+// Rebuilds the table of loans from the loaded jobs.
+void load_loans(shard_state& shard);
+
+// Lends waiting tasks of a stage to shards with room.
+void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now);
+
+// Sends messages about loans that are due, and answers that became due.
+void send_loans(shard_state& shard, time_point now, shard_actions& actions);
+
+// Returns the processors of a worker that fillers may use.
+std::int64_t filler_room(const shard_state& shard, const worker_row& worker);
+
 // Builds the next transaction when one is due.
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions);
 
--- /dev/null
+++ b/src/shard_loans.cpp
@@ -0,0 +1,553 @@
+// Loans: tasks of a job that its own shard has no room for run in another shard. The lender's record
+// names the borrower before the borrower hears of it, the borrower stores the tasks before it
+// answers, and the lender stores a result before the borrower forgets it; so each task belongs to
+// one shard at any time, whoever of the two owners changes.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fulmar {
+
+namespace {
+
+// Loan numbers rise over the epochs of a shard, like run numbers.
+constexpr unsigned loan_counter_bits = 24;
+
+// A shard that returned tasks gets no more for this long.
+constexpr duration refusal_pause{3'000};
+
+// Most tasks in one loan, so that several shards share a wide step.
+constexpr std::size_t loan_tasks = 16;
+
+constexpr std::string_view state_taken = "taken";
+constexpr std::string_view state_refused = "refused";
+constexpr std::string_view state_gone = "gone";
+constexpr std::string_view state_settled = "settled";
+constexpr std::string_view state_retry = "retry";
+
+json encode_task(std::uint32_t index, const task_row& task) {
+    return {index, static_cast<int>(task.result), task.failures, task.last_run.value,
+            task.checkpoint};
+}
+
+void decode_task(const json& from, task_row& task) {
+    task.failures = from.at(2).get<std::uint32_t>();
+    task.last_run = std::max(task.last_run, from.at(3).get<run_number>());
+    task.checkpoint = from.at(4).get<std::string>();
+}
+
+json make_envelope(std::string_view kind, const shard_id& from, const shard_id& to,
+                   std::uint64_t loan, const job_id& job) {
+    return {{"kind", kind}, {"from", from}, {"to", to}, {"loan", loan}, {"job", job}};
+}
+
+std::string make_offer(const shard_state& shard, const loan_row& loan) {
+    const auto& job = shard.tables.jobs.at(loan.job);
+    const auto& stage = job.occurrences.at(loan.occurrence).stages.at(loan.step);
+    auto body = make_envelope("offer", shard.id, loan.to, loan.number, loan.job);
+    body["queue"] = encode_queue(job.queue);
+    body["spec"] = encode_spec(job.spec);
+    body["accepted"] = job.accepted;
+    body["occurrence"] = loan.occurrence;
+    body["step"] = loan.step;
+    body["tasks"] = json::array();
+    for (const auto index : loan.tasks) {
+        body["tasks"].push_back(encode_task(index, stage.tasks[index]));
+    }
+    return body.dump();
+}
+
+// Takes a task back that another shard gave up.
+void reclaim_task(shard_state& shard, stage_row& stage, std::uint32_t index) {
+    auto& task = stage.tasks[index];
+    task.away = false;
+    task.loan = 0;
+    if (!task.done) {
+        stage.waiting.insert(index);
+    }
+    shard.place_needed = true;
+}
+
+// Removes a loan without tasks left.
+void close_loan(shard_state& shard, std::uint64_t number, time_point now) {
+    const auto loan = shard.tables.loans.extract(number);
+    const auto job = shard.tables.jobs.find(loan.mapped().job);
+    if (job != shard.tables.jobs.end()) {
+        job->second.loans.erase(number);
+        note_change(shard, job->second, false, now);
+    }
+}
+
+borrowed_tasks* find_borrowed(job_row& job, std::uint64_t loan) {
+    const auto found =
+        std::find_if(job.borrowed.begin(), job.borrowed.end(),
+                     [&](const borrowed_tasks& row) { return row.loan == loan; });
+    return found == job.borrowed.end() ? nullptr : &*found;
+}
+
+// Answers once the job's record is stored in its present version.
+void answer_when_stored(shard_state& shard, const job_row& job, request_token token,
+                        std::string_view state) {
+    shard.loan_answers.push_back({token, job.id, job.version, std::string(state)});
+}
+
+void answer_now(shard_state& shard, request_token token, std::string_view state) {
+    shard.loan_answers.push_back({token, {}, 0, std::string(state)});
+}
+
+void take_offer(shard_state& shard, const json& body, request_token token, time_point now) {
+    const auto id = body.at("job").get<job_id>();
+    const auto number = body.at("loan").get<std::uint64_t>();
+    const auto known = shard.tables.jobs.find(id);
+    if (known != shard.tables.jobs.end()) {
+        const bool leaving = std::find(shard.to_purge.begin(), shard.to_purge.end(), id) !=
+                             shard.to_purge.end();
+        if (leaving || !is_guest(known->second)) {
+            answer_now(shard, token, state_retry);
+            return;
+        }
+        if (find_borrowed(known->second, number) != nullptr) {
+            answer_when_stored(shard, known->second, token, state_taken);
+            return;
+        }
+    } else {
+        auto& row = shard.tables.jobs[id];
+        row.id = id;
+        row.home = body.at("from").get<shard_id>();
+        row.queue = decode_queue(body.at("queue"));
+        row.spec = decode_spec(body.at("spec"));
+        row.accepted = body.at("accepted").get<unix_time>();
+        row.phase = job_phase::running;
+        row.spec_stored = true;
+        shard.arrivals.insert(id);
+        shard.active.insert(id);
+    }
+    auto& job = shard.tables.jobs.at(id);
+    borrowed_tasks loan;
+    loan.loan = number;
+    loan.occurrence = body.at("occurrence").get<std::uint32_t>();
+    loan.step = body.at("step").get<std::uint32_t>();
+    loan.since = now;
+    auto& stage = find_guest_stage(job, loan.occurrence, loan.step);
+    for (const auto& entry : body.at("tasks")) {
+        const auto index = entry.at(0).get<std::uint32_t>();
+        auto& task = stage.tasks.at(index);
+        decode_task(entry, task);
+        task.loan = number;
+        task.away = false;
+        task.done = false;
+        task.result = loan_result::pending;
+        stage.waiting.insert(index);
+        loan.tasks.insert(index);
+    }
+    stage.ready_since.reset();
+    job.borrowed.push_back(std::move(loan));
+    note_change(shard, job, true, now);
+    answer_when_stored(shard, job, token, state_taken);
+    shard.counters->count("loans", "taken");
+    shard.log->write("event=tasks_borrowed job={} shard={} from={} loan={} tasks={}", id.value,
+                     shard.id.value, job.home.value, number, job.borrowed.back().tasks.size());
+}
+
+void take_withdrawal(shard_state& shard, const json& body, request_token token, time_point now) {
+    const auto found = shard.tables.jobs.find(body.at("job").get<job_id>());
+    auto* loan = found == shard.tables.jobs.end()
+                     ? nullptr
+                     : find_borrowed(found->second, body.at("loan").get<std::uint64_t>());
+    if (loan == nullptr) {
+        answer_now(shard, token, state_gone);
+        return;
+    }
+    auto& job = found->second;
+    if (!loan->withdrawn) {
+        loan->withdrawn = true;
+        auto& stage = job.occurrences.at(loan->occurrence).stages[loan->step];
+        for (const auto index : loan->tasks) {
+            auto& task = stage.tasks[index];
+            task.away = true;
+            stage.waiting.erase(index);
+            for (const auto number : task.runs) {
+                const run_key key{{job.id, loan->occurrence, loan->step, index}, number};
+                request_stop(shard.tables.runs.at(key), stop_cause::cancelled, now);
+            }
+        }
+        note_change(shard, job, true, now);
+    }
+    answer_when_stored(shard, job, token, state_gone);
+}
+
+// Applies one result of a lent task.
+void apply_result(shard_state& shard, job_row& job, const loan_row& loan, const json& entry,
+                  time_point now, unix_time unix_now) {
+    const auto index = entry.at(0).get<std::uint32_t>();
+    const auto result = static_cast<loan_result>(entry.at(1).get<int>());
+    const task_key key{job.id, loan.occurrence, loan.step, index};
+    auto& stage = job.occurrences.at(loan.occurrence).stages.at(loan.step);
+    auto& task = stage.tasks.at(index);
+    decode_task(entry, task);
+    task.loan = 0;
+    if (result == loan_result::done) {
+        complete_task(shard, job, key, now, unix_now);
+    } else if (result == loan_result::failed) {
+        end_job(shard, job, job_phase::failed, now, unix_now);
+    } else {
+        reclaim_task(shard, stage, index);
+        auto& other = shard.others[loan.to];
+        other.no_loans_before = now + refusal_pause;
+    }
+}
+
+void take_results(shard_state& shard, const json& body, request_token token, time_point now,
+                  unix_time unix_now) {
+    const auto number = body.at("loan").get<std::uint64_t>();
+    const auto found = shard.tables.loans.find(number);
+    if (found == shard.tables.loans.end()) {
+        answer_now(shard, token, state_settled);
+        return;
+    }
+    const auto id = found->second.job;
+    found->second.taken = true;
+    for (const auto& entry : body.at("tasks")) {
+        auto& job = shard.tables.jobs.at(id);
+        auto& loan = found->second;
+        if (loan.tasks.erase(entry.at(0).get<std::uint32_t>()) > 0 && !has_ended(job.phase)) {
+            apply_result(shard, job, loan, entry, now, unix_now);
+        }
+    }
+    auto& job = shard.tables.jobs.at(id);
+    note_change(shard, job, true, now);
+    if (found->second.tasks.empty()) {
+        close_loan(shard, number, now);
+    }
+    answer_when_stored(shard, job, token, state_settled);
+}
+
+// Gives tasks back that found no room here.
+void return_unplaced(shard_state& shard, job_row& job, borrowed_tasks& loan, time_point now) {
+    if (loan.withdrawn || now < loan.since + shard.timing.return_after) {
+        return;
+    }
+    auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
+    for (const auto index : loan.tasks) {
+        auto& task = stage.tasks[index];
+        if (stage.waiting.contains(index) && task.loan == loan.loan) {
+            stage.waiting.erase(index);
+            report_task(shard, job, task, loan_result::returned, now);
+            shard.counters->count("loans", "returned");
+        }
+    }
+}
+
+// Sends the results of a loan that are stored and not yet taken.
+void report_results(shard_state& shard, job_row& job, borrowed_tasks& loan, time_point now,
+                    shard_actions& actions) {
+    if (loan.in_flight || now < loan.next_report || loan.withdrawn) {
+        return;
+    }
+    auto body = make_envelope("result", shard.id, job.home, loan.loan, job.id);
+    body["tasks"] = json::array();
+    const auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
+    for (const auto index : loan.tasks) {
+        const auto& task = stage.tasks[index];
+        if (task.result != loan_result::pending && task.result_version <= job.stored) {
+            body["tasks"].push_back(encode_task(index, task));
+        }
+    }
+    if (body["tasks"].empty()) {
+        return;
+    }
+    loan.in_flight = true;
+    loan.next_report = now + shard.timing.loan_retry;
+    actions.loan_messages.push_back({job.home, loan.loan, job.id, body.dump()});
+}
+
+// Forgets a withdrawn loan once nothing of it runs any more.
+void drop_withdrawn(shard_state& shard, job_row& job, time_point now) {
+    const auto before = job.borrowed.size();
+    std::erase_if(job.borrowed, [&](const borrowed_tasks& loan) {
+        const auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
+        return loan.withdrawn && job.stored == job.version &&
+               std::all_of(loan.tasks.begin(), loan.tasks.end(), [&](std::uint32_t index) {
+                   return stage.tasks[index].runs.empty();
+               });
+    });
+    if (job.borrowed.size() != before) {
+        note_change(shard, job, false, now);
+    }
+}
+
+void serve_guests(shard_state& shard, time_point now, shard_actions& actions) {
+    for (const auto& id : shard.active) {
+        auto& job = shard.tables.jobs.at(id);
+        if (!is_guest(job)) {
+            continue;
+        }
+        drop_withdrawn(shard, job, now);
+        for (auto& loan : job.borrowed) {
+            return_unplaced(shard, job, loan, now);
+            report_results(shard, job, loan, now, actions);
+        }
+        const bool purging = std::find(shard.to_purge.begin(), shard.to_purge.end(), id) !=
+                             shard.to_purge.end();
+        if (job.borrowed.empty() && job.stored == job.version && !purging) {
+            shard.to_purge.push_back(id);
+        }
+    }
+}
+
+void serve_loans(shard_state& shard, time_point now, shard_actions& actions) {
+    for (auto& [number, loan] : shard.tables.loans) {
+        const auto& job = shard.tables.jobs.at(loan.job);
+        if (loan.in_flight || now < loan.next_send || job.stored < loan.version ||
+            (loan.taken && !loan.withdrawn)) {
+            continue;
+        }
+        loan.in_flight = true;
+        loan.next_send = now + shard.timing.loan_retry;
+        const auto body =
+            loan.withdrawn
+                ? make_envelope("withdraw", shard.id, loan.to, number, loan.job).dump()
+                : make_offer(shard, loan);
+        actions.loan_messages.push_back({loan.to, number, loan.job, body});
+    }
+}
+
+void answer_due(shard_state& shard, shard_actions& actions) {
+    std::erase_if(shard.loan_answers, [&](const auto& waiting) {
+        const auto job = shard.tables.jobs.find(waiting.job);
+        const bool due = job == shard.tables.jobs.end() || job->second.stored >= waiting.version;
+        if (due) {
+            actions.loan_answers.push_back({waiting.token, waiting.state});
+        }
+        return due;
+    });
+}
+
+// Returns how many tasks of a step another shard has room for; 0 when it may get none.
+std::size_t count_room(const lending_room& other, const service_id& service,
+                       const step_spec& step, time_point now) {
+    if (!other.open || now < other.no_loans_before) {
+        return 0;
+    }
+    for (const auto& room : other.rooms) {
+        if (room.service != service) {
+            continue;
+        }
+        if (step.filler) {
+            return static_cast<std::size_t>(std::max<std::int64_t>(0, room.fillers) /
+                                            std::max<std::int64_t>(1, step.need.processors.value));
+        }
+        if (!fits(step.need, room.largest)) {
+            return 0;
+        }
+        return static_cast<std::size_t>(
+            std::max<std::int64_t>(1, room.free.processors.value /
+                                          std::max<std::int64_t>(1, step.need.processors.value)));
+    }
+    return 0;
+}
+
+// Lowers the known room of a shard by what was just lent to it, until its owner reports again.
+void reserve_room(lending_room& other, const service_id& service, const step_spec& step,
+                  std::size_t tasks) {
+    const auto count = static_cast<std::int64_t>(tasks);
+    for (auto& room : other.rooms) {
+        if (room.service != service) {
+            continue;
+        }
+        if (step.filler) {
+            room.fillers -= step.need.processors.value * count;
+        } else {
+            room.free.processors.value -= step.need.processors.value * count;
+            room.largest.processors.value -= step.need.processors.value;
+        }
+    }
+}
+
+void make_loan(shard_state& shard, job_row& job, stage_row& stage, lending_room& other,
+               std::size_t count, time_point now) {
+    loan_row loan;
+    loan.number = (shard.epoch.value << loan_counter_bits) + ++shard.loans_made;
+    loan.to = other.shard;
+    loan.job = job.id;
+    loan.occurrence = stage.occurrence;
+    loan.step = stage.step;
+    while (loan.tasks.size() < count && !stage.waiting.empty()) {
+        const auto index = *stage.waiting.begin();
+        stage.waiting.erase(stage.waiting.begin());
+        stage.tasks[index].away = true;
+        stage.tasks[index].loan = loan.number;
+        loan.tasks.insert(index);
+    }
+    job.loans[loan.number] = other.shard;
+    note_change(shard, job, true, now);
+    loan.version = job.version;
+    shard.counters->count("loans", "made");
+    shard.log->write("event=tasks_lent job={} step={} shard={} to={} loan={} tasks={}",
+                     job.id.value, stage.step, shard.id.value, other.shard.value, loan.number,
+                     loan.tasks.size());
+    reserve_room(other, job.queue.service, job.spec.steps[stage.step], loan.tasks.size());
+    shard.tables.loans.emplace(loan.number, std::move(loan));
+}
+
+} // namespace
+
+void report_task(shard_state& shard, job_row& job, task_row& task, loan_result result,
+                 time_point now) {
+    task.result = result;
+    task.away = true;
+    note_change(shard, job, true, now);
+    task.result_version = job.version;
+}
+
+void load_loans(shard_state& shard) {
+    for (auto& [id, job] : shard.tables.jobs) {
+        for (const auto& [number, to] : job.loans) {
+            auto& loan = shard.tables.loans[number];
+            loan.number = number;
+            loan.to = to;
+            loan.job = id;
+            loan.withdrawn = has_ended(job.phase);
+        }
+        for (const auto& [occurrence, row] : job.occurrences) {
+            for (const auto& stage : row.stages) {
+                for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
+                    const auto loan = shard.tables.loans.find(stage.tasks[index].loan);
+                    if (is_guest(job) || loan == shard.tables.loans.end()) {
+                        continue;
+                    }
+                    loan->second.occurrence = occurrence;
+                    loan->second.step = stage.step;
+                    loan->second.tasks.insert(index);
+                }
+            }
+        }
+    }
+}
+
+void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    const auto patience =
+        !shard.data_centre_open ? duration(0)
+        : step.filler           ? shard.timing.lend_filler_after
+                                : shard.timing.lend_after;
+    if (is_guest(job) || now - *stage.ready_since < patience) {
+        return;
+    }
+    if (step.gang && stage.waiting.size() < step.count) {
+        return; // members work only side by side
+    }
+    while (!stage.waiting.empty()) {
+        lending_room* best = nullptr;
+        std::size_t most = 0;
+        for (auto& [id, other] : shard.others) {
+            const auto room = count_room(other, job.queue.service, step, now);
+            if (room > most) {
+                best = &other;
+                most = room;
+            }
+        }
+        if (best == nullptr || (step.gang && most < step.count)) {
+            return;
+        }
+        make_loan(shard, job, stage, *best, step.gang ? step.count : std::min(most, loan_tasks),
+                  now);
+    }
+}
+
+void send_loans(shard_state& shard, time_point now, shard_actions& actions) {
+    serve_guests(shard, now, actions);
+    serve_loans(shard, now, actions);
+    answer_due(shard, actions);
+}
+
+bool is_new_offer(const shard_state& shard, const json& body) {
+    if (body.at("kind") != "offer") {
+        return false;
+    }
+    const auto job = shard.tables.jobs.find(body.at("job").get<job_id>());
+    const auto number = body.at("loan").get<std::uint64_t>();
+    return job == shard.tables.jobs.end() ||
+           std::none_of(job->second.borrowed.begin(), job->second.borrowed.end(),
+                        [&](const borrowed_tasks& row) { return row.loan == number; });
+}
+
+bool confirms_offer(const json& body, std::string_view lender_progress) {
+    const auto progress = json::parse(lender_progress, nullptr, false);
+    if (!progress.is_object() || has_ended(static_cast<job_phase>(progress.value("phase", 0)))) {
+        return false;
+    }
+    const auto loans = progress.value("loans", json::array());
+    return std::any_of(loans.begin(), loans.end(), [&](const json& row) {
+        return row.at(0) == body.at("loan") && row.at(1) == body.at("to");
+    });
+}
+
+void on_loan_message(shard_state& shard, const json& body, request_token token, time_point now,
+                     unix_time unix_now) {
+    const auto kind = body.at("kind").get<std::string>();
+    if (kind == "offer") {
+        take_offer(shard, body, token, now);
+    } else if (kind == "withdraw") {
+        take_withdrawal(shard, body, token, now);
+    } else {
+        take_results(shard, body, token, now, unix_now);
+    }
+}
+
+void on_loan_reply(shard_state& shard, const loan_message& message,
+                   const result<std::string>& state, time_point now) {
+    if (shard.lost) {
+        return;
+    }
+    if (const auto own = shard.tables.loans.find(message.loan);
+        own != shard.tables.loans.end() && own->second.job == message.job) {
+        auto& loan = own->second;
+        loan.in_flight = false;
+        if (!state) {
+            return;
+        }
+        if (state.value() == state_taken) {
+            loan.taken = true;
+        } else if (state.value() == state_gone && loan.withdrawn) {
+            close_loan(shard, message.loan, now);
+        } else if (state.value() == state_refused && !loan.withdrawn && !loan.taken) {
+            auto& job = shard.tables.jobs.at(loan.job);
+            auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
+            for (const auto index : loan.tasks) {
+                reclaim_task(shard, stage, index);
+            }
+            shard.others[loan.to].no_loans_before = now + refusal_pause;
+            close_loan(shard, message.loan, now);
+        }
+        return;
+    }
+    const auto found = shard.tables.jobs.find(message.job);
+    auto* loan = found == shard.tables.jobs.end() ? nullptr
+                                                  : find_borrowed(found->second, message.loan);
+    if (loan == nullptr) {
+        return;
+    }
+    loan->in_flight = false;
+    if (!state || state.value() != state_settled) {
+        return;
+    }
+    // What was reported is settled; results that came later are reported next.
+    auto& job = found->second;
+    auto& stage = job.occurrences.at(loan->occurrence).stages[loan->step];
+    const auto reported = json::parse(message.body);
+    for (const auto& entry : reported.at("tasks")) {
+        const auto index = entry.at(0).get<std::uint32_t>();
+        loan->tasks.erase(index);
+        stage.tasks[index].loan = 0;
+    }
+    loan->next_report = now;
+    if (loan->tasks.empty()) {
+        std::erase_if(job.borrowed,
+                      [&](const borrowed_tasks& row) { return row.loan == message.loan; });
+    }
+    note_change(shard, job, false, now);
+}
+
+} // namespace fulmar
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // Serving tasks use about half of the processors that they reserve; fillers run on the rest.
-constexpr std::int64_t lasting_use_percent = 50;
+constexpr std::int64_t lasting_use_percent = 50; // of what lasting tasks reserve
 
 // Attempts of a successor are numbered above those that its predecessors may have used unseen.
 constexpr std::uint64_t runs_per_epoch = 1'000;
@@ -32,24 +32,6 @@
 // Serving tasks of one image go together: fillers that disturb them then find workers without any.
 constexpr double mixing_weight = 1'500; // thousandths of a worker's room for one of other images
 
-// Returns the processors of a worker that fillers may use: what is not reserved, and the part of
-// the reservations that lasting tasks leave idle on average.
-std::int64_t filler_room(const shard_state& shard, const worker_row& worker) {
-    std::int64_t idle = worker.entry.capacity.processors.value;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
-        if (run.filler) {
-            continue;
-        }
-        const auto job = shard.tables.jobs.find(key.task.job);
-        const bool lasting = job != shard.tables.jobs.end() &&
-                             key.task.step < job->second.spec.steps.size() &&
-                             job->second.spec.steps[key.task.step].lasting;
-        idle -= run.need.processors.value * (lasting ? lasting_use_percent : 100) / 100;
-    }
-    return idle - worker.filler_demand;
-}
-
 // Tells whether any task may start on the worker now.
 bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.contact == reach::reachable && worker.looked && worker.listed &&
@@ -183,9 +165,6 @@
 void place_stage(shard_state& shard, const candidate& next, time_point now,
                  shard_actions& actions) {
     const auto& step = next.job->spec.steps[next.stage->step];
-    if (!next.stage->ready_since) {
-        next.stage->ready_since = now;
-    }
     const auto waiting = next.stage->waiting;
     for (const auto index : waiting) {
         auto& task = next.stage->tasks[index];
@@ -202,17 +181,44 @@
 
 } // namespace
 
+std::int64_t filler_room(const shard_state& shard, const worker_row& worker) {
+    std::int64_t idle = worker.entry.capacity.processors.value;
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        if (run.filler) {
+            continue;
+        }
+        const auto job = shard.tables.jobs.find(key.task.job);
+        const bool lasting = job != shard.tables.jobs.end() &&
+                             key.task.step < job->second.spec.steps.size() &&
+                             job->second.spec.steps[key.task.step].lasting;
+        idle -= run.need.processors.value * (lasting ? lasting_use_percent : 100) / 100;
+    }
+    return idle - worker.filler_demand;
+}
+
 void place_tasks(shard_state& shard, time_point now, shard_actions& actions) {
-    const bool allowed = shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
-                         has_authority(shard, now);
-    if (!allowed) {
+    if (shard.releasing || !has_authority(shard, now)) {
         return;
     }
+    const bool allowed = shard.starts_allowed && shard.data_centre_open;
     for (const auto& next : find_candidates(shard)) {
         // Until the takeover has settled, a task may run unseen on a worker of a predecessor.
-        if (shard.settled || !next.job->inherited) {
+        if (!shard.settled && next.job->inherited) {
+            continue;
+        }
+        if (!next.stage->ready_since) {
+            next.stage->ready_since = now;
+        }
+        if (allowed) {
             place_stage(shard, next, now, actions);
         }
+        if (!next.stage->waiting.empty()) {
+            lend_tasks(shard, *next.job, *next.stage, now);
+        }
+        if (next.stage->waiting.empty()) {
+            next.stage->ready_since.reset();
+        }
     }
 }
 
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -50,11 +50,55 @@
         if (task.done || blank) {
             continue;
         }
-        rows.push_back({index, task.failures, task.last_run.value, task.checkpoint});
+        rows.push_back({index, task.failures, task.last_run.value, task.checkpoint, task.loan});
     }
     return rows;
 }
 
+// Formats the tasks that a shard borrows, with what a successor needs to know of each.
+json encode_borrowed(const job_row& job) {
+    json rows = json::array();
+    for (const auto& loan : job.borrowed) {
+        const auto& stage = job.occurrences.at(loan.occurrence).stages.at(loan.step);
+        json tasks = json::array();
+        for (const auto index : loan.tasks) {
+            const auto& task = stage.tasks[index];
+            tasks.push_back({index, static_cast<int>(task.result), task.failures,
+                             task.last_run.value, task.checkpoint});
+        }
+        rows.push_back({loan.loan, loan.occurrence, loan.step, loan.withdrawn, std::move(tasks)});
+    }
+    return rows;
+}
+
+// Rebuilds the tasks that a shard borrows.
+void decode_borrowed(job_row& job, const json& rows) {
+    for (const auto& row : rows) {
+        borrowed_tasks loan;
+        loan.loan = row.at(0).get<std::uint64_t>();
+        loan.occurrence = row.at(1).get<std::uint32_t>();
+        loan.step = row.at(2).get<std::uint32_t>();
+        loan.withdrawn = row.at(3).get<bool>();
+        auto& stage = find_guest_stage(job, loan.occurrence, loan.step);
+        for (const auto& entry : row.at(4)) {
+            const auto index = entry.at(0).get<std::uint32_t>();
+            auto& task = stage.tasks.at(index);
+            task.loan = loan.loan;
+            task.result = static_cast<loan_result>(entry.at(1).get<int>());
+            task.failures = entry.at(2).get<std::uint32_t>();
+            task.last_run = entry.at(3).get<run_number>();
+            task.checkpoint = entry.at(4).get<std::string>();
+            task.done = task.result == loan_result::done;
+            task.away = loan.withdrawn || task.result != loan_result::pending;
+            if (!task.away) {
+                stage.waiting.insert(index);
+            }
+            loan.tasks.insert(index);
+        }
+        job.borrowed.push_back(std::move(loan));
+    }
+}
+
 // Runs a parser that throws and returns its failure as a value.
 template <class Parse>
 auto parse_record(std::string_view text, Parse parse) -> result<decltype(parse(json()))> {
@@ -261,10 +305,11 @@
 }
 
 std::string encode_job(const job_row& job) {
-    return json{{"queue", encode_queue(job.queue)},
-                {"spec", encode_spec(job.spec)},
-                {"accepted", job.accepted}}
-        .dump();
+    json out{{"queue", encode_queue(job.queue)},
+             {"spec", encode_spec(job.spec)},
+             {"accepted", job.accepted}};
+    put_unless(out, "home", job.home.value, {});
+    return out.dump();
 }
 
 result<job_row> parse_job(const job_id& id, std::string_view text) {
@@ -274,6 +319,7 @@
         job.queue = decode_queue(in.at("queue"));
         job.spec = decode_spec(in.at("spec"));
         job.accepted = in.at("accepted").get<unix_time>();
+        job.home.value = in.value("home", "");
         job.spec_stored = true;
         return job;
     });
@@ -284,6 +330,16 @@
     put_unless(out, "ended", job.ended.value, std::int64_t{0});
     put_unless(out, "next", job.next_occurrence, 0U);
     put_unless(out, "done", job.occurrences_done, 0U);
+    if (!job.loans.empty()) {
+        out["loans"] = json::array();
+        for (const auto& [number, to] : job.loans) {
+            out["loans"].push_back({number, to});
+        }
+    }
+    if (is_guest(job)) {
+        out["borrowed"] = encode_borrowed(job);
+        return out.dump();
+    }
     if (has_ended(job.phase)) {
         return out.dump();
     }
@@ -310,6 +366,13 @@
         job.ended.value = in.value("ended", std::int64_t{0});
         job.next_occurrence = in.value("next", 0U);
         job.occurrences_done = in.value("done", 0U);
+        for (const auto& loan : in.value("loans", json::array())) {
+            job.loans[loan.at(0).get<std::uint64_t>()] = loan.at(1).get<shard_id>();
+        }
+        if (is_guest(job)) {
+            decode_borrowed(job, in.at("borrowed"));
+            return true;
+        }
         if (has_ended(job.phase)) {
             return true;
         }
@@ -326,6 +389,11 @@
                 task.failures = entry.at(1).get<std::uint32_t>();
                 task.last_run = entry.at(2).get<run_number>();
                 task.checkpoint = entry.at(3).get<std::string>();
+                task.loan = entry.at(4).get<std::uint64_t>();
+                if (task.loan != 0) {
+                    task.away = true;
+                    stage.waiting.erase(entry.at(0).get<std::uint32_t>());
+                }
             }
         }
         for (auto& [number, occurrence] : job.occurrences) {
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -74,7 +74,7 @@
     }
     auto& task = stage->tasks[key.task.index];
     std::erase(task.runs, key.number);
-    if (!task.done && task.runs.empty()) {
+    if (!task.done && !task.away && task.runs.empty()) {
         stage->waiting.insert(key.task.index);
     }
     const auto spread = stage->spread.find(run.worker);
@@ -100,6 +100,22 @@
     return made;
 }
 
+stage_row& find_guest_stage(job_row& job, std::uint32_t occurrence, std::uint32_t step) {
+    const auto [row, added] = job.occurrences.try_emplace(occurrence);
+    if (added) {
+        row->second = make_occurrence(job.spec, occurrence);
+        for (auto& stage : row->second.stages) {
+            stage.waiting.clear();
+            for (auto& task : stage.tasks) {
+                task.away = true;
+            }
+        }
+    }
+    auto& stage = row->second.stages.at(step);
+    stage.open = true;
+    return stage;
+}
+
 void open_stages(const job_spec& spec, occurrence_row& occurrence) {
     const auto complete = [&](std::uint32_t step) {
         return occurrence.stages[step].done == spec.steps[step].count;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -116,8 +116,15 @@
     bool pace_in_flight = false;
 };
 
+// What a borrower reports of a task that was lent to it.
+enum class loan_result : std::uint8_t { pending, done, failed, returned };
+
 struct task_row {
     bool done = false;
+    bool away = false;      // not to be run by this shard: lent, never borrowed, or reported
+    std::uint64_t loan = 0; // number of the loan that it is part of; 0: none
+    loan_result result = loan_result::pending; // of a borrowed task
+    std::uint64_t result_version = 0;          // of the job's record that holds the result
     std::uint32_t failures = 0;
     run_number last_run;
     std::string checkpoint;
@@ -133,7 +140,7 @@
     std::uint32_t done = 0;
     std::vector<task_row> tasks;
     std::optional<time_point> ready_since;     // when its tasks were first seen waiting for room
-    std::set<std::uint32_t> waiting;           // tasks that are neither done nor have an active run
+    std::set<std::uint32_t> waiting;           // tasks that are to run here and have no active run
     std::map<worker_id, std::uint32_t> spread; // active runs by worker
 };
 
@@ -143,8 +150,39 @@
     bool done = false;
 };
 
+// Tasks of another shard's job that run here.
+struct borrowed_tasks {
+    std::uint64_t loan = 0;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::set<std::uint32_t> tasks; // whose results the lender hasn't taken yet
+    bool withdrawn = false;        // the lender no longer wants them
+    bool in_flight = false;        // a report is
+    time_point next_report;
+    time_point since;
+};
+
+// Tasks of a job of this shard that run in another one.
+struct loan_row {
+    std::uint64_t number = 0;
+    shard_id to;
+    job_id job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::set<std::uint32_t> tasks; // whose results are due
+    std::uint64_t version = 0;     // of the job's record that holds the loan; sent when stored
+    bool taken = false;            // the borrower has stored it
+    bool withdrawn = false;        // to be given up by the borrower
+    bool in_flight = false;        // a message is
+    time_point next_send;
+};
+
 struct job_row {
     job_id id;
+    shard_id home; // whose job it is, if this shard only borrows tasks of it; empty: this shard's
+    std::vector<borrowed_tasks> borrowed;
+    std::map<std::uint64_t, shard_id> loans; // not settled yet, with their borrowers
+
     queue_spec queue; // as it was when the job was accepted
     job_spec spec;
     job_phase phase = job_phase::queued;
@@ -164,8 +202,14 @@
     std::map<worker_id, worker_row> workers;
     std::map<job_id, job_row> jobs;
     std::map<run_key, run_row> runs;
+    std::map<std::uint64_t, loan_row> loans; // made by this shard
 };
 
+// Tells whether the job belongs to another shard.
+inline bool is_guest(const job_row& job) {
+    return !job.home.value.empty();
+}
+
 // Return a task's row and its stage, or nullptr when the task is unknown or its occurrence has
 // ended.
 stage_row* find_stage(shard_tables& tables, const task_key& key);
@@ -180,6 +224,9 @@
 // Creates the stages of an occurrence; those without dependencies open at once.
 occurrence_row make_occurrence(const job_spec& spec, std::uint32_t number);
 
+// Returns the stage of a borrowed job that a loan refers to; no task of it runs here by itself.
+stage_row& find_guest_stage(job_row& job, std::uint32_t occurrence, std::uint32_t step);
+
 // Opens stages whose dependencies are done.
 void open_stages(const job_spec& spec, occurrence_row& occurrence);
 
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -97,8 +97,23 @@
                      });
 }
 
+// Watches on, at once or when the spacing allows.
+void store_view::watch_again(const std::shared_ptr<state>& self) {
+    const auto pause = self->last_watch + self->options.spacing - self->loop.now();
+    if (pause.count() <= 0) {
+        watch(self);
+        return;
+    }
+    self->loop.call_after(pause, [self] {
+        if (!self->stopped) {
+            watch(self);
+        }
+    });
+}
+
 void store_view::watch(const std::shared_ptr<state>& self) {
     const auto sent = self->loop.now();
+    self->last_watch = sent;
     self->store.watch(self->options.prefix, self->revision, self->options.wait,
                       [self, sent](result<store_events> reply) {
                           if (self->stopped) {
@@ -130,7 +145,7 @@
                           }
                           self->revision = std::max(self->revision, got.revision);
                           self->confirmed = std::max(self->confirmed.value_or(sent), sent);
-                          watch(self);
+                          watch_again(self);
                       });
 }
 
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -14,6 +14,7 @@
 struct store_view_options {
     std::string prefix;
     duration wait{10'000};       // of one watch call
+    duration spacing{0};         // least time between two calls, so that frequent changes are batched
     duration retry{300};         // after a failed call; doubled up to retry_limit
     duration retry_limit{1'500}; // a store that is back is noticed within this time
 };
@@ -63,10 +64,12 @@
         bool healthy = false;
         bool stopped = false;
         duration backoff{0};
+        time_point last_watch{};
     };
 
     static void load_page(const std::shared_ptr<state>& self, const std::string& after,
                           time_point began);
+    static void watch_again(const std::shared_ptr<state>& self);
     static void watch(const std::shared_ptr<state>& self);
     static void retry(const std::shared_ptr<state>& self, bool reload);
     static void replace(state& self, std::map<std::string, store_entry> fresh);
