shard_loans, store_view: keep loans over a change of owner, read deletions in watches

Causes: the loans of tasks without history were not stored, a successor returned borrowed tasks before it had seen them run, borrowed tasks started before their loan was stored, an owner was taken for restarted because its new registration wasn't seen yet, and a deletion (which has no value) made every later watch of the operators' orders fail. Each is mended at its cause; views log when they become stale and current; tests cover the records.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -34,14 +34,14 @@
     , log_(log)
     , started_(loop.now())
     , meta_(
-          store, loop, {.prefix = std::string(meta_prefix), .wait = meta_wait},
+          store, loop, log, {.prefix = std::string(meta_prefix), .wait = meta_wait},
           [this](const auto& key, const auto* entry) { on_meta_change(key, entry); },
           [this] { maintain_claims(); })
     , orders_(
-          store, loop, {.prefix = options_.layout.orders_prefix, .wait = orders_wait},
+          store, loop, log, {.prefix = options_.layout.orders_prefix, .wait = orders_wait},
           [this](const auto& key, const auto* entry) { on_orders_change(key, entry); }, [] {})
     , worker_view_(
-          store, loop,
+          store, loop, log,
           {.prefix = options_.layout.workers_prefix,
            .wait = workers_wait,
            .spacing = workers_spacing},
@@ -160,6 +160,7 @@
                        record.value().incarnation);
         }
         peer.record = record.value();
+        peer.registered = entry->revision;
         return;
     }
     if (key == shard_list_key) {
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -108,6 +108,7 @@
   private:
     struct peer_row {
         host_record record;
+        revision_number registered; // of the record in the store
         std::optional<time_point> heard;
         host_status status;
     };
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -180,8 +180,10 @@
         return claim->record.owner != self_; // an earlier run of this host
     }
     const auto peer = peers_.find(owner);
+    // An owner has restarted when a later registration than its claim names another incarnation; an
+    // earlier one only shows that the new registration wasn't seen yet.
     const bool restarted =
-        peer != peers_.end() && !peer->second.record.incarnation.empty() &&
+        peer != peers_.end() && peer->second.registered > claim->revision &&
         claim->record.owner.value != owner.value + "/" + peer->second.record.incarnation;
     if (restarted) {
         return now >= settled && choose_owner(shard, {}) == options_.name;
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -142,8 +142,9 @@
         loan.tasks.insert(index);
     }
     stage.ready_since.reset();
-    job.borrowed.push_back(std::move(loan));
     note_change(shard, job, true, now);
+    loan.version = job.version;
+    job.borrowed.push_back(std::move(loan));
     answer_when_stored(shard, job, token, state_taken);
     shard.counters->count("loans", "taken");
     shard.log->write("event=tasks_borrowed job={} shard={} from={} loan={} tasks={}", id.value,
@@ -225,6 +226,12 @@
 
 // Gives tasks back that found no room here.
 void return_unplaced(shard_state& shard, job_row& job, borrowed_tasks& loan, time_point now) {
+    if (!shard.settled) {
+        return; // a task may run unseen under an earlier owner of this shard
+    }
+    if (loan.since == time_point{}) {
+        loan.since = now;
+    }
     if (loan.withdrawn || now < loan.since + shard.timing.return_after) {
         return;
     }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -56,6 +56,13 @@
     std::vector<candidate> found;
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
+        // Until the loan is stored, a successor would not know that its tasks run here.
+        const bool unstored =
+            std::any_of(job.borrowed.begin(), job.borrowed.end(),
+                        [&](const borrowed_tasks& loan) { return loan.version > job.stored; });
+        if (unstored) {
+            continue;
+        }
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
                 if (stage.open && !stage.waiting.empty()) {
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -45,8 +45,8 @@
     json rows = json::array();
     for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
         const auto& task = stage.tasks[index];
-        const bool blank =
-            task.failures == 0 && task.last_run.value == 0 && task.checkpoint.empty();
+        const bool blank = task.failures == 0 && task.last_run.value == 0 &&
+                           task.checkpoint.empty() && task.loan == 0;
         if (task.done || blank) {
             continue;
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -156,10 +156,11 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::set<std::uint32_t> tasks; // whose results the lender hasn't taken yet
+    std::uint64_t version = 0;     // of the job's record that holds the loan; runs when stored
     bool withdrawn = false;        // the lender no longer wants them
     bool in_flight = false;        // a report is
     time_point next_report;
-    time_point since;
+    time_point since; // when this owner began to look for room
 };
 
 // Tasks of a job of this shard that run in another one.
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -4,10 +4,11 @@
 
 namespace fulmar {
 
-store_view::store_view(async_store& store, event_loop& loop, store_view_options options,
-                       change_handler on_change, load_handler on_load)
+store_view::store_view(async_store& store, event_loop& loop, decision_log& log,
+                       store_view_options options, change_handler on_change, load_handler on_load)
     : state_(std::make_shared<state>(state{.store = store,
                                            .loop = loop,
+                                           .log = log,
                                            .options = std::move(options),
                                            .on_change = std::move(on_change),
                                            .on_load = std::move(on_load)})) {}
@@ -66,7 +67,7 @@
                              return;
                          }
                          if (!page) {
-                             retry(self, true);
+                             retry(self, page.error(), true);
                              return;
                          }
                          auto& got = page.value();
@@ -84,8 +85,7 @@
                              load_page(self, last, began);
                              return;
                          }
-                         self->healthy = true;
-                         self->backoff = duration(0);
+                         note_success(*self);
                          if (self->listing_revision >= self->revision) {
                              replace(*self, std::move(self->listing));
                              self->revision = self->listing_revision;
@@ -120,11 +120,13 @@
                               return;
                           }
                           if (!reply) {
-                              retry(self, reply.error().kind == error_kind::expired);
+                              // What can't be read now won't be readable at the same revision later.
+                const auto kind = reply.error().kind;
+                retry(self, reply.error(),
+                      kind == error_kind::expired || kind == error_kind::protocol_error);
                               return;
                           }
-                          self->healthy = true;
-                          self->backoff = duration(0);
+                          note_success(*self);
                           auto& got = reply.value();
                           for (auto& event : got.events) {
                               const auto key = event.entry.key;
@@ -149,8 +151,20 @@
                       });
 }
 
-void store_view::retry(const std::shared_ptr<state>& self, bool reload) {
-    self->healthy = false;
+// Notes that the store answers again.
+void store_view::note_success(state& self) {
+    if (!std::exchange(self.healthy, true)) {
+        self.log.write("event=store_view_current prefix={} revision={}", self.options.prefix,
+                       self.revision.value);
+    }
+    self.backoff = duration(0);
+}
+
+void store_view::retry(const std::shared_ptr<state>& self, const error& failure, bool reload) {
+    if (std::exchange(self->healthy, false)) {
+        self->log.write("event=store_view_stale prefix={} revision={} reason={} reload={}",
+                        self->options.prefix, self->revision.value, to_string(failure.kind), reload);
+    }
     self->backoff = std::clamp(self->backoff * 2, self->options.retry, self->options.retry_limit);
     self->loop.call_after(self->backoff, [self, reload] {
         if (self->stopped) {
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fulmar/async_store.hpp"
+#include "fulmar/decision_log.hpp"
 #include "fulmar/event_loop.hpp"
 
 #include <functional>
@@ -26,8 +27,8 @@
     using change_handler = std::function<void(const std::string& key, const store_entry* entry)>;
     using load_handler = std::function<void()>;
 
-    store_view(async_store& store, event_loop& loop, store_view_options options,
-               change_handler on_change, load_handler on_load);
+    store_view(async_store& store, event_loop& loop, decision_log& log,
+               store_view_options options, change_handler on_change, load_handler on_load);
 
     void start();
     void stop();
@@ -52,6 +53,7 @@
     struct state {
         async_store& store;
         event_loop& loop;
+        decision_log& log;
         store_view_options options;
         change_handler on_change;
         load_handler on_load;
@@ -71,7 +73,8 @@
                           time_point began);
     static void watch_again(const std::shared_ptr<state>& self);
     static void watch(const std::shared_ptr<state>& self);
-    static void retry(const std::shared_ptr<state>& self, bool reload);
+    static void retry(const std::shared_ptr<state>& self, const error& failure, bool reload);
+    static void note_success(state& self);
     static void replace(state& self, std::map<std::string, store_entry> fresh);
 
     std::shared_ptr<state> state_;
--- /dev/null
+++ b/tests/shard_records_test.cpp
@@ -0,0 +1,124 @@
+#include "shard_records.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fulmar;
+
+namespace {
+
+// A job with a step of three tasks and one of two that depends on it.
+job_row make_job() {
+    job_row job;
+    job.id.value = "00000000000000aa";
+    job.queue.id.value = "renders";
+    job.queue.service.value = "desk";
+    job.queue.max_attempts = 3;
+    job.spec.payload = "payload";
+    step_spec first;
+    first.count = 3;
+    first.need = {{1000}, {512}, {1}};
+    first.checkpoints = true;
+    first.image = "image-1";
+    step_spec second;
+    second.count = 2;
+    second.after = {0};
+    second.lasting = true;
+    second.tail_target = duration(25);
+    second.spread_limit = 1;
+    job.spec.steps = {first, second};
+    job.accepted = {1'700'000'000'000};
+    job.next_occurrence = 1;
+    job.occurrences.emplace(0, make_occurrence(job.spec, 0));
+    return job;
+}
+
+// Stores a job and reads it back, as a successor does.
+job_row store_and_load(const job_row& job) {
+    auto loaded = parse_job(job.id, encode_job(job));
+    REQUIRE(loaded);
+    REQUIRE(parse_progress(loaded.value(), encode_progress(job)));
+    return loaded.value();
+}
+
+} // namespace
+
+// A successor that takes a lent task for a waiting one starts it a second time.
+TEST_CASE("a stored loan keeps its tasks away from the lender's successor") {
+    auto job = make_job();
+    auto& stage = job.occurrences.at(0).stages[0];
+    stage.tasks[1].away = true;
+    stage.tasks[1].loan = 7;
+    stage.waiting.erase(1);
+    job.loans[7] = shard_id{"other"};
+    const auto loaded = store_and_load(job);
+    const auto& row = loaded.occurrences.at(0).stages[0];
+    CHECK(row.waiting == std::set<std::uint32_t>{0, 2});
+    CHECK(row.tasks[1].away);
+    CHECK(row.tasks[1].loan == 7);
+    CHECK(loaded.loans == job.loans);
+}
+
+// A successor that forgets failures, run numbers or checkpoints exceeds the attempts, repeats run
+// numbers or loses work.
+TEST_CASE("progress survives a change of owner") {
+    auto job = make_job();
+    auto& stage = job.occurrences.at(0).stages[0];
+    stage.tasks[0].done = true;
+    stage.done = 1;
+    stage.waiting.erase(0);
+    stage.tasks[2].failures = 2;
+    stage.tasks[2].last_run = {1004};
+    stage.tasks[2].checkpoint = "c-5";
+    job.phase = job_phase::running;
+    const auto loaded = store_and_load(job);
+    const auto& row = loaded.occurrences.at(0).stages[0];
+    CHECK(row.tasks[0].done);
+    CHECK(row.done == 1);
+    CHECK(row.waiting == std::set<std::uint32_t>{1, 2});
+    CHECK(row.tasks[2].failures == 2);
+    CHECK(row.tasks[2].last_run.value == 1004);
+    CHECK(row.tasks[2].checkpoint == "c-5");
+    CHECK(loaded.phase == job_phase::running);
+    CHECK_FALSE(loaded.occurrences.at(0).stages[1].open);
+    CHECK(loaded.spec.steps[1].tail_target == duration(25));
+    CHECK(loaded.queue.max_attempts == 3);
+}
+
+// A borrower's successor that forgets a result runs the task again; one that forgets a withdrawal
+// runs a cancelled task.
+TEST_CASE("borrowed tasks survive a change of the borrower's owner") {
+    auto job = make_job();
+    job.home.value = "lender";
+    job.occurrences.clear();
+    auto& stage = find_guest_stage(job, 0, 0);
+    for (const std::uint32_t index : {0U, 2U}) {
+        stage.tasks[index].loan = 9;
+    }
+    stage.tasks[0].result = loan_result::done;
+    stage.tasks[0].done = true;
+    stage.tasks[2].last_run = {3};
+    job.borrowed.push_back({.loan = 9, .occurrence = 0, .step = 0, .tasks = {0, 2}});
+    const auto loaded = store_and_load(job);
+    const auto& row = loaded.occurrences.at(0).stages[0];
+    CHECK(loaded.home.value == "lender");
+    CHECK(row.waiting == std::set<std::uint32_t>{2});
+    CHECK(row.tasks[0].done);
+    CHECK(row.tasks[1].away);
+    CHECK(row.tasks[2].last_run.value == 3);
+    REQUIRE(loaded.borrowed.size() == 1);
+    CHECK(loaded.borrowed[0].tasks == std::set<std::uint32_t>{0, 2});
+
+    job.borrowed[0].withdrawn = true;
+    const auto withdrawn = store_and_load(job);
+    CHECK(withdrawn.borrowed[0].withdrawn);
+    CHECK(withdrawn.occurrences.at(0).stages[0].waiting.empty());
+}
+
+TEST_CASE("malformed records are errors, not exceptions") {
+    CHECK_FALSE(parse_claim("{"));
+    CHECK_FALSE(parse_claim(R"({"owner": 3, "epoch": 1})"));
+    CHECK_FALSE(parse_head("[]"));
+    CHECK_FALSE(parse_job(job_id{"x"}, R"({"queue": {}})"));
+    auto job = make_job();
+    CHECK_FALSE(parse_progress(job, R"({"phase": 1, "open": [0], "stages": [[5, 0, "0", []]]})"));
+}
