--- a/src/host_loans.cpp
+++ b/src/host_loans.cpp
@@ -42,8 +42,7 @@
             other.shard = record.id;
             other.racks = record.racks;
             other.open = status != newest.end() && !evacuated_.contains(record.data_centre);
-            other.rooms =
-                other.open ? status->second->rooms : std::vector<service_room>();
+            other.rooms = other.open ? status->second->rooms : std::vector<service_room>();
         }
     }
 }
@@ -89,8 +88,7 @@
             take_loan_message(shard, in, reply);
             return;
         }
-        const auto key =
-            progress_key(in.at("from").get<shard_id>(), in.at("job").get<job_id>());
+        const auto key = progress_key(in.at("from").get<shard_id>(), in.at("job").get<job_id>());
         store_.get(key, [this, alive = alive_, shard, in,
                          reply](result<std::optional<store_entry>> entry) {
             if (!*alive) {
@@ -99,8 +97,8 @@
             if (!entry) {
                 reply(error{error_kind::unavailable, "the store can't be reached"});
             } else if (!entry.value() || !confirms_offer(in, entry.value()->value)) {
-                log_.write("event=offer_outdated job={} loan={}",
-                           in.at("job").get<std::string>(), in.at("loan").get<std::uint64_t>());
+                log_.write("event=offer_outdated job={} loan={}", in.at("job").get<std::string>(),
+                           in.at("loan").get<std::uint64_t>());
                 reply(std::string("refused"));
             } else {
                 take_loan_message(shard, in, reply);
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -78,8 +78,8 @@
                 continue;
             }
             ++number;
-            known = known || std::find(shard.racks.begin(), shard.racks.end(), rack) !=
-                                 shard.racks.end();
+            known = known ||
+                    std::find(shard.racks.begin(), shard.racks.end(), rack) != shard.racks.end();
             if (size_of(shard) < options_.workers_per_shard) {
                 home = &shard;
             }
@@ -90,7 +90,8 @@
         if (home != nullptr) {
             home->racks.push_back(rack);
         } else {
-            next.push_back({{data_centre.value + "." + std::to_string(number)}, data_centre, {rack}});
+            next.push_back(
+                {{data_centre.value + "." + std::to_string(number)}, data_centre, {rack}});
         }
     }
     store_transaction put;
@@ -172,8 +173,7 @@
     if (claim == nullptr || claim->record.owner.value.empty()) {
         const auto noticed = claim != nullptr ? claim->noticed : shard_noticed_.at(shard.id);
         const auto wait = distance == 0 ? duration(0) : silence;
-        return now >= std::max(settled, noticed + wait) &&
-               choose_owner(shard, {}) == options_.name;
+        return now >= std::max(settled, noticed + wait) && choose_owner(shard, {}) == options_.name;
     }
     const auto owner = name_of(claim->record.owner);
     if (owner == options_.name) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -273,8 +273,7 @@
 
 std::optional<job_phase> shown_phase(const shard_state& shard, const job_id& id) {
     const auto found = shard.tables.jobs.find(id);
-    if (found == shard.tables.jobs.end() || !found->second.spec_stored ||
-        is_guest(found->second)) {
+    if (found == shard.tables.jobs.end() || !found->second.spec_stored || is_guest(found->second)) {
         return std::nullopt;
     }
     const auto& job = found->second;
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -19,15 +19,15 @@
 
 // Times of the protocol with workers and the store. Those of the platform come from settings.
 struct shard_timing {
-    duration lease{6'000};       // the platform's longest lease of a worker
-    duration gang_wait{3'000};   // a worker's wait for the other members of a gang
+    duration lease{6'000};     // the platform's longest lease of a worker
+    duration gang_wait{3'000}; // a worker's wait for the other members of a gang
     // A task is lent after it has waited this long for room in its own shard; fillers wait longer,
     // because their room returns within seconds.
     duration lend_after{120};
     duration lend_filler_after{1'500};
     // A borrowed task without room goes back after this.
     duration return_after{2'500};
-    duration loan_retry{400}; // between messages that weren't answered
+    duration loan_retry{400};    // between messages that weren't answered
     duration retention{150'000}; // of ended jobs; callers ask for 120 s
 
     // A hold waits this long for an end. Each end returns at once; without ends the reply renews
@@ -179,10 +179,15 @@
         std::string state;
     };
     std::vector<waiting_loan_answer> loan_answers;
+    struct returned_task {
+        task_key task;
+        std::uint64_t version = 0; // of the job's record that no longer holds the loan
+    };
+    std::vector<returned_task> returned;     // not to be started before that is stored
     std::map<shard_id, lending_room> others; // refreshed by the host
     std::uint32_t loans_made = 0;            // under this epoch
-    filler_effects effects;   // learned from this shard's workers
-    bool place_needed = true; // something changed since the last placement
+    filler_effects effects;                  // learned from this shard's workers
+    bool place_needed = true;                // something changed since the last placement
     time_point last_place;
     time_point next_purge;
 
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -1,7 +1,7 @@
-// Loans: tasks of a job that its own shard has no room for run in another shard. The lender's record
-// names the borrower before the borrower hears of it, the borrower stores the tasks before it
-// answers, and the lender stores a result before the borrower forgets it; so each task belongs to
-// one shard at any time, whoever of the two owners changes.
+// Loans: tasks of a job that its own shard has no room for run in another shard. The lender's
+// record names the borrower before the borrower hears of it, the borrower stores the tasks before
+// it answers, and the lender stores a result before the borrower forgets it; so each task belongs
+// to one shard at any time, whoever of the two owners changes.
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -58,15 +58,33 @@
     return body.dump();
 }
 
-// Takes a task back that another shard gave up.
-void reclaim_task(shard_state& shard, stage_row& stage, std::uint32_t index) {
-    auto& task = stage.tasks[index];
-    task.away = false;
+// Takes a task back that another shard gave up. It stays away until the record says so: a successor
+// that still sees the loan would not expect it to run here.
+void reclaim_task(shard_state& shard, job_row& job, const task_key& key, time_point now) {
+    auto& task = *find_task(shard.tables, key);
     task.loan = 0;
-    if (!task.done) {
-        stage.waiting.insert(index);
-    }
-    shard.place_needed = true;
+    note_change(shard, job, true, now);
+    shard.returned.push_back({key, job.version});
+}
+
+// Lets returned tasks run here once that is stored.
+void settle_returned(shard_state& shard) {
+    std::erase_if(shard.returned, [&](const shard_state::returned_task& row) {
+        const auto job = shard.tables.jobs.find(row.task.job);
+        if (job != shard.tables.jobs.end() && job->second.stored < row.version) {
+            return false;
+        }
+        auto* stage = find_stage(shard.tables, row.task);
+        auto* task = find_task(shard.tables, row.task);
+        if (task != nullptr && task->loan == 0) {
+            task->away = false;
+            if (!task->done && task->runs.empty()) {
+                stage->waiting.insert(row.task.index);
+            }
+            shard.place_needed = true;
+        }
+        return true;
+    });
 }
 
 // Removes a loan without tasks left.
@@ -80,9 +98,8 @@
 }
 
 borrowed_tasks* find_borrowed(job_row& job, std::uint64_t loan) {
-    const auto found =
-        std::find_if(job.borrowed.begin(), job.borrowed.end(),
-                     [&](const borrowed_tasks& row) { return row.loan == loan; });
+    const auto found = std::find_if(job.borrowed.begin(), job.borrowed.end(),
+                                    [&](const borrowed_tasks& row) { return row.loan == loan; });
     return found == job.borrowed.end() ? nullptr : &*found;
 }
 
@@ -96,13 +113,24 @@
     shard.loan_answers.push_back({token, {}, 0, std::string(state)});
 }
 
+// Answers about a loan without a row: at once if the job is unknown, else when its record is
+// stored.
+void answer_for(shard_state& shard, const json& body, request_token token, std::string_view state) {
+    const auto job = shard.tables.jobs.find(body.at("job").get<job_id>());
+    if (job == shard.tables.jobs.end()) {
+        answer_now(shard, token, state);
+    } else {
+        answer_when_stored(shard, job->second, token, state);
+    }
+}
+
 void take_offer(shard_state& shard, const json& body, request_token token, time_point now) {
     const auto id = body.at("job").get<job_id>();
     const auto number = body.at("loan").get<std::uint64_t>();
     const auto known = shard.tables.jobs.find(id);
     if (known != shard.tables.jobs.end()) {
-        const bool leaving = std::find(shard.to_purge.begin(), shard.to_purge.end(), id) !=
-                             shard.to_purge.end();
+        const bool leaving =
+            std::find(shard.to_purge.begin(), shard.to_purge.end(), id) != shard.to_purge.end();
         if (leaving || !is_guest(known->second)) {
             answer_now(shard, token, state_retry);
             return;
@@ -157,7 +185,7 @@
                      ? nullptr
                      : find_borrowed(found->second, body.at("loan").get<std::uint64_t>());
     if (loan == nullptr) {
-        answer_now(shard, token, state_gone);
+        answer_for(shard, body, token, state_gone);
         return;
     }
     auto& job = found->second;
@@ -193,7 +221,7 @@
     } else if (result == loan_result::failed) {
         end_job(shard, job, job_phase::failed, now, unix_now);
     } else {
-        reclaim_task(shard, stage, index);
+        reclaim_task(shard, job, key, now);
         auto& other = shard.others[loan.to];
         other.no_loans_before = now + refusal_pause;
     }
@@ -204,7 +232,8 @@
     const auto number = body.at("loan").get<std::uint64_t>();
     const auto found = shard.tables.loans.find(number);
     if (found == shard.tables.loans.end()) {
-        answer_now(shard, token, state_settled);
+        // Closed before, by a report whose answer was lost or is still waiting to be stored.
+        answer_for(shard, body, token, state_settled);
         return;
     }
     const auto id = found->second.job;
@@ -275,9 +304,8 @@
     std::erase_if(job.borrowed, [&](const borrowed_tasks& loan) {
         const auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
         return loan.withdrawn && job.stored == job.version &&
-               std::all_of(loan.tasks.begin(), loan.tasks.end(), [&](std::uint32_t index) {
-                   return stage.tasks[index].runs.empty();
-               });
+               std::all_of(loan.tasks.begin(), loan.tasks.end(),
+                           [&](std::uint32_t index) { return stage.tasks[index].runs.empty(); });
     });
     if (job.borrowed.size() != before) {
         note_change(shard, job, false, now);
@@ -295,8 +323,8 @@
             return_unplaced(shard, job, loan, now);
             report_results(shard, job, loan, now, actions);
         }
-        const bool purging = std::find(shard.to_purge.begin(), shard.to_purge.end(), id) !=
-                             shard.to_purge.end();
+        const bool purging =
+            std::find(shard.to_purge.begin(), shard.to_purge.end(), id) != shard.to_purge.end();
         if (job.borrowed.empty() && job.stored == job.version && !purging) {
             shard.to_purge.push_back(id);
         }
@@ -313,9 +341,8 @@
         loan.in_flight = true;
         loan.next_send = now + shard.timing.loan_retry;
         const auto body =
-            loan.withdrawn
-                ? make_envelope("withdraw", shard.id, loan.to, number, loan.job).dump()
-                : make_offer(shard, loan);
+            loan.withdrawn ? make_envelope("withdraw", shard.id, loan.to, number, loan.job).dump()
+                           : make_offer(shard, loan);
         actions.loan_messages.push_back({loan.to, number, loan.job, body});
     }
 }
@@ -332,8 +359,8 @@
 }
 
 // Returns how many tasks of a step another shard has room for; 0 when it may get none.
-std::size_t count_room(const lending_room& other, const service_id& service,
-                       const step_spec& step, time_point now) {
+std::size_t count_room(const lending_room& other, const service_id& service, const step_spec& step,
+                       time_point now) {
     if (!other.open || now < other.no_loans_before) {
         return 0;
     }
@@ -348,9 +375,8 @@
         if (!fits(step.need, room.largest)) {
             return 0;
         }
-        return static_cast<std::size_t>(
-            std::max<std::int64_t>(1, room.free.processors.value /
-                                          std::max<std::int64_t>(1, step.need.processors.value)));
+        return static_cast<std::size_t>(std::max<std::int64_t>(
+            1, room.free.processors.value / std::max<std::int64_t>(1, step.need.processors.value)));
     }
     return 0;
 }
@@ -435,10 +461,9 @@
 
 void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
     const auto& step = job.spec.steps[stage.step];
-    const auto patience =
-        !shard.data_centre_open ? duration(0)
-        : step.filler           ? shard.timing.lend_filler_after
-                                : shard.timing.lend_after;
+    const auto patience = !shard.data_centre_open ? duration(0)
+                          : step.filler           ? shard.timing.lend_filler_after
+                                                  : shard.timing.lend_after;
     if (is_guest(job) || now - *stage.ready_since < patience) {
         return;
     }
@@ -464,6 +489,7 @@
 }
 
 void send_loans(shard_state& shard, time_point now, shard_actions& actions) {
+    settle_returned(shard);
     serve_guests(shard, now, actions);
     serve_loans(shard, now, actions);
     answer_due(shard, actions);
@@ -521,9 +547,8 @@
             close_loan(shard, message.loan, now);
         } else if (state.value() == state_refused && !loan.withdrawn && !loan.taken) {
             auto& job = shard.tables.jobs.at(loan.job);
-            auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
             for (const auto index : loan.tasks) {
-                reclaim_task(shard, stage, index);
+                reclaim_task(shard, job, {job.id, loan.occurrence, loan.step, index}, now);
             }
             shard.others[loan.to].no_loans_before = now + refusal_pause;
             close_loan(shard, message.loan, now);
@@ -531,8 +556,8 @@
         return;
     }
     const auto found = shard.tables.jobs.find(message.job);
-    auto* loan = found == shard.tables.jobs.end() ? nullptr
-                                                  : find_borrowed(found->second, message.loan);
+    auto* loan =
+        found == shard.tables.jobs.end() ? nullptr : find_borrowed(found->second, message.loan);
     if (loan == nullptr) {
         return;
     }
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -120,10 +120,12 @@
                               return;
                           }
                           if (!reply) {
-                              // What can't be read now won't be readable at the same revision later.
-                const auto kind = reply.error().kind;
-                retry(self, reply.error(),
-                      kind == error_kind::expired || kind == error_kind::protocol_error);
+                              // What can't be read now won't be readable at the same revision
+                              // later.
+                              const auto kind = reply.error().kind;
+                              retry(self, reply.error(),
+                                    kind == error_kind::expired ||
+                                        kind == error_kind::protocol_error);
                               return;
                           }
                           note_success(*self);
@@ -163,7 +165,8 @@
 void store_view::retry(const std::shared_ptr<state>& self, const error& failure, bool reload) {
     if (std::exchange(self->healthy, false)) {
         self->log.write("event=store_view_stale prefix={} revision={} reason={} reload={}",
-                        self->options.prefix, self->revision.value, to_string(failure.kind), reload);
+                        self->options.prefix, self->revision.value, to_string(failure.kind),
+                        reload);
     }
     self->backoff = std::clamp(self->backoff * 2, self->options.retry, self->options.retry_limit);
     self->loop.call_after(self->backoff, [self, reload] {
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -14,9 +14,9 @@
 
 struct store_view_options {
     std::string prefix;
-    duration wait{10'000};       // of one watch call
-    duration spacing{0};         // least time between two calls, so that frequent changes are batched
-    duration retry{300};         // after a failed call; doubled up to retry_limit
+    duration wait{10'000}; // of one watch call
+    duration spacing{0};   // least time between two calls, so that frequent changes are batched
+    duration retry{300};   // after a failed call; doubled up to retry_limit
     duration retry_limit{1'500}; // a store that is back is noticed within this time
 };
 
@@ -27,8 +27,8 @@
     using change_handler = std::function<void(const std::string& key, const store_entry* entry)>;
     using load_handler = std::function<void()>;
 
-    store_view(async_store& store, event_loop& loop, decision_log& log,
-               store_view_options options, change_handler on_change, load_handler on_load);
+    store_view(async_store& store, event_loop& loop, decision_log& log, store_view_options options,
+               change_handler on_change, load_handler on_load);
 
     void start();
     void stop();
