shard_regroup: move serving tasks to workers of their kind and share learned effects

Serving tasks now move, two at a time and one of a step, to where that opens most processors to fillers. Learned effects were over-confident (0.1 to 0.7 of standard deviation beside errors of 5); errors shared by many figures count as noise of 1.0 now, and shards tell each other their estimates.

--- a/src/filler_effects.cpp
+++ b/src/filler_effects.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace fulmar {
 
@@ -12,11 +13,18 @@
 constexpr double prior_deviation = 4.0;
 constexpr double largest_variance = prior_deviation * prior_deviation;
 
-// Tasks of one job differ by about this much at the same moment.
-constexpr double noise_deviation = 0.35;
+// No estimate is taken to be more certain than this, as effects drift.
+constexpr double least_variance = 0.04;
+
+// Estimates in one message; a datagram stays well under 16 KiB.
+constexpr std::size_t shared_limit = 80;
+
+// Tasks of one job differ by about 0.3 at the same moment; errors of the level are shared by many
+// figures in a row, which counts for several times that.
+constexpr double noise_deviation = 1.0;
 
 // Effects change within minutes, so old figures lose weight with each new one.
-constexpr double forgetting = 1.001;
+constexpr double forgetting = 1.003;
 
 // Part of the uncertainty that is added to an estimate.
 constexpr double caution = 0.5;
@@ -133,16 +141,75 @@
     }
 }
 
-double cautious_effect(const filler_effects& effects, const std::string& serving_image,
+namespace {
+
+struct estimate {
+    double mean = prior_mean;
+    double variance = largest_variance;
+};
+
+// Joins the own estimate of a pair with those of other shards.
+estimate find_estimate(const filler_effects& effects, const std::string& serving_image,
                        const std::string& filler_image) {
+    estimate own;
     const auto row = effects.serving.find(serving_image);
     const auto index =
         row == effects.serving.end() ? no_index : find_index(row->second, filler_image);
-    if (index == no_index) {
-        return prior_mean + caution * prior_deviation;
+    if (index != no_index) {
+        own = {row->second.mean[index],
+               std::max(least_variance, row->second.covariance[index][index])};
+    }
+    const auto other = effects.others.find({serving_image, filler_image});
+    if (other == effects.others.end()) {
+        return own;
+    }
+    const double precision = 1 / own.variance + other->second.precision;
+    return {(own.mean / own.variance + other->second.weighted_mean) / precision, 1 / precision};
+}
+
+} // namespace
+
+double cautious_effect(const filler_effects& effects, const std::string& serving_image,
+                       const std::string& filler_image) {
+    const auto known = find_estimate(effects, serving_image, filler_image);
+    return std::max(0.0, known.mean + caution * std::sqrt(known.variance));
+}
+
+double certain_effect(const filler_effects& effects, const std::string& serving_image,
+                      const std::string& filler_image) {
+    const auto known = find_estimate(effects, serving_image, filler_image);
+    return std::max(0.0, known.mean) * (1 - known.variance / largest_variance);
+}
+
+std::vector<shared_effect> share_effects(const filler_effects& effects) {
+    std::vector<shared_effect> told;
+    for (const auto& [image, row] : effects.serving) {
+        for (std::size_t i = 0; i < row.fillers.size(); ++i) {
+            if (row.covariance[i][i] < largest_variance / 2) {
+                told.push_back({image, row.fillers[i], row.mean[i], row.covariance[i][i]});
+            }
+        }
+    }
+    std::sort(told.begin(), told.end(), [](const shared_effect& a, const shared_effect& b) {
+        return a.variance < b.variance;
+    });
+    told.resize(std::min(told.size(), shared_limit));
+    return told;
+}
+
+void take_shared_effects(filler_effects& effects, const std::vector<shared_effect>& shared) {
+    effects.others.clear();
+    for (const auto& pair : shared) {
+        // Each estimate contains the prior once; only what was measured beyond it is added.
+        const double variance = std::max(least_variance, pair.variance);
+        const double precision = 1 / variance - 1 / largest_variance;
+        if (precision <= 0) {
+            continue;
+        }
+        auto& other = effects.others[{pair.serving, pair.filler}];
+        other.precision += precision;
+        other.weighted_mean += pair.mean / variance - prior_mean / largest_variance;
     }
-    const double deviation = std::sqrt(std::max(0.0, row->second.covariance[index][index]));
-    return std::max(0.0, row->second.mean[index] + caution * deviation);
 }
 
 double expected_slack(const filler_effects& effects, const std::string& job, time_point now,
--- a/src/filler_effects.hpp
+++ b/src/filler_effects.hpp
@@ -36,8 +36,23 @@
     time_point updated;
 };
 
+// One pair's estimate as shards tell each other.
+struct shared_effect {
+    std::string serving;
+    std::string filler;
+    double mean = 0;
+    double variance = 0;
+};
+
+// What other shards add to an own estimate: precisions beyond the prior's, and the means they weigh.
+struct borrowed_estimate {
+    double precision = 0;
+    double weighted_mean = 0;
+};
+
 struct filler_effects {
-    std::map<std::string, effect_estimates_row> serving; // by image
+    std::map<std::pair<std::string, std::string>, borrowed_estimate> others; // by image pair
+    std::map<std::string, effect_estimates_row> serving;                     // by image
     std::map<std::string, slack_level> levels;           // by job
 };
 
@@ -50,6 +65,16 @@
 double cautious_effect(const filler_effects& effects, const std::string& serving_image,
                        const std::string& filler_image);
 
+// Returns the part of an effect that is certain: the estimate, lowered while little is known of it.
+double certain_effect(const filler_effects& effects, const std::string& serving_image,
+                      const std::string& filler_image);
+
+// Returns the estimates that are worth telling, the most certain ones first.
+std::vector<shared_effect> share_effects(const filler_effects& effects);
+
+// Replaces what is known from other shards.
+void take_shared_effects(filler_effects& effects, const std::vector<shared_effect>& shared);
+
 // Returns the least slack that a job's tasks are expected to have without fillers within
 // `lookahead`. Jobs that were never measured are taken for average ones.
 double expected_slack(const filler_effects& effects, const std::string& job, time_point now,
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -304,6 +304,11 @@
     }
     peer.heard = loop_.now();
     peer.status = std::move(status);
+    for (auto& shard : peer.status.shards) {
+        if (!shard.effects.empty()) {
+            shared_effects_[shard.id] = std::exchange(shard.effects, {});
+        }
+    }
     if (peer.status.orders_revision > orders_.revision() && !orders_.healthy()) {
         fetch_orders();
     }
@@ -334,7 +339,15 @@
     if (!near && !far) {
         return;
     }
-    const auto datagram = encode(make_status());
+    auto status = make_status();
+    if (now >= next_effects_) {
+        next_effects_ = now + options_.timing.effects_gossip;
+        for (auto& shard : status.shards) {
+            shard.effects = share_effects(owned_.at(shard.id)->state.effects);
+            shared_effects_[shard.id] = shard.effects;
+        }
+    }
+    const auto datagram = encode(status);
     for (const auto& [name, peer] : peers_) {
         const bool local = peer.record.data_centre == options_.data_centre;
         if (peer.record.address.port != 0 && ((local && near) || (!local && far))) {
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -36,6 +36,8 @@
     // Datagrams to the hosts of the same data centre and, by owners of shards, to all.
     duration near_gossip{200};
     duration far_gossip{500};
+    // Learned effects change slowly and make a datagram several times as long.
+    duration effects_gossip{2'000};
     // An owner is taken for dead after this silence by hosts of its data centre, of its region, and
     // by others: five lost datagrams, and time for nearer hosts to act first.
     duration near_silence{1'000};
@@ -216,6 +218,8 @@
     time_point started_;
     time_point next_near_gossip_;
     time_point next_far_gossip_;
+    time_point next_effects_;
+    std::map<shard_id, std::vector<shared_effect>> shared_effects_; // as last told by each shard
     time_point next_claims_;
     bool leaving_ = false;
     bool fetching_orders_ = false;
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -9,6 +9,13 @@
 
 namespace {
 
+// Estimates travel as whole hundredths, which take two or three bytes.
+constexpr double hundredths = 100;
+
+std::int64_t to_hundredths(double value) {
+    return static_cast<std::int64_t>(value * hundredths);
+}
+
 service_load& find_load(std::vector<service_load>& loads, const service_id& service) {
     for (auto& load : loads) {
         if (load.service == service) {
@@ -74,12 +81,18 @@
         for (const auto& [queue, count] : shard.pending) {
             pending.push_back({queue, count});
         }
+        json effects = json::array();
+        for (const auto& pair : shard.effects) {
+            effects.push_back({pair.serving, pair.filler, to_hundredths(pair.mean),
+                               to_hundredths(pair.variance)});
+        }
         json rooms = json::array();
         for (const auto& room : shard.rooms) {
             rooms.push_back({room.service, room.free, room.largest, room.fillers});
         }
         shards.push_back(
-            {shard.id, shard.epoch, std::move(loads), std::move(pending), std::move(rooms)});
+            {shard.id, shard.epoch, std::move(loads), std::move(pending), std::move(rooms),
+             std::move(effects)});
     }
     const json out{status.name,
                    status.incarnation,
@@ -123,6 +136,12 @@
                                        room.at(2).get<resources>(),
                                        room.at(3).get<std::int64_t>()});
             }
+            for (const auto& pair : row.at(5)) {
+                shard.effects.push_back({pair.at(0).get<std::string>(),
+                                         pair.at(1).get<std::string>(),
+                                         pair.at(2).get<double>() / hundredths,
+                                         pair.at(3).get<double>() / hundredths});
+            }
             status.shards.push_back(std::move(shard));
         }
         return status;
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -34,6 +34,7 @@
     epoch_number epoch;
     std::vector<service_load> loads;
     std::vector<service_room> rooms;
+    std::vector<shared_effect> effects; // told now and then; empty otherwise
     std::map<queue_id, std::uint64_t> pending; // accepted jobs that have not begun
 };
 
--- a/src/host_loans.cpp
+++ b/src/host_loans.cpp
@@ -33,6 +33,13 @@
         }
     }
     for (const auto& [id, shard] : owned_) {
+        std::vector<shared_effect> told;
+        for (const auto& [other, effects] : shared_effects_) {
+            if (other != id) {
+                told.insert(told.end(), effects.begin(), effects.end());
+            }
+        }
+        take_shared_effects(shard->state.effects, told);
         for (const auto& record : shard_list_) {
             if (record.id == id) {
                 continue;
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -419,6 +419,7 @@
         shard.last_place = now;
         place_tasks(shard, now, actions);
     }
+    regroup_tasks(shard, now);
     send_stops(shard, now, actions);
     send_paces(shard, actions);
     find_purgeable(shard, now, unix_now);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -186,7 +186,9 @@
     std::vector<returned_task> returned;     // not to be started before that is stored
     std::map<shard_id, lending_room> others; // refreshed by the host
     std::uint32_t loans_made = 0;            // under this epoch
-    filler_effects effects;                  // learned from this shard's workers
+    filler_effects effects; // learned from this shard's workers
+    std::map<std::string, double> filler_demand; // processors asked for lately, by image
+    time_point next_regroup;
     bool place_needed = true;                // something changed since the last placement
     time_point last_place;
     time_point next_purge;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -56,6 +56,15 @@
 // Tells whether fillers and serving tasks share the worker.
 bool is_shared(const shard_state& shard, const worker_row& worker);
 
+// Moves serving tasks to workers with tasks of the same kind, where that opens workers to fillers.
+void regroup_tasks(shard_state& shard, time_point now);
+
+// Tells whether any task may start on the worker now.
+bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now);
+
+// Tells whether a step's tasks may run on the worker as far as service, label and spreading go.
+bool suits_worker(const job_row& job, const stage_row& stage, const worker_row& worker);
+
 // Completes a task of this shard's own job; returns whether its record should be stored at once.
 bool complete_task(shard_state& shard, job_row& job, const task_key& key, time_point now,
                    unix_time unix_now);
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -18,7 +18,7 @@
 constexpr duration lookahead{700};
 
 // An effect on slack below this is taken for noise.
-constexpr double least_effect = 0.4;
+constexpr double least_effect = 2.0;
 
 // A serving task may be over its target for 4 s on account of fillers. After these times all that
 // are blamed, then all, stand still, whatever the estimates say.
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -32,13 +32,6 @@
 // Serving tasks of one image go together: fillers that disturb them then find workers without any.
 constexpr double mixing_weight = 1'500; // thousandths of a worker's room for one of other images
 
-// Tells whether any task may start on the worker now.
-bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now) {
-    return worker.contact == reach::reachable && worker.looked && worker.listed &&
-           !worker.entry.draining && worker.no_starts_before <= now &&
-           shard.stored_workers.contains(worker.entry.target.id);
-}
-
 bool has_label(const worker_row& worker, const std::string& label) {
     const auto& labels = worker.entry.labels;
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
@@ -79,8 +72,9 @@
 }
 
 // Room that the tasks of a stage take, checked against one worker.
-bool fits_worker(const shard_state& shard, const worker_row& worker, const step_spec& step) {
-    auto free = free_resources(worker);
+bool fits_worker(const shard_state& shard, const worker_row& worker, const step_spec& step,
+                 const task_key& task) {
+    auto free = free_resources(worker, &task);
     if (step.filler) {
         const auto room = filler_room(shard, worker);
         const bool alone = worker.filler_demand == 0;
@@ -103,23 +97,21 @@
 
 // Chooses the worker for one task of a stage, or nullptr.
 worker_row* choose_worker(shard_state& shard, const candidate& next, const step_spec& step,
-                          const task_row& task, time_point now) {
+                          std::uint32_t index, time_point now) {
+    const auto& task = next.stage->tasks[index];
+    const task_key key{next.job->id, next.stage->occurrence, next.stage->step, index};
     worker_row* best = nullptr;
     std::int64_t best_score = 0;
     const auto waited = std::chrono::duration<double>(now - *next.stage->ready_since).count();
     const double pace_limit =
         std::max(least_pace, accepted_pace - accepted_pace_per_second * waited);
     for (auto& [id, worker] : shard.tables.workers) {
-        if (!takes_starts(shard, worker, now) || worker.entry.service != next.job->queue.service ||
-            !has_label(worker, step.label) || task.last_failed_on == id ||
-            !fits_worker(shard, worker, step)) {
+        if (!takes_starts(shard, worker, now) || task.last_failed_on == id ||
+            !suits_worker(*next.job, *next.stage, worker) || !fits_worker(shard, worker, step, key)) {
             continue;
         }
-        if (step.spread_limit > 0) {
-            const auto spread = next.stage->spread.find(id);
-            if (spread != next.stage->spread.end() && spread->second >= step.spread_limit) {
-                continue;
-            }
+        if (task.target == id) {
+            return &worker;
         }
         auto score = score_worker(shard, worker, step);
         if (step.filler) {
@@ -175,7 +167,7 @@
     const auto waiting = next.stage->waiting;
     for (const auto index : waiting) {
         auto& task = next.stage->tasks[index];
-        auto* worker = choose_worker(shard, next, step, task, now);
+        auto* worker = choose_worker(shard, next, step, index, now);
         if (worker == nullptr && task.last_failed_on) {
             continue; // another task may use the worker that this one failed on
         }
@@ -188,6 +180,22 @@
 
 } // namespace
 
+bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now) {
+    return worker.contact == reach::reachable && worker.looked && worker.listed &&
+           !worker.entry.draining && worker.no_starts_before <= now &&
+           shard.stored_workers.contains(worker.entry.target.id);
+}
+
+bool suits_worker(const job_row& job, const stage_row& stage, const worker_row& worker) {
+    const auto& step = job.spec.steps[stage.step];
+    if (worker.entry.service != job.queue.service || !has_label(worker, step.label)) {
+        return false;
+    }
+    const auto spread = stage.spread.find(worker.entry.target.id);
+    return step.spread_limit == 0 || spread == stage.spread.end() ||
+           spread->second < step.spread_limit;
+}
+
 std::int64_t filler_room(const shard_state& shard, const worker_row& worker) {
     std::int64_t idle = worker.entry.capacity.processors.value;
     for (const auto& key : worker.runs) {
--- /dev/null
+++ b/src/shard_regroup.cpp
@@ -0,0 +1,227 @@
+// Moves serving tasks so that tasks which the same fillers disturb share workers. The pattern it
+// answers: serving tasks arrive before anything is known of the effects between images and end up
+// mixed, so that every filler finds a task that it disturbs on every worker.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmar {
+
+namespace {
+
+constexpr duration regroup_interval{300};
+
+// Moves in progress in one shard: each takes a serving task away for about a second.
+constexpr std::size_t moves_at_once = 2;
+
+// A task stays this long before it moves again.
+constexpr duration least_stay{6'000};
+
+// Room at the target is kept for a move this long; a stop and a start take about a second.
+constexpr duration reservation_time{3'000};
+
+// A move must open this many processors to fillers, in thousandths of a core.
+constexpr double least_gain = 2'500;
+
+// Weight of one filler's worth of disturbance against a worker's openness.
+constexpr double closing_weight = 0.25;
+
+// Part of their reservation that serving tasks use on average.
+constexpr double serving_use = 0.5;
+
+// Demand counts less with each round, to about a third after 10 s.
+constexpr double demand_decay = 0.97;
+
+// Effects below this are taken for noise.
+constexpr double least_effect = 2.0;
+
+// Numbers filler images in the order of the demand table.
+struct demand_table {
+    std::vector<std::string> images;
+    std::vector<double> weights; // sum to 1
+};
+
+demand_table note_demand(shard_state& shard) {
+    for (auto& [image, demand] : shard.filler_demand) {
+        demand *= demand_decay;
+    }
+    for (const auto& [key, run] : shard.tables.runs) {
+        if (run.filler) {
+            shard.filler_demand[run.image] += static_cast<double>(run.need.processors.value);
+        }
+    }
+    demand_table table;
+    double total = 0;
+    for (const auto& [image, demand] : shard.filler_demand) {
+        table.images.push_back(image);
+        table.weights.push_back(demand);
+        total += demand;
+    }
+    for (auto& weight : table.weights) {
+        weight /= std::max(total, 1.0);
+    }
+    return table;
+}
+
+// Certain effects of each filler image on one serving image.
+using effect_vector = std::vector<double>;
+
+effect_vector find_effects(const shard_state& shard, const demand_table& demand,
+                           const std::string& image) {
+    effect_vector effects;
+    for (const auto& filler : demand.images) {
+        const double effect = certain_effect(shard.effects, image, filler);
+        effects.push_back(effect < least_effect ? 0 : effect);
+    }
+    return effects;
+}
+
+// A worker as seen by fillers.
+struct worker_view {
+    worker_row* worker = nullptr;
+    double idle = 0;      // thousandths of a core left by what runs there
+    effect_vector closed; // sum of the effects on its serving tasks
+};
+
+// Returns the processors of a worker that fillers find open, weighted by their demand.
+double open_processors(const worker_view& view, const demand_table& demand,
+                       const effect_vector* change, double sign, double idle_change) {
+    double open = 0;
+    for (std::size_t i = 0; i < demand.weights.size(); ++i) {
+        const double closed =
+            std::max(0.0, view.closed[i] + (change == nullptr ? 0 : sign * (*change)[i]));
+        open += demand.weights[i] / (1 + closing_weight * closed);
+    }
+    return std::max(0.0, view.idle + idle_change) * open;
+}
+
+struct move_choice {
+    run_row* run = nullptr;
+    worker_row* target = nullptr;
+    double gain = least_gain;
+};
+
+// Tells whether a serving task may be moved now.
+bool is_movable(shard_state& shard, const run_row& run, time_point now) {
+    if (run.phase != run_phase::running || run.tail_target.count() == 0 || !run.confirmed ||
+        now < *run.confirmed + least_stay) {
+        return false;
+    }
+    const auto& job = shard.tables.jobs.at(run.key.task.job);
+    if (has_ended(job.phase)) {
+        return false;
+    }
+    const auto* stage = find_stage(shard.tables, run.key.task);
+    const auto& step = job.spec.steps[run.key.task.step];
+    const auto away = std::count_if(stage->tasks.begin(), stage->tasks.end(),
+                                    [](const task_row& task) { return task.runs.empty(); });
+    const bool moving = std::any_of(stage->tasks.begin(), stage->tasks.end(),
+                                    [](const task_row& task) { return task.target.has_value(); });
+    return !step.gang && !moving && (step.absences == 0 || away < step.absences);
+}
+
+// Drops reservations whose task did not come.
+bool expire_reservations(shard_state& shard, time_point now, std::size_t& open) {
+    for (auto& [id, worker] : shard.tables.workers) {
+        std::erase_if(worker.reserved, [&](const auto& row) {
+            if (row.second.until > now) {
+                return false;
+            }
+            if (auto* task = find_task(shard.tables, row.first)) {
+                task->target.reset();
+            }
+            return true;
+        });
+        open += worker.reserved.size();
+    }
+    return open < moves_at_once;
+}
+
+} // namespace
+
+void regroup_tasks(shard_state& shard, time_point now) {
+    if (now < shard.next_regroup) {
+        return;
+    }
+    shard.next_regroup = now + regroup_interval;
+    std::size_t open = 0;
+    const bool allowed = shard.settled && shard.starts_allowed && shard.data_centre_open &&
+                         !shard.releasing && has_authority(shard, now);
+    const auto demand = note_demand(shard);
+    if (!expire_reservations(shard, now, open) || !allowed || demand.images.empty()) {
+        return;
+    }
+    std::map<std::string, effect_vector> effects;
+    std::vector<worker_view> views;
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (!takes_starts(shard, worker, now)) {
+            continue;
+        }
+        worker_view view{&worker, static_cast<double>(worker.entry.capacity.processors.value),
+                         effect_vector(demand.images.size(), 0.0)};
+        for (const auto& key : worker.runs) {
+            const auto& run = shard.tables.runs.at(key);
+            if (run.filler) {
+                continue;
+            }
+            const bool serving = run.tail_target.count() > 0;
+            view.idle -=
+                static_cast<double>(run.need.processors.value) * (serving ? serving_use : 1.0);
+            if (!serving) {
+                continue;
+            }
+            const auto [known, added] = effects.try_emplace(run.image);
+            if (added) {
+                known->second = find_effects(shard, demand, run.image);
+            }
+            for (std::size_t i = 0; i < view.closed.size(); ++i) {
+                view.closed[i] += known->second[i];
+            }
+        }
+        views.push_back(std::move(view));
+    }
+    move_choice best;
+    for (const auto& from : views) {
+        for (const auto& key : from.worker->runs) {
+            auto& run = shard.tables.runs.at(key);
+            if (!is_movable(shard, run, now)) {
+                continue;
+            }
+            const auto& own = effects.at(run.image);
+            const double use = static_cast<double>(run.need.processors.value) * serving_use;
+            const double opened = open_processors(from, demand, &own, -1, use) -
+                                  open_processors(from, demand, nullptr, 0, 0);
+            if (opened <= best.gain) {
+                continue;
+            }
+            const auto& job = shard.tables.jobs.at(key.task.job);
+            const auto& stage = *find_stage(shard.tables, key.task);
+            for (const auto& to : views) {
+                if (to.worker == from.worker || !suits_worker(job, stage, *to.worker) ||
+                    !fits(run.need, free_resources(*to.worker))) {
+                    continue;
+                }
+                const double gain = opened + open_processors(to, demand, &own, 1, -use) -
+                                    open_processors(to, demand, nullptr, 0, 0);
+                if (gain > best.gain) {
+                    best = {&run, to.worker, gain};
+                }
+            }
+        }
+    }
+    if (best.run == nullptr) {
+        return;
+    }
+    const auto& key = best.run->key;
+    best.target->reserved[key.task] = {best.run->need, now + reservation_time};
+    find_task(shard.tables, key.task)->target = best.target->entry.target.id;
+    request_stop(*best.run, stop_cause::moved, now);
+    shard.counters->count("moves");
+    shard.log->write("event=task_moved task={}.{}.{}.{} run={} from={} to={} gain_cores={:.1f}",
+                     key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                     key.number.value, best.run->worker.value,
+                     best.target->entry.target.id.value, best.gain / 1'000);
+}
+
+} // namespace fulmar
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -44,10 +44,12 @@
         auto& task = stage->tasks[run.key.task.index];
         task.runs.push_back(run.key.number);
         task.last_run = std::max(task.last_run, run.key.number);
+        task.target.reset();
         stage->waiting.erase(run.key.task.index);
         ++stage->spread[run.worker];
     }
     worker.runs.insert(run.key);
+    worker.reserved.erase(run.key.task);
     worker.committed.memory.value += run.need.memory.value;
     worker.committed.accelerators.value += run.need.accelerators.value;
     (run.filler ? worker.filler_demand : worker.committed.processors.value) +=
@@ -128,8 +130,14 @@
                                   [&](const stage_row& stage) { return complete(stage.step); });
 }
 
-resources free_resources(const worker_row& worker) {
-    return worker.entry.capacity - worker.committed;
+resources free_resources(const worker_row& worker, const task_key* task) {
+    auto free = worker.entry.capacity - worker.committed;
+    for (const auto& [key, reservation] : worker.reserved) {
+        if (task == nullptr || key != *task) {
+            free = free - reservation.need;
+        }
+    }
+    return free;
 }
 
 void touch(job_row& job) {
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -73,6 +73,11 @@
     resources committed;
     std::int64_t filler_demand = 0; // thousandths of a core that its fillers ask for
     std::set<run_key> runs;
+    struct reservation {
+        resources need;
+        time_point until;
+    };
+    std::map<task_key, reservation> reserved; // for tasks on their way here
 
     // Health.
     std::uint32_t failures = 0;  // in a row, of distinct runs
@@ -88,7 +93,7 @@
 
 std::string_view to_string(run_phase phase);
 
-enum class stop_cause : std::uint8_t { none, cancelled, job_failed, duplicate, evicted, gang };
+enum class stop_cause : std::uint8_t { none, cancelled, job_failed, duplicate, moved, gang };
 
 struct run_row {
     run_key key;
@@ -130,6 +135,7 @@
     std::string checkpoint;
     std::vector<run_number> runs; // active ones
     std::optional<worker_id> last_failed_on;
+    std::optional<worker_id> target; // worker with room reserved for it, while it moves
 };
 
 // One step of one occurrence.
@@ -231,8 +237,9 @@
 // Opens stages whose dependencies are done.
 void open_stages(const job_spec& spec, occurrence_row& occurrence);
 
-// Returns what is free of a worker's capacity for a task that isn't a filler.
-resources free_resources(const worker_row& worker);
+// Returns what is free of a worker's capacity for a task that isn't a filler, without what is
+// reserved for others.
+resources free_resources(const worker_row& worker, const task_key* task = nullptr);
 
 // Notes a change of the job's record.
 void touch(job_row& job);
--- a/tests/shard_records_test.cpp
+++ b/tests/shard_records_test.cpp
@@ -97,7 +97,10 @@
     stage.tasks[0].result = loan_result::done;
     stage.tasks[0].done = true;
     stage.tasks[2].last_run = {3};
-    job.borrowed.push_back({.loan = 9, .occurrence = 0, .step = 0, .tasks = {0, 2}});
+    borrowed_tasks loan;
+    loan.loan = 9;
+    loan.tasks = {0, 2};
+    job.borrowed.push_back(loan);
     const auto loaded = store_and_load(job);
     const auto& row = loaded.occurrences.at(0).stages[0];
     CHECK(loaded.home.value == "lender");
