shard_pacing: count fillers by their pace and release held ones

Fillers that stood still beside serving tasks still counted as users of their workers, so that others which disturb nobody there were not placed, and stayed where they were while other workers were open to them. Room is now measured with the paces, a held filler is stopped at its checkpoint when another worker or shard has open room for its image, serving jobs of one image go to the same shards, and fillers are lent where they find open room.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -180,8 +180,8 @@
     void route_submit(const request_pointer& request);
     void submit_to(const request_pointer& request, const shard_id& shard);
     void submit_local(const shard_pointer& shard, const job_id& id, const queue_spec& queue,
-                      const job_spec& spec, submit_callback done);
-    std::optional<shard_id> choose_shard(const request& request) const;
+                      const job_spec& spec, bool insist, submit_callback done);
+    std::vector<shard_id> rank_shards(const request& request) const;
     void locate(const request_pointer& request);
     void ask_owner(const request_pointer& request, const shard_id& shard);
     void ask_local(const shard_pointer& shard, const job_id& id, bool cancel, phase_callback done);
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -31,7 +31,9 @@
             return room;
         }
     }
-    return rooms.emplace_back(service_room{.service = service});
+    service_room next;
+    next.service = service;
+    return rooms.emplace_back(std::move(next));
 }
 
 void add_room(service_room& room, const shard_state& shard, const worker_row& worker) {
@@ -88,7 +90,7 @@
         }
         json rooms = json::array();
         for (const auto& room : shard.rooms) {
-            rooms.push_back({room.service, room.free, room.largest, room.fillers});
+            rooms.push_back({room.service, room.free, room.largest, room.fillers, room.open});
         }
         shards.push_back(
             {shard.id, shard.epoch, std::move(loads), std::move(pending), std::move(rooms),
@@ -134,7 +136,8 @@
             for (const auto& room : row.at(4)) {
                 shard.rooms.push_back({room.at(0).get<service_id>(), room.at(1).get<resources>(),
                                        room.at(2).get<resources>(),
-                                       room.at(3).get<std::int64_t>()});
+                                       room.at(3).get<std::int64_t>(),
+                                       room.at(4).get<std::map<std::string, std::int64_t>>()});
             }
             for (const auto& pair : row.at(5)) {
                 shard.effects.push_back({pair.at(0).get<std::string>(),
@@ -164,6 +167,11 @@
         load.fillers += worker.filler_demand;
         add_room(find_room(status.rooms, worker.entry.service), shard, worker);
     }
+    for (auto& room : status.rooms) {
+        for (const auto& [image, open] : shard.open_rooms) {
+            room.open[image] = static_cast<std::int64_t>(open);
+        }
+    }
     for (const auto& id : shard.active) {
         const auto& job = shard.tables.jobs.at(id);
         if (job.phase == job_phase::queued) {
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -1,6 +1,8 @@
 // Callers' requests: each is passed to the owner of the shard that has, or will have, the job.
 #include "host_control.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cassert>
 
@@ -10,7 +12,7 @@
 
 // How much fuller a shard of another data centre or region may not be to get a job, in thousandths
 // of its capacity: its traffic between data centres costs more than a little queueing here.
-constexpr std::int64_t distance_penalty[] = {0, 60, 150};
+constexpr double distance_penalty[] = {0, 60, 150};
 
 // A caller that is refused because the store or the owner can't be reached comes back after this;
 // takeovers and short outages are over by then.
@@ -37,6 +39,23 @@
 }
 
 constexpr std::string_view not_owner = "not_owner";
+constexpr std::string_view shard_full = "full";
+
+// How much emptier a shard looks, in thousandths, when a filler step finds all its room open there.
+constexpr double open_weight = 400;
+
+std::uint64_t hash_pair(const std::string& a, const std::string& b) {
+    const auto text = a + "|" + b;
+    return XXH64(text.data(), text.size(), 0);
+}
+
+// Returns the part of a filler step that finds room without disturbing serving tasks, 0 to 1.
+double open_share(const service_room& room, const step_spec& step) {
+    const auto open = room.open.find(step.image);
+    const auto wanted = static_cast<double>(step.count * step.need.processors.value);
+    const auto left = static_cast<double>(open == room.open.end() ? room.fillers : open->second);
+    return wanted <= 0 ? 1.0 : std::clamp(left / wanted, 0.0, 1.0);
+}
 
 } // namespace
 
@@ -48,6 +67,8 @@
     time_point began;
     time_point deadline;
     bool unsure = false;     // an attempt may have stored the job
+    bool insist = false;     // every shard has said that it is full
+    std::set<shard_id> full; // shards that have said so
     bool from_index = false; // the shard comes from the store, not from memory
     std::string last_reason = "no_shard";
     submit_callback on_submit;
@@ -144,13 +165,17 @@
     }
 }
 
-// Chooses the shard with the least load for its capacity, near ones first.
-std::optional<shard_id> host_control::choose_shard(const request& request) const {
+// Lists the shards that may take a job, the best first. Lasting serving tasks of one image prefer the
+// same shards, so that their workers can be left to the fillers that don't disturb them; other jobs
+// go where the load is least for its capacity, near ones first.
+std::vector<shard_id> host_control::rank_shards(const request& request) const {
+    const auto& first = request.spec.steps.front();
+    const bool serving = first.lasting && !first.image.empty();
     struct option {
-        std::int64_t load;
+        double cost;
         shard_id id;
     };
-    std::optional<option> best;
+    std::vector<option> options;
     const auto consider = [&](const shard_status& status) {
         const auto record =
             std::find_if(shard_list_.begin(), shard_list_.end(),
@@ -158,17 +183,23 @@
         if (record == shard_list_.end() || evacuated_.contains(record->data_centre)) {
             return;
         }
-        for (const auto& load : status.loads) {
+        for (std::size_t i = 0; i < status.loads.size(); ++i) {
+            const auto& load = status.loads[i];
             if (load.service != request.queue.service || load.capacity == 0) {
                 continue;
             }
-            const auto used = load.committed + load.fillers + load.waiting;
-            const auto distance = distance_to(record->data_centre);
-            const auto next =
-                option{used * 1000 / load.capacity + distance_penalty[distance], status.id};
-            if (!best || std::tie(next.load, next.id) < std::tie(best->load, best->id)) {
-                best = next;
+            double cost = 0;
+            if (serving) {
+                cost = static_cast<double>(hash_pair(first.image, status.id.value));
+            } else {
+                const auto used = load.committed + load.fillers + load.waiting;
+                cost = static_cast<double>(used) * 1000 / static_cast<double>(load.capacity) +
+                       distance_penalty[distance_to(record->data_centre)];
+                if (first.filler && i < status.rooms.size()) {
+                    cost -= open_weight * open_share(status.rooms[i], first);
+                }
             }
+            options.push_back({cost, status.id});
         }
     };
     for (const auto& [id, shard] : owned_) {
@@ -186,10 +217,14 @@
             }
         }
     }
-    if (best) {
-        return best->id;
+    std::sort(options.begin(), options.end(), [](const option& a, const option& b) {
+        return std::tie(a.cost, a.id) < std::tie(b.cost, b.id);
+    });
+    std::vector<shard_id> ranked;
+    for (const auto& option : options) {
+        ranked.push_back(option.id);
     }
-    return std::nullopt;
+    return ranked;
 }
 
 const host_control::peer_row* host_control::find_owner(const shard_id& id) const {
@@ -203,16 +238,29 @@
 }
 
 void host_control::route_submit(const request_pointer& request) {
-    const auto shard = choose_shard(*request);
-    if (!shard) {
+    const auto ranked = rank_shards(*request);
+    if (ranked.empty()) {
         retry_request(request, [this, request] { route_submit(request); });
         return;
     }
-    submit_to(request, *shard);
+    // Once every shard has said that it is full, the first one takes the job all the same.
+    for (const auto& shard : ranked) {
+        if (!request->full.contains(shard)) {
+            submit_to(request, shard);
+            return;
+        }
+    }
+    request->insist = true;
+    submit_to(request, ranked.front());
 }
 
 void host_control::submit_to(const request_pointer& request, const shard_id& shard) {
     const auto finish = [this, request, shard](const submit_answer& answer) {
+        if (answer.outcome == submit_outcome::unavailable && answer.reason == shard_full) {
+            request->full.insert(shard);
+            route_submit(request);
+            return;
+        }
         const bool elsewhere =
             answer.outcome == submit_outcome::unknown ||
             (answer.outcome == submit_outcome::unavailable && answer.reason == not_owner);
@@ -238,7 +286,7 @@
         request->on_submit(final);
     };
     if (const auto own = find_owned(shard)) {
-        submit_local(own, request->id, request->queue, request->spec, finish);
+        submit_local(own, request->id, request->queue, request->spec, request->insist, finish);
         return;
     }
     const auto* owner = find_owner(shard);
@@ -248,6 +296,7 @@
     }
     const json body{{"shard", shard},
                     {"job", request->id},
+                    {"insist", request->insist},
                     {"queue", encode_queue(request->queue)},
                     {"spec", encode_spec(request->spec)}};
     const auto limit = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
@@ -270,13 +319,13 @@
 }
 
 void host_control::submit_local(const shard_pointer& shard, const job_id& id,
-                                const queue_spec& queue, const job_spec& spec,
+                                const queue_spec& queue, const job_spec& spec, bool insist,
                                 submit_callback done) {
     if (!shard->loaded) {
-        shard->waiting.push_back([this, name = shard->state.id, id, queue, spec, done] {
+        shard->waiting.push_back([this, name = shard->state.id, id, queue, spec, insist, done] {
             const auto again = find_owned(name);
             if (again && again->loaded) {
-                submit_local(again, id, queue, spec, done);
+                submit_local(again, id, queue, spec, insist, done);
             } else {
                 done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
             }
@@ -287,6 +336,11 @@
         done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
         return;
     }
+    if (!insist && !shard->state.tables.jobs.contains(id) &&
+        is_full_for(shard->state, queue, spec)) {
+        done({0, submit_outcome::unavailable, duration(0), std::string(shard_full)});
+        return;
+    }
     const auto token = next_token_++;
     submit_waiting_[token] = std::move(done);
     submit_job(shard->state, id, queue, spec, token, loop_.now(), loop_.unix_now());
@@ -416,7 +470,7 @@
             return;
         }
         submit_local(shard, in.at("job").get<job_id>(), decode_queue(in.at("queue")),
-                     decode_spec(in.at("spec")), done);
+                     decode_spec(in.at("spec")), in.at("insist").get<bool>(), done);
     } catch (const std::exception& failure) {
         reply(error{error_kind::protocol_error, failure.what()});
     }
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -238,6 +238,45 @@
     shard.log->write("event=worker_unlisted shard={} worker={}", shard.id.value, id.value);
 }
 
+bool is_full_for(const shard_state& shard, const queue_spec& queue, const job_spec& spec) {
+    constexpr std::int64_t lasting_limit_percent = 88;
+    std::int64_t wanted = 0;
+    for (const auto& step : spec.steps) {
+        if (step.lasting) {
+            wanted += step.count * step.need.processors.value;
+        }
+    }
+    if (wanted == 0) {
+        return false;
+    }
+    std::int64_t capacity = 0;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (worker.entry.service == queue.service && worker.listed) {
+            capacity += worker.entry.capacity.processors.value;
+            wanted += worker.committed.processors.value;
+        }
+    }
+    for (const auto& [id, job] : shard.tables.jobs) {
+        if (has_ended(job.phase) || is_guest(job)) {
+            continue;
+        }
+        if (!job.spec_stored) {
+            for (const auto& step : job.spec.steps) {
+                wanted += step.lasting ? step.count * step.need.processors.value : 0;
+            }
+        }
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const auto& stage : occurrence.stages) {
+                const auto& step = job.spec.steps[stage.step];
+                wanted += step.lasting ? static_cast<std::int64_t>(stage.waiting.size()) *
+                                             step.need.processors.value
+                                       : 0;
+            }
+        }
+    }
+    return wanted * 100 > capacity * lasting_limit_percent;
+}
+
 void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
                 request_token token, time_point now, unix_time unix_now) {
     if (const auto known = shard.tables.jobs.find(id);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -24,7 +24,7 @@
     // A task is lent after it has waited this long for room in its own shard; fillers wait longer,
     // because their room returns within seconds.
     duration lend_after{120};
-    duration lend_filler_after{1'500};
+    duration lend_filler_after{400};
     // A borrowed task without room goes back after this.
     duration return_after{2'500};
     duration loan_retry{400};    // between messages that weren't answered
@@ -63,6 +63,8 @@
     resources free{};         // of all workers, for tasks that aren't fillers
     resources largest{};      // free on the worker with most free processors
     std::int64_t fillers = 0; // processors left for fillers
+    // The same for fillers of one image: what they may use without disturbing serving tasks.
+    std::map<std::string, std::int64_t> open;
 };
 
 // Room of another shard, as its owner reports it, and whether tasks may be lent to it now.
@@ -188,6 +190,7 @@
     std::uint32_t loans_made = 0;            // under this epoch
     filler_effects effects; // learned from this shard's workers
     std::map<std::string, double> filler_demand; // processors asked for lately, by image
+    std::map<std::string, double> open_rooms; // see service_room::open; smoothed
     time_point next_regroup;
     bool place_needed = true;                // something changed since the last placement
     time_point last_place;
@@ -209,6 +212,10 @@
 void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now);
 void on_worker_unlisted(shard_state& shard, const worker_id& worker, time_point now);
 
+// Tells whether a job's lasting tasks would take more of the shard than is good for it: tasks that
+// fail need room to restart, and short ones need room at all.
+bool is_full_for(const shard_state& shard, const queue_spec& queue, const job_spec& spec);
+
 // Takes a hand-in; the answer follows in the actions, when the job is stored.
 void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
                 request_token token, time_point now, unix_time unix_now);
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -50,6 +50,11 @@
 double predict_pace(const shard_state& shard, const worker_row& worker, const step_spec& step,
                     time_point now);
 
+// Returns the processors, in thousandths of a core, that more fillers of an image may use on the
+// worker at full pace.
+double open_room(const shard_state& shard, const worker_row& worker, const std::string& image,
+                 time_point now);
+
 // Returns the share of the worker that serving tasks of other images hold.
 double mixing_of(const shard_state& shard, const worker_row& worker, const std::string& image);
 
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -369,7 +369,9 @@
             continue;
         }
         if (step.filler) {
-            return static_cast<std::size_t>(std::max<std::int64_t>(0, room.fillers) /
+            const auto open = room.open.find(step.image);
+            const auto left = open == room.open.end() ? room.fillers : open->second;
+            return static_cast<std::size_t>(std::max<std::int64_t>(0, left) /
                                             std::max<std::int64_t>(1, step.need.processors.value));
         }
         if (!fits(step.need, room.largest)) {
@@ -391,6 +393,9 @@
         }
         if (step.filler) {
             room.fillers -= step.need.processors.value * count;
+            for (auto& [image, open] : room.open) {
+                open -= step.need.processors.value * count;
+            }
         } else {
             room.free.processors.value -= step.need.processors.value * count;
             room.largest.processors.value -= step.need.processors.value;
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -25,6 +25,13 @@
 constexpr duration over_blamed{1'200};
 constexpr duration over_all{2'200};
 
+// A filler at this pace or less is held; it is stopped after this time if others have room for it.
+constexpr int held_percent = 10;
+constexpr duration held_time{900};
+
+// Progress, in percent, that is given up for a better place when there is no checkpoint.
+constexpr int expendable_percent = 15;
+
 // Paces are changed by at least this much, in percent, unless a filler starts or stops.
 constexpr int pace_step = 10;
 
@@ -115,6 +122,45 @@
     return {run.image, share_of(worker, run.need.processors.value)};
 }
 
+// Tells whether fillers of an image find room of this size without disturbing serving tasks.
+bool has_open_room(const shard_state& shard, const run_row& run) {
+    const auto need = run.need.processors.value;
+    const auto own = shard.open_rooms.find(run.image);
+    if (own != shard.open_rooms.end() && own->second >= static_cast<double>(need)) {
+        return true;
+    }
+    return std::any_of(shard.others.begin(), shard.others.end(), [&](const auto& row) {
+        return row.second.open &&
+               std::any_of(row.second.rooms.begin(), row.second.rooms.end(),
+                           [&](const service_room& room) {
+                               const auto open = room.open.find(run.image);
+                               return open != room.open.end() && open->second >= 2 * need;
+                           });
+    });
+}
+
+// Stops a filler that is held where it is and would find room elsewhere. It goes on from its
+// checkpoint; without one only a run that has hardly begun is stopped.
+void release_held(const shard_state& shard, run_row& run, time_point now) {
+    if (run.pace_wanted > held_percent) {
+        run.held_since.reset();
+        return;
+    }
+    if (!run.held_since) {
+        run.held_since = now;
+    }
+    const auto job = shard.tables.jobs.find(run.key.task.job);
+    if (now - *run.held_since < held_time || job == shard.tables.jobs.end() ||
+        !has_open_room(shard, run)) {
+        return;
+    }
+    const auto& step = job->second.spec.steps[run.key.task.step];
+    if (!step.gang && (step.checkpoints || run.percent < expendable_percent)) {
+        shard.counters->count("fillers_released");
+        request_stop(run, stop_cause::moved, now);
+    }
+}
+
 } // namespace
 
 void describe_run(run_row& run, const step_spec& step) {
@@ -158,6 +204,7 @@
         if (std::abs(pace - fillers[i]->pace_wanted) >= pace_step || pace == 0 || pace == 100) {
             fillers[i]->pace_wanted = pace;
         }
+        release_held(shard, *fillers[i], now);
     }
 }
 
@@ -220,6 +267,33 @@
     return allowed_pace(shard, serving, demands, demands.back(), now);
 }
 
+double open_room(const shard_state& shard, const worker_row& worker, const std::string& image,
+                 time_point now) {
+    double room = static_cast<double>(std::max<std::int64_t>(0, filler_room(shard, worker)));
+    std::vector<filler_demand> demands;
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        if (run.filler) {
+            demands.push_back(demand_of(worker, run));
+        }
+    }
+    const auto capacity = static_cast<double>(worker.entry.capacity.processors.value);
+    for (const auto& key : worker.runs) {
+        const auto& run = shard.tables.runs.at(key);
+        const double loss = run.tail_target.count() > 0 ? loss_by(shard, run, {image, 1.0}) : 0;
+        if (loss == 0) {
+            continue;
+        }
+        double left =
+            expected_slack(shard.effects, key.task.job.value, now, lookahead) - kept_slack;
+        for (const auto& other : demands) {
+            left -= loss_by(shard, run, other);
+        }
+        room = std::min(room, std::max(0.0, left) / loss * capacity);
+    }
+    return room;
+}
+
 double mixing_of(const shard_state& shard, const worker_row& worker, const std::string& image) {
     double other = 0;
     for (const auto& key : worker.runs) {
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -22,9 +22,9 @@
 
 // A filler waits for a worker on which it may run at this part of its pace or more; it accepts less
 // the longer it waits.
-constexpr double accepted_pace = 0.6;
-constexpr double accepted_pace_per_second = 0.15;
-constexpr double least_pace = 0.1;
+constexpr double accepted_pace = 0.7;
+constexpr double accepted_pace_per_second = 0.05;
+constexpr double least_pace = 0.35;
 
 // A worker on which a filler may run at full pace outweighs this many thousandths of room.
 constexpr double pace_weight = 1'000;
@@ -201,6 +201,7 @@
     for (const auto& key : worker.runs) {
         const auto& run = shard.tables.runs.at(key);
         if (run.filler) {
+            idle -= run.need.processors.value * run.pace_wanted / 100;
             continue;
         }
         const auto job = shard.tables.jobs.find(key.task.job);
@@ -209,7 +210,7 @@
                              job->second.spec.steps[key.task.step].lasting;
         idle -= run.need.processors.value * (lasting ? lasting_use_percent : 100) / 100;
     }
-    return idle - worker.filler_demand;
+    return idle;
 }
 
 void place_tasks(shard_state& shard, time_point now, shard_actions& actions) {
--- a/src/shard_regroup.cpp
+++ b/src/shard_regroup.cpp
@@ -33,6 +33,9 @@
 // Demand counts less with each round, to about a third after 10 s.
 constexpr double demand_decay = 0.97;
 
+// Weight of a new measurement of room; it swings with the load of serving tasks.
+constexpr double room_weight = 0.4;
+
 // Effects below this are taken for noise.
 constexpr double least_effect = 2.0;
 
@@ -121,6 +124,22 @@
     return !step.gang && !moving && (step.absences == 0 || away < step.absences);
 }
 
+// Measures the room for fillers of each image in demand.
+void measure_rooms(shard_state& shard, const demand_table& demand, time_point now) {
+    for (const auto& image : demand.images) {
+        double room = 0;
+        for (const auto& [id, worker] : shard.tables.workers) {
+            if (takes_starts(shard, worker, now)) {
+                room += open_room(shard, worker, image, now);
+            }
+        }
+        const auto [known, added] = shard.open_rooms.try_emplace(image, room);
+        if (!added) {
+            known->second += room_weight * (room - known->second);
+        }
+    }
+}
+
 // Drops reservations whose task did not come.
 bool expire_reservations(shard_state& shard, time_point now, std::size_t& open) {
     for (auto& [id, worker] : shard.tables.workers) {
@@ -149,6 +168,7 @@
     const bool allowed = shard.settled && shard.starts_allowed && shard.data_centre_open &&
                          !shard.releasing && has_authority(shard, now);
     const auto demand = note_demand(shard);
+    measure_rooms(shard, demand, now);
     if (!expire_reservations(shard, now, open) || !allowed || demand.images.empty()) {
         return;
     }
