shard_pacing: plan paces when a filler is placed, older jobs first

A filler starts at full pace and was slowed down only with the worker's next report, half a second later; the fillers beside it were slowed down alike, so that nothing finished. Paces are now planned when a filler is placed, and the room that serving tasks leave is given out in the order of the jobs.

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -40,9 +40,12 @@
 // Fills in what a run's step says of its needs and of sharing a worker.
 void describe_run(run_row& run, const step_spec& step);
 
-// Learns from a worker's figures and chooses the pace of its fillers.
+// Learns from a worker's figures, then chooses the pace of its fillers.
 void pace_fillers(shard_state& shard, worker_row& worker, time_point now);
 
+// Chooses the pace of a worker's fillers from what is known; also when one has come or gone.
+void plan_paces(shard_state& shard, worker_row& worker, time_point now);
+
 // Sends the paces that differ from what the workers know.
 void send_paces(shard_state& shard, shard_actions& actions);
 
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -65,24 +65,19 @@
     return uses;
 }
 
-// Learns from the figures of a worker; returns how long a serving task has been over its target.
-duration learn_tails(shard_state& shard, worker_row& worker, const std::vector<run_row*>& serving,
+// Learns from the figures of a worker and notes which serving tasks are over their target.
+void learn_tails(shard_state& shard, worker_row& worker, const std::vector<run_row*>& serving,
                      const std::vector<run_row*>& fillers, time_point now) {
     const auto uses = sum_uses(worker, fillers);
-    duration over{0};
     for (auto* run : serving) {
         const double slack = slack_of(*run);
         learn_effect(shard.effects, run->image, run->key.task.job.value, slack, uses, now);
         if (slack >= 1.0) {
             run->over_since.reset();
-            continue;
-        }
-        if (!run->over_since) {
+        } else if (!run->over_since) {
             run->over_since = now;
         }
-        over = std::max(over, now - *run->over_since);
     }
-    return over;
 }
 
 // Processors that a filler would use at full pace, and its image.
@@ -118,6 +113,12 @@
     return allowed;
 }
 
+// Orders fillers by the age of their jobs.
+std::pair<std::int64_t, run_key> rank_of(const shard_state& shard, const run_row& run) {
+    const auto job = shard.tables.jobs.find(run.key.task.job);
+    return {job == shard.tables.jobs.end() ? 0 : job->second.accepted.value, run.key};
+}
+
 filler_demand demand_of(const worker_row& worker, const run_row& run) {
     return {run.image, share_of(worker, run.need.processors.value)};
 }
@@ -181,30 +182,57 @@
             fillers.push_back(&run);
         }
     }
-    if (serving.empty()) {
-        for (auto* run : fillers) {
-            run->pace_wanted = 100;
+    learn_tails(shard, worker, serving, fillers, now);
+    plan_paces(shard, worker, now);
+}
+
+void plan_paces(shard_state& shard, worker_row& worker, time_point now) {
+    std::vector<const run_row*> serving;
+    std::vector<run_row*> fillers;
+    duration over{0};
+    for (const auto& key : worker.runs) {
+        auto& run = shard.tables.runs.at(key);
+        if (run.phase == run_phase::stopping) {
+            continue;
+        }
+        if (run.tail_target.count() > 0) {
+            serving.push_back(&run);
+            over = std::max(over, run.over_since ? now - *run.over_since : duration(0));
+        } else if (run.filler) {
+            fillers.push_back(&run);
         }
-        return;
     }
-    const auto over = learn_tails(shard, worker, serving, fillers, now);
-    const std::vector<const run_row*> watched(serving.begin(), serving.end());
-    std::vector<filler_demand> demands;
-    for (const auto* run : fillers) {
-        demands.push_back(demand_of(worker, *run));
+    // Older jobs come first: work that is nearly done isn't slowed down for work that has just begun.
+    std::sort(fillers.begin(), fillers.end(), [&](const run_row* a, const run_row* b) {
+        return rank_of(shard, *a) < rank_of(shard, *b);
+    });
+    std::vector<double> left;
+    for (const auto* run : serving) {
+        left.push_back(expected_slack(shard.effects, run->key.task.job.value, now, lookahead) -
+                       kept_slack);
     }
-    for (std::size_t i = 0; i < fillers.size(); ++i) {
-        auto pace = static_cast<int>(100 * allowed_pace(shard, watched, demands, demands[i], now));
-        const bool blamed = std::any_of(watched.begin(), watched.end(), [&](const run_row* run) {
-            return run->over_since && loss_by(shard, *run, demands[i]) > 0;
-        });
+    for (auto* run : fillers) {
+        const auto demand = demand_of(worker, *run);
+        double allowed = 1.0;
+        bool blamed = false;
+        for (std::size_t i = 0; i < serving.size(); ++i) {
+            const double loss = loss_by(shard, *serving[i], demand);
+            if (loss > 0) {
+                allowed = std::min(allowed, std::max(0.0, left[i]) / loss);
+                blamed = blamed || serving[i]->over_since;
+            }
+        }
+        auto pace = static_cast<int>(100 * allowed);
         if (over >= over_all || (over >= over_blamed && blamed)) {
             pace = 0;
         }
-        if (std::abs(pace - fillers[i]->pace_wanted) >= pace_step || pace == 0 || pace == 100) {
-            fillers[i]->pace_wanted = pace;
+        if (std::abs(pace - run->pace_wanted) >= pace_step || pace == 0 || pace == 100) {
+            run->pace_wanted = pace;
+        }
+        for (std::size_t i = 0; i < serving.size(); ++i) {
+            left[i] -= loss_by(shard, *serving[i], demand) * run->pace_wanted / 100;
         }
-        release_held(shard, *fillers[i], now);
+        release_held(shard, *run, now);
     }
 }
 
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -175,6 +175,9 @@
             return;
         }
         start_task(shard, next, index, next_run(shard, task), *worker, now, actions);
+        if (step.filler) {
+            plan_paces(shard, *worker, now);
+        }
     }
 }
 
