shard_commit: acknowledge a cancellation once borrowers have withdrawn the tasks

The acknowledgement only waited for the lender's record; the borrower was being handed over and refused the withdrawal meanwhile.

A cancellation, also a repeated one, is now acknowledged when no loan of the job is open any more. The new test cuts lender and borrower apart; the old code acknowledged at once.

--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -449,7 +449,8 @@
         done(error{error_kind::not_found, "job_unknown_here"});
         return;
     }
-    if (!cancel || has_ended(*phase)) {
+    // A cancellation that is repeated still waits for what the first one waits for.
+    if (!cancel || (has_ended(*phase) && *phase != job_phase::cancelled)) {
         done(*phase);
         return;
     }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -59,7 +59,8 @@
     for (auto it = shard.cancellations.begin(); it != shard.cancellations.end();) {
         const auto job = shard.tables.jobs.find(it->first);
         const bool known = job != shard.tables.jobs.end();
-        if (known && job->second.stored < job->second.version) {
+        // Shards that run tasks of the job may start them until they have stored the withdrawal.
+        if (known && (job->second.stored < job->second.version || !job->second.loans.empty())) {
             ++it;
             continue;
         }
--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -107,6 +107,31 @@
     CHECK(world.jobs().at(id).shown == job_phase::completed);
 }
 
+// A cancellation that is acknowledged before the borrowers know of it lets them start tasks later.
+TEST_CASE("a cancellation is acknowledged once borrowed tasks can't start any more") {
+    sim_world world(17);
+    world.run_for(settle_time);
+    const auto id = world.submit(0, sim_world::simple_job(200), duration(1'500));
+    world.run_for(duration(1'000));
+    const auto owner = world.owner_of("east.0");
+    const auto borrower = world.owner_of("west.0");
+    REQUIRE(owner);
+    REQUIRE(borrower);
+    REQUIRE(*owner != *borrower);
+    world.cut_hosts(*owner, *borrower, true);
+    world.cancel(*owner, id);
+    world.run_for(duration(5'000));
+    CHECK_FALSE(world.jobs().at(id).cancel_acknowledged);
+    world.cut_hosts(*owner, *borrower, false);
+    world.run_for(duration(1'500));
+    world.cancel(*owner, id);
+    world.run_for(duration(1'500));
+    CHECK(world.jobs().at(id).cancel_acknowledged);
+    world.run_for(duration(6'000));
+    CHECK_FALSE(world.running(id));
+    check_promises(world);
+}
+
 // The count of waiting jobs is told by every host; a lent job that hasn't begun still waits.
 TEST_CASE("the backlog counts jobs until their first task starts") {
     sim_world world(5);
