host_shards: hand a shard over as soon as no caller waits for the store

Ends that aren't stored weren't acknowledged, so workers repeat them; the owner now waits only for a transaction under way and for callers, and looks after each event. Commits rest while the claim is written, as they would make it fail by the head's revision. A hand-over that the store doesn't answer is given up.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -128,9 +128,9 @@
         shard_state state;
         bool loaded = false;
         bool run_pending = false;
-        bool transferring = false;
-        bool checking = false; // a read of the claim is in flight
-        host_id successor;     // asked for the shard; empty: none
+        time_point next_transfer; // earliest time of the next attempt to hand it over
+        bool checking = false;    // a read of the claim is in flight
+        host_id successor;        // asked for the shard; empty: none
         std::vector<store_entry> loading;
         std::vector<std::function<void()>> waiting; // for the end of loading
     };
--- a/src/host_driving.cpp
+++ b/src/host_driving.cpp
@@ -28,6 +28,9 @@
     if (needs_claim_check(shard->state, loop_.now())) {
         check_claim(shard);
     }
+    if (shard->state.releasing && is_clean(shard->state)) {
+        transfer_shard(shard); // at once: nothing starts until the successor owns the shard
+    }
 }
 
 // Reads the claim, so that an owner that reaches few of its workers knows whether it is still one.
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -442,7 +442,7 @@
 // Hands a shard over to another host once everything is stored.
 void host_control::transfer_shard(const shard_pointer& shard) {
     auto& state = shard->state;
-    if (!shard->loaded || shard->transferring) {
+    if (!shard->loaded || state.handing_over || loop_.now() < shard->next_transfer) {
         return;
     }
     state.releasing = true;
@@ -459,7 +459,7 @@
         next = {{successor.value + "/" + peers_.at(successor).record.incarnation},
                 {state.epoch.value + 1}};
     }
-    shard->transferring = true;
+    state.handing_over = true;
     log_.write("event=shard_handed_over shard={} epoch={} successor={}", state.id.value,
                next.epoch.value, next.owner.value);
     store_transaction put;
@@ -471,9 +471,14 @@
         if (!*alive) {
             return;
         }
-        shard->transferring = false;
+        shard->state.handing_over = false;
         if (!reply) {
-            return; // tried again with the next round
+            // Starts go on unless this host leaves; should the claim have been written all the
+            // same, the successor's epoch keeps them out.
+            shard->next_transfer = loop_.now() + options_.shard.commit_retry;
+            shard->successor = {};
+            shard->state.releasing = leaving_;
+            return;
         }
         if (reply.value().applied) {
             claims_[shard->state.id] = {next, *reply.value().applied, loop_.now()};
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -310,7 +310,7 @@
     for (auto& [id, worker] : shard.tables.workers) {
         release_ends(shard, worker, now);
     }
-    if (commit.in_flight || now < commit.next) {
+    if (commit.in_flight || now < commit.next || shard.handing_over) {
         return;
     }
     if (!commit.sent) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -470,8 +470,12 @@
 
 bool is_clean(const shard_state& shard) {
     const auto& commit = shard.commit;
-    return !commit.in_flight && !commit.sent && !commit.dirty_since && shard.hand_ins.empty() &&
-           shard.cancellations.empty();
+    const auto unstored = [&](const auto& row) {
+        const auto job = shard.tables.jobs.find(row.first);
+        return job != shard.tables.jobs.end() && job->second.stored < job->second.version;
+    };
+    return !commit.in_flight && !commit.sent && shard.hand_ins.empty() &&
+           std::none_of(shard.cancellations.begin(), shard.cancellations.end(), unstored);
 }
 
 } // namespace fulmar
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -168,6 +168,7 @@
     bool starts_allowed = true;   // operators' orders are known to be fresh
     bool data_centre_open = true; // operators have not taken it out of service
     bool releasing = false;       // about to hand the shard over: no starts
+    bool handing_over = false;    // the claim is being written for the successor: no commits
 
     commit_state commit;
     std::map<job_id, std::vector<request_token>> hand_ins;      // not yet answered
@@ -257,7 +258,9 @@
 // Does what is due and collects the orders, transaction and answers to send.
 void advance(shard_state& shard, time_point now, unix_time unix_now, shard_actions& actions);
 
-// Tells whether nothing is left to store, so that the shard can be released without loss.
+// Tells whether the shard can be released without loss: no transaction is under way and no caller
+// waits for one. Ends that aren't stored weren't acknowledged, so workers repeat them to the
+// successor.
 bool is_clean(const shard_state& shard);
 
 // Tells whether the claim must be read from the store because too few workers confirm it.
--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -210,6 +210,30 @@
     check_promises(world);
 }
 
+// While a shard is handed over nothing starts in it. An owner that waits until no end is left to
+// store, waits for long on a busy shard.
+TEST_CASE("a busy shard is handed over within a quarter of a second") {
+    for (std::uint64_t seed = 30; seed < 36; ++seed) {
+        sim_world world(seed);
+        world.run_for(settle_time);
+        for (std::size_t i = 0; i < 16; ++i) {
+            world.submit(i % 4, sim_world::simple_job(40, 3),
+                         duration(100 + 17 * static_cast<std::int64_t>(i)));
+        }
+        world.run_for(duration(1'000 + 90 * static_cast<std::int64_t>(seed - 30)));
+        const auto owner = world.owner_of("east.0");
+        REQUIRE(owner);
+        world.stop_host(*owner);
+        const auto handed_over = [&] {
+            const auto next = world.owner_of("east.0");
+            return next && *next != *owner;
+        };
+        CHECK(world.run_until(handed_over, duration(250)));
+        CHECK(finish_all(world, finish_time));
+        check_promises(world);
+    }
+}
+
 TEST_CASE("all hosts lose power at once and nothing accepted is lost") {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
         sim_world world(seed);
