--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -195,10 +195,11 @@
     if (peer != peers_.end() && peer->second.heard) {
         heard = std::max(heard, *peer->second.heard);
     }
-    // An owner that can't store anything gives way to one that can.
+    // An owner that can't store anything gives way to one that can. After an outage for all, hosts
+    // find the store back at different times, so the first one waits for the others.
     const bool stuck = peer != peers_.end() && is_alive(peer->second) &&
                        peer->second.status.store_away_ms > timing.store_patience.count() &&
-                       orders_.healthy();
+                       orders_.healthy_for(timing.store_patience);
     if (stuck) {
         return choose_owner(shard, owner) == options_.name;
     }
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -45,6 +45,11 @@
     // Tells whether the last call succeeded.
     bool healthy() const { return state_->healthy; }
 
+    // Tells whether every call of the last `time` succeeded.
+    bool healthy_for(duration time) const {
+        return state_->healthy && state_->loop.now() - state_->healthy_since >= time;
+    }
+
     // Takes entries that a peer read at a later revision than this view's.
     void merge(const std::map<std::string, store_entry>& entries, revision_number revision,
                time_point confirmed);
@@ -64,6 +69,7 @@
         std::optional<time_point> confirmed{};
         bool loaded = false;
         bool healthy = false;
+        time_point healthy_since{};
         bool stopped = false;
         duration backoff{0};
         time_point last_watch{};
--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -276,6 +276,38 @@
     }
 }
 
+// The host that finds the store back first must not take the shards of those that find it later.
+TEST_CASE("shards keep their owners over an outage of the store") {
+    for (std::uint64_t seed = 40; seed < 48; ++seed) {
+        sim_world world(seed);
+        world.run_for(settle_time);
+        const auto east = world.owner_of("east.0");
+        const auto west = world.owner_of("west.0");
+        world.set_store_mode_for_all(store_mode::silent);
+        world.run_for(duration(4'000 + static_cast<std::int64_t>(seed) * 130));
+        world.set_store_mode_for_all(store_mode::up);
+        world.run_for(duration(5'000));
+        CHECK(world.owner_of("east.0") == east);
+        CHECK(world.owner_of("west.0") == west);
+        check_promises(world);
+    }
+}
+
+// A host that the store turns away gives way to one that it serves.
+TEST_CASE("an owner without the store hands its shard to a host with it") {
+    sim_world world(18);
+    world.run_for(settle_time);
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    world.set_store_mode(*owner, store_mode::silent);
+    world.run_for(duration(6'500));
+    CHECK(world.owner_of("east.0") != owner);
+    world.set_store_mode(*owner, store_mode::up);
+    world.submit(0, sim_world::simple_job(6, 2), duration(400));
+    CHECK(finish_all(world, finish_time));
+    check_promises(world);
+}
+
 // A host that the store turns away learns of an evacuation from its peers.
 TEST_CASE("an owner without the store obeys an evacuation") {
     sim_world world(10);
