shard_reports: count a failed run once, however often it is reported

A failure that is stored but not yet acknowledged is reported again to the shard's next owner, which counted it a second time. Ruled out: ends of another life of a worker and copies of a task.

Records now hold the numbers of the failed runs instead of their count. The new test loads a shard three times and reports the same end; the old code counts two failures and fails the job.

--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -27,12 +27,12 @@
 constexpr std::string_view state_retry = "retry";
 
 json encode_task(std::uint32_t index, const task_row& task) {
-    return {index, static_cast<int>(task.result), task.failures, task.last_run.value,
+    return {index, static_cast<int>(task.result), task.failed_runs, task.last_run.value,
             task.checkpoint};
 }
 
 void decode_task(const json& from, task_row& task) {
-    task.failures = from.at(2).get<std::uint32_t>();
+    task.failed_runs = from.at(2).get<std::vector<run_number>>();
     task.last_run = std::max(task.last_run, from.at(3).get<run_number>());
     task.checkpoint = from.at(4).get<std::string>();
 }
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -45,12 +45,12 @@
     json rows = json::array();
     for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
         const auto& task = stage.tasks[index];
-        const bool blank = task.failures == 0 && task.last_run.value == 0 &&
+        const bool blank = task.failed_runs.empty() && task.last_run.value == 0 &&
                            task.checkpoint.empty() && task.loan == 0;
         if (task.done || blank) {
             continue;
         }
-        rows.push_back({index, task.failures, task.last_run.value, task.checkpoint, task.loan});
+        rows.push_back({index, task.failed_runs, task.last_run.value, task.checkpoint, task.loan});
     }
     return rows;
 }
@@ -63,7 +63,7 @@
         json tasks = json::array();
         for (const auto index : loan.tasks) {
             const auto& task = stage.tasks[index];
-            tasks.push_back({index, static_cast<int>(task.result), task.failures,
+            tasks.push_back({index, static_cast<int>(task.result), task.failed_runs,
                              task.last_run.value, task.checkpoint});
         }
         rows.push_back({loan.loan, loan.occurrence, loan.step, loan.withdrawn, std::move(tasks)});
@@ -85,7 +85,7 @@
             auto& task = stage.tasks.at(index);
             task.loan = loan.loan;
             task.result = static_cast<loan_result>(entry.at(1).get<int>());
-            task.failures = entry.at(2).get<std::uint32_t>();
+            task.failed_runs = entry.at(2).get<std::vector<run_number>>();
             task.last_run = entry.at(3).get<run_number>();
             task.checkpoint = entry.at(4).get<std::string>();
             task.done = task.result == loan_result::done;
@@ -386,7 +386,7 @@
             decode_done(stage, row.at(2).get<std::string>());
             for (const auto& entry : row.at(3)) {
                 auto& task = stage.tasks.at(entry.at(0).get<std::size_t>());
-                task.failures = entry.at(1).get<std::uint32_t>();
+                task.failed_runs = entry.at(1).get<std::vector<run_number>>();
                 task.last_run = entry.at(2).get<run_number>();
                 task.checkpoint = entry.at(3).get<std::string>();
                 task.loan = entry.at(4).get<std::uint64_t>();
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -168,6 +168,15 @@
     worker.no_starts_before = now + std::min(pause, shard.timing.unhealthy_pause_limit);
 }
 
+// Counts a failed run once, however often it is reported, and returns the number of failed runs.
+std::size_t count_attempts(task_row& task, run_number run) {
+    auto& failed = task.failed_runs;
+    if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
+        failed.push_back(run);
+    }
+    return failed.size();
+}
+
 } // namespace
 
 bool complete_task(shard_state& shard, job_row& job, const task_key& key, time_point now,
@@ -253,9 +262,9 @@
     } else if (row.kind == end_kind::done && !step.lasting) {
         urgent = complete_task(shard, job, key.task, now, unix_now);
     } else if (row.kind == end_kind::failed) {
-        ++task->failures;
         task->last_failed_on = worker.entry.target.id;
-        const bool final = !step.lasting && task->failures >= job.queue.max_attempts;
+        const bool final =
+            !step.lasting && count_attempts(*task, key.number) >= job.queue.max_attempts;
         if (final && is_guest(job)) {
             report_task(shard, job, *task, loan_result::failed, now);
             stage->waiting.erase(key.task.index);
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -131,7 +131,8 @@
     std::uint64_t loan = 0; // number of the loan that it is part of; 0: none
     loan_result result = loan_result::pending; // of a borrowed task
     std::uint64_t result_version = 0;          // of the job's record that holds the result
-    std::uint32_t failures = 0;
+    std::vector<run_number> failed_runs; // those that count as attempts; a run is reported again
+                                         // until its end is acknowledged
     run_number last_run;
     std::string checkpoint;
     std::vector<run_number> runs; // active ones
--- a/tests/shard_records_test.cpp
+++ b/tests/shard_records_test.cpp
@@ -1,3 +1,4 @@
+#include "shard_control.hpp"
 #include "shard_records.hpp"
 
 #include <catch2/catch.hpp>
@@ -66,7 +67,7 @@
     stage.tasks[0].done = true;
     stage.done = 1;
     stage.waiting.erase(0);
-    stage.tasks[2].failures = 2;
+    stage.tasks[2].failed_runs = {{3}, {5}};
     stage.tasks[2].last_run = {1004};
     stage.tasks[2].checkpoint = "c-5";
     job.phase = job_phase::running;
@@ -75,7 +76,7 @@
     CHECK(row.tasks[0].done);
     CHECK(row.done == 1);
     CHECK(row.waiting == std::set<std::uint32_t>{1, 2});
-    CHECK(row.tasks[2].failures == 2);
+    CHECK(row.tasks[2].failed_runs == std::vector<run_number>{{3}, {5}});
     CHECK(row.tasks[2].last_run.value == 1004);
     CHECK(row.tasks[2].checkpoint == "c-5");
     CHECK(loaded.phase == job_phase::running);
@@ -125,3 +126,30 @@
     auto job = make_job();
     CHECK_FALSE(parse_progress(job, R"({"phase": 1, "open": [0], "stages": [[5, 0, "0", []]]})"));
 }
+
+// A failed run is reported until its end is acknowledged. A successor that counts it again fails
+// the job too early.
+TEST_CASE("a failed run counts once over a change of owner") {
+    metrics counters;
+    decision_log log("", {}, {});
+    const auto job = make_job();
+    const shard_record record{{"east.0"}, {"east"}, {{"r1"}}};
+    worker_entry entry;
+    entry.target = {{"w1"}, {"10.0.0.1", 1}};
+    hold_reply report;
+    report.clock = {1'000};
+    report.ended = {{1, {{job.id, 0, 0, 0}, {1}}, end_kind::failed, ""}};
+    const time_point now{duration(1'000)};
+    std::string progress = encode_progress(job);
+    for (std::uint64_t epoch = 1; epoch <= 3; ++epoch) {
+        auto shard = make_shard(record, {"host/1"}, {epoch}, {epoch}, {}, counters, log);
+        load_shard(shard, {{job_key(record.id, job.id), encode_job(job), {1}},
+                           {progress_key(record.id, job.id), progress, {2}}});
+        on_worker_entry(shard, entry, now);
+        on_hold_reply(shard, entry.target.id, report, now, now, {1'700'000'000'000});
+        const auto& row = shard.tables.jobs.at(job.id);
+        REQUIRE_FALSE(has_ended(row.phase));
+        CHECK(row.occurrences.at(0).stages[0].tasks[0].failed_runs.size() == 1);
+        progress = encode_progress(row);
+    }
+}
