shard_drain: move lasting tasks off workers that leave; hold leases of 5 s

Lasting tasks now move to other workers of the shard while theirs drains; leases are 5 s where the platform takes longer ones (a takeover takes up to 3 s), and 2.5 s of workers that leave.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -385,7 +385,10 @@
 
 worker_clock next_lease(const shard_state& shard, const worker_row& worker, time_point now) {
     assert(worker.clock);
-    return {worker.clock->value + (now - worker.clock_at + shard.timing.lease).count()};
+    const auto lease = worker.entry.draining
+                           ? std::min(shard.timing.leaving_lease, shard.timing.lease)
+                           : shard.timing.lease;
+    return {worker.clock->value + (now - worker.clock_at + lease).count()};
 }
 
 bool has_lapsed(const shard_state& shard, const worker_row& worker, time_point now) {
@@ -460,6 +463,7 @@
         place_tasks(shard, now, actions);
     }
     regroup_tasks(shard, now);
+    move_off_leaving(shard, now);
     send_stops(shard, now, actions);
     send_paces(shard, actions);
     find_purgeable(shard, now, unix_now);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -19,7 +19,11 @@
 
 // Times of the protocol with workers and the store. Those of the platform come from settings.
 struct shard_timing {
-    duration lease{6'000};     // the platform's longest lease of a worker
+    // Tasks of a worker that is lost start elsewhere when its lease has lapsed, and all of a worker
+    // lapse if nobody holds it for so long: a takeover takes up to 3 s.
+    duration lease{5'000};
+    // Of workers that leave: what still runs there at the end waits this long.
+    duration leaving_lease{2'500};
     duration gang_wait{3'000}; // a worker's wait for the other members of a gang
     // A task is lent after it has waited this long for room in its own shard; fillers wait longer,
     // because their room returns within seconds.
--- /dev/null
+++ b/src/shard_drain.cpp
@@ -0,0 +1,78 @@
+// Moves lasting tasks off workers that leave. The pattern it answers: workers are emptied and taken
+// away, and a task that stays until the end comes back only when the worker's lease has lapsed.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+// Room at the target is kept this long; a stop and a start take about a second.
+constexpr duration reservation_time{3'000};
+
+// Returns the worker with most room for a task that has to move, or nullptr.
+worker_row* find_target(shard_state& shard, const job_row& job, const stage_row& stage,
+                        const run_row& run, time_point now) {
+    worker_row* best = nullptr;
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (!takes_starts(shard, worker, now) || !suits_worker(job, stage, worker) ||
+            !fits(run.need, free_resources(worker))) {
+            continue;
+        }
+        if (best == nullptr ||
+            free_resources(worker).processors > free_resources(*best).processors) {
+            best = &worker;
+        }
+    }
+    return best;
+}
+
+// Tells whether a run can be stopped here and started elsewhere by itself.
+bool is_movable(const job_row& job, const task_row& task, const run_row& run) {
+    const auto& step = job.spec.steps[run.key.task.step];
+    return step.lasting && !step.gang && !task.target && run.phase == run_phase::running;
+}
+
+void move_runs(shard_state& shard, worker_row& leaving, time_point now) {
+    for (const auto& key : leaving.runs) {
+        auto& run = shard.tables.runs.at(key);
+        const auto* stage = find_stage(shard.tables, key.task);
+        auto* task = find_task(shard.tables, key.task);
+        if (task == nullptr || task->away) {
+            continue;
+        }
+        const auto& job = shard.tables.jobs.at(key.task.job);
+        if (!is_movable(job, *task, run)) {
+            continue;
+        }
+        auto* target = find_target(shard, job, *stage, run, now);
+        if (target == nullptr) {
+            continue;
+        }
+        target->reserved[key.task] = {run.need, now + reservation_time};
+        task->target = target->entry.target.id;
+        request_stop(run, stop_cause::moved, now);
+        shard.counters->count("moves_off_leaving");
+        shard.log->write("event=task_moved_off_leaving task={}.{}.{}.{} run={} from={} to={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, run.worker.value, target->entry.target.id.value);
+    }
+}
+
+} // namespace
+
+void move_off_leaving(shard_state& shard, time_point now) {
+    const bool allowed = shard.settled && shard.starts_allowed && shard.data_centre_open &&
+                         !shard.releasing && has_authority(shard, now);
+    if (!allowed) {
+        return;
+    }
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (worker.entry.draining && worker.contact == reach::reachable) {
+            move_runs(shard, worker, now);
+        }
+    }
+}
+
+} // namespace fulmar
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -67,6 +67,9 @@
 // Moves serving tasks to workers with tasks of the same kind, where that opens workers to fillers.
 void regroup_tasks(shard_state& shard, time_point now);
 
+// Moves lasting tasks off workers that leave, where others have room.
+void move_off_leaving(shard_state& shard, time_point now);
+
 // Tells whether any task may start on the worker now.
 bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now);
 
