store_view, host_shards: tell an owner without the store from one that peers keep informed

A view now notes when the store itself answered last. Far hosts wait longer than near ones before they take such a shard, as they don't hear of near hosts without shards.

The tests: store_view_test (a view told by peers is still without the store; the old code had no such distinction), and in host_sim_test the owner's neighbour takes the shard while orders keep coming.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -319,14 +319,6 @@
     }
 }
 
-// Returns how long the store hasn't answered this host; 0 while it does.
-duration host_control::store_away() const {
-    if (orders_.healthy() || !orders_.confirmed()) {
-        return duration(0);
-    }
-    return loop_.now() - *orders_.confirmed();
-}
-
 host_status host_control::make_status() const {
     host_status status;
     status.name = options_.name;
@@ -334,7 +326,7 @@
     status.data_centre = options_.data_centre;
     status.leaving = leaving_;
     status.store_reachable = orders_.healthy();
-    status.store_away_ms = store_away().count();
+    status.store_away_ms = orders_.away().count();
     for (const auto& [name, peer] : peers_) {
         const auto& timing = options_.timing;
         const auto interval = peer.record.data_centre == options_.data_centre ? timing.near_gossip
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -149,7 +149,6 @@
     bool is_alive(const peer_row& peer) const;
     int distance_to(const data_centre_id& data_centre) const;
     bool orders_fresh() const;
-    duration store_away() const;
     bool is_heard_by_others(const host_id& name) const;
     void fetch_orders();
     void update_shard_flags();
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -153,7 +153,8 @@
         }
     };
     if (!leaving_) {
-        consider(make(options_.name, options_.data_centre, options_.weight, store_away().count()));
+        consider(
+            make(options_.name, options_.data_centre, options_.weight, orders_.away().count()));
     }
     for (const auto& [name, peer] : peers_) {
         if (is_alive(peer) && peer.status.incarnation == peer.record.incarnation) {
@@ -196,9 +197,11 @@
         heard = std::max(heard, *peer->second.heard);
     }
     // An owner that can't store anything gives way to one that can. After an outage for all, hosts
-    // find the store back at different times, so the first one waits for the others.
+    // find the store back at different times, so the first one waits for the others. Hosts without
+    // shards are known in their data centre only, so nearer hosts go first.
+    const auto patience = timing.store_patience + silence - timing.near_silence;
     const bool stuck = peer != peers_.end() && is_alive(peer->second) &&
-                       peer->second.status.store_away_ms > timing.store_patience.count() &&
+                       peer->second.status.store_away_ms > patience.count() &&
                        orders_.healthy_for(timing.store_patience);
     if (stuck) {
         return choose_owner(shard, owner) == options_.name;
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -155,6 +155,7 @@
 
 // Notes that the store answers again.
 void store_view::note_success(state& self) {
+    self.answered = self.loop.now();
     if (!std::exchange(self.healthy, true)) {
         self.healthy_since = self.loop.now();
         self.log.write("event=store_view_current prefix={} revision={}", self.options.prefix,
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -42,6 +42,12 @@
     // Returns the store's revision up to which the content is complete.
     revision_number revision() const { return state_->revision; }
 
+    // Returns how long the store hasn't answered; 0 while it does. What peers tell doesn't count.
+    duration away() const {
+        return state_->healthy || !state_->loaded ? duration(0)
+                                                  : state_->loop.now() - state_->answered;
+    }
+
     // Tells whether the last call succeeded.
     bool healthy() const { return state_->healthy; }
 
@@ -70,6 +76,7 @@
         bool loaded = false;
         bool healthy = false;
         time_point healthy_since{};
+        time_point answered{}; // when the store last answered a call
         bool stopped = false;
         duration backoff{0};
         time_point last_watch{};
--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -300,8 +300,14 @@
     const auto owner = world.owner_of("east.0");
     REQUIRE(owner);
     world.set_store_mode(*owner, store_mode::silent);
-    world.run_for(duration(6'500));
-    CHECK(world.owner_of("east.0") != owner);
+    // What it hears of newer orders from peers doesn't make the store answer it.
+    bool moved = false;
+    for (int round = 0; round < 10 && !moved; ++round) {
+        world.configure({world.queue("renders")});
+        moved = world.run_until([&] { return world.owner_of("east.0") != owner; }, duration(500));
+    }
+    CHECK(moved);
+    CHECK(world.owner_of("east.0") == 1 - *owner); // the other host of that data centre
     world.set_store_mode(*owner, store_mode::up);
     world.submit(0, sim_world::simple_job(6, 2), duration(400));
     CHECK(finish_all(world, finish_time));
--- /dev/null
+++ b/tests/store_view_test.cpp
@@ -0,0 +1,61 @@
+#include "store_view.hpp"
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+using namespace fulmar;
+using trompeloeil::_;
+
+namespace {
+
+class mock_store : public async_store {
+  public:
+    MAKE_MOCK2(get, void(const std::string&, store_callback<std::optional<store_entry>>), override);
+    MAKE_MOCK4(list,
+               void(const std::string&, const std::string&, read_mode, store_callback<store_page>),
+               override);
+    MAKE_MOCK4(watch,
+               void(const std::string&, revision_number, duration, store_callback<store_events>),
+               override);
+    MAKE_MOCK2(commit, void(store_transaction, store_callback<transaction_reply>), override);
+    MAKE_MOCK2(grant_lease, void(duration, store_callback<lease_id>), override);
+    MAKE_MOCK2(keep_alive, void(lease_id, store_callback<void>), override);
+};
+
+class mock_loop : public event_loop {
+  public:
+    MAKE_CONST_MOCK0(now, time_point(), override);
+    MAKE_CONST_MOCK0(unix_now, unix_time(), override);
+    MAKE_MOCK2(call_after, void(duration, std::function<void()>), override);
+};
+
+} // namespace
+
+// An owner that the store turns away must be seen as such, although peers tell it newer orders.
+TEST_CASE("a view that is told by peers still counts as without the store") {
+    mock_store store;
+    mock_loop loop;
+    decision_log log("", {}, {});
+    time_point now{duration(10'000)};
+    store_callback<store_events> watching;
+    ALLOW_CALL(loop, now()).LR_RETURN(now);
+    ALLOW_CALL(loop, call_after(_, _));
+    REQUIRE_CALL(store, list("op/", "", read_mode::linearizable, _))
+        .SIDE_EFFECT(_4(store_page{{}, false, {5}}));
+    REQUIRE_CALL(store, watch("op/", revision_number{5}, _, _)).LR_SIDE_EFFECT(watching = _4);
+
+    store_view view(
+        store, loop, log, {.prefix = "op/"}, [](const auto&, const auto*) {}, [] {});
+    view.start();
+    REQUIRE(watching);
+    CHECK(view.away() == duration(0));
+    CHECK(view.healthy_for(duration(0)));
+
+    now += duration(2'000);
+    watching(error{error_kind::timeout, "no answer"});
+    CHECK(view.away() == duration(2'000));
+    view.merge({{"op/config", {"op/config", "{}", {8}}}}, {9}, now);
+    CHECK(view.confirmed() == now);
+    CHECK(view.away() == duration(2'000));
+    CHECK_FALSE(view.healthy_for(duration(0)));
+}
