--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -20,6 +20,18 @@
 
 enum class request_kind : std::uint8_t { submit, query, cancel };
 
+std::string_view to_string(request_kind kind) {
+    switch (kind) {
+    case request_kind::submit:
+        return "hand_in";
+    case request_kind::query:
+        return "query";
+    case request_kind::cancel:
+        return "cancel";
+    }
+    return "";
+}
+
 std::string encode_answer(const submit_answer& answer) {
     return json{{"outcome", static_cast<int>(answer.outcome)},
                 {"retry_after", answer.retry_after.count()},
@@ -154,7 +166,7 @@
     }
     counters_.count("requests_unserved", request->last_reason);
     log_.write("event=request_unserved kind={} job={} reason={} waited_ms={}",
-               static_cast<int>(request->kind), request->id.value, request->last_reason,
+               to_string(request->kind), request->id.value, request->last_reason,
                (loop_.now() - request->began).count());
     if (request->kind == request_kind::submit) {
         const auto outcome =
@@ -280,8 +292,7 @@
         }
         log_.write("event=hand_in job={} queue={} shard={} outcome={} reason={} ms={}",
                    request->id.value, request->queue.id.value, shard.value,
-                   static_cast<int>(final.outcome), final.reason,
-                   (loop_.now() - request->began).count());
+                   to_string(final.outcome), final.reason, (loop_.now() - request->began).count());
         counters_.observe("hand_in_ms",
                           static_cast<double>((loop_.now() - request->began).count()));
         request->on_submit(final);
@@ -372,6 +383,8 @@
                        return;
                    }
                    if (!entry.value()) {
+                       log_.write("event=job_unknown kind={} job={}", to_string(request->kind),
+                                  request->id.value);
                        request->on_phase(error{error_kind::not_found, "no such job"});
                        return;
                    }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -43,7 +43,7 @@
         actions.submit_answers.push_back(std::move(next));
     }
     shard.log->write("event=hand_in_answered job={} shard={} outcome={} reason={}", id.value,
-                     shard.id.value, static_cast<int>(answer.outcome), answer.reason);
+                     shard.id.value, to_string(answer.outcome), answer.reason);
 }
 
 // Answers what no longer has to wait for a transaction.
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -137,6 +137,20 @@
 
 } // namespace
 
+std::string_view to_string(submit_outcome outcome) {
+    switch (outcome) {
+    case submit_outcome::accepted:
+        return "accepted";
+    case submit_outcome::refused:
+        return "refused";
+    case submit_outcome::unavailable:
+        return "unavailable";
+    case submit_outcome::unknown:
+        return "unknown";
+    }
+    return "";
+}
+
 shard_state make_shard(const shard_record& record, const host_id& self, epoch_number epoch,
                        revision_number claim_revision, const shard_timing& timing,
                        metrics& counters, decision_log& log) {
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -99,6 +99,8 @@
 // never runs; `unknown` that it may have been.
 enum class submit_outcome : std::uint8_t { accepted, refused, unavailable, unknown };
 
+std::string_view to_string(submit_outcome outcome);
+
 struct submit_answer {
     request_token token = 0;
     submit_outcome outcome = submit_outcome::accepted;
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -154,7 +154,7 @@
     run.checkpoint = task.checkpoint;
     add_run(shard.tables, std::move(run));
     next.job->phase = job_phase::running;
-    shard.log->write("event=start task={}.{}.{}.{} run={} worker={} age_ms={} load_age_ms={}",
+    shard.log->write("event=start task={}.{}.{}.{} run={} worker={} accepted_ms={} load_age_ms={}",
                      order.run.task.job.value, order.run.task.occurrence, order.run.task.step,
                      index, number.value, worker.entry.target.id.value, next.accepted.value,
                      (now - worker.clock_at).count());
