shard_order: give room first to jobs that can still be in time

Jobs are now ordered by priority, then by whether they can still be in time, late but within three objectives, or neither, then by age; a job counts as too late only if 60% of its estimated rest doesn't fit.

Test: after a burst of ten seconds of work, eight small jobs end within 2.2 s; in order of arrival they don't.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -463,6 +463,7 @@
     if (shard.lost) {
         return;
     }
+    shard.wall_clock = unix_now;
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
         if (job.spec_stored) {
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -200,6 +200,7 @@
     std::map<std::string, double> filler_demand; // processors asked for lately, by image
     std::map<std::string, double> open_rooms;    // see service_room::open; smoothed
     time_point next_regroup;
+    unix_time wall_clock;     // at the last event
     bool place_needed = true; // something changed since the last placement
     time_point last_place;
     time_point next_purge;
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <tuple>
 
 namespace fulmar {
 
@@ -113,10 +114,13 @@
     return allowed;
 }
 
-// Orders fillers by the age of their jobs.
-std::pair<std::int64_t, run_key> rank_of(const shard_state& shard, const run_row& run) {
+// Orders fillers by what their jobs can still reach, then by age.
+std::tuple<hope, std::int64_t, run_key> rank_of(const shard_state& shard, const run_row& run) {
     const auto job = shard.tables.jobs.find(run.key.task.job);
-    return {job == shard.tables.jobs.end() ? 0 : job->second.accepted.value, run.key};
+    if (job == shard.tables.jobs.end()) {
+        return {hope::overdue, 0, run.key};
+    }
+    return {find_hope(shard, job->second), job->second.accepted.value, run.key};
 }
 
 filler_demand demand_of(const worker_row& worker, const run_row& run) {
@@ -202,18 +206,21 @@
             fillers.push_back(&run);
         }
     }
-    // Older jobs come first: work that is nearly done isn't slowed down for work that has just
-    // begun.
-    std::sort(fillers.begin(), fillers.end(), [&](const run_row* a, const run_row* b) {
-        return rank_of(shard, *a) < rank_of(shard, *b);
-    });
+    // Work that can be in time comes first, then older jobs: what is nearly done isn't slowed down
+    // for what has just begun.
+    std::vector<std::pair<std::tuple<hope, std::int64_t, run_key>, run_row*>> ranked;
+    ranked.reserve(fillers.size());
+    for (auto* run : fillers) {
+        ranked.emplace_back(rank_of(shard, *run), run);
+    }
+    std::sort(ranked.begin(), ranked.end());
     std::vector<double> left;
     left.reserve(serving.size());
     for (const auto* run : serving) {
         left.push_back(expected_slack(shard.effects, run->key.task.job.value, now, lookahead) -
                        kept_slack);
     }
-    for (auto* run : fillers) {
+    for (auto& [rank, run] : ranked) {
         const auto demand = demand_of(worker, *run);
         double allowed = 1.0;
         bool blamed = false;
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -42,6 +42,7 @@
     job_row* job = nullptr;
     stage_row* stage = nullptr;
     std::int32_t priority = 0;
+    hope reach = hope::in_time;
     unix_time accepted;
 };
 
@@ -56,17 +57,18 @@
         if (unstored) {
             continue;
         }
+        const auto reach = find_hope(shard, job);
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
                 if (stage.open && !stage.waiting.empty()) {
-                    found.push_back({&job, &stage, job.queue.priority, job.accepted});
+                    found.push_back({&job, &stage, job.queue.priority, reach, job.accepted});
                 }
             }
         }
     }
     std::sort(found.begin(), found.end(), [](const candidate& a, const candidate& b) {
-        return std::tie(a.priority, a.accepted, a.job->id, a.stage->step) <
-               std::tie(b.priority, b.accepted, b.job->id, b.stage->step);
+        return std::tie(a.priority, a.reach, a.accepted, a.job->id, a.stage->step) <
+               std::tie(b.priority, b.reach, b.accepted, b.job->id, b.stage->step);
     });
     return found;
 }
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -287,6 +287,7 @@
     if (shard.lost || found == shard.tables.workers.end()) {
         return;
     }
+    shard.wall_clock = unix_now;
     auto& worker = found->second;
     worker.hold_in_flight = false;
     if (!reply) {
--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -210,6 +210,31 @@
     check_promises(world);
 }
 
+// In order of arrival, work that is late already makes everything behind it late as well.
+TEST_CASE("after a burst, jobs that can be in time go before those that can't") {
+    sim_world world(21);
+    world.run_for(settle_time);
+    // Ten seconds of work for all workers; each job's objective is 2 s.
+    for (std::size_t i = 0; i < 40; ++i) {
+        world.submit(i % 4, sim_world::simple_job(12), duration(1'000));
+    }
+    world.run_for(duration(4'000));
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < 8; ++i) {
+        ids.push_back(world.submit(i % 4, sim_world::simple_job(2), duration(500)));
+    }
+    world.run_for(duration(2'200));
+    std::size_t completed = 0;
+    for (const auto& id : ids) {
+        world.query(0, id);
+        world.run_for(duration(20));
+        completed += world.jobs().at(id).shown == job_phase::completed ? 1U : 0U;
+    }
+    CHECK(completed == ids.size());
+    CHECK(finish_all(world, finish_time));
+    check_promises(world);
+}
+
 // While a shard is handed over nothing starts in it. An owner that waits until no end is left to
 // store, waits for long on a busy shard.
 TEST_CASE("a busy shard is handed over within a quarter of a second") {
