shard_order: find the chains of a job in one pass, use the field's terms

The longest chain was found by recursion over the steps, which takes exponential time for jobs whose steps all depend on each other; callers' jobs of other deployments may. One pass from the last step on gives the chain of each step. The type of what is expected of a job is named timeliness; a failed run is noted by note_failed_run.

Decisions are the same: "after a burst, jobs that can be in time go before those that can't" and the random mixes of faults pass.

no functional change

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -99,13 +99,10 @@
 // Builds the next transaction when one is due.
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions);
 
-// What a job can still reach, the best first.
-enum class hope : std::uint8_t { in_time, late, overdue };
+// Whether a job can still end within its objective, the best first.
+enum class timeliness : std::uint8_t { in_time, late, overdue };
 
-hope find_hope(const shard_state& shard, const job_row& job);
-
-// Returns the time from the hand-in within which a job is to end.
-duration objective_of(const job_row& job);
+timeliness predict_timeliness(const shard_state& shard, const job_row& job);
 
 // Chooses workers for waiting tasks and orders the starts.
 void place_tasks(shard_state& shard, time_point now, shard_actions& actions);
--- a/src/shard_order.cpp
+++ b/src/shard_order.cpp
@@ -15,16 +15,16 @@
 // A job that ends within this many objectives is late; after that nobody waits for it.
 constexpr double late_limit = 3.0;
 
-// Returns the longest chain of work from a step on.
-duration chain_from(const job_spec& spec, std::uint32_t step) {
-    duration longest{0};
-    for (std::uint32_t next = step + 1; next < spec.steps.size(); ++next) {
-        const auto& after = spec.steps[next].after;
-        if (std::find(after.begin(), after.end(), step) != after.end()) {
-            longest = std::max(longest, chain_from(spec, next));
+// Returns the longest chain of work from each step on. Steps refer to earlier ones only.
+std::vector<duration> find_chains(const job_spec& spec) {
+    std::vector<duration> chains(spec.steps.size(), duration(0));
+    for (std::size_t step = spec.steps.size(); step-- > 0;) {
+        chains[step] += spec.steps[step].estimate;
+        for (const auto before : spec.steps[step].after) {
+            chains[before] = std::max(chains[before], chains[step]);
         }
     }
-    return spec.steps[step].estimate + longest;
+    return chains;
 }
 
 // Returns the part of a stage's longest task that is left, 0 to 1.
@@ -46,7 +46,8 @@
 }
 
 // Returns the time that the rest of a job's work takes when nothing waits.
-duration work_left(const shard_state& shard, const job_row& job) {
+duration work_left(const shard_state& shard, const job_row& job,
+                   const std::vector<duration>& chains) {
     duration longest{0};
     for (const auto& [number, occurrence] : job.occurrences) {
         for (const auto& stage : occurrence.stages) {
@@ -55,8 +56,7 @@
                 continue;
             }
             const auto done = step.estimate * (1.0 - part_left(shard, job, stage));
-            const auto left =
-                chain_from(job.spec, stage.step) - std::chrono::duration_cast<duration>(done);
+            const auto left = chains[stage.step] - std::chrono::duration_cast<duration>(done);
             longest = std::max(longest, left);
         }
     }
@@ -65,29 +65,25 @@
 
 } // namespace
 
-duration objective_of(const job_row& job) {
-    duration longest{0};
-    for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-        longest = std::max(longest, chain_from(job.spec, step));
-    }
-    return std::chrono::duration_cast<duration>(longest * job.queue.stretch) + job.queue.objective;
-}
-
-hope find_hope(const shard_state& shard, const job_row& job) {
+timeliness predict_timeliness(const shard_state& shard, const job_row& job) {
     const bool timed = job.spec.occurrences > 0;
     const bool lasting = std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
                                      [](const step_spec& step) { return step.lasting; });
     if (timed || lasting) {
-        return hope::in_time;
+        return timeliness::in_time;
     }
-    const auto objective = objective_of(job);
+    const auto chains = find_chains(job.spec);
+    const auto objective =
+        std::chrono::duration_cast<duration>(*std::max_element(chains.begin(), chains.end()) *
+                                             job.queue.stretch) +
+        job.queue.objective;
     const duration passed{shard.wall_clock.value - job.accepted.value};
     const auto end =
-        passed + std::chrono::duration_cast<duration>(work_left(shard, job) * certain_part);
+        passed + std::chrono::duration_cast<duration>(work_left(shard, job, chains) * certain_part);
     if (end <= objective) {
-        return hope::in_time;
+        return timeliness::in_time;
     }
-    return end <= objective * late_limit ? hope::late : hope::overdue;
+    return end <= objective * late_limit ? timeliness::late : timeliness::overdue;
 }
 
 } // namespace fulmar
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -114,13 +114,14 @@
     return allowed;
 }
 
-// Orders fillers by what their jobs can still reach, then by age.
-std::tuple<hope, std::int64_t, run_key> rank_of(const shard_state& shard, const run_row& run) {
+// Orders fillers by whether their jobs can still be in time, then by age.
+std::tuple<timeliness, std::int64_t, run_key> rank_of(const shard_state& shard,
+                                                      const run_row& run) {
     const auto job = shard.tables.jobs.find(run.key.task.job);
     if (job == shard.tables.jobs.end()) {
-        return {hope::overdue, 0, run.key};
+        return {timeliness::overdue, 0, run.key};
     }
-    return {find_hope(shard, job->second), job->second.accepted.value, run.key};
+    return {predict_timeliness(shard, job->second), job->second.accepted.value, run.key};
 }
 
 filler_demand demand_of(const worker_row& worker, const run_row& run) {
@@ -208,7 +209,7 @@
     }
     // Work that can be in time comes first, then older jobs: what is nearly done isn't slowed down
     // for what has just begun.
-    std::vector<std::pair<std::tuple<hope, std::int64_t, run_key>, run_row*>> ranked;
+    std::vector<std::pair<std::tuple<timeliness, std::int64_t, run_key>, run_row*>> ranked;
     ranked.reserve(fillers.size());
     for (auto* run : fillers) {
         ranked.emplace_back(rank_of(shard, *run), run);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -42,7 +42,7 @@
     job_row* job = nullptr;
     stage_row* stage = nullptr;
     std::int32_t priority = 0;
-    hope reach = hope::in_time;
+    timeliness expected = timeliness::in_time;
     unix_time accepted;
 };
 
@@ -57,18 +57,18 @@
         if (unstored) {
             continue;
         }
-        const auto reach = find_hope(shard, job);
+        const auto expected = predict_timeliness(shard, job);
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
                 if (stage.open && !stage.waiting.empty()) {
-                    found.push_back({&job, &stage, job.queue.priority, reach, job.accepted});
+                    found.push_back({&job, &stage, job.queue.priority, expected, job.accepted});
                 }
             }
         }
     }
     std::sort(found.begin(), found.end(), [](const candidate& a, const candidate& b) {
-        return std::tie(a.priority, a.reach, a.accepted, a.job->id, a.stage->step) <
-               std::tie(b.priority, b.reach, b.accepted, b.job->id, b.stage->step);
+        return std::tie(a.priority, a.expected, a.accepted, a.job->id, a.stage->step) <
+               std::tie(b.priority, b.expected, b.accepted, b.job->id, b.stage->step);
     });
     return found;
 }
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -169,7 +169,7 @@
 }
 
 // Counts a failed run once, however often it is reported, and returns the number of failed runs.
-std::size_t count_attempts(task_row& task, run_number run) {
+std::size_t note_failed_run(task_row& task, run_number run) {
     auto& failed = task.failed_runs;
     if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
         failed.push_back(run);
@@ -264,7 +264,7 @@
     } else if (row.kind == end_kind::failed) {
         task->last_failed_on = worker.entry.target.id;
         const bool final =
-            !step.lasting && count_attempts(*task, key.number) >= job.queue.max_attempts;
+            !step.lasting && note_failed_run(*task, key.number) >= job.queue.max_attempts;
         if (final && is_guest(job)) {
             report_task(shard, job, *task, loan_result::failed, now);
             stage->waiting.erase(key.task.index);
