Keep room for lasting tasks, and drop lost workers from the stored list

Two reasons: (1) Each owner that took the shard over (epochs 3, 4, 5 within 6 s) waited 7.8 s anew for the two workers that had left, since they stood in the stored list although an earlier owner had seen their leases end. (2) Short tasks took each gap as it opened, so a task that needs 5.5 cores found none, at home or elsewhere; lending looked at free processors only.

Change: a silent worker whose leases have ended leaves the stored list; authority and the successor's majority are counted over that list, and nothing starts on a worker that the transaction under way removes. Room is reserved for a waiting lasting task on the worker that will have it once short tasks end; owners tell each other that room; a draining worker's task without room at home stops early and is lent. A line no_room says why tasks wait.

--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -12,6 +12,10 @@
 // Estimates travel as whole hundredths, which take two or three bytes.
 constexpr double hundredths = 100;
 
+// Workers per service whose room for lasting tasks is told: as many as one loan's tasks may need
+// when two fit on each, in about 100 bytes.
+constexpr std::size_t told_lasting_rooms = 8;
+
 std::int64_t to_hundredths(double value) {
     return static_cast<std::int64_t>(value * hundredths);
 }
@@ -43,6 +47,15 @@
         room.largest = free;
     }
     room.fillers += std::max<std::int64_t>(0, filler_room(shard, worker));
+    room.lasting.push_back(lasting_room(shard.tables, worker));
+}
+
+// Keeps the workers with most room for lasting tasks.
+void keep_largest(std::vector<resources>& rooms) {
+    std::sort(rooms.begin(), rooms.end(), [](const resources& a, const resources& b) {
+        return a.processors.value > b.processors.value;
+    });
+    rooms.resize(std::min(rooms.size(), told_lasting_rooms));
 }
 
 } // namespace
@@ -90,7 +103,8 @@
         }
         json rooms = json::array();
         for (const auto& room : shard.rooms) {
-            rooms.push_back({room.service, room.free, room.largest, room.fillers, room.open});
+            rooms.push_back(
+                {room.service, room.free, room.largest, room.fillers, room.open, room.lasting});
         }
         shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending),
                           std::move(rooms), std::move(effects)});
@@ -138,7 +152,9 @@
             }
             for (const auto& room : row.at(4)) {
                 shard.rooms.push_back({room.at(0).get<service_id>(), room.at(1).get<resources>(),
-                                       room.at(2).get<resources>(), room.at(3).get<std::int64_t>(),
+                                       room.at(2).get<resources>(),
+                                       room.at(5).get<std::vector<resources>>(),
+                                       room.at(3).get<std::int64_t>(),
                                        room.at(4).get<std::map<std::string, std::int64_t>>()});
             }
             for (const auto& pair : row.at(5)) {
@@ -169,6 +185,7 @@
         add_room(find_room(status.rooms, worker.entry.service), shard, worker);
     }
     for (auto& room : status.rooms) {
+        keep_largest(room.lasting);
         for (const auto& [image, open] : shard.open_rooms) {
             room.open[image] = static_cast<std::int64_t>(open);
         }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -71,24 +71,49 @@
     }
 }
 
-std::string make_worker_list(const shard_state& shard) {
-    std::vector<known_worker> rows;
+// Tells whether a run of ours may be on the worker, now or soon. One that doesn't answer and whose
+// leases have ended has none; a successor that still finds it listed would wait for it in vain.
+bool is_used(const shard_state& shard, const worker_row& worker, time_point now) {
+    return worker.contact != reach::unreachable || !worker.runs.empty() || !worker.ends.empty() ||
+           shard.predecessors.contains(worker.entry.target.id) || !has_lapsed(shard, worker, now);
+}
+
+std::set<worker_id> find_used_workers(const shard_state& shard, time_point now) {
+    std::set<worker_id> used;
     for (const auto& [id, worker] : shard.tables.workers) {
-        rows.push_back({worker.entry.target});
+        if (is_used(shard, worker, now)) {
+            used.insert(used.end(), id);
+        }
     }
-    return encode(rows);
+    return used;
+}
+
+// Tells whether the stored list of workers differs from those that are used.
+bool is_worker_list_stale(const shard_state& shard, time_point now) {
+    std::size_t used = 0;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (!is_used(shard, worker, now)) {
+            continue;
+        }
+        ++used;
+        if (!shard.stored_workers.contains(id)) {
+            return true;
+        }
+    }
+    return used != shard.stored_workers.size();
 }
 
-// Tells whether the stored list differs from the tables.
-bool worker_list_stale(const shard_state& shard) {
-    const auto& workers = shard.tables.workers;
-    return workers.size() != shard.stored_workers.size() ||
-           std::any_of(workers.begin(), workers.end(),
-                       [&](const auto& row) { return !shard.stored_workers.contains(row.first); });
+std::string make_worker_list(const shard_state& shard, const std::set<worker_id>& listed) {
+    std::vector<known_worker> rows;
+    rows.reserve(listed.size());
+    for (const auto& id : listed) {
+        rows.push_back({shard.tables.workers.at(id).entry.target});
+    }
+    return encode(rows);
 }
 
 // Collects what is to be stored into one transaction.
-store_transaction build_transaction(shard_state& shard) {
+store_transaction build_transaction(shard_state& shard, time_point now) {
     auto& commit = shard.commit;
     store_transaction next;
     commit.versions.clear();
@@ -100,14 +125,12 @@
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
     std::size_t entries = fixed_entries;
-    commit.workers = worker_list_stale(shard);
+    commit.workers = is_worker_list_stale(shard, now);
     if (commit.workers) {
-        next.puts.push_back({worker_list_key(shard.id), make_worker_list(shard), {}});
+        auto used = find_used_workers(shard, now);
+        next.puts.push_back({worker_list_key(shard.id), make_worker_list(shard, used), {}});
         ++entries;
-        commit.listed.clear();
-        for (const auto& [id, worker] : shard.tables.workers) {
-            commit.listed.insert(id);
-        }
+        commit.listed = std::move(used);
     }
     for (const auto& [id, tokens] : shard.hand_ins) {
         auto& job = shard.tables.jobs.at(id);
@@ -155,9 +178,9 @@
 }
 
 // Tells whether something is left to store.
-bool is_dirty(const shard_state& shard) {
+bool is_dirty(const shard_state& shard, time_point now) {
     const auto& jobs = shard.tables.jobs;
-    return worker_list_stale(shard) || !shard.to_purge.empty() ||
+    return is_worker_list_stale(shard, now) || !shard.to_purge.empty() ||
            std::any_of(jobs.begin(), jobs.end(), [](const auto& row) {
                return !row.second.spec_stored || row.second.stored != row.second.version;
            });
@@ -197,7 +220,7 @@
     commit.next = now;
     commit.dirty_since.reset();
     commit.urgent = false;
-    if (is_dirty(shard)) {
+    if (is_dirty(shard, now)) {
         commit.dirty_since = now;
         commit.urgent =
             std::any_of(shard.hand_ins.begin(), shard.hand_ins.end(), [&](const auto& row) {
@@ -317,14 +340,14 @@
         if (!commit.dirty_since && !shard.to_purge.empty()) {
             commit.dirty_since = now;
         }
-        if (!commit.dirty_since && worker_list_stale(shard)) {
+        if (!commit.dirty_since && is_worker_list_stale(shard, now)) {
             commit.dirty_since = now;
         }
         if (!commit.dirty_since ||
             (!commit.urgent && now < *commit.dirty_since + shard.timing.commit_delay)) {
             return;
         }
-        commit.sent = build_transaction(shard);
+        commit.sent = build_transaction(shard, now);
     }
     commit.in_flight = true;
     actions.commit = commit.sent;
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -71,11 +71,8 @@
     if (shard.settled) {
         return;
     }
-    std::size_t reached = 0;
-    for (const auto& [id, worker] : shard.tables.workers) {
-        reached += worker.looked ? 1 : 0;
-    }
-    if (!shard.majority_since && reached * 2 > shard.tables.workers.size()) {
+    const auto reached = shard.loaded_workers - shard.predecessors.size();
+    if (!shard.majority_since && reached * 2 > shard.loaded_workers) {
         shard.majority_since = now;
     }
     const auto longest = shard.timing.evidence +
@@ -203,6 +200,7 @@
                 row.entry.target = worker.target;
                 row.entry.data_centre = shard.data_centre;
                 shard.predecessors.insert(worker.target.id);
+                shard.loaded_workers = shard.predecessors.size();
                 shard.stored_workers.insert(worker.target.id);
             }
         } else if (entry.key.starts_with(progress)) {
@@ -421,11 +419,19 @@
     if (shard.claim_confirmed && *shard.claim_confirmed >= since) {
         return true;
     }
-    std::size_t accepted = 0;
-    for (const auto& [id, worker] : shard.tables.workers) {
-        accepted += worker.clock && worker.clock_at >= since ? 1 : 0;
-    }
-    return accepted * 2 > shard.tables.workers.size();
+    // Counted among the workers that a successor finds in the store, so that the majority that it
+    // reaches and this one overlap.
+    const auto is_majority = [&](const std::set<worker_id>& listed) {
+        const auto accepted = std::count_if(listed.begin(), listed.end(), [&](const auto& id) {
+            const auto worker = shard.tables.workers.find(id);
+            return worker != shard.tables.workers.end() && worker->second.clock &&
+                   worker->second.clock_at >= since;
+        });
+        return static_cast<std::size_t>(accepted) * 2 > listed.size();
+    };
+    const auto& commit = shard.commit;
+    const bool changing = commit.sent && commit.workers;
+    return is_majority(shard.stored_workers) && (!changing || is_majority(commit.listed));
 }
 
 bool needs_claim_check(const shard_state& shard, time_point now) {
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -65,8 +65,11 @@
 // Room of one service's workers in a shard. Processors are in thousandths of a core.
 struct service_room {
     service_id service;
-    resources free{};         // of all workers, for tasks that aren't fillers
-    resources largest{};      // free on the worker with most free processors
+    resources free{};    // of all workers, for tasks that aren't fillers
+    resources largest{}; // free on the worker with most free processors
+    // Room for lasting tasks on the workers with most of it: what is free there once tasks that
+    // don't last have ended.
+    std::vector<resources> lasting;
     std::int64_t fillers = 0; // processors left for fillers
     // The same for fillers of one image: what they may use without disturbing serving tasks.
     std::map<std::string, std::int64_t> open;
@@ -166,7 +169,8 @@
     bool lost = false;                         // a higher epoch exists; nothing more is sent
     std::optional<time_point> claim_confirmed; // send time of the last call that showed our claim
     std::set<worker_id>
-        predecessors; // workers that a predecessor used and that weren't reached yet
+        predecessors;               // workers that a predecessor used and that weren't reached yet
+    std::size_t loaded_workers = 0; // that the predecessors used, reached or not
     std::optional<time_point> majority_since;
     bool settled = false; // no run of a predecessor is unseen
 
--- a/src/shard_drain.cpp
+++ b/src/shard_drain.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-// Room at the target is kept this long; a stop and a start take about a second.
-constexpr duration reservation_time{3'000};
-
 // Returns the worker with most room for a task that has to move, or nullptr.
 worker_row* find_target(shard_state& shard, const job_row& job, const stage_row& stage,
                         const run_row& run, time_point now) {
@@ -29,9 +26,30 @@
 }
 
 // Tells whether a run can be stopped here and started elsewhere by itself.
-bool is_movable(const job_row& job, const task_row& task, const run_row& run) {
+bool is_movable(const job_row& job, const run_row& run) {
     const auto& step = job.spec.steps[run.key.task.step];
-    return step.lasting && !step.gang && !task.target && run.phase == run_phase::running;
+    return step.lasting && !step.gang && run.phase == run_phase::running;
+}
+
+// Finds room for a task that has to leave its worker. It runs on while room in its own shard is
+// being emptied; without any, it stops as soon as another shard has room, which gets it as a loan.
+bool find_room(shard_state& shard, const job_row& job, const stage_row& stage, const run_row& run,
+               time_point now) {
+    const auto& key = run.key.task;
+    auto& task = *find_task(shard.tables, key);
+    if (task.target) {
+        const auto& target = shard.tables.workers.at(*task.target);
+        return takes_starts(shard, target, now) && fits(run.need, free_resources(target, &key));
+    }
+    if (auto* target = find_target(shard, job, stage, run, now); target != nullptr) {
+        reserve(shard, key, run.need, *target, now);
+        return true;
+    }
+    if (reserve_emptying(shard, job, stage, key, now)) {
+        return false;
+    }
+    task.reserved_in_vain = false; // try again, unless another shard has room
+    return has_room_elsewhere(shard, job, job.spec.steps[key.step], now);
 }
 
 void move_runs(shard_state& shard, worker_row& leaving, time_point now) {
@@ -43,20 +61,18 @@
             continue;
         }
         const auto& job = shard.tables.jobs.at(key.task.job);
-        if (!is_movable(job, *task, run)) {
+        if (!is_movable(job, run)) {
             continue;
         }
-        auto* target = find_target(shard, job, *stage, run, now);
-        if (target == nullptr) {
+        if (!find_room(shard, job, *stage, run, now)) {
             continue;
         }
-        target->reserved[key.task] = {run.need, now + reservation_time};
-        task->target = target->entry.target.id;
         request_stop(run, stop_cause::moved, now);
         shard.counters->count("moves_off_leaving");
         shard.log->write("event=task_moved_off_leaving task={}.{}.{}.{} run={} from={} to={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
-                         key.number.value, run.worker.value, target->entry.target.id.value);
+                         key.number.value, run.worker.value,
+                         task->target ? task->target->value : std::string("another_shard"));
     }
 }
 
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -70,6 +70,45 @@
 // Moves lasting tasks off workers that leave, where others have room.
 void move_off_leaving(shard_state& shard, time_point now);
 
+// Reserved room is kept this long: a stop and a start take about a second, and short tasks mostly
+// end within two.
+constexpr duration reservation_time{3'000};
+
+// Keeps room on a worker for a task; it starts there as soon as it fits. Replaces an earlier
+// reservation of the task.
+void reserve(shard_state& shard, const task_key& key, const resources& need, worker_row& worker,
+             time_point now);
+
+// Keeps room for a waiting lasting task on a worker where it fits once shorter tasks have ended.
+// Returns whether room is kept for it.
+bool reserve_emptying(shard_state& shard, const job_row& job, const stage_row& stage,
+                      const task_key& key, time_point now);
+
+// Drops reservations whose task did not come; returns how many are left.
+std::size_t expire_reservations(shard_state& shard, time_point now);
+
+// Most tasks in one loan, so that several shards share a wide step.
+constexpr std::size_t loan_tasks = 16;
+
+// Returns the shard with most room for a step, or nullptr, and for how many tasks.
+std::pair<lending_room*, std::size_t> find_lender(shard_state& shard, const job_row& job,
+                                                  const step_spec& step, time_point now);
+
+// Lowers the known room of a shard by what was just lent to it, until its owner reports again.
+void reserve_room(lending_room& other, const service_id& service, const step_spec& step,
+                  std::size_t tasks);
+
+// Logs what tasks that wait need, and the room here and in the other shards.
+void log_no_room(const shard_state& shard, const job_row& job, stage_row& stage, time_point now);
+
+// Tells whether another shard has room for a task of the step now.
+bool has_room_elsewhere(const shard_state& shard, const job_row& job, const step_spec& step,
+                        time_point now);
+
+// Tells whether a successor will know that runs of ours may be on the worker, whether or not the
+// transaction under way takes effect.
+bool is_stored(const shard_state& shard, const worker_id& worker);
+
 // Tells whether any task may start on the worker now.
 bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now);
 
--- /dev/null
+++ b/src/shard_lending_room.cpp
@@ -0,0 +1,146 @@
+// Room in other shards for tasks that wait: who has it, how much is left of it, and what is logged
+// when nobody has any.
+#include "shard_internal.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+// Between two log lines about tasks of one stage that find no room.
+constexpr duration room_log_interval{2'000};
+
+// Returns how many tasks with this need fit into free resources.
+std::int64_t count_fitting(const resources& need, const resources& free) {
+    if (!fits(need, free)) {
+        return 0;
+    }
+    std::int64_t tasks = loan_tasks;
+    for (const auto& [wanted, left] :
+         {std::pair(need.processors.value, free.processors.value),
+          std::pair(need.memory.value, free.memory.value),
+          std::pair(need.accelerators.value, free.accelerators.value)}) {
+        tasks = wanted > 0 ? std::min(tasks, left / wanted) : tasks;
+    }
+    return tasks;
+}
+
+// Returns how many tasks of a step another shard has room for; 0 when it may get none.
+std::size_t count_room(const lending_room& other, const service_id& service, const step_spec& step,
+                       time_point now) {
+    if (!other.open || now < other.no_loans_before) {
+        return 0;
+    }
+    for (const auto& room : other.rooms) {
+        if (room.service != service) {
+            continue;
+        }
+        if (step.filler) {
+            const auto open = room.open.find(step.image);
+            const auto left = open == room.open.end() ? room.fillers : open->second;
+            return static_cast<std::size_t>(std::max<std::int64_t>(0, left) /
+                                            std::max<std::int64_t>(1, step.need.processors.value));
+        }
+        if (step.lasting && !step.gang) {
+            std::int64_t tasks = 0;
+            for (const auto& free : room.lasting) {
+                tasks += count_fitting(step.need, free);
+            }
+            return static_cast<std::size_t>(tasks);
+        }
+        if (!fits(step.need, room.largest)) {
+            return 0;
+        }
+        return static_cast<std::size_t>(std::max<std::int64_t>(
+            1, room.free.processors.value / std::max<std::int64_t>(1, step.need.processors.value)));
+    }
+    return 0;
+}
+
+// Takes room for lasting tasks from the workers that have it.
+void reserve_lasting(std::vector<resources>& rooms, const resources& need, std::int64_t count) {
+    for (auto& free : rooms) {
+        for (; count > 0 && fits(need, free); --count) {
+            free = free - need;
+        }
+    }
+}
+
+} // namespace
+
+void reserve_room(lending_room& other, const service_id& service, const step_spec& step,
+                  std::size_t tasks) {
+    const auto count = static_cast<std::int64_t>(tasks);
+    for (auto& room : other.rooms) {
+        if (room.service != service) {
+            continue;
+        }
+        if (step.filler) {
+            room.fillers -= step.need.processors.value * count;
+            for (auto& [image, open] : room.open) {
+                open -= step.need.processors.value * count;
+            }
+        } else if (step.lasting && !step.gang) {
+            reserve_lasting(room.lasting, step.need, count);
+        } else {
+            room.free.processors.value -= step.need.processors.value * count;
+            room.largest.processors.value -= step.need.processors.value;
+        }
+    }
+}
+
+std::pair<lending_room*, std::size_t> find_lender(shard_state& shard, const job_row& job,
+                                                  const step_spec& step, time_point now) {
+    std::pair<lending_room*, std::size_t> best{nullptr, 0};
+    for (auto& [id, other] : shard.others) {
+        if (const auto room = count_room(other, job.queue.service, step, now); room > best.second) {
+            best = {&other, room};
+        }
+    }
+    return best;
+}
+
+bool has_room_elsewhere(const shard_state& shard, const job_row& job, const step_spec& step,
+                        time_point now) {
+    return !is_guest(job) &&
+           std::any_of(shard.others.begin(), shard.others.end(), [&](const auto& row) {
+               return count_room(row.second, job.queue.service, step, now) > 0;
+           });
+}
+
+void log_no_room(const shard_state& shard, const job_row& job, stage_row& stage, time_point now) {
+    if (now < stage.next_room_log) {
+        return;
+    }
+    stage.next_room_log = now + room_log_interval;
+    const auto& step = job.spec.steps[stage.step];
+    resources largest{};
+    for (const auto& [id, worker] : shard.tables.workers) {
+        const auto free = free_resources(worker);
+        if (takes_starts(shard, worker, now) && suits_worker(job, stage, worker) &&
+            free.processors > largest.processors) {
+            largest = free;
+        }
+    }
+    std::string others;
+    for (const auto& [id, other] : shard.others) {
+        others += fmt::format(" {}:open={}:paused_ms={}", id.value, other.open,
+                              std::max<std::int64_t>(0, (other.no_loans_before - now).count()));
+        for (const auto& room : other.rooms) {
+            if (room.service == job.queue.service) {
+                others += fmt::format(":cpu={}:mem={}", room.largest.processors.value,
+                                      room.largest.memory.value);
+            }
+        }
+    }
+    shard.log->write("event=no_room job={} step={} shard={} tasks={} lasting={} need_cpu={} "
+                     "need_mem={} free_cpu={} free_mem={} others=\"{}\"",
+                     job.id.value, stage.step, shard.id.value, stage.waiting.size(), step.lasting,
+                     step.need.processors.value, step.need.memory.value, largest.processors.value,
+                     largest.memory.value, others);
+}
+
+} // namespace fulmar
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -17,9 +17,6 @@
 // A shard that returned tasks gets no more for this long.
 constexpr duration refusal_pause{3'000};
 
-// Most tasks in one loan, so that several shards share a wide step.
-constexpr std::size_t loan_tasks = 16;
-
 constexpr std::string_view state_taken = "taken";
 constexpr std::string_view state_refused = "refused";
 constexpr std::string_view state_gone = "gone";
@@ -269,6 +266,7 @@
         auto& task = stage.tasks[index];
         if (stage.waiting.contains(index) && task.loan == loan.loan) {
             stage.waiting.erase(index);
+            drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
             report_task(shard, job, task, loan_result::returned, now);
             shard.counters->count("loans", "returned");
         }
@@ -358,49 +356,15 @@
     });
 }
 
-// Returns how many tasks of a step another shard has room for; 0 when it may get none.
-std::size_t count_room(const lending_room& other, const service_id& service, const step_spec& step,
-                       time_point now) {
-    if (!other.open || now < other.no_loans_before) {
-        return 0;
-    }
-    for (const auto& room : other.rooms) {
-        if (room.service != service) {
-            continue;
-        }
-        if (step.filler) {
-            const auto open = room.open.find(step.image);
-            const auto left = open == room.open.end() ? room.fillers : open->second;
-            return static_cast<std::size_t>(std::max<std::int64_t>(0, left) /
-                                            std::max<std::int64_t>(1, step.need.processors.value));
-        }
-        if (!fits(step.need, room.largest)) {
-            return 0;
-        }
-        return static_cast<std::size_t>(std::max<std::int64_t>(
-            1, room.free.processors.value / std::max<std::int64_t>(1, step.need.processors.value)));
-    }
-    return 0;
-}
-
-// Lowers the known room of a shard by what was just lent to it, until its owner reports again.
-void reserve_room(lending_room& other, const service_id& service, const step_spec& step,
-                  std::size_t tasks) {
-    const auto count = static_cast<std::int64_t>(tasks);
-    for (auto& room : other.rooms) {
-        if (room.service != service) {
-            continue;
-        }
-        if (step.filler) {
-            room.fillers -= step.need.processors.value * count;
-            for (auto& [image, open] : room.open) {
-                open -= step.need.processors.value * count;
-            }
-        } else {
-            room.free.processors.value -= step.need.processors.value * count;
-            room.largest.processors.value -= step.need.processors.value;
+// Returns the waiting tasks that may be lent: those for which no room is kept here.
+std::vector<std::uint32_t> find_lendable(const shard_state& shard, const stage_row& stage) {
+    std::vector<std::uint32_t> found;
+    for (const auto index : stage.waiting) {
+        if (!stage.tasks[index].target || !shard.data_centre_open) {
+            found.push_back(index);
         }
     }
+    return found;
 }
 
 void make_loan(shard_state& shard, job_row& job, stage_row& stage, lending_room& other,
@@ -411,9 +375,12 @@
     loan.job = job.id;
     loan.occurrence = stage.occurrence;
     loan.step = stage.step;
-    while (loan.tasks.size() < count && !stage.waiting.empty()) {
-        const auto index = *stage.waiting.begin();
-        stage.waiting.erase(stage.waiting.begin());
+    for (const auto index : find_lendable(shard, stage)) {
+        if (loan.tasks.size() == count) {
+            break;
+        }
+        stage.waiting.erase(index);
+        drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
         stage.tasks[index].away = true;
         stage.tasks[index].loan = loan.number;
         loan.tasks.insert(index);
@@ -475,17 +442,10 @@
     if (step.gang && stage.waiting.size() < step.count) {
         return; // members work only side by side
     }
-    while (!stage.waiting.empty()) {
-        lending_room* best = nullptr;
-        std::size_t most = 0;
-        for (auto& [id, other] : shard.others) {
-            const auto room = count_room(other, job.queue.service, step, now);
-            if (room > most) {
-                best = &other;
-                most = room;
-            }
-        }
+    while (!find_lendable(shard, stage).empty()) {
+        const auto [best, most] = find_lender(shard, job, step, now);
         if (best == nullptr || (step.gang && most < step.count)) {
+            log_no_room(shard, job, stage, now);
             return;
         }
         make_loan(shard, job, stage, *best, step.gang ? step.count : std::min(most, loan_tasks),
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -172,6 +172,7 @@
 void describe_run(run_row& run, const step_spec& step) {
     run.need = step.need;
     run.filler = step.filler;
+    run.lasting = step.lasting;
     run.image = step.image;
     run.tail_target = step.lasting ? step.tail_target : duration(0);
 }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -171,6 +171,10 @@
     for (const auto index : waiting) {
         auto& task = next.stage->tasks[index];
         auto* worker = choose_worker(shard, next, step, index, now);
+        const task_key key{next.job->id, next.stage->occurrence, next.stage->step, index};
+        if (worker == nullptr && reserve_emptying(shard, *next.job, *next.stage, key, now)) {
+            continue;
+        }
         if (worker == nullptr && task.last_failed_on) {
             continue; // another task may use the worker that this one failed on
         }
@@ -186,10 +190,16 @@
 
 } // namespace
 
+bool is_stored(const shard_state& shard, const worker_id& worker) {
+    const auto& commit = shard.commit;
+    const bool changing = commit.sent && commit.workers;
+    return shard.stored_workers.contains(worker) && (!changing || commit.listed.contains(worker));
+}
+
 bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.contact == reach::reachable && worker.looked && worker.listed &&
            !worker.entry.draining && worker.no_starts_before <= now &&
-           shard.stored_workers.contains(worker.entry.target.id);
+           is_stored(shard, worker.entry.target.id);
 }
 
 bool suits_worker(const job_row& job, const stage_row& stage, const worker_row& worker) {
@@ -210,11 +220,7 @@
             idle -= run.need.processors.value * run.pace_wanted / 100;
             continue;
         }
-        const auto job = shard.tables.jobs.find(key.task.job);
-        const bool lasting = job != shard.tables.jobs.end() &&
-                             key.task.step < job->second.spec.steps.size() &&
-                             job->second.spec.steps[key.task.step].lasting;
-        idle -= run.need.processors.value * (lasting ? lasting_use_percent : 100) / 100;
+        idle -= run.need.processors.value * (run.lasting ? lasting_use_percent : 100) / 100;
     }
     return idle;
 }
@@ -238,6 +244,9 @@
         if (!next.stage->waiting.empty()) {
             lend_tasks(shard, *next.job, *next.stage, now);
         }
+        for (const auto index : next.stage->waiting) {
+            next.stage->tasks[index].reserved_in_vain = false; // lending had its turn
+        }
         if (next.stage->waiting.empty()) {
             next.stage->ready_since.reset();
         }
--- a/src/shard_regroup.cpp
+++ b/src/shard_regroup.cpp
@@ -18,9 +18,6 @@
 // A task stays this long before it moves again.
 constexpr duration least_stay{6'000};
 
-// Room at the target is kept for a move this long; a stop and a start take about a second.
-constexpr duration reservation_time{3'000};
-
 // A move must open this many processors to fillers, in thousandths of a core.
 constexpr double least_gain = 2'500;
 
@@ -140,23 +137,6 @@
     }
 }
 
-// Drops reservations whose task did not come.
-bool expire_reservations(shard_state& shard, time_point now, std::size_t& open) {
-    for (auto& [id, worker] : shard.tables.workers) {
-        std::erase_if(worker.reserved, [&](const auto& row) {
-            if (row.second.until > now) {
-                return false;
-            }
-            if (auto* task = find_task(shard.tables, row.first)) {
-                task->target.reset();
-            }
-            return true;
-        });
-        open += worker.reserved.size();
-    }
-    return open < moves_at_once;
-}
-
 } // namespace
 
 void regroup_tasks(shard_state& shard, time_point now) {
@@ -164,12 +144,11 @@
         return;
     }
     shard.next_regroup = now + regroup_interval;
-    std::size_t open = 0;
     const bool allowed = shard.settled && shard.starts_allowed && shard.data_centre_open &&
                          !shard.releasing && has_authority(shard, now);
     const auto demand = note_demand(shard);
     measure_rooms(shard, demand, now);
-    if (!expire_reservations(shard, now, open) || !allowed || demand.images.empty()) {
+    if (expire_reservations(shard, now) >= moves_at_once || !allowed || demand.images.empty()) {
         return;
     }
     std::map<std::string, effect_vector> effects;
@@ -234,8 +213,7 @@
         return;
     }
     const auto& key = best.run->key;
-    best.target->reserved[key.task] = {best.run->need, now + reservation_time};
-    find_task(shard.tables, key.task)->target = best.target->entry.target.id;
+    reserve(shard, key.task, best.run->need, *best.target, now);
     request_stop(*best.run, stop_cause::moved, now);
     shard.counters->count("moves");
     shard.log->write("event=task_moved task={}.{}.{}.{} run={} from={} to={} gain_cores={:.1f}",
--- /dev/null
+++ b/src/shard_reserve.cpp
@@ -0,0 +1,104 @@
+// Keeps room for tasks that need it soon. The pattern it answers: short tasks take every gap as
+// soon as it opens, so that a larger task that lasts never finds room on a busy shard.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmar {
+
+namespace {
+
+// Returns how much of the need is free now, from 0 to 2: the sum of the parts of processors and
+// memory.
+double free_part(const resources& free, const resources& need) {
+    const auto part = [](auto have, auto wanted) {
+        const auto limit = std::max<std::int64_t>(1, wanted.value);
+        return static_cast<double>(std::clamp<std::int64_t>(have.value, 0, limit)) /
+               static_cast<double>(limit);
+    };
+    return part(free.processors, need.processors) + part(free.memory, need.memory);
+}
+
+// Tells whether as many tasks of a stage run on the worker or have room reserved there as may.
+bool is_spread_full(const step_spec& step, const stage_row& stage, const worker_row& worker,
+                    const task_key& task) {
+    if (step.spread_limit == 0) {
+        return false;
+    }
+    const auto running = stage.spread.find(worker.entry.target.id);
+    auto count = running == stage.spread.end() ? 0 : running->second;
+    for (const auto& [key, reservation] : worker.reserved) {
+        count += key.job == task.job && key.occurrence == task.occurrence && key.step == task.step
+                     ? 1
+                     : 0;
+    }
+    return count >= step.spread_limit;
+}
+
+} // namespace
+
+void reserve(shard_state& shard, const task_key& key, const resources& need, worker_row& worker,
+             time_point now) {
+    auto* task = find_task(shard.tables, key);
+    drop_reservation(shard.tables, key);
+    worker.reserved[key] = {need, now + reservation_time};
+    task->target = worker.entry.target.id;
+}
+
+bool reserve_emptying(shard_state& shard, const job_row& job, const stage_row& stage,
+                      const task_key& key, time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    const auto& task = stage.tasks[key.index];
+    if (!step.lasting || step.gang || task.reserved_in_vain) {
+        return false;
+    }
+    if (task.target) {
+        return true;
+    }
+    worker_row* best = nullptr;
+    double most = -1;
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (!takes_starts(shard, worker, now) || task.last_failed_on == id ||
+            !suits_worker(job, stage, worker) || is_spread_full(step, stage, worker, key) ||
+            !fits(step.need, lasting_room(shard.tables, worker))) {
+            continue;
+        }
+        const double part = free_part(free_resources(worker), step.need);
+        if (part > most) {
+            best = &worker;
+            most = part;
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    reserve(shard, key, step.need, *best, now);
+    shard.counters->count("reservations");
+    shard.log->write("event=room_reserved task={}.{}.{}.{} worker={} free_cpu={} free_mem={}",
+                     key.job.value, key.occurrence, key.step, key.index,
+                     best->entry.target.id.value, free_resources(*best, &key).processors.value,
+                     free_resources(*best, &key).memory.value);
+    return true;
+}
+
+std::size_t expire_reservations(shard_state& shard, time_point now) {
+    std::size_t open = 0;
+    for (auto& [id, worker] : shard.tables.workers) {
+        std::erase_if(worker.reserved, [&](const auto& row) {
+            if (row.second.until > now) {
+                return false;
+            }
+            if (auto* task = find_task(shard.tables, row.first)) {
+                task->target.reset();
+                task->reserved_in_vain = true;
+            }
+            shard.place_needed = true;
+            return true;
+        });
+        open += worker.reserved.size();
+    }
+    return open;
+}
+
+} // namespace fulmar
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -44,12 +44,12 @@
         auto& task = stage->tasks[run.key.task.index];
         task.runs.push_back(run.key.number);
         task.last_run = std::max(task.last_run, run.key.number);
-        task.target.reset();
+        drop_reservation(tables, run.key.task);
+        task.reserved_in_vain = false;
         stage->waiting.erase(run.key.task.index);
         ++stage->spread[run.worker];
     }
     worker.runs.insert(run.key);
-    worker.reserved.erase(run.key.task);
     worker.committed.memory.value += run.need.memory.value;
     worker.committed.accelerators.value += run.need.accelerators.value;
     (run.filler ? worker.filler_demand : worker.committed.processors.value) +=
@@ -85,6 +85,17 @@
     }
 }
 
+void drop_reservation(shard_tables& tables, const task_key& key) {
+    auto* task = find_task(tables, key);
+    if (task == nullptr || !task->target) {
+        return;
+    }
+    if (const auto worker = tables.workers.find(*task->target); worker != tables.workers.end()) {
+        worker->second.reserved.erase(key);
+    }
+    task->target.reset();
+}
+
 occurrence_row make_occurrence(const job_spec& spec, std::uint32_t number) {
     occurrence_row made;
     made.number = number;
@@ -140,6 +151,20 @@
     return free;
 }
 
+resources lasting_room(const shard_tables& tables, const worker_row& worker, const task_key* task) {
+    auto room = free_resources(worker, task);
+    for (const auto& key : worker.runs) {
+        const auto& run = tables.runs.at(key);
+        if (run.lasting) {
+            continue;
+        }
+        room.memory.value += run.need.memory.value;
+        room.accelerators.value += run.need.accelerators.value;
+        room.processors.value += run.filler ? 0 : run.need.processors.value;
+    }
+    return room;
+}
+
 void touch(job_row& job) {
     ++job.version;
 }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -102,6 +102,7 @@
     stop_cause cause = stop_cause::none;
     resources need;
     bool filler = false;
+    bool lasting = false;
     time_point ordered;                  // when the start was sent
     worker_clock order_lease;            // the lease in the start order
     std::optional<time_point> confirmed; // when it was first known to run
@@ -137,7 +138,8 @@
     std::string checkpoint;
     std::vector<run_number> runs; // active ones
     std::optional<worker_id> last_failed_on;
-    std::optional<worker_id> target; // worker with room reserved for it, while it moves
+    std::optional<worker_id> target; // worker with room reserved for it
+    bool reserved_in_vain = false;   // a reservation expired since its last start
 };
 
 // One step of one occurrence.
@@ -148,6 +150,7 @@
     std::uint32_t done = 0;
     std::vector<task_row> tasks;
     std::optional<time_point> ready_since;     // when its tasks were first seen waiting for room
+    time_point next_room_log;                  // earliest time of the next line on missing room
     std::set<std::uint32_t> waiting;           // tasks that are to run here and have no active run
     std::map<worker_id, std::uint32_t> spread; // active runs by worker
 };
@@ -230,6 +233,9 @@
 // Removes a run and releases its resources. The task waits again unless it is done.
 void remove_run(shard_tables& tables, const run_key& key);
 
+// Gives up the room that is reserved for a task, if any.
+void drop_reservation(shard_tables& tables, const task_key& key);
+
 // Creates the stages of an occurrence; those without dependencies open at once.
 occurrence_row make_occurrence(const job_spec& spec, std::uint32_t number);
 
@@ -243,6 +249,10 @@
 // reserved for others.
 resources free_resources(const worker_row& worker, const task_key* task = nullptr);
 
+// Returns what is free once the worker's tasks that don't last have ended.
+resources lasting_room(const shard_tables& tables, const worker_row& worker,
+                       const task_key* task = nullptr);
+
 // Notes a change of the job's record.
 void touch(job_row& job);
 
--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -409,63 +409,6 @@
     check_promises(world);
 }
 
-namespace {
-
-// A job whose tasks run until they are cancelled.
-job_spec lasting_job(std::uint32_t tasks) {
-    auto spec = sim_world::simple_job(tasks);
-    spec.steps.front().lasting = true;
-    spec.steps.front().checkpoints = false;
-    spec.steps.front().absences = 1;
-    return spec;
-}
-
-std::size_t count_running(const sim_world& world) {
-    std::size_t total = 0;
-    for (const auto& [id, worker] : const_cast<sim_world&>(world).workers()) {
-        total += worker.model ? worker.model->occupied().size() : 0;
-    }
-    return total;
-}
-
-} // namespace
-
-// A lasting task that stays until its worker has left is away until the lease lapses.
-TEST_CASE("lasting tasks leave a worker before it goes") {
-    sim_world world(19);
-    world.run_for(settle_time);
-    world.submit(0, lasting_job(9), duration(0));
-    world.run_for(duration(1'500));
-    REQUIRE(count_running(world) == 9);
-    for (auto& [id, worker] : world.workers()) {
-        if (worker.model && !worker.model->occupied().empty()) {
-            world.drain_worker(id);
-            world.run_for(duration(2'000));
-            CHECK(worker.model->occupied().empty());
-            CHECK(count_running(world) == 9);
-            break;
-        }
-    }
-    check_promises(world);
-}
-
-// The lease of a lost worker decides how long its tasks are away.
-TEST_CASE("lasting tasks of a crashed worker run again within six seconds") {
-    sim_world world(20);
-    world.run_for(settle_time);
-    world.submit(0, lasting_job(9), duration(0));
-    world.run_for(duration(1'500));
-    for (const auto& [id, worker] : world.workers()) {
-        if (worker.model && !worker.model->occupied().empty()) {
-            world.crash_worker(id);
-            break;
-        }
-    }
-    CHECK(count_running(world) < 9);
-    CHECK(world.run_until([&] { return count_running(world) == 9; }, duration(6'000)));
-    check_promises(world);
-}
-
 // Bytes that others leave beside the workers' entries name no worker and hide none.
 TEST_CASE("unreadable entries are left alone") {
     sim_world world(16);
--- /dev/null
+++ b/tests/lasting_tasks_test.cpp
@@ -0,0 +1,137 @@
+// Lasting tasks: where they find room, and how soon they run again.
+#include "sim_promises.hpp"
+
+namespace fulmar {
+
+namespace {
+
+// A job whose tasks run until they are cancelled.
+job_spec lasting_job(std::uint32_t tasks) {
+    auto spec = sim_world::simple_job(tasks);
+    spec.steps.front().lasting = true;
+    spec.steps.front().checkpoints = false;
+    spec.steps.front().absences = 1;
+    return spec;
+}
+
+std::size_t count_running(const sim_world& world) {
+    std::size_t total = 0;
+    for (const auto& [id, worker] : const_cast<sim_world&>(world).workers()) {
+        total += worker.model ? worker.model->occupied().size() : 0;
+    }
+    return total;
+}
+
+// Returns how many runs of a job are on workers whose names begin so.
+std::size_t count_running(sim_world& world, const std::string& job, const std::string& prefix) {
+    std::size_t total = 0;
+    for (const auto& [id, worker] : world.workers()) {
+        if (worker.model && id.starts_with(prefix)) {
+            for (const auto& [run, need] : worker.model->occupied()) {
+                total += run.task.job.value == job ? 1 : 0;
+            }
+        }
+    }
+    return total;
+}
+
+} // namespace
+
+// A lasting task that stays until its worker has left is away until the lease lapses.
+TEST_CASE("lasting tasks leave a worker before it goes") {
+    sim_world world(19);
+    world.run_for(settle_time);
+    world.submit(0, lasting_job(9), duration(0));
+    world.run_for(duration(1'500));
+    REQUIRE(count_running(world) == 9);
+    for (auto& [id, worker] : world.workers()) {
+        if (worker.model && !worker.model->occupied().empty()) {
+            world.drain_worker(id);
+            world.run_for(duration(2'000));
+            CHECK(worker.model->occupied().empty());
+            CHECK(count_running(world) == 9);
+            break;
+        }
+    }
+    check_promises(world);
+}
+
+// The lease of a lost worker decides how long its tasks are away.
+TEST_CASE("lasting tasks of a crashed worker run again within six seconds") {
+    sim_world world(20);
+    world.run_for(settle_time);
+    world.submit(0, lasting_job(9), duration(0));
+    world.run_for(duration(1'500));
+    for (const auto& [id, worker] : world.workers()) {
+        if (worker.model && !worker.model->occupied().empty()) {
+            world.crash_worker(id);
+            break;
+        }
+    }
+    CHECK(count_running(world) < 9);
+    CHECK(world.run_until([&] { return count_running(world) == 9; }, duration(6'000)));
+    check_promises(world);
+}
+
+// Short tasks took each gap as soon as it opened, so that a larger lasting task never started.
+TEST_CASE("a lasting task starts on a data centre kept full by short tasks") {
+    sim_world world(21, {"east"});
+    world.run_for(settle_time);
+    const auto add_short_work = [&](std::size_t rounds) {
+        for (std::size_t i = 0; i < rounds; ++i) {
+            world.submit(i % 2, sim_world::simple_job(40), duration(700), "previews");
+            world.run_for(duration(400));
+        }
+    };
+    add_short_work(8);
+    auto spec = lasting_job(2);
+    spec.steps.front().need = {{6'000}, {4'000}, {0}};
+    const auto job = world.submit(0, spec, duration(0));
+    add_short_work(8);
+    CHECK(count_running(world, job, "w-") == 2);
+    check_promises(world);
+}
+
+// A lasting task whose shard has no room stayed on a draining worker until that had left.
+TEST_CASE("lasting tasks of a full data centre leave a draining worker for another one") {
+    sim_world world(22);
+    world.run_for(settle_time);
+    world.evacuate("west", true);
+    world.run_for(duration(1'000));
+    auto spec = lasting_job(6);
+    spec.steps.front().need = {{7'000}, {4'000}, {0}};
+    const auto job = world.submit(0, spec, duration(0));
+    world.run_for(duration(2'000));
+    REQUIRE(count_running(world, job, "w-east") == 6);
+    world.evacuate("west", false);
+    world.run_for(duration(1'000));
+    world.drain_worker("w-east-0");
+    CHECK(
+        world.run_until([&] { return count_running(world, job, "w-west") == 1; }, duration(3'000)));
+    CHECK(count_running(world, job, "w-") == 6);
+    check_promises(world);
+}
+
+// Each takeover waited anew for workers that were lost long before it.
+TEST_CASE("a takeover doesn't wait for workers whose leases had ended before") {
+    sim_world world(23, {"east"});
+    world.run_for(settle_time);
+    world.submit(0, lasting_job(9), duration(0));
+    world.run_for(duration(1'500));
+    world.workers().at("w-east-0").cut = true;
+    world.run_for(duration(9'000));
+    REQUIRE(count_running(world) == 9);
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    const auto job = world.submit(1 - *owner, sim_world::simple_job(60), duration(900));
+    world.run_for(duration(300));
+    REQUIRE(world.jobs().at(job).ever_accepted);
+    world.kill_host(*owner);
+    REQUIRE(
+        world.run_until([&] { return world.owner_of("east.0") == 1 - *owner; }, duration(4'000)));
+    world.run_for(duration(1'500));
+    CHECK(count_running(world, job, "w-") > 0);
+    check_promises(world);
+}
+
+} // namespace fulmar
