Acknowledge no end before the job's cancellation is stored

The owner was lost; its successor found the job running, and the worker no longer reported the end.

Change: every end waits for the present version of its job's record. Test: fails before the change (acknowledged 1 instead of 0); 193 cases pass.

--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -177,6 +177,15 @@
     return failed.size();
 }
 
+// Notes an end that was handled. It is acknowledged once the job's record is stored as it is now:
+// if the end or the cancellation of a job were lost with its owner, a successor would take the task
+// for a waiting one.
+void note_end(const shard_state& shard, worker_row& worker, const ended_row& row) {
+    const auto job = shard.tables.jobs.find(row.run.task.job);
+    const auto version = job == shard.tables.jobs.end() ? 0 : job->second.version;
+    worker.ends.push_back({row.number, row.run.task.job, version});
+}
+
 } // namespace
 
 bool complete_task(shard_state& shard, job_row& job, const task_key& key, time_point now,
@@ -236,7 +245,7 @@
                          key.number.value, worker.entry.target.id.value, to_string(row.kind));
     }
     if (task == nullptr || task->done) {
-        worker.ends.push_back({row.number, key.task.job, 0});
+        note_end(shard, worker, row);
         return;
     }
     if (task->loan != 0 && !is_guest(shard.tables.jobs.at(key.task.job))) {
@@ -245,7 +254,7 @@
         shard.log->write("event=late_end_ignored task={}.{}.{}.{} run={} worker={} end={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
                          key.number.value, worker.entry.target.id.value, to_string(row.kind));
-        worker.ends.push_back({row.number, key.task.job, 0});
+        note_end(shard, worker, row);
         return;
     }
     auto& job = shard.tables.jobs.at(key.task.job);
@@ -278,7 +287,7 @@
         assert(task->done || task->away || stage->waiting.contains(key.task.index));
     }
     note_change(shard, job, urgent, now);
-    worker.ends.push_back({row.number, job.id, job.version});
+    note_end(shard, worker, row);
 }
 
 void on_hold_reply(shard_state& shard, const worker_id& id, const result<hold_reply>& reply,
--- a/tests/shard_records_test.cpp
+++ b/tests/shard_records_test.cpp
@@ -153,3 +153,48 @@
         progress = encode_progress(row);
     }
 }
+
+// The cancellation wasn't stored when the owner was lost. Its successor found the job running and
+// started a task again whose end had been acknowledged.
+TEST_CASE("an end that comes after a cancellation is acknowledged once that is stored") {
+    metrics counters;
+    decision_log log("", {}, {});
+    const auto job = make_job();
+    const shard_record record{{"east.0"}, {"east"}, {{"r1"}}};
+    worker_entry entry;
+    entry.target = {{"w1"}, {"10.0.0.1", 1}};
+    time_point now{duration(1'000)};
+    const unix_time unix_now{1'700'000'000'000};
+    auto shard = make_shard(record, {"host/1"}, {1}, {1}, {}, counters, log);
+    load_shard(shard, {{job_key(record.id, job.id), encode_job(job), {1}},
+                       {progress_key(record.id, job.id), encode_progress(job), {2}}});
+    shard.claim_confirmed = now;
+    on_worker_entry(shard, entry, now);
+    hold_reply report;
+    report.clock = {1'000};
+    on_hold_reply(shard, entry.target.id, report, now, now, unix_now);
+    cancel_job(shard, job.id, 1, now, unix_now);
+    report.clock = {1'100};
+    report.ended = {{1, {{job.id, 0, 0, 0}, {1}}, end_kind::done, ""}};
+    const auto last_acknowledged = [&] {
+        std::uint64_t acknowledged = 0;
+        shard_actions actions;
+        now += duration(400);
+        shard.claim_confirmed = now;
+        advance(shard, now, unix_now, actions);
+        for (const auto& hold : actions.holds) {
+            acknowledged = std::max(acknowledged, hold.order.acknowledged);
+        }
+        return acknowledged;
+    };
+    CHECK(last_acknowledged() == 0);
+    on_hold_reply(shard, entry.target.id, report, now, now, unix_now);
+    CHECK(last_acknowledged() == 0);
+    transaction_reply stored;
+    stored.applied = revision_number{5};
+    on_commit_reply(shard, stored, now, now);
+    last_acknowledged(); // what came after the first transaction is sent
+    on_commit_reply(shard, stored, now, now);
+    on_hold_reply(shard, entry.target.id, report, now, now, unix_now);
+    CHECK(last_acknowledged() == 1);
+}
