Hold fillers when a neighbour is mostly over its target

Change: the limit now counts from the time at which the average of about two figures was over the target, until it is above it by half of the error. Test: pacing_test.cpp; fails before the change (pace 55 instead of 0). No functional change of the old daemons.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -26,6 +26,13 @@
 constexpr duration over_blamed{1'200};
 constexpr duration over_all{2'200};
 
+// One figure errs by a fifth near the target, so that a task that is over it for seconds shows some
+// figures below. For the longer time two figures count about equally, more than the limit counts as
+// the limit, and a task is over until the result is above the target by half of that error.
+constexpr double slack_weight = 0.5;
+constexpr double slack_limit = 1.2;
+constexpr double sound_slack = 1.1;
+
 // A filler at this pace or less is held; it is stopped after this time if others have room for it.
 constexpr int held_percent = 10;
 constexpr duration held_time{900};
@@ -78,6 +85,13 @@
         } else if (!run->over_since) {
             run->over_since = now;
         }
+        const double shown = std::min(slack, slack_limit);
+        run->slack = run->slack == 0 ? shown : run->slack + slack_weight * (shown - run->slack);
+        if (run->slack >= sound_slack) {
+            run->mostly_over_since.reset();
+        } else if (run->slack < 1.0 && !run->mostly_over_since) {
+            run->mostly_over_since = now;
+        }
     }
 }
 
@@ -196,6 +210,7 @@
     std::vector<const run_row*> serving;
     std::vector<run_row*> fillers;
     duration over{0};
+    duration mostly_over{0};
     for (const auto& key : worker.runs) {
         auto& run = shard.tables.runs.at(key);
         if (run.phase == run_phase::stopping) {
@@ -204,6 +219,8 @@
         if (run.tail_target.count() > 0) {
             serving.push_back(&run);
             over = std::max(over, run.over_since ? now - *run.over_since : duration(0));
+            mostly_over = std::max(mostly_over, run.mostly_over_since ? now - *run.mostly_over_since
+                                                                      : duration(0));
         } else if (run.filler) {
             fillers.push_back(&run);
         }
@@ -234,7 +251,7 @@
             }
         }
         auto pace = static_cast<int>(100 * allowed);
-        if (over >= over_all || (over >= over_blamed && blamed)) {
+        if (mostly_over >= over_all || (over >= over_blamed && blamed)) {
             pace = 0;
         }
         if (std::abs(pace - run->pace_wanted) >= pace_step || pace == 0 || pace == 100) {
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -117,6 +117,8 @@
     std::string image;
     duration tail_target{0};              // of a serving task; 0: not one
     std::optional<time_point> over_since; // when its tail was first seen over the target
+    double slack = 0; // target divided by tail, over the last figures; 0: none yet
+    std::optional<time_point> mostly_over_since; // when those were over the target
     int pace_wanted = 100;
     std::optional<time_point> held_since; // when a filler's pace was last lowered to almost nothing
     int pace_known = 100;                 // last one that the worker took
--- /dev/null
+++ b/tests/pacing_test.cpp
@@ -0,0 +1,88 @@
+// Pacing of fillers beside serving tasks.
+#include "shard_control.hpp"
+#include "shard_records.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fulmar;
+
+namespace {
+
+constexpr unix_time wall_clock{1'700'000'000'000};
+constexpr duration tail_target{100};
+
+// A job with one serving task and one with one filler, on one worker.
+struct shared_worker {
+    metrics counters;
+    decision_log log{"", {}, {}};
+    shard_record record{{"east.0"}, {"east"}, {{"r1"}}};
+    time_point now{duration(1'000)};
+    worker_entry entry;
+    run_key serving;
+    run_key filler;
+    shard_state shard;
+
+    shared_worker() {
+        entry.target = {{"w1"}, {"10.0.0.1", 1}};
+        entry.service = {"desk"};
+        entry.capacity = {{8'000}, {32'000}, {0}};
+        shard = make_shard(record, {"host/1"}, {1}, {1}, {}, counters, log);
+        serving = add_job("00000000000000aa", true);
+        filler = add_job("00000000000000bb", false);
+        on_worker_entry(shard, entry, now);
+    }
+
+    run_key add_job(const std::string& id, bool lasting) {
+        job_row job;
+        job.id = {id};
+        job.queue.service = {"desk"};
+        job.accepted = wall_clock;
+        step_spec step;
+        step.count = 1;
+        step.need = {{2'000}, {512}, {0}};
+        step.image = lasting ? "server" : "batch";
+        step.lasting = lasting;
+        step.filler = !lasting;
+        step.tail_target = lasting ? tail_target : duration(0);
+        job.spec.steps = {step};
+        job.next_occurrence = 1;
+        job.occurrences.emplace(0, make_occurrence(job.spec, 0));
+        load_shard(shard, {{job_key(record.id, job.id), encode_job(job), {1}},
+                           {progress_key(record.id, job.id), encode_progress(job), {2}}});
+        return {{job.id, 0, 0, 0}, {1}};
+    }
+
+    // Reports a tail and the filler's use of processors, half a second after the last report.
+    void report(duration tail) {
+        now += duration(500);
+        hold_reply reply;
+        reply.clock = {now.time_since_epoch().count()};
+        reply.running = {{serving, "", 0, tail.count()}, {filler, "", 0, 2'000}};
+        on_hold_reply(shard, entry.target.id, reply, now, now, wall_clock);
+    }
+
+    int pace() const { return shard.tables.runs.at(filler).pace_wanted; }
+};
+
+} // namespace
+
+// Figures are rough: a task that was over its target for four seconds showed one in three below it,
+// and each of those began the time that fillers are given anew.
+TEST_CASE("a filler stands still when figures around the target are too high on average") {
+    shared_worker world;
+    for (int i = 0; i < 3; ++i) {
+        world.report(duration(120));
+        world.report(duration(115));
+        world.report(duration(96));
+    }
+    CHECK(world.pace() == 0);
+}
+
+// One figure over the target between sound ones doesn't stop the work beside it.
+TEST_CASE("a single figure over the target stops no filler") {
+    shared_worker world;
+    for (int i = 0; i < 6; ++i) {
+        world.report(duration(i == 3 ? 110 : 40));
+    }
+    CHECK(world.pace() > 0);
+}
