tests: tasks run on workers of their service and with their label

Change: one simulated case with a service of one worker and a job that needs the label of one rack, handed in at every host. No functional change of the old daemons.

--- a/tests/host_sim_test.cpp
+++ b/tests/host_sim_test.cpp
@@ -409,6 +409,34 @@
     check_promises(world);
 }
 
+// A task on a worker of another service, or without the label that it needs, can't work there.
+TEST_CASE("tasks run on workers of their service and with their label") {
+    sim_world world(24);
+    world.workers().at("w-west-5").entry.service.value = "side";
+    world.crash_worker("w-west-5");
+    world.start_worker("w-west-5");
+    world.configure({world.queue("previews"), world.queue("renders"), world.queue("side")});
+    world.run_for(settle_time);
+    auto labelled = sim_world::simple_job(6);
+    labelled.steps.front().label = "west-r0";
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        world.submit(host, labelled, duration(300));
+        world.submit(host, sim_world::simple_job(6), duration(300));
+    }
+    const auto side = world.submit(0, sim_world::simple_job(6), duration(300), "side");
+    REQUIRE(finish_all(world, duration(20'000)));
+    for (const auto& [id, worker] : world.workers()) {
+        for (const auto& run : worker.model->observed()) {
+            const auto& job = world.jobs().at(run.run.task.job.value);
+            const auto& label = job.spec.steps.front().label;
+            CHECK((label.empty() || worker.entry.rack.value == label));
+            CHECK((run.run.task.job.value == side) == (id == "w-west-5"));
+        }
+    }
+    CHECK(count_phase(world, job_phase::completed) == world.jobs().size());
+    check_promises(world);
+}
+
 // Bytes that others leave beside the workers' entries name no worker and hide none.
 TEST_CASE("unreadable entries are left alone") {
     sim_world world(16);
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -384,7 +384,7 @@
     made.id.value = name;
     made.host = "desk.example";
     made.prefix = "/" + name + "/";
-    made.service.value = "desk";
+    made.service.value = name == "side" ? "side" : "desk";
     made.priority = name == "previews" ? 0 : 2;
     made.max_attempts = 3;
     made.stretch = 2;
