Hold fillers by the average figure after 2.7 s

Cause: the limit of 2.2 s on the average of two figures also held fillers beside tasks that were near their target by noise. Change: 2.2 s counts unbroken time over the target, as before, and 2.7 s the average. The test of the average holds with both limits. No functional change of the old daemons.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -26,6 +26,10 @@
 constexpr duration over_blamed{1'200};
 constexpr duration over_all{2'200};
 
+// The same for all when some figures are below the target. It is noticed within 0.5 s and a new
+// pace works within 0.7 s.
+constexpr duration mostly_over_all{2'700};
+
 // One figure errs by a fifth near the target, so that a task that is over it for seconds shows some
 // figures below. For the longer time two figures count about equally, more than the limit counts as
 // the limit, and a task is over until the result is above the target by half of that error.
@@ -251,7 +255,7 @@
             }
         }
         auto pace = static_cast<int>(100 * allowed);
-        if (mostly_over >= over_all || (over >= over_blamed && blamed)) {
+        if (over >= over_all || mostly_over >= mostly_over_all || (over >= over_blamed && blamed)) {
             pace = 0;
         }
         if (std::abs(pace - run->pace_wanted) >= pace_step || pace == 0 || pace == 100) {
