End reservations with their worker

Cause: found by reading the change. A worker that another life answers for and that the platform no longer lists is forgotten at once. A task with room reserved there kept pointing to it: place_stage and lend_tasks then took the room for kept for ever, so that the task never started, and find_room would have read a row that is gone. Change: a forgotten worker's reservations are dropped first.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -55,6 +55,7 @@
                           worker.runs.empty() && !worker.hold_in_flight && worker.ends.empty() &&
                           has_lapsed(shard, worker, now) && !shard.predecessors.contains(it->first);
         if (gone) {
+            drop_reservations(shard.tables, worker);
             shard.log->write("event=worker_forgotten shard={} worker={}", shard.id.value,
                              it->first.value);
             it = shard.tables.workers.erase(it);
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -96,6 +96,16 @@
     task->target.reset();
 }
 
+void drop_reservations(shard_tables& tables, worker_row& worker) {
+    while (!worker.reserved.empty()) {
+        const auto key = worker.reserved.begin()->first;
+        if (auto* task = find_task(tables, key); task != nullptr) {
+            task->target.reset();
+        }
+        worker.reserved.erase(key);
+    }
+}
+
 occurrence_row make_occurrence(const job_spec& spec, std::uint32_t number) {
     occurrence_row made;
     made.number = number;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -238,6 +238,9 @@
 // Gives up the room that is reserved for a task, if any.
 void drop_reservation(shard_tables& tables, const task_key& key);
 
+// Gives up all room that is reserved on a worker.
+void drop_reservations(shard_tables& tables, worker_row& worker);
+
 // Creates the stages of an occurrence; those without dependencies open at once.
 occurrence_row make_occurrence(const job_spec& spec, std::uint32_t number);
 
--- a/tests/shard_records_test.cpp
+++ b/tests/shard_records_test.cpp
@@ -198,3 +198,25 @@
     on_hold_reply(shard, entry.target.id, report, now, now, unix_now);
     CHECK(last_acknowledged() == 1);
 }
+
+// Ends that aren't taken note of are kept by the workers and reported again and again.
+TEST_CASE("an end that needs no transaction is acknowledged with the next hold") {
+    metrics counters;
+    decision_log log("", {}, {});
+    const shard_record record{{"east.0"}, {"east"}, {{"r1"}}};
+    worker_entry entry;
+    entry.target = {{"w1"}, {"10.0.0.1", 1}};
+    const time_point now{duration(1'000)};
+    const unix_time unix_now{1'700'000'000'000};
+    auto shard = make_shard(record, {"host/1"}, {1}, {1}, {}, counters, log);
+    shard.claim_confirmed = now;
+    on_worker_entry(shard, entry, now);
+    hold_reply report;
+    report.clock = {1'000};
+    report.ended = {{1, {{{"00000000000000aa"}, 0, 0, 0}, {1}}, end_kind::stopped, ""}};
+    on_hold_reply(shard, entry.target.id, report, now, now, unix_now);
+    shard_actions actions;
+    advance(shard, now, unix_now, actions);
+    REQUIRE(actions.holds.size() == 1);
+    CHECK(actions.holds.front().order.acknowledged == 1);
+}
