Let the status of 60 shards fit into a datagram

Cause: found by reading the change. The room for lasting tasks is sent as objects with field names; a status of 60 shards takes 35,619 bytes with it, but receivers cut at 16,384. Hosts that can't read each other's status take each other's shards. Effects, 80 for each shard, were not limited either. Change: resources travel as rows, effects are limited for all shards together, and the limit is 60,000 bytes, below the 65,507 of UDP.

--- a/src/filler_effects.cpp
+++ b/src/filler_effects.cpp
@@ -16,7 +16,7 @@
 // No estimate is taken to be more certain than this, as effects drift.
 constexpr double least_variance = 0.04;
 
-// Estimates in one message; a datagram stays well under 16 KiB.
+// Estimates of one shard that are told.
 constexpr std::size_t shared_limit = 80;
 
 // Tasks of one job differ by about 0.3 at the same moment; errors of the level are shared by many
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -361,6 +361,7 @@
             shard.effects = share_effects(owned_.at(shard.id)->state.effects);
             shared_effects_[shard.id] = shard.effects;
         }
+        limit_effects(status);
     }
     const auto datagram = encode(status);
     for (const auto& [name, peer] : peers_) {
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -16,6 +16,9 @@
 // when two fit on each, in about 100 bytes.
 constexpr std::size_t told_lasting_rooms = 8;
 
+// Estimates of effects in one datagram, of all shards together; about 30 bytes each.
+constexpr std::size_t told_effects = 400;
+
 std::int64_t to_hundredths(double value) {
     return static_cast<std::int64_t>(value * hundredths);
 }
@@ -50,6 +53,17 @@
     room.lasting.push_back(lasting_room(shard.tables, worker));
 }
 
+// Resources as a row; names would take most of a datagram.
+json encode_row(const resources& amount) {
+    return {amount.processors, amount.memory, amount.accelerators};
+}
+
+resources decode_row(const json& row) {
+    return {row.at(0).get<decltype(resources::processors)>(),
+            row.at(1).get<decltype(resources::memory)>(),
+            row.at(2).get<decltype(resources::accelerators)>()};
+}
+
 // Keeps the workers with most room for lasting tasks.
 void keep_largest(std::vector<resources>& rooms) {
     std::sort(rooms.begin(), rooms.end(), [](const resources& a, const resources& b) {
@@ -103,8 +117,12 @@
         }
         json rooms = json::array();
         for (const auto& room : shard.rooms) {
-            rooms.push_back(
-                {room.service, room.free, room.largest, room.fillers, room.open, room.lasting});
+            json lasting = json::array();
+            for (const auto& free : room.lasting) {
+                lasting.push_back(encode_row(free));
+            }
+            rooms.push_back({room.service, encode_row(room.free), encode_row(room.largest),
+                             room.fillers, room.open, std::move(lasting)});
         }
         shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending),
                           std::move(rooms), std::move(effects)});
@@ -151,9 +169,12 @@
                 shard.pending[entry.at(0).get<queue_id>()] = entry.at(1).get<std::uint64_t>();
             }
             for (const auto& room : row.at(4)) {
-                shard.rooms.push_back({room.at(0).get<service_id>(), room.at(1).get<resources>(),
-                                       room.at(2).get<resources>(),
-                                       room.at(5).get<std::vector<resources>>(),
+                std::vector<resources> lasting;
+                for (const auto& free : room.at(5)) {
+                    lasting.push_back(decode_row(free));
+                }
+                shard.rooms.push_back({room.at(0).get<service_id>(), decode_row(room.at(1)),
+                                       decode_row(room.at(2)), std::move(lasting),
                                        room.at(3).get<std::int64_t>(),
                                        room.at(4).get<std::map<std::string, std::int64_t>>()});
             }
@@ -170,6 +191,13 @@
     }
 }
 
+void limit_effects(host_status& status) {
+    const auto most = told_effects / std::max<std::size_t>(1, status.shards.size());
+    for (auto& shard : status.shards) {
+        shard.effects.resize(std::min(shard.effects.size(), most));
+    }
+}
+
 shard_status summarize(const shard_state& shard) {
     shard_status status;
     status.id = shard.id;
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -11,6 +11,11 @@
 
 namespace fulmar {
 
+// Largest datagram between hosts, in bytes: below the 65,507 of UDP. The status of 60 shards fits,
+// as the last host of a deployment of 590 workers would own them; larger ones are cut and fail to
+// parse.
+inline constexpr std::size_t datagram_limit_bytes = 60'000;
+
 // A host's entry in the store.
 struct host_record {
     host_id name;
@@ -58,6 +63,9 @@
 std::string encode(const host_status& status);
 result<host_status> parse_host_status(std::string_view datagram);
 
+// Keeps the most certain effects of each shard, as many as a datagram has room for.
+void limit_effects(host_status& status);
+
 // Sums up a shard's load.
 shard_status summarize(const shard_state& shard);
 
--- a/src/net_peer_link.cpp
+++ b/src/net_peer_link.cpp
@@ -1,5 +1,7 @@
 #include "net_peer_link.hpp"
 
+#include "host_gossip.hpp"
+
 #include <asio/ip/udp.hpp>
 #include <asio/post.hpp>
 
@@ -9,9 +11,6 @@
 
 namespace {
 
-// A status of 60 shards fits; larger datagrams are cut and fail to parse.
-constexpr std::size_t datagram_limit_bytes = 16 * 1024;
-
 // A job of 20,000 tasks, or all operators' orders.
 constexpr std::size_t call_limit_bytes = 8 * 1024 * 1024;
 
