Remove what stands twice around reservations, lists and requests

Cause: found by reading the change as a whole. The search for a leaving task's worker and the search for room that is being emptied were two loops; the list of workers was compared in one function and built in another; "a list is in the transaction under way" stood in two places, as did the time since a moment and the beginning of a request. Change: reserve_emptying serves both searches (of workers where the task fits now it takes the one with most free processors, as before), find_used_workers both uses of the list; find_pending_list, time_since, uses_lasting_room and begin_request replace the repeats. Left: the shapes of tests that are alike, the stand-ins' options, and tables of constants that only look alike.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -183,6 +183,7 @@
     // Requests.
     struct request;
     using request_pointer = std::shared_ptr<request>;
+    request_pointer begin_request(const job_id& id, duration patience) const;
     void route_submit(const request_pointer& request);
     void submit_to(const request_pointer& request, const shard_id& shard);
     void submit_local(const shard_pointer& shard, const job_id& id, const queue_spec& queue,
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -87,35 +87,35 @@
     phase_callback on_phase;
 };
 
+host_control::request_pointer host_control::begin_request(const job_id& id,
+                                                          duration patience) const {
+    auto next = std::make_shared<request>();
+    next->id = id;
+    next->began = loop_.now();
+    next->deadline = next->began + patience;
+    return next;
+}
+
 void host_control::submit(const job_id& id, const queue_spec& queue, job_spec spec,
                           duration patience, submit_callback done) {
-    auto next = std::make_shared<request>();
+    const auto next = begin_request(id, patience);
     next->kind = request_kind::submit;
-    next->id = id;
     next->queue = queue;
     next->spec = std::move(spec);
-    next->began = loop_.now();
-    next->deadline = next->began + patience;
     next->on_submit = std::move(done);
     route_submit(next);
 }
 
 void host_control::query(const job_id& id, duration patience, phase_callback done) {
-    auto next = std::make_shared<request>();
+    const auto next = begin_request(id, patience);
     next->kind = request_kind::query;
-    next->id = id;
-    next->began = loop_.now();
-    next->deadline = next->began + patience;
     next->on_phase = std::move(done);
     locate(next);
 }
 
 void host_control::cancel(const job_id& id, duration patience, phase_callback done) {
-    auto next = std::make_shared<request>();
+    const auto next = begin_request(id, patience);
     next->kind = request_kind::cancel;
-    next->id = id;
-    next->began = loop_.now();
-    next->deadline = next->began + patience;
     next->on_phase = std::move(done);
     locate(next);
 }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -88,21 +88,6 @@
     return used;
 }
 
-// Tells whether the stored list of workers differs from those that are used.
-bool is_worker_list_stale(const shard_state& shard, time_point now) {
-    std::size_t used = 0;
-    for (const auto& [id, worker] : shard.tables.workers) {
-        if (!is_used(shard, worker, now)) {
-            continue;
-        }
-        ++used;
-        if (!shard.stored_workers.contains(id)) {
-            return true;
-        }
-    }
-    return used != shard.stored_workers.size();
-}
-
 std::string make_worker_list(const shard_state& shard, const std::set<worker_id>& listed) {
     std::vector<known_worker> rows;
     rows.reserve(listed.size());
@@ -125,9 +110,9 @@
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
     std::size_t entries = fixed_entries;
-    commit.workers = is_worker_list_stale(shard, now);
+    auto used = find_used_workers(shard, now);
+    commit.workers = used != shard.stored_workers;
     if (commit.workers) {
-        auto used = find_used_workers(shard, now);
         next.puts.push_back({worker_list_key(shard.id), make_worker_list(shard, used), {}});
         ++entries;
         commit.listed = std::move(used);
@@ -180,7 +165,7 @@
 // Tells whether something is left to store.
 bool is_dirty(const shard_state& shard, time_point now) {
     const auto& jobs = shard.tables.jobs;
-    return is_worker_list_stale(shard, now) || !shard.to_purge.empty() ||
+    return find_used_workers(shard, now) != shard.stored_workers || !shard.to_purge.empty() ||
            std::any_of(jobs.begin(), jobs.end(), [](const auto& row) {
                return !row.second.spec_stored || row.second.stored != row.second.version;
            });
@@ -301,6 +286,16 @@
     }
 }
 
+const std::set<worker_id>* find_pending_list(const commit_state& commit) {
+    return commit.sent && commit.workers ? &commit.listed : nullptr;
+}
+
+bool is_stored(const shard_state& shard, const worker_id& worker) {
+    const auto* pending = find_pending_list(shard.commit);
+    return shard.stored_workers.contains(worker) &&
+           (pending == nullptr || pending->contains(worker));
+}
+
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions) {
     auto& commit = shard.commit;
     // Jobs of hand-ins that turned out to exist elsewhere have no row any more.
@@ -340,7 +335,7 @@
         if (!commit.dirty_since && !shard.to_purge.empty()) {
             commit.dirty_since = now;
         }
-        if (!commit.dirty_since && is_worker_list_stale(shard, now)) {
+        if (!commit.dirty_since && find_used_workers(shard, now) != shard.stored_workers) {
             commit.dirty_since = now;
         }
         if (!commit.dirty_since ||
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -201,7 +201,6 @@
                 row.entry.target = worker.target;
                 row.entry.data_centre = shard.data_centre;
                 shard.predecessors.insert(worker.target.id);
-                shard.loaded_workers = shard.predecessors.size();
                 shard.stored_workers.insert(worker.target.id);
             }
         } else if (entry.key.starts_with(progress)) {
@@ -214,6 +213,7 @@
             }
         }
     }
+    shard.loaded_workers = shard.predecessors.size();
     load_loans(shard);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
@@ -430,9 +430,8 @@
         });
         return static_cast<std::size_t>(accepted) * 2 > listed.size();
     };
-    const auto& commit = shard.commit;
-    const bool changing = commit.sent && commit.workers;
-    return is_majority(shard.stored_workers) && (!changing || is_majority(commit.listed));
+    const auto* pending = find_pending_list(shard.commit);
+    return is_majority(shard.stored_workers) && (pending == nullptr || is_majority(*pending));
 }
 
 bool needs_claim_check(const shard_state& shard, time_point now) {
--- a/src/shard_drain.cpp
+++ b/src/shard_drain.cpp
@@ -8,23 +8,6 @@
 
 namespace {
 
-// Returns the worker with most room for a task that has to move, or nullptr.
-worker_row* find_target(shard_state& shard, const job_row& job, const stage_row& stage,
-                        const run_row& run, time_point now) {
-    worker_row* best = nullptr;
-    for (auto& [id, worker] : shard.tables.workers) {
-        if (!takes_starts(shard, worker, now) || !suits_worker(job, stage, worker) ||
-            !fits(run.need, free_resources(worker))) {
-            continue;
-        }
-        if (best == nullptr ||
-            free_resources(worker).processors > free_resources(*best).processors) {
-            best = &worker;
-        }
-    }
-    return best;
-}
-
 // Tells whether a run can be stopped here and started elsewhere by itself.
 bool is_movable(const job_row& job, const run_row& run) {
     const auto& step = job.spec.steps[run.key.task.step];
@@ -37,17 +20,10 @@
                time_point now) {
     const auto& key = run.key.task;
     auto& task = *find_task(shard.tables, key);
-    if (task.target) {
+    if (reserve_emptying(shard, job, stage, key, now)) {
         const auto& target = shard.tables.workers.at(*task.target);
         return takes_starts(shard, target, now) && fits(run.need, free_resources(target, &key));
     }
-    if (auto* target = find_target(shard, job, stage, run, now); target != nullptr) {
-        reserve(shard, key, run.need, *target, now);
-        return true;
-    }
-    if (reserve_emptying(shard, job, stage, key, now)) {
-        return false;
-    }
     task.reserved_in_vain = false; // try again, unless another shard has room
     return has_room_elsewhere(shard, job, job.spec.steps[key.step], now);
 }
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -79,8 +79,8 @@
 void reserve(shard_state& shard, const task_key& key, const resources& need, worker_row& worker,
              time_point now);
 
-// Keeps room for a waiting lasting task on a worker where it fits once shorter tasks have ended.
-// Returns whether room is kept for it.
+// Keeps room for a lasting task that waits or has to move: on a worker where it fits, or else where
+// it fits once shorter tasks have ended. Returns whether room is kept for it.
 bool reserve_emptying(shard_state& shard, const job_row& job, const stage_row& stage,
                       const task_key& key, time_point now);
 
@@ -105,6 +105,9 @@
 bool has_room_elsewhere(const shard_state& shard, const job_row& job, const step_spec& step,
                         time_point now);
 
+// Returns the list of workers in the transaction under way, or nullptr.
+const std::set<worker_id>* find_pending_list(const commit_state& commit);
+
 // Tells whether a successor will know that runs of ours may be on the worker, whether or not the
 // transaction under way takes effect.
 bool is_stored(const shard_state& shard, const worker_id& worker);
--- a/src/shard_lending_room.cpp
+++ b/src/shard_lending_room.cpp
@@ -13,6 +13,11 @@
 // Between two log lines about tasks of one stage that find no room.
 constexpr duration room_log_interval{2'000};
 
+// Tells whether tasks of a step find room that short tasks still hold: it is reserved for them.
+bool uses_lasting_room(const step_spec& step) {
+    return step.lasting && !step.gang;
+}
+
 // Returns how many tasks with this need fit into free resources.
 std::int64_t count_fitting(const resources& need, const resources& free) {
     if (!fits(need, free)) {
@@ -44,7 +49,7 @@
             return static_cast<std::size_t>(std::max<std::int64_t>(0, left) /
                                             std::max<std::int64_t>(1, step.need.processors.value));
         }
-        if (step.lasting && !step.gang) {
+        if (uses_lasting_room(step)) {
             std::int64_t tasks = 0;
             for (const auto& free : room.lasting) {
                 tasks += count_fitting(step.need, free);
@@ -83,7 +88,7 @@
             for (auto& [image, open] : room.open) {
                 open -= step.need.processors.value * count;
             }
-        } else if (step.lasting && !step.gang) {
+        } else if (uses_lasting_room(step)) {
             reserve_lasting(room.lasting, step.need, count);
         } else {
             room.free.processors.value -= step.need.processors.value * count;
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -47,6 +47,11 @@
 // Paces are changed by at least this much, in percent, unless a filler starts or stops.
 constexpr int pace_step = 10;
 
+// Returns the time since a moment, 0 without one.
+duration time_since(const std::optional<time_point>& moment, time_point now) {
+    return moment ? now - *moment : duration(0);
+}
+
 double slack_of(const run_row& run) {
     return static_cast<double>(run.tail_target.count()) / static_cast<double>(run.figure);
 }
@@ -222,9 +227,8 @@
         }
         if (run.tail_target.count() > 0) {
             serving.push_back(&run);
-            over = std::max(over, run.over_since ? now - *run.over_since : duration(0));
-            mostly_over = std::max(mostly_over, run.mostly_over_since ? now - *run.mostly_over_since
-                                                                      : duration(0));
+            over = std::max(over, time_since(run.over_since, now));
+            mostly_over = std::max(mostly_over, time_since(run.mostly_over_since, now));
         } else if (run.filler) {
             fillers.push_back(&run);
         }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -190,12 +190,6 @@
 
 } // namespace
 
-bool is_stored(const shard_state& shard, const worker_id& worker) {
-    const auto& commit = shard.commit;
-    const bool changing = commit.sent && commit.workers;
-    return shard.stored_workers.contains(worker) && (!changing || commit.listed.contains(worker));
-}
-
 bool takes_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.contact == reach::reachable && worker.looked && worker.listed &&
            !worker.entry.draining && worker.no_starts_before <= now &&
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -57,17 +57,18 @@
         return true;
     }
     worker_row* best = nullptr;
-    double most = -1;
+    std::pair<double, millicores> most{-1, {}};
     for (auto& [id, worker] : shard.tables.workers) {
         if (!takes_starts(shard, worker, now) || task.last_failed_on == id ||
             !suits_worker(job, stage, worker) || is_spread_full(step, stage, worker, key) ||
             !fits(step.need, lasting_room(shard.tables, worker))) {
             continue;
         }
-        const double part = free_part(free_resources(worker), step.need);
-        if (part > most) {
+        const auto free = free_resources(worker);
+        const std::pair candidate(free_part(free, step.need), free.processors);
+        if (best == nullptr || candidate > most) {
             best = &worker;
-            most = part;
+            most = candidate;
         }
     }
     if (best == nullptr) {
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -161,8 +161,8 @@
     return free;
 }
 
-resources lasting_room(const shard_tables& tables, const worker_row& worker, const task_key* task) {
-    auto room = free_resources(worker, task);
+resources lasting_room(const shard_tables& tables, const worker_row& worker) {
+    auto room = free_resources(worker);
     for (const auto& key : worker.runs) {
         const auto& run = tables.runs.at(key);
         if (run.lasting) {
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -255,8 +255,7 @@
 resources free_resources(const worker_row& worker, const task_key* task = nullptr);
 
 // Returns what is free once the worker's tasks that don't last have ended.
-resources lasting_room(const shard_tables& tables, const worker_row& worker,
-                       const task_key* task = nullptr);
+resources lasting_room(const shard_tables& tables, const worker_row& worker);
 
 // Notes a change of the job's record.
 void touch(job_row& job);
