shard_control, host_control: log why owners change and what takeovers wait for

A takeover or a burst of ends wrote hundreds of lines in one batch; a reader that takes 16 KB of a write lost the rest, `takeover_settled` among them, and no line said so. A claim didn't say why it was made.

Change: lines about ownership, dependencies and the host have a rate limit of their own (`write_rare`), and a batch stays below 16 KB: bursts of 60 lines about tasks, where 1,000 were allowed. `claim_attempt` tells its reason, the owner's silence, the age of the views and the delay of the control thread; `takeover_waiting` tells once a second what an incomplete takeover waits for; `control_delayed` tells when the control thread runs 100 ms late or more. A new owner counts its workers in `shard_loaded` instead of one line for each.

No change of decisions.

no functional change

--- a/include/fulmar/decision_log.hpp
+++ b/include/fulmar/decision_log.hpp
@@ -19,7 +19,11 @@
 // that is written reports their number.
 struct decision_log_limits {
     std::uint32_t lines_per_second = 200; // about 30 KB/s, 0.1 % of a core
-    std::uint32_t burst = 1'000;
+    // A larger burst doesn't fit into one write of 16 KB, and readers with a buffer of that size
+    // lose the rest without a trace.
+    std::uint32_t burst = 60;
+    std::uint32_t rare_lines_per_second = 20;
+    std::uint32_t rare_burst = 40;
     std::size_t buffer_bytes = 256 * 1024;
 };
 
@@ -44,7 +48,16 @@
     // Logs one line of key=value pairs. The caller must quote values that contain spaces.
     template <class... Args>
     void write(fmt::format_string<Args...> format, Args&&... args) {
-        if (acquire_token()) {
+        if (acquire_token(routine_)) {
+            append(fmt::format(format, std::forward<Args>(args)...));
+        }
+    }
+
+    // Logs a line about ownership, a dependency or the state of the process. Such lines have a rate
+    // limit of their own, so that bursts of lines about tasks don't displace them.
+    template <class... Args>
+    void write_rare(fmt::format_string<Args...> format, Args&&... args) {
+        if (acquire_token(rare_)) {
             append(fmt::format(format, std::forward<Args>(args)...));
         }
     }
@@ -56,7 +69,14 @@
     std::uint64_t dropped() const;
 
   private:
-    bool acquire_token();
+    struct rate_limit {
+        std::uint32_t lines_per_second = 0;
+        std::uint32_t burst = 0;
+        double tokens = 0;
+        std::chrono::steady_clock::time_point last_refill;
+    };
+
+    bool acquire_token(rate_limit& limit);
     void append(const std::string& text);
     void run();
 
@@ -71,8 +91,8 @@
     bool writing_ = false;
     bool stopping_ = false;
     bool flushing_ = false;
-    double tokens_;
-    std::chrono::steady_clock::time_point last_refill_;
+    rate_limit routine_;
+    rate_limit rare_;
     std::uint64_t dropped_ = 0;
     std::uint64_t reported_dropped_ = 0;
     std::thread thread_;
--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -22,8 +22,10 @@
     , limits_(limits)
     , sink_(std::move(out))
     , clock_(clock ? std::move(clock) : system_milliseconds)
-    , tokens_(limits.burst)
-    , last_refill_(std::chrono::steady_clock::now()) {
+    , routine_{limits.lines_per_second, limits.burst, static_cast<double>(limits.burst),
+               std::chrono::steady_clock::now()}
+    , rare_{limits.rare_lines_per_second, limits.rare_burst, static_cast<double>(limits.rare_burst),
+            routine_.last_refill} {
     if (sink_) {
         thread_ = std::thread([this] { run(); });
     }
@@ -40,20 +42,21 @@
     }
 }
 
-bool decision_log::acquire_token() {
+bool decision_log::acquire_token(rate_limit& limit) {
     if (!sink_) {
         return false;
     }
     const std::lock_guard lock(mutex_);
     const auto now = std::chrono::steady_clock::now();
-    const std::chrono::duration<double> passed = now - last_refill_;
-    last_refill_ = now;
-    tokens_ = std::min<double>(limits_.burst, tokens_ + passed.count() * limits_.lines_per_second);
-    if (tokens_ < 1 || buffer_.size() > limits_.buffer_bytes) {
+    const std::chrono::duration<double> passed = now - limit.last_refill;
+    limit.last_refill = now;
+    limit.tokens =
+        std::min<double>(limit.burst, limit.tokens + passed.count() * limit.lines_per_second);
+    if (limit.tokens < 1 || buffer_.size() > limits_.buffer_bytes) {
         ++dropped_;
         return false;
     }
-    --tokens_;
+    --limit.tokens;
     return true;
 }
 
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -61,8 +61,8 @@
 }
 
 void host_control::start() {
-    log_.write("event=host_started incarnation={} data_centre={}", options_.incarnation,
-               options_.data_centre.value);
+    log_.write_rare("event=host_started incarnation={} data_centre={}", options_.incarnation,
+                    options_.data_centre.value);
     orders_.start();
     meta_.start();
     worker_view_.start();
@@ -106,7 +106,7 @@
     put.puts.push_back({std::string(hosts_prefix) + options_.name.value, encode(record), lease});
     store_.commit(std::move(put), [this, alive = alive_](result<transaction_reply> reply) {
         if (*alive && !reply) {
-            log_.write("event=registration_failed reason={}", to_string(reply.error().kind));
+            log_.write_rare("event=registration_failed reason={}", to_string(reply.error().kind));
         }
     });
 }
@@ -125,7 +125,7 @@
             return;
         }
         if (!reply && reply.error().kind == error_kind::expired) {
-            log_.write("event=registration_expired");
+            log_.write_rare("event=registration_expired");
             register_host();
             return;
         }
@@ -147,7 +147,7 @@
                 // The store deleted the record although this host is alive. The lease may have
                 // expired, and a write with an expired lease fails, so the record is written
                 // without one.
-                log_.write("event=registration_removed");
+                log_.write_rare("event=registration_removed");
                 put_host_record({});
             }
             return;
@@ -221,7 +221,7 @@
         auto config = layout.parse_config(entry->value);
         if (!config) {
             counters_.count("configurations", "unreadable");
-            log_.write("event=configuration_unreadable detail=\"{}\"", config.error().detail);
+            log_.write_rare("event=configuration_unreadable detail=\"{}\"", config.error().detail);
             return;
         }
         if (config.value().generation <= config_.generation) {
@@ -230,8 +230,8 @@
         config_ = std::move(config).value();
         counters_.count("configurations", "applied");
         counters_.set("configuration_generation", static_cast<double>(config_.generation.value));
-        log_.write("event=configuration_applied generation={} queues={}", config_.generation.value,
-                   config_.queues.size());
+        log_.write_rare("event=configuration_applied generation={} queues={}",
+                        config_.generation.value, config_.queues.size());
         return;
     }
     if (key.starts_with(layout.evacuations_prefix)) {
@@ -241,8 +241,8 @@
         } else {
             evacuated_.erase(data_centre);
         }
-        log_.write("event=data_centre_{} data_centre={}",
-                   entry != nullptr ? "taken_out" : "taken_back", data_centre.value);
+        log_.write_rare("event=data_centre_{} data_centre={}",
+                        entry != nullptr ? "taken_out" : "taken_back", data_centre.value);
         update_start_permissions();
     }
 }
@@ -447,16 +447,45 @@
                                  entries[key] = {key, row.at(1).get<std::string>(),
                                                  row.at(2).get<revision_number>()};
                              }
-                             log_.write("event=orders_from_peer revision={}",
-                                        in.at("revision").get<std::uint64_t>());
+                             log_.write_rare("event=orders_from_peer revision={}",
+                                             in.at("revision").get<std::uint64_t>());
                              orders_.merge(entries, in.at("revision").get<revision_number>(), sent);
                          } catch (const std::exception& failure) {
-                             log_.write("event=orders_unreadable detail=\"{}\"", failure.what());
+                             log_.write_rare("event=orders_unreadable detail=\"{}\"",
+                                             failure.what());
                          }
                      });
 }
 
+// Measures how late the control thread runs, and logs delays that other hosts may take for a
+// failure of this one.
+void host_control::measure_delay() {
+    constexpr duration report_interval{1'000};
+    constexpr duration reported_delay{100};
+    const auto now = loop_.now();
+    if (next_tick_ != time_point{}) {
+        worst_delay_ = std::max(worst_delay_, now - next_tick_);
+    }
+    next_tick_ = now + options_.timing.tick;
+    if (now < next_delay_report_) {
+        return;
+    }
+    if (worst_delay_ >= reported_delay) {
+        std::size_t workers = 0;
+        std::size_t jobs = 0;
+        for (const auto& [id, shard] : owned_) {
+            workers += shard->state.tables.workers.size();
+            jobs += shard->state.active.size();
+        }
+        log_.write_rare("event=control_delayed delay_ms={} share={} shards={} workers={} jobs={}",
+                        worst_delay_.count(), options_.weight, owned_.size(), workers, jobs);
+    }
+    worst_delay_ = duration(0);
+    next_delay_report_ = now + report_interval;
+}
+
 void host_control::tick() {
+    measure_delay();
     gossip();
     if (loop_.now() >= next_claim_check_) {
         maintain_claims();
@@ -484,8 +513,8 @@
         auto& state = shard->state;
         const bool open = !evacuated_.contains(state.data_centre);
         if (state.starts_allowed != fresh || state.data_centre_open != open) {
-            log_.write("event=shard_starts shard={} orders_fresh={} data_centre_open={}", id.value,
-                       fresh, open);
+            log_.write_rare("event=shard_starts shard={} orders_fresh={} data_centre_open={}",
+                            id.value, fresh, open);
             state.starts_allowed = fresh;
             state.data_centre_open = open;
             state.placement_needed = true;
@@ -494,7 +523,7 @@
 }
 
 void host_control::drain(std::function<void()> done) {
-    log_.write("event=host_leaving shards={}", owned_.size());
+    log_.write_rare("event=host_leaving shards={}", owned_.size());
     leaving_ = true;
     on_drained_ = std::move(done);
     next_local_gossip_ = loop_.now();
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -152,6 +152,7 @@
     void put_host_record(lease_id lease);
     void renew_registration();
     void tick();
+    void measure_delay();
     void gossip();
     host_status make_status() const;
     bool is_alive(const peer_row& peer) const;
@@ -162,15 +163,25 @@
     void update_start_permissions();
 
     // Ownership of shards.
+    enum class claim_reason : std::uint8_t {
+        none, // the shard isn't to be claimed
+        unowned,
+        own_restart,         // an earlier incarnation of this host owns it
+        owner_restart,       // the owner runs as another incarnation now
+        owner_without_store, // the owner can't write to the store
+        owner_silent,        // no datagram from the owner arrives here or at its other peers
+        lost_epoch,          // this host owns it in an epoch that the workers reject
+    };
+    static std::string_view describe(claim_reason reason);
     void maintain_shard_list();
     void extend_shard_list();
     void maintain_claims();
-    bool should_claim(const shard_record& shard, const claim_row* claim) const;
+    claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
     void request_shards();
     void answer_yield_call(const std::string& body, const peer_reply& reply);
     host_id choose_owner(const shard_record& shard, const host_id& except) const;
     std::size_t count_owned(const host_id& owner) const;
-    void claim_shard(const shard_record& shard, const claim_row* claim);
+    void claim_shard(const shard_record& shard, const claim_row* claim, claim_reason reason);
     void activate_shard(const shard_record& shard, epoch_number epoch, revision_number revision);
     void load_shard_page(const shard_pointer& shard, const std::string& after);
     void attach_workers(owned_shard& shard);
@@ -234,6 +245,10 @@
     std::set<data_centre_id> evacuated_;
     std::optional<lease_id> lease_;
     time_point started_;
+    // How late the control thread runs its ticks.
+    time_point next_tick_;
+    duration worst_delay_{0}; // in the current report interval
+    time_point next_delay_report_;
     time_point next_local_gossip_;
     time_point next_global_gossip_;
     time_point next_effects_gossip_;
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -27,6 +27,26 @@
 
 } // namespace
 
+std::string_view host_control::describe(claim_reason reason) {
+    switch (reason) {
+    case claim_reason::none:
+        return "none";
+    case claim_reason::unowned:
+        return "unowned";
+    case claim_reason::own_restart:
+        return "own_restart";
+    case claim_reason::owner_restart:
+        return "owner_restart";
+    case claim_reason::owner_without_store:
+        return "owner_without_store";
+    case claim_reason::owner_silent:
+        return "owner_silent";
+    case claim_reason::lost_epoch:
+        return "lost_epoch";
+    }
+    return "";
+}
+
 // Detects racks that belong to no shard. Workers appear one after the other, so the list is
 // extended once for all that appear within a short time.
 void host_control::maintain_shard_list() {
@@ -97,7 +117,7 @@
     store_transaction put;
     put.conditions.push_back({std::string(shard_list_key), shard_list_revision_});
     put.puts.push_back({std::string(shard_list_key), encode(next), {}});
-    log_.write("event=shard_list_extended shards={}", next.size());
+    log_.write_rare("event=shard_list_extended shards={}", next.size());
     store_.commit(std::move(put), [this, alive = alive_](const result<transaction_reply>&) {
         if (!*alive) {
             return;
@@ -170,7 +190,9 @@
 }
 
 // Returns whether this host should claim a shard now. Nearer hosts act first.
-bool host_control::should_claim(const shard_record& shard, const claim_row* claim) const {
+host_control::claim_reason host_control::should_claim(const shard_record& shard,
+                                                      const claim_row* claim) const {
+    using enum claim_reason;
     const auto now = loop_.now();
     const auto& timing = options_.timing;
     const int distance = distance_to(shard.data_centre);
@@ -182,12 +204,12 @@
         const auto first_seen =
             claim != nullptr ? claim->first_seen : shard_first_seen_.at(shard.id);
         const auto wait = distance == 0 ? duration(0) : owner_timeout;
-        return now >= std::max(startup_grace_end, first_seen + wait) &&
-               choose_owner(shard, {}) == options_.name;
+        const bool due = now >= std::max(startup_grace_end, first_seen + wait);
+        return due && choose_owner(shard, {}) == options_.name ? unowned : none;
     }
     const auto owner = host_name_of(claim->record.owner);
     if (owner == options_.name) {
-        return claim->record.owner != self_; // an earlier incarnation of this host
+        return claim->record.owner != self_ ? own_restart : none;
     }
     const auto peer = peers_.find(owner);
     // An owner has restarted if a registration newer than its claim names another incarnation. With
@@ -196,7 +218,8 @@
         peer != peers_.end() && peer->second.registered_revision > claim->revision &&
         claim->record.owner.value != owner.value + "/" + peer->second.record.incarnation;
     if (restarted) {
-        return now >= startup_grace_end && choose_owner(shard, {}) == options_.name;
+        const bool due = now >= startup_grace_end;
+        return due && choose_owner(shard, {}) == options_.name ? owner_restart : none;
     }
     auto last_received = std::max(started_, claim->first_seen);
     if (peer != peers_.end() && peer->second.last_received) {
@@ -208,18 +231,19 @@
     // nearer hosts act first.
     const auto outage_limit =
         timing.store_outage_limit + owner_timeout - timing.local_owner_timeout;
-    const bool owner_without_store =
-        peer != peers_.end() && is_alive(peer->second) &&
-        peer->second.status.store_unreachable_ms > outage_limit.count() &&
-        orders_.healthy_for(timing.store_outage_limit);
-    if (owner_without_store) {
-        return choose_owner(shard, owner) == options_.name;
+    const bool lacks_store = peer != peers_.end() && is_alive(peer->second) &&
+                             peer->second.status.store_unreachable_ms > outage_limit.count() &&
+                             orders_.healthy_for(timing.store_outage_limit);
+    if (lacks_store) {
+        return choose_owner(shard, owner) == options_.name ? owner_without_store : none;
     }
     // An owner that is reachable from other hosts is only disconnected from this one.
     if (now - last_received <= owner_timeout || is_reachable_from_others(owner)) {
-        return false;
+        return none;
     }
-    return choose_owner(shard, owner) == options_.name || now - last_received > owner_timeout * 2;
+    const bool chosen =
+        choose_owner(shard, owner) == options_.name || now - last_received > owner_timeout * 2;
+    return chosen ? owner_silent : none;
 }
 
 bool host_control::is_reachable_from_others(const host_id& name) const {
@@ -254,7 +278,8 @@
             continue;
         }
         next_shard_request_ = now + options_.timing.settling_time;
-        log_.write("event=shard_asked_for shard={} owner={}", shard.id.value, owner.value);
+        log_.write_rare("event=shard_asked_for shard={} owner={} remote={} owner_shards={}",
+                        shard.id.value, owner.value, remote, count_owned(owner));
         const json body{{"shard", shard.id}, {"host", options_.name}};
         peers_link_.call(peer->second.record.address, "yield", body.dump(),
                          options_.timing.peer_timeout, [](const result<std::string>&) {});
@@ -320,21 +345,31 @@
                 activate_shard(shard, claim->record.epoch, claim->revision);
             } else if (meta_.healthy() &&
                        loop_.now() > claim->first_seen + options_.timing.settling_time) {
-                claim_shard(shard, claim);
+                claim_shard(shard, claim, claim_reason::lost_epoch);
             }
-        } else if (should_claim(shard, claim)) {
-            claim_shard(shard, claim);
+        } else if (const auto reason = should_claim(shard, claim); reason != claim_reason::none) {
+            claim_shard(shard, claim, reason);
         }
     }
     request_shards();
 }
 
-void host_control::claim_shard(const shard_record& shard, const claim_row* claim) {
+void host_control::claim_shard(const shard_record& shard, const claim_row* claim,
+                               claim_reason reason) {
     const claim_record next{self_, {claim == nullptr ? 1 : claim->record.epoch.value + 1}};
     const auto revision = claim == nullptr ? revision_number{} : claim->revision;
     claiming_.insert(shard.id);
-    log_.write("event=claim_attempt shard={} epoch={} previous_owner={}", shard.id.value,
-               next.epoch.value, claim == nullptr ? "" : claim->record.owner.value);
+    const auto now = loop_.now();
+    const auto owner = claim == nullptr ? host_id{} : claim->record.owner;
+    const auto peer = peers_.find(host_name_of(owner));
+    const bool received = peer != peers_.end() && peer->second.last_received;
+    log_.write_rare("event=claim_attempt shard={} epoch={} previous_owner={} reason={} "
+                    "owner_silent_ms={} claim_age_ms={} view_age_ms={} delay_ms={} owned={}",
+                    shard.id.value, next.epoch.value, owner.value, describe(reason),
+                    received ? (now - *peer->second.last_received).count() : -1,
+                    claim == nullptr ? -1 : (now - claim->first_seen).count(),
+                    meta_.confirmed() ? (now - *meta_.confirmed()).count() : -1,
+                    worst_delay_.count(), owned_.size());
     store_transaction put;
     put.conditions.push_back({claim_key(shard.id), revision});
     put.puts.push_back({claim_key(shard.id), encode(next), {}});
@@ -361,7 +396,7 @@
     if (owned_.contains(shard.id)) {
         return;
     }
-    log_.write("event=shard_claimed shard={} epoch={}", shard.id.value, epoch.value);
+    log_.write_rare("event=shard_claimed shard={} epoch={}", shard.id.value, epoch.value);
     auto next = std::make_shared<owned_shard>();
     next->state = make_shard(shard, self_, epoch, revision, options_.shard, counters_, log_);
     owned_.emplace(shard.id, next);
@@ -394,6 +429,7 @@
                     shard->loading = {};
                     shard->loaded = true;
                     shard->state.claim_confirmed = loop_.now();
+                    shard->state.loaded_at = loop_.now();
                     attach_workers(*shard);
                     update_start_permissions();
                     schedule_shard(shard);
@@ -427,8 +463,8 @@
     owned_.erase(found);
     shard->state.ownership_lost = true;
     fenced_epochs_[id] = std::max(fenced_epochs_[id], shard->state.epoch);
-    log_.write("event=shard_dropped shard={} epoch={} reason={}", id.value,
-               shard->state.epoch.value, reason);
+    log_.write_rare("event=shard_dropped shard={} epoch={} reason={}", id.value,
+                    shard->state.epoch.value, reason);
     counters_.count("shards_dropped", reason);
     // The outcome of unanswered submissions and cancellations is unknown here; only the next owner
     // can determine whether they were stored.
@@ -484,8 +520,10 @@
                 {state.epoch.value + 1}};
     }
     state.handing_over = true;
-    log_.write("event=shard_handed_over shard={} epoch={} successor={}", state.id.value,
-               next.epoch.value, next.owner.value);
+    log_.write_rare("event=shard_handed_over shard={} epoch={} successor={} requested_by={} "
+                    "takeover_complete={}",
+                    state.id.value, next.epoch.value, next.owner.value, shard->successor.value,
+                    state.takeover_complete);
     store_transaction put;
     put.conditions.push_back({claim_key(state.id), state.claim_revision});
     put.conditions.push_back({head_key(state.id), state.head_revision});
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -13,6 +13,8 @@
 // time.
 constexpr duration placement_interval{200};
 
+constexpr duration takeover_log_interval{1'000};
+
 void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
     if (is_borrowed(job)) {
         return; // the lender decides which tasks run here
@@ -66,6 +68,44 @@
     }
 }
 
+// Logs what an incomplete takeover waits for: the workers that were not reached, and the inherited
+// tasks that wait meanwhile.
+void log_takeover(shard_state& shard, time_point now) {
+    if (now < shard.next_takeover_log) {
+        return;
+    }
+    const bool first = shard.next_takeover_log == time_point{};
+    shard.next_takeover_log = now + takeover_log_interval;
+    if (first) {
+        return;
+    }
+    std::size_t waiting = 0;
+    for (const auto& id : shard.active) {
+        const auto& job = shard.tables.jobs.at(id);
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const auto& stage : occurrence.stages) {
+                waiting += job.inherited && stage.open ? stage.waiting.size() : 0;
+            }
+        }
+    }
+    std::size_t unanswered = 0;
+    std::string example;
+    for (const auto& id : shard.unreached_workers) {
+        const auto worker = shard.tables.workers.find(id);
+        if (worker != shard.tables.workers.end() &&
+            worker->second.reachability == reachability_state::unreachable) {
+            ++unanswered;
+            example = id.value;
+        }
+    }
+    shard.log->write_rare(
+        "event=takeover_waiting shard={} epoch={} age_ms={} workers={} unreached={} unanswered={} "
+        "example={} majority_ms={} waiting_tasks={}",
+        shard.id.value, shard.epoch.value, (now - shard.loaded_at).count(),
+        shard.predecessor_worker_count, shard.unreached_workers.size(), unanswered, example,
+        shard.majority_since ? (now - *shard.majority_since).count() : -1, waiting);
+}
+
 // Completes the takeover when no run of a predecessor can be unknown to this owner: either every
 // worker that the predecessors used was reached, or none of the remaining ones can still hold a
 // lease. A superseded owner stops renewing leases once a majority of the workers refuses its epoch
@@ -83,11 +123,14 @@
                          shard.timing.lease_margin * 2;
     const bool waited = shard.majority_since && now >= *shard.majority_since + longest;
     if (shard.unreached_workers.empty() || waited) {
-        shard.log->write("event=takeover_settled shard={} epoch={} unreached={}", shard.id.value,
-                         shard.epoch.value, shard.unreached_workers.size());
+        shard.log->write_rare("event=takeover_settled shard={} epoch={} unreached={} age_ms={}",
+                              shard.id.value, shard.epoch.value, shard.unreached_workers.size(),
+                              (now - shard.loaded_at).count());
         shard.unreached_workers.clear();
         shard.takeover_complete = true;
         shard.placement_needed = true;
+    } else {
+        log_takeover(shard, now);
     }
 }
 
@@ -226,9 +269,9 @@
             ++unfinished;
         }
     }
-    shard.log->write("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={}",
-                     shard.id.value, shard.epoch.value, shard.tables.jobs.size(), unfinished,
-                     shard.tables.workers.size());
+    shard.log->write_rare("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={}",
+                          shard.id.value, shard.epoch.value, shard.tables.jobs.size(), unfinished,
+                          shard.tables.workers.size());
 }
 
 void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now) {
@@ -237,7 +280,9 @@
     if (first_drain) {
         worker.draining_at = now;
     }
-    if (!worker.listed || first_drain || worker.entry.draining != entry.draining) {
+    // The workers that a new owner finds are counted in shard_loaded.
+    if ((!worker.listed && (shard.takeover_complete || entry.draining)) ||
+        worker.entry.draining != entry.draining) {
         shard.log->write("event=worker_listed shard={} worker={} draining={} cpu={} mem={}",
                          shard.id.value, entry.target.id.value, entry.draining,
                          entry.capacity.processors.value, entry.capacity.memory.value);
@@ -449,8 +494,8 @@
 void lose_shard(shard_state& shard, std::string_view reason) {
     if (!shard.ownership_lost) {
         shard.ownership_lost = true;
-        shard.log->write("event=shard_lost shard={} epoch={} reason={}", shard.id.value,
-                         shard.epoch.value, reason);
+        shard.log->write_rare("event=shard_lost shard={} epoch={} reason={}", shard.id.value,
+                              shard.epoch.value, reason);
         shard.counters->count("shards_lost", reason);
     }
 }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -190,6 +190,8 @@
     // When a majority of the predecessors' workers had been reached.
     std::optional<time_point> majority_since;
     bool takeover_complete = false; // no run of a predecessor can be unknown to this owner
+    time_point loaded_at;           // when the shard's records were loaded
+    time_point next_takeover_log;   // earliest time of the next log line about the takeover
 
     // Set by the host.
     bool starts_allowed = true;   // the host's copy of the operators' orders is up to date
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -332,9 +332,12 @@
         worker.start_time = report.start_time;
     }
     if (worker.reachability != reachability_state::reachable) {
-        shard.log->write("event=worker_reached shard={} worker={}", shard.id.value, id.value);
         shard.placement_needed = true;
     }
+    if (worker.reachability == reachability_state::unreachable) {
+        shard.log->write("event=worker_reached shard={} worker={} unanswered_ms={}", shard.id.value,
+                         id.value, (now - worker.unanswered_since).count());
+    }
     worker.reachability = reachability_state::reachable;
     worker.clock = report.clock;
     worker.clock_at = now;
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -160,17 +160,17 @@
     self.last_answer = self.loop.now();
     if (!std::exchange(self.healthy, true)) {
         self.healthy_since = self.loop.now();
-        self.log.write("event=store_view_current prefix={} revision={}", self.options.prefix,
-                       self.revision.value);
+        self.log.write_rare("event=store_view_current prefix={} revision={}", self.options.prefix,
+                            self.revision.value);
     }
     self.backoff = duration(0);
 }
 
 void store_view::retry(const std::shared_ptr<state>& self, const error& failure, bool reload) {
     if (std::exchange(self->healthy, false)) {
-        self->log.write("event=store_view_stale prefix={} revision={} reason={} reload={}",
-                        self->options.prefix, self->revision.value, to_string(failure.kind),
-                        reload);
+        self->log.write_rare("event=store_view_stale prefix={} revision={} reason={} reload={}",
+                             self->options.prefix, self->revision.value, to_string(failure.kind),
+                             reload);
     }
     self->backoff = std::clamp(self->backoff * 2, self->options.retry, self->options.retry_limit);
     self->loop.call_after(self->backoff, [self, reload] {
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -236,7 +236,11 @@
     if (std::getenv("SIM_LOG") != nullptr) {
         sink = [](const std::string& lines) { std::fputs(lines.c_str(), stdout); };
     }
-    const decision_log_limits unlimited{1'000'000, 1'000'000, 1U << 30U};
+    const decision_log_limits unlimited{.lines_per_second = 1'000'000,
+                                        .burst = 1'000'000,
+                                        .rare_lines_per_second = 1'000'000,
+                                        .rare_burst = 1'000'000,
+                                        .buffer_bytes = 1U << 30U};
     host.log = std::make_unique<decision_log>("host=" + host.options.name.value, unlimited, sink,
                                               [this] { return now_.time_since_epoch().count(); });
     host.control =
