simulation: hanging watches, hosts of unequal size, counters of a host

`hang_watches` leaves the watches of one prefix without answers until the host's client times out, `set_processor_share` sets a host's processors, `counter` reads a host's counter. Shards of the simulation keep their size of 12 workers.

no functional change

--- a/tests/sim_parts.hpp
+++ b/tests/sim_parts.hpp
@@ -13,6 +13,7 @@
     bool leaving = false;
     time_point frozen_until;
     store_mode mode = store_mode::up;
+    std::set<std::string> hung_prefixes; // of watches that get no answer
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<async_store> store;
     std::unique_ptr<worker_link> workers;
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -63,6 +63,7 @@
             next->index = hosts_.size();
             next->options.name.value = data_centre + "-" + std::to_string(i + 1);
             next->options.data_centre.value = data_centre;
+            next->options.workers_per_shard = 12;
             for (const auto& name : data_centres) {
                 next->options.regions[{name}] = {"region"};
             }
@@ -184,9 +185,29 @@
     at(world_tick, [this] { tick(); });
 }
 
+// Returns whether the watch has ended without an answer.
+bool sim_world::answer_hung_watch(waiting_watch& watch) {
+    constexpr duration timeout_margin{1'000}; // of the host's client
+    if (now_ < watch.until + timeout_margin) {
+        return false;
+    }
+    on_host(watch.host, watch.incarnation, duration(0), [done = watch.done] {
+        done(error{error_kind::timeout, "simulated"});
+    });
+    return true;
+}
+
 void sim_world::answer_watches() {
     for (std::size_t i = 0; i < watches_.size();) {
         auto& watch = watches_[i];
+        if (hosts_[watch.host]->hung_prefixes.contains(watch.prefix)) {
+            if (answer_hung_watch(watch)) {
+                watches_.erase(watches_.begin() + static_cast<std::ptrdiff_t>(i));
+            } else {
+                ++i;
+            }
+            continue;
+        }
         auto events = store_.events_after(watch.prefix, watch.after);
         const bool due = !events || !events.value().events.empty() || now_ >= watch.until;
         if (!due) {
@@ -277,6 +298,22 @@
     hosts_[index]->mode = mode;
 }
 
+void sim_world::hang_watches(std::size_t index, const std::string& prefix, bool hang) {
+    if (hang) {
+        hosts_[index]->hung_prefixes.insert(prefix);
+    } else {
+        hosts_[index]->hung_prefixes.erase(prefix);
+    }
+}
+
+void sim_world::set_processor_share(std::size_t index, std::int64_t share) {
+    hosts_[index]->options.weight = share;
+}
+
+double sim_world::counter(std::size_t index, const std::string& name, const std::string& reason) {
+    return hosts_[index]->counters->value(name, reason);
+}
+
 void sim_world::set_store_mode_for_all(store_mode mode) {
     for (auto& host : hosts_) {
         host->mode = mode;
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -75,6 +75,11 @@
     void stop_host(std::size_t index); // planned stop: drains, then ends the process
     void freeze_host(std::size_t index, duration time);
     void set_store_mode(std::size_t index, store_mode mode);
+    // Leaves a host's watches of a prefix without answers, while the store answers other calls.
+    void hang_watches(std::size_t index, const std::string& prefix, bool hang);
+    // Sets a host's processors, in thousandths of a core; takes effect at the host's next start.
+    void set_processor_share(std::size_t index, std::int64_t share);
+    double counter(std::size_t index, const std::string& name, const std::string& reason);
     void set_store_mode_for_all(store_mode mode);
     void set_partition(std::size_t a, std::size_t b, bool partitioned);
     // Returns the live host that owns a shard according to the stored claim.
@@ -144,6 +149,7 @@
     duration latency();
     bool chance(double probability);
     void answer_watches();
+    bool answer_hung_watch(waiting_watch& watch);
     void tick();
     void record_ends(sim_worker& worker, const worker_model& model);
     void check_starts(sim_worker& worker, const worker_model& model);
