shard_list: count a rack's workers once no more of them register

A host of 0.12 core that took over such a shard couldn't serve it (see the postmortem).

Cause: the shard list was extended 0.3 s after the first worker of a rack had appeared, and a rack joined a shard whose workers, counted at that moment, were fewer than 12. Workers register one after the other over 5 s, so every rack looked small. The size of a shard depended on the order of registration.

Change: a free function assigns racks from what is known of them. A rack joins another one's shard only once no worker has joined its data centre's unlisted racks for a second, up to the time at which the view of the workers was last confirmed; a rack with enough workers gets a shard at once, and one whose data centre doesn't settle within 5 s a shard of its own.

Evidence: "shards have their intended size when workers register slowly" fails on the old code: 2 shards of 8 and 4 racks instead of 3 of 4 (2 == 3, 8 == 4).

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -266,6 +266,9 @@
         }
         return;
     }
+    if (!worker_entries_.contains(id)) {
+        record_join(worker.value());
+    }
     worker_entries_[id] = worker.value();
     for (const auto& [name, shard] : owned_) {
         if (shard->loaded && owns_worker(*shard, worker.value())) {
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -9,6 +9,7 @@
 #include "fulmar/worker_link.hpp"
 #include "host_gossip.hpp"
 #include "shard_control.hpp"
+#include "shard_list.hpp"
 #include "store_view.hpp"
 
 #include <functional>
@@ -69,8 +70,10 @@
     data_centre_id data_centre;
     std::map<data_centre_id, region_id> regions; // of all data centres
     socket_address peer_address;
-    std::int64_t weight = 100;          // processor share in thousandths of a core
-    std::size_t workers_per_shard = 12; // racks are added to a shard until it has this many workers
+    std::int64_t weight = 100; // processor share in thousandths of a core
+    // Racks are added to a shard until it has this many workers. Smaller shards lend more of their
+    // tasks to each other, and each loan takes several calls to the store.
+    std::size_t workers_per_shard = 48;
     host_timing timing;
     shard_timing shard;
     site_layout layout;
@@ -174,6 +177,8 @@
     };
     static std::string_view describe(claim_reason reason);
     void maintain_shard_list();
+    rack_map describe_racks() const;
+    void record_join(const worker_entry& worker);
     void extend_shard_list();
     void maintain_claims();
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
@@ -233,6 +238,9 @@
     std::vector<shard_record> shard_list_;
     revision_number shard_list_revision_;
     bool shard_list_update_pending_ = false; // an extension is scheduled or being written
+    // When a worker of a rack without a shard was last seen for the first time.
+    std::map<data_centre_id, time_point> last_join_;
+    std::map<std::pair<data_centre_id, rack_id>, time_point> rack_first_seen_;
     std::map<shard_id, claim_row> claims_;
     std::map<shard_id, epoch_number> fenced_epochs_;  // highest epoch lost or released
     std::map<shard_id, time_point> shard_first_seen_; // when the shard was first seen in the list
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <numeric>
 
 namespace fulmar {
 
@@ -15,6 +16,13 @@
 // Delay between the first worker of an unlisted rack and the extension of the shard list.
 constexpr duration shard_list_delay{300};
 
+// A rack is settled when no worker has joined its data centre's unlisted racks for this long. With
+// 54 registrations a second in 6 data centres, two of a data centre are 0.1 s apart on average.
+constexpr duration rack_settling_time{1'000};
+
+// A rack whose data centre doesn't settle gets a shard of its own after this.
+constexpr duration rack_settling_limit{5'000};
+
 // Returns the name in "name/incarnation".
 host_id host_name_of(const host_id& owner) {
     return {owner.value.substr(0, owner.value.find('/'))};
@@ -47,19 +55,14 @@
     return "";
 }
 
-// Detects racks that belong to no shard. Workers appear one after the other, so the list is
-// extended once for all that appear within a short time.
+// Extends the shard list, after a delay, while a worker's rack belongs to no shard.
 void host_control::maintain_shard_list() {
     if (shard_list_update_pending_ || !worker_view_.loaded() || !meta_.loaded() || leaving_) {
         return;
     }
     const bool complete =
         std::all_of(worker_entries_.begin(), worker_entries_.end(), [&](const auto& row) {
-            return std::any_of(shard_list_.begin(), shard_list_.end(), [&](const auto& shard) {
-                return shard.data_centre == row.second.data_centre &&
-                       std::find(shard.racks.begin(), shard.racks.end(), row.second.rack) !=
-                           shard.racks.end();
-            });
+            return has_rack(shard_list_, row.second.data_centre, row.second.rack);
         });
     if (complete) {
         return;
@@ -72,47 +75,46 @@
     });
 }
 
+// Counts the workers of each rack, and tells the racks that may still grow. Workers that joined
+// after the view was last confirmed aren't in it, so that is the time that counts.
+rack_map host_control::describe_racks() const {
+    const auto now = loop_.now();
+    const auto confirmed = worker_view_.confirmed().value_or(started_);
+    rack_map racks;
+    for (const auto& [id, worker] : worker_entries_) {
+        auto& rack = racks[{worker.data_centre, worker.rack}];
+        ++rack.workers;
+        const auto joined = last_join_.find(worker.data_centre);
+        rack.settled =
+            joined == last_join_.end() || confirmed >= joined->second + rack_settling_time;
+        const auto seen = rack_first_seen_.find({worker.data_centre, worker.rack});
+        rack.overdue = seen != rack_first_seen_.end() && now >= seen->second + rack_settling_limit;
+    }
+    return racks;
+}
+
+// Records that a worker was first seen, if its rack belongs to no shard yet.
+void host_control::record_join(const worker_entry& worker) {
+    if (has_rack(shard_list_, worker.data_centre, worker.rack)) {
+        return;
+    }
+    last_join_[worker.data_centre] = loop_.now();
+    rack_first_seen_.try_emplace({worker.data_centre, worker.rack}, loop_.now());
+}
+
 // Adds racks that belong to no shard to the list. One value holds all shards, so that two hosts
 // never assign a rack to different shards.
 void host_control::extend_shard_list() {
-    std::map<std::pair<data_centre_id, rack_id>, std::size_t> racks;
-    for (const auto& [id, worker] : worker_entries_) {
-        ++racks[{worker.data_centre, worker.rack}];
-    }
-    auto next = shard_list_;
-    const auto size_of = [&](const shard_record& shard) {
-        std::size_t size = 0;
-        for (const auto& rack : shard.racks) {
-            const auto found = racks.find({shard.data_centre, rack});
-            size += found == racks.end() ? 0 : found->second;
-        }
-        return size;
+    const auto next = assign_racks(shard_list_, describe_racks(), options_.workers_per_shard);
+    const auto count_racks = [](const std::vector<shard_record>& shards) {
+        return std::accumulate(
+            shards.begin(), shards.end(), std::size_t{0},
+            [](std::size_t sum, const shard_record& shard) { return sum + shard.racks.size(); });
     };
-    for (const auto& [place, count] : racks) {
-        const auto& [data_centre, rack] = place;
-        shard_record* target_shard = nullptr;
-        bool assigned = false;
-        std::size_t number = 0;
-        for (auto& shard : next) {
-            if (shard.data_centre != data_centre) {
-                continue;
-            }
-            ++number;
-            assigned = assigned ||
-                       std::find(shard.racks.begin(), shard.racks.end(), rack) != shard.racks.end();
-            if (size_of(shard) < options_.workers_per_shard) {
-                target_shard = &shard;
-            }
-        }
-        if (assigned) {
-            continue;
-        }
-        if (target_shard != nullptr) {
-            target_shard->racks.push_back(rack);
-        } else {
-            next.push_back(
-                {{data_centre.value + "." + std::to_string(number)}, data_centre, {rack}});
-        }
+    if (count_racks(next) == count_racks(shard_list_)) {
+        shard_list_update_pending_ = false;
+        maintain_shard_list();
+        return;
     }
     store_transaction put;
     put.conditions.push_back({std::string(shard_list_key), shard_list_revision_});
