monitored_store: one unanswered call doesn't make the store unreachable

Cause: a host reported its store as unreachable by its watch of the operator orders alone. One hanging watch (1.5 s and a timeout of 1 s) was enough to exceed the limit of 2.5 s, although the owner's commits were answered all the while.

Change: `monitored_store` forwards all calls to the store and records any answer; a host counts as disconnected while calls fail and none is answered. Entries that peers passed on still don't count: they don't come through it. `store_view` no longer judges the store; the test of that case checks the same of `monitored_store`.

Evidence: "an owner keeps its shard while one of its watches hangs" fails on the old code.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -32,21 +32,21 @@
     : options_(std::move(options))
     , self_{options_.name.value + "/" + options_.incarnation}
     , loop_(loop)
-    , store_(store)
+    , store_(store, loop)
     , workers_(workers)
     , peers_link_(peers)
     , counters_(counters)
     , log_(log)
     , started_(loop.now())
     , meta_(
-          store, loop, log, {.prefix = std::string(meta_prefix), .wait = meta_watch_wait},
+          store_, loop, log, {.prefix = std::string(meta_prefix), .wait = meta_watch_wait},
           [this](const auto& key, const auto* entry) { on_meta_change(key, entry); },
           [this] { maintain_claims(); })
     , orders_(
-          store, loop, log, {.prefix = options_.layout.orders_prefix, .wait = orders_watch_wait},
+          store_, loop, log, {.prefix = options_.layout.orders_prefix, .wait = orders_watch_wait},
           [this](const auto& key, const auto* entry) { on_orders_change(key, entry); }, [] {})
     , worker_view_(
-          store, loop, log,
+          store_, loop, log,
           {.prefix = options_.layout.workers_prefix,
            .wait = workers_watch_wait,
            .min_watch_interval = workers_watch_interval},
@@ -332,7 +332,7 @@
     status.data_centre = options_.data_centre;
     status.leaving = leaving_;
     status.store_reachable = orders_.healthy();
-    status.store_unreachable_ms = orders_.unreachable_for().count();
+    status.store_unreachable_ms = store_.unreachable_for().count();
     for (const auto& [name, peer] : peers_) {
         const auto& timing = options_.timing;
         const auto interval = peer.record.data_centre == options_.data_centre
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -8,6 +8,7 @@
 #include "fulmar/site_config.hpp"
 #include "fulmar/worker_link.hpp"
 #include "host_gossip.hpp"
+#include "monitored_store.hpp"
 #include "shard_control.hpp"
 #include "shard_list.hpp"
 #include "store_view.hpp"
@@ -228,7 +229,7 @@
     host_options options_;
     host_id self_; // name and incarnation
     event_loop& loop_;
-    async_store& store_;
+    monitored_store store_;
     worker_link& workers_;
     peer_link& peers_link_;
     metrics& counters_;
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -180,7 +180,7 @@
     };
     if (!leaving_) {
         add_option(make(options_.name, options_.data_centre, options_.weight,
-                        orders_.unreachable_for().count()));
+                        store_.unreachable_for().count()));
     }
     for (const auto& [name, peer] : peers_) {
         if (is_alive(peer) && peer.status.incarnation == peer.record.incarnation) {
@@ -235,7 +235,7 @@
         timing.store_outage_limit + owner_timeout - timing.local_owner_timeout;
     const bool lacks_store = peer != peers_.end() && is_alive(peer->second) &&
                              peer->second.status.store_unreachable_ms > outage_limit.count() &&
-                             orders_.healthy_for(timing.store_outage_limit);
+                             store_.healthy_for(timing.store_outage_limit);
     if (lacks_store) {
         return choose_owner(shard, owner) == options_.name ? owner_without_store : none;
     }
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -157,9 +157,7 @@
 
 // Records that the store has answered.
 void store_view::record_success(state& self) {
-    self.last_answer = self.loop.now();
     if (!std::exchange(self.healthy, true)) {
-        self.healthy_since = self.loop.now();
         self.log.write_rare("event=store_view_current prefix={} revision={}", self.options.prefix,
                             self.revision.value);
     }
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -42,21 +42,9 @@
     // Returns the store's revision up to which the content is complete.
     revision_number revision() const { return state_->revision; }
 
-    // Returns the time since the store's last answer; 0 while it answers. Entries merged from peers
-    // don't count as answers.
-    duration unreachable_for() const {
-        return state_->healthy || !state_->loaded ? duration(0)
-                                                  : state_->loop.now() - state_->last_answer;
-    }
-
     // Returns whether the last call succeeded.
     bool healthy() const { return state_->healthy; }
 
-    // Returns whether every call within the last `time` succeeded.
-    bool healthy_for(duration time) const {
-        return state_->healthy && state_->loop.now() - state_->healthy_since >= time;
-    }
-
     // Applies entries that a peer read. Content older than this view's is ignored; `confirmed` is
     // the send time of the request to the peer.
     void merge(const std::map<std::string, store_entry>& entries, revision_number revision,
@@ -77,8 +65,6 @@
         std::optional<time_point> confirmed{};
         bool loaded = false;
         bool healthy = false;
-        time_point healthy_since{};
-        time_point last_answer{}; // when the store last answered a call
         bool stopped = false;
         duration backoff{0};
         time_point last_watch{};
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -7,6 +7,30 @@
 
 namespace {
 
+job_spec long_running_job(std::uint32_t tasks) {
+    auto spec = sim_world::simple_job(tasks);
+    spec.steps.front().long_running = true;
+    spec.steps.front().checkpoints = false;
+    return spec;
+}
+
+// Advances time and returns whether the owners of all shards stayed the same throughout.
+bool keeps_owners(sim_world& world, duration time) {
+    constexpr duration step{100};
+    std::map<std::string, std::optional<std::size_t>> owners;
+    for (const auto& shard : world.shards()) {
+        owners[shard] = world.owner_of(shard);
+    }
+    bool kept = !owners.empty();
+    for (duration passed{0}; passed < time; passed += step) {
+        world.run_for(step);
+        for (const auto& [shard, owner] : owners) {
+            kept = kept && owner && world.owner_of(shard) == owner;
+        }
+    }
+    return kept;
+}
+
 rack_map make_racks(const std::vector<std::size_t>& workers, bool settled, bool overdue = false) {
     rack_map racks;
     for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -17,6 +41,19 @@
 
 } // namespace
 
+// One watch without an answer counted as an unreachable store, although the store answered all
+// other calls of the owner.
+TEST_CASE("an owner keeps its shard while one of its watches hangs") {
+    sim_world world(59);
+    world.run_for(startup_time);
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    world.submit(0, long_running_job(9), duration(0));
+    world.hang_watches(*owner, "op/", true);
+    CHECK(keeps_owners(world, duration(9'000)));
+    check_guarantees(world);
+}
+
 // Racks were counted while their workers were still registering, so that all racks of a data centre
 // went to one shard, whose owner could then not serve it.
 TEST_CASE("a rack joins another one's shard only once both are settled") {
--- a/tests/store_view_test.cpp
+++ b/tests/store_view_test.cpp
@@ -1,5 +1,7 @@
 #include "store_view.hpp"
 
+#include "monitored_store.hpp"
+
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 
@@ -34,30 +36,31 @@
 // peers. If these count as answers from the store, the owner keeps a shard that it can't store
 // anything for.
 TEST_CASE("a view updated by peers still counts as disconnected from the store") {
-    mock_store store;
+    mock_store answering;
     mock_loop loop;
     decision_log log("", {}, {});
     time_point now{duration(10'000)};
     store_callback<store_events> watching;
     ALLOW_CALL(loop, now()).LR_RETURN(now);
     ALLOW_CALL(loop, call_after(trompeloeil::_, trompeloeil::_));
-    REQUIRE_CALL(store, list("op/", "", read_mode::linearizable, trompeloeil::_))
+    REQUIRE_CALL(answering, list("op/", "", read_mode::linearizable, trompeloeil::_))
         .SIDE_EFFECT(_4(store_page{{}, false, {5}}));
-    REQUIRE_CALL(store, watch("op/", revision_number{5}, trompeloeil::_, trompeloeil::_))
+    REQUIRE_CALL(answering, watch("op/", revision_number{5}, trompeloeil::_, trompeloeil::_))
         .LR_SIDE_EFFECT(watching = _4);
 
+    monitored_store store(answering, loop);
     store_view view(
         store, loop, log, {.prefix = "op/"}, [](const auto&, const auto*) {}, [] {});
     view.start();
     REQUIRE(watching);
-    CHECK(view.unreachable_for() == duration(0));
-    CHECK(view.healthy_for(duration(0)));
+    CHECK(store.unreachable_for() == duration(0));
+    CHECK(store.healthy_for(duration(0)));
 
     now += duration(2'000);
     watching(error{error_kind::timeout, "no answer"});
-    CHECK(view.unreachable_for() == duration(2'000));
+    CHECK(store.unreachable_for() == duration(2'000));
     view.merge({{"op/config", {"op/config", "{}", {8}}}}, {9}, now);
     CHECK(view.confirmed() == now);
-    CHECK(view.unreachable_for() == duration(2'000));
-    CHECK_FALSE(view.healthy_for(duration(0)));
+    CHECK(store.unreachable_for() == duration(2'000));
+    CHECK_FALSE(store.healthy_for(duration(0)));
 }
