net_peer_link: process all datagrams that have arrived

Cause: the socket delivered one datagram for each pass over the pending events. A host that needs 0.4 to 1.4 s for a pass reads one or two of the 50 datagrams that arrive in a second; the rest waits in the socket's buffer or is lost. It then takes peers for failed whose datagrams it has.

Change: when the socket is readable, all datagrams are read, up to 256.

--- a/src/net_peer_link.cpp
+++ b/src/net_peer_link.cpp
@@ -16,6 +16,9 @@
 
 constexpr duration connect_timeout{400};
 
+// Datagrams processed in a row: more than all hosts of a large deployment send in a second.
+constexpr std::size_t receive_batch = 256;
+
 constexpr std::string_view call_prefix = "/peer/";
 
 } // namespace
@@ -36,18 +39,27 @@
         , handlers(std::move(link_handlers))
         , socket(loop) {}
 
+    // Waits for datagrams and processes all that have arrived. One at a time, they would queue up
+    // behind the other events of a busy host, and their senders look failed.
     void receive() {
-        socket.async_receive_from(
-            asio::buffer(buffer), sender,
-            [this, alive = alive](const asio::error_code& failure, std::size_t size) {
-                if (!*alive || failure == asio::error::operation_aborted) {
-                    return;
-                }
-                if (!failure) {
-                    handlers.on_datagram(std::string(buffer.data(), size));
-                }
-                receive();
-            });
+        socket.async_wait(asio::ip::udp::socket::wait_read,
+                          [this, alive = alive](const asio::error_code& failure) {
+                              if (!*alive || failure == asio::error::operation_aborted) {
+                                  return;
+                              }
+                              for (std::size_t i = 0; i < receive_batch && *alive; ++i) {
+                                  asio::error_code empty;
+                                  const auto size =
+                                      socket.receive_from(asio::buffer(buffer), sender, 0, empty);
+                                  if (empty) {
+                                      break;
+                                  }
+                                  handlers.on_datagram(std::string(buffer.data(), size));
+                              }
+                              if (*alive) {
+                                  receive();
+                              }
+                          });
     }
 };
 
