--- /dev/null
+++ b/src/host_claims.cpp
@@ -0,0 +1,305 @@
+// Ownership of shards: choice of owner, claims and requests for handover.
+#include "host_control.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+constexpr duration claim_check_interval{200};
+
+// Returns the name in "name/incarnation".
+host_id host_name_of(const host_id& owner) {
+    return {owner.value.substr(0, owner.value.find('/'))};
+}
+
+std::uint64_t rendezvous_hash(const shard_id& shard, const host_id& host) {
+    const auto text = shard.value + "|" + host.value;
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+std::string_view host_control::describe(claim_reason reason) {
+    switch (reason) {
+    case claim_reason::none:
+        return "none";
+    case claim_reason::unowned:
+        return "unowned";
+    case claim_reason::own_restart:
+        return "own_restart";
+    case claim_reason::owner_restart:
+        return "owner_restart";
+    case claim_reason::owner_without_store:
+        return "owner_without_store";
+    case claim_reason::owner_silent:
+        return "owner_silent";
+    case claim_reason::lost_epoch:
+        return "lost_epoch";
+    }
+    return "";
+}
+
+std::size_t host_control::count_owned(const host_id& owner) const {
+    return static_cast<std::size_t>(
+        std::count_if(claims_.begin(), claims_.end(), [&](const auto& row) {
+            return host_name_of(row.second.record.owner) == owner;
+        }));
+}
+
+// Returns the host that should own a shard, excluding `except`; empty if there is none. Live hosts
+// that reach the store come first, then the nearest ones, then those with the fewest shards
+// relative to their processor share; ties go to the highest rendezvous hash.
+host_id host_control::choose_owner(const shard_record& shard, const host_id& except) const {
+    struct option {
+        bool store_unreachable; // for longer than the outage limit
+        int distance;
+        double load;
+        std::uint64_t hash;
+        host_id name;
+    };
+    const auto region_of = [&](const data_centre_id& data_centre) {
+        const auto found = options_.regions.find(data_centre);
+        return found == options_.regions.end() ? region_id{} : found->second;
+    };
+    const auto make = [&](const host_id& name, const data_centre_id& data_centre,
+                          std::int64_t weight, std::int64_t store_unreachable_ms) {
+        const int distance = data_centre == shard.data_centre                         ? 0
+                             : region_of(data_centre) == region_of(shard.data_centre) ? 1
+                                                                                      : 2;
+        const auto load = static_cast<double>(count_owned(name) + 1) /
+                          static_cast<double>(std::max<std::int64_t>(1, weight));
+        const bool store_unreachable =
+            store_unreachable_ms > options_.timing.store_outage_limit.count();
+        return option{store_unreachable, distance, load, rendezvous_hash(shard.id, name), name};
+    };
+    std::optional<option> best;
+    const auto add_option = [&](const option& next) {
+        if (next.name == except) {
+            return;
+        }
+        if (!best || std::tie(next.store_unreachable, next.distance, next.load, best->hash,
+                              next.name) < std::tie(best->store_unreachable, best->distance,
+                                                    best->load, next.hash, best->name)) {
+            best = next;
+        }
+    };
+    if (!leaving_) {
+        add_option(make(options_.name, options_.data_centre, options_.weight,
+                        store_.unreachable_for().count()));
+    }
+    for (const auto& [name, peer] : peers_) {
+        if (is_alive(peer) && peer.status.incarnation == peer.record.incarnation) {
+            add_option(make(name, peer.record.data_centre, peer.record.weight,
+                            peer.status.store_unreachable_ms));
+        }
+    }
+    return best ? best->name : host_id{};
+}
+
+// Returns whether this host should claim a shard now. Nearer hosts act first.
+host_control::claim_reason host_control::should_claim(const shard_record& shard,
+                                                      const claim_row* claim) const {
+    using enum claim_reason;
+    const auto now = loop_.now();
+    const auto& timing = options_.timing;
+    const int distance = distance_to(shard.data_centre);
+    const auto owner_timeout = distance == 0   ? timing.local_owner_timeout
+                               : distance == 1 ? timing.region_owner_timeout
+                                               : timing.remote_owner_timeout;
+    const auto startup_grace_end = started_ + timing.local_gossip_interval * 2;
+    if (claim == nullptr || claim->record.owner.value.empty()) {
+        const auto first_seen =
+            claim != nullptr ? claim->first_seen : shard_first_seen_.at(shard.id);
+        const auto wait = distance == 0 ? duration(0) : owner_timeout;
+        const bool due = now >= std::max(startup_grace_end, first_seen + wait);
+        return due && choose_owner(shard, {}) == options_.name ? unowned : none;
+    }
+    const auto owner = host_name_of(claim->record.owner);
+    if (owner == options_.name) {
+        return claim->record.owner != self_ ? own_restart : none;
+    }
+    const auto peer = peers_.find(owner);
+    // An owner has restarted if a registration newer than its claim names another incarnation. With
+    // an older registration, the current one just hasn't been received yet.
+    const bool restarted =
+        peer != peers_.end() && peer->second.registered_revision > claim->revision &&
+        claim->record.owner.value != owner.value + "/" + peer->second.record.incarnation;
+    if (restarted) {
+        const bool due = now >= startup_grace_end;
+        return due && choose_owner(shard, {}) == options_.name ? owner_restart : none;
+    }
+    auto last_received = std::max(started_, claim->first_seen);
+    if (peer != peers_.end() && peer->second.last_received) {
+        last_received = std::max(last_received, *peer->second.last_received);
+    }
+    // An owner that can't write to the store is replaced by a host that can. After an outage that
+    // affects all hosts, each detects the store's return at a different time, so the first one
+    // waits for the others. Hosts without shards send datagrams only within their data centre, so
+    // nearer hosts act first.
+    const auto outage_limit =
+        timing.store_outage_limit + owner_timeout - timing.local_owner_timeout;
+    const bool lacks_store = peer != peers_.end() && is_alive(peer->second) &&
+                             peer->second.status.store_unreachable_ms > outage_limit.count() &&
+                             store_.healthy_for(timing.store_outage_limit);
+    if (lacks_store) {
+        return choose_owner(shard, owner) == options_.name ? owner_without_store : none;
+    }
+    // An owner that is reachable from other hosts is only disconnected from this one.
+    if (now - last_received <= owner_timeout || is_reachable_from_others(owner)) {
+        return none;
+    }
+    const bool chosen =
+        choose_owner(shard, owner) == options_.name || now - last_received > owner_timeout * 2;
+    return chosen ? owner_silent : none;
+}
+
+bool host_control::is_reachable_from_others(const host_id& name) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& row) {
+        const auto& reachable = row.second.status.reachable_owners;
+        return is_alive(row.second) &&
+               std::find(reachable.begin(), reachable.end(), name) != reachable.end();
+    });
+}
+
+// Requests the handover of a shard that this host should own: a shard of its data centre whose
+// owner is in another data centre, or, while this host owns none, one of several shards of the same
+// owner.
+void host_control::request_shards() {
+    const auto now = loop_.now();
+    if (now < next_shard_request_ || now < started_ + options_.timing.settling_time) {
+        return;
+    }
+    for (const auto& shard : shard_list_) {
+        const auto claim = claims_.find(shard.id);
+        if (shard.data_centre != options_.data_centre || claim == claims_.end() ||
+            now < claim->second.first_seen + options_.timing.settling_time) {
+            continue;
+        }
+        const auto owner = host_name_of(claim->second.record.owner);
+        const auto peer = peers_.find(owner);
+        if (peer == peers_.end() || !is_alive(peer->second)) {
+            continue;
+        }
+        const bool remote = peer->second.record.data_centre != options_.data_centre;
+        if (!remote && (!owned_.empty() || count_owned(owner) < 2)) {
+            continue;
+        }
+        next_shard_request_ = now + options_.timing.settling_time;
+        log_.write_rare("event=shard_asked_for shard={} owner={} remote={} owner_shards={}",
+                        shard.id.value, owner.value, remote, count_owned(owner));
+        const json body{{"shard", shard.id}, {"host", options_.name}};
+        peers_link_.call(peer->second.record.address, "yield", body.dump(),
+                         options_.timing.peer_timeout, [](const result<std::string>&) {});
+        return;
+    }
+}
+
+// Hands over a shard to the host that requested it if that host is nearer to the shard's workers or
+// this host owns several shards.
+void host_control::answer_yield_call(const std::string& body, const peer_reply& reply) {
+    const auto in = json::parse(body, nullptr, false);
+    const shard_id id{in.is_object() ? in.value("shard", "") : ""};
+    const host_id host{in.is_object() ? in.value("host", "") : ""};
+    const auto shard = find_owned(id);
+    const auto peer = peers_.find(host);
+    if (!shard || !shard->loaded || peer == peers_.end() || !orders_.healthy()) {
+        reply(error{error_kind::unavailable, "the shard can't be handed over now"});
+        return;
+    }
+    const bool nearer = peer->second.record.data_centre == shard->state.data_centre &&
+                        options_.data_centre != shard->state.data_centre;
+    if (nearer || owned_.size() > 1) {
+        shard->successor = host;
+        transfer_shard(shard);
+    }
+    reply(std::string());
+}
+
+// Claims the shards that this host should own and continues the requested handovers. While this
+// host is leaving, hands over all shards instead, and then calls the handler passed to drain().
+void host_control::maintain_claims() {
+    next_claim_check_ = loop_.now() + claim_check_interval;
+    if (!meta_.loaded()) {
+        return;
+    }
+    if (leaving_) {
+        bool all_handed_over = true;
+        for (const auto& [id, shard] : std::map(owned_)) {
+            transfer_shard(shard);
+            all_handed_over = false;
+        }
+        if (all_handed_over && on_drained_) {
+            std::exchange(on_drained_, {})();
+        }
+        return;
+    }
+    for (const auto& [id, shard] : std::map(owned_)) {
+        if (!shard->successor.value.empty()) {
+            transfer_shard(shard);
+        }
+    }
+    for (const auto& shard : std::vector(shard_list_)) {
+        if (owned_.contains(shard.id) || claiming_.contains(shard.id)) {
+            continue;
+        }
+        const auto row = claims_.find(shard.id);
+        const auto* claim = row == claims_.end() ? nullptr : &row->second;
+        if (claim != nullptr && claim->record.owner == self_) {
+            // The shard was handed over to this host, unless this host already lost it in that
+            // epoch because workers rejected the epoch: then a newer claim exists that the view
+            // doesn't show yet.
+            if (claim->record.epoch > fenced_epochs_[shard.id]) {
+                activate_shard(shard, claim->record.epoch, claim->revision);
+            } else if (meta_.healthy() &&
+                       loop_.now() > claim->first_seen + options_.timing.settling_time) {
+                claim_shard(shard, claim, claim_reason::lost_epoch);
+            }
+        } else if (const auto reason = should_claim(shard, claim); reason != claim_reason::none) {
+            claim_shard(shard, claim, reason);
+        }
+    }
+    request_shards();
+}
+
+void host_control::claim_shard(const shard_record& shard, const claim_row* claim,
+                               claim_reason reason) {
+    const claim_record next{self_, {claim == nullptr ? 1 : claim->record.epoch.value + 1}};
+    const auto revision = claim == nullptr ? revision_number{} : claim->revision;
+    claiming_.insert(shard.id);
+    const auto now = loop_.now();
+    const auto owner = claim == nullptr ? host_id{} : claim->record.owner;
+    const auto peer = peers_.find(host_name_of(owner));
+    const bool received = peer != peers_.end() && peer->second.last_received;
+    log_.write_rare("event=claim_attempt shard={} epoch={} previous_owner={} reason={} "
+                    "owner_silent_ms={} claim_age_ms={} view_age_ms={} delay_ms={} owned={}",
+                    shard.id.value, next.epoch.value, owner.value, describe(reason),
+                    received ? (now - *peer->second.last_received).count() : -1,
+                    claim == nullptr ? -1 : (now - claim->first_seen).count(),
+                    meta_.confirmed() ? (now - *meta_.confirmed()).count() : -1,
+                    worst_delay_.count(), owned_.size());
+    store_transaction put;
+    put.conditions.push_back({claim_key(shard.id), revision});
+    put.puts.push_back({claim_key(shard.id), encode(next), {}});
+    store_.commit(std::move(put),
+                  [this, alive = alive_, shard, next](result<transaction_reply> reply) {
+                      if (!*alive) {
+                          return;
+                      }
+                      claiming_.erase(shard.id);
+                      counters_.count("claims", !reply ? to_string(reply.error().kind)
+                                                : reply.value().applied ? "applied"
+                                                                        : "conflict");
+                      // Without an answer, the view shows whether the claim was written.
+                      if (reply && reply.value().applied) {
+                          const auto applied = *reply.value().applied;
+                          claims_[shard.id] = {next, applied, loop_.now()};
+                          activate_shard(shard, next.epoch, applied);
+                      }
+                  });
+}
+
+} // namespace fulmar
