host_control: start tasks only by worker entries confirmed in time

Cause: starts required that the operators' orders had been confirmed lately, but not that the worker entries had. A host whose watch of the entries hangs, or that is late itself, placed tasks by a copy of any age. Ruled out: an entry that was read and not applied; `attach_workers` passes all of the copy to a new owner.

Change: the age of the copy counts like that of the orders. While most hosts report that they can't reach the store, no worker can report that it leaves, and the limit counts from then on. The watch waits 1 s, where it waited 10, so that a quiet deployment confirms too.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -13,7 +13,7 @@
 // Each watch reply confirms the orders, so the wait bounds the age of the confirmation.
 constexpr duration orders_watch_wait{1'500};
 constexpr duration meta_watch_wait{10'000};
-constexpr duration workers_watch_wait{10'000};
+constexpr duration workers_watch_wait{1'000};
 
 // Batches changes, as each worker writes its entry every second or two and each write is an event.
 // Must be well below the 2.5 s after which a draining worker must get no more starts.
@@ -386,32 +386,51 @@
     }
 }
 
-// Returns whether this host's copy of the operator orders is recent enough for starts. It is if the
-// store has confirmed it, if a peer that reaches the store has no newer orders, or if this host
-// receives datagrams from most hosts and none of them reaches the store.
-bool host_control::orders_fresh() const {
-    const auto now = loop_.now();
-    if (orders_.confirmed() && now - *orders_.confirmed() <= options_.timing.freshness) {
-        return true;
-    }
+// Returns what this host's peers report about the store.
+host_control::peer_reports host_control::collect_reports() const {
+    peer_reports reports;
     std::size_t reachable = 1;
-    bool store_reached = false;
     for (const auto& [name, peer] : peers_) {
         if (!peer.last_received ||
-            now - *peer.last_received > options_.timing.region_owner_timeout) {
+            loop_.now() - *peer.last_received > options_.timing.region_owner_timeout) {
             continue;
         }
         ++reachable;
         if (peer.status.store_reachable) {
-            store_reached = true;
-            if (peer.status.orders_revision <= orders_.revision()) {
-                return true;
-            }
+            reports.store_reached = true;
+            reports.orders_current =
+                reports.orders_current || peer.status.orders_revision <= orders_.revision();
         }
     }
-    // Operators write to the same store: while most hosts can't reach it, this host misses no new
-    // orders.
-    return !store_reached && reachable * 2 > peers_.size() + 1;
+    reports.from_most_hosts = reachable * 2 > peers_.size() + 1;
+    return reports;
+}
+
+// Updates whether this host's copies of the operator orders and of the worker entries are recent
+// enough for starts. They are if the store has confirmed them. Orders also are if a peer that
+// reaches the store has no newer ones. While this host receives datagrams from most hosts and none
+// of them reaches the store, it misses nothing: operators and workers write to the same store.
+void host_control::update_freshness() {
+    const auto now = loop_.now();
+    const auto& timing = options_.timing;
+    const auto confirmed_within = [&](const store_view& view, duration limit) {
+        return view.confirmed() && now - *view.confirmed() <= limit;
+    };
+    const bool orders_confirmed = confirmed_within(orders_, timing.freshness);
+    const bool workers_confirmed = confirmed_within(worker_view_, timing.workers_freshness);
+    if (orders_confirmed && workers_confirmed) {
+        orders_fresh_ = true;
+        workers_fresh_ = true;
+        return;
+    }
+    const auto reports = collect_reports();
+    if (!reports.store_reached && reports.from_most_hosts) {
+        last_outage_ = now;
+    }
+    orders_fresh_ = orders_confirmed || reports.orders_current || last_outage_ == now;
+    // A worker can report that it leaves only after the outage.
+    workers_fresh_ =
+        workers_confirmed || (last_outage_ && now - *last_outage_ <= timing.workers_freshness);
 }
 
 // Requests newer operator orders from the nearest peer that has them.
@@ -511,13 +530,17 @@
 
 // Updates whether the tasks of each owned shard may start.
 void host_control::update_start_permissions() {
-    const bool fresh = orders_fresh();
+    update_freshness();
+    const bool fresh = orders_fresh_ && workers_fresh_;
     for (const auto& [id, shard] : owned_) {
         auto& state = shard->state;
         const bool open = !evacuated_.contains(state.data_centre);
         if (state.starts_allowed != fresh || state.data_centre_open != open) {
-            log_.write_rare("event=shard_starts shard={} orders_fresh={} data_centre_open={}",
-                            id.value, fresh, open);
+            const auto age =
+                worker_view_.confirmed() ? (loop_.now() - *worker_view_.confirmed()).count() : -1;
+            log_.write_rare("event=shard_starts shard={} orders_fresh={} data_centre_open={} "
+                            "workers_fresh={} workers_age_ms={}",
+                            id.value, orders_fresh_, open, workers_fresh_, age);
             state.starts_allowed = fresh;
             state.data_centre_open = open;
             state.placement_needed = true;
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -54,6 +54,9 @@
     // Tasks start only while the operator orders were confirmed within this time, as orders must
     // take effect within 5 s.
     duration freshness{4'000};
+    // The same for the worker entries: a worker that has reported that it leaves must get no more
+    // starts after 2.5 s on the strictest deployments; a start takes less than the rest.
+    duration workers_freshness{2'000};
     // A host requests a shard that it should own instead of the current owner once it has run, and
     // the claim has been unchanged, for this long.
     duration settling_time{3'000};
@@ -148,6 +151,13 @@
     };
     using shard_pointer = std::shared_ptr<owned_shard>;
 
+    // What peers that this host receives datagrams from report about the store.
+    struct peer_reports {
+        bool store_reached = false;   // one of them reaches it
+        bool orders_current = false;  // one that reaches it has no newer orders than this host
+        bool from_most_hosts = false; // more than half of all hosts, this one included
+    };
+
     // Membership and store views.
     void on_meta_change(const std::string& key, const store_entry* entry);
     void on_orders_change(const std::string& key, const store_entry* entry);
@@ -161,7 +171,8 @@
     host_status make_status() const;
     bool is_alive(const peer_row& peer) const;
     int distance_to(const data_centre_id& data_centre) const;
-    bool orders_fresh() const;
+    peer_reports collect_reports() const;
+    void update_freshness();
     bool is_reachable_from_others(const host_id& name) const;
     void fetch_orders();
     void update_start_permissions();
@@ -266,6 +277,10 @@
     time_point next_claim_check_;
     bool leaving_ = false;
     bool fetching_orders_ = false;
+    bool orders_fresh_ = false;
+    bool workers_fresh_ = false;
+    // When this host last received datagrams from most hosts while none of them reached the store.
+    std::optional<time_point> last_outage_;
     std::function<void()> on_drained_;
     std::uint64_t next_token_ = 1;
     std::map<request_token, submit_callback> submit_waiting_;
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -102,4 +102,28 @@
     }
 }
 
+// A host started tasks by a copy of the worker entries that was seconds old, and so on a worker
+// that had reported that it leaves.
+TEST_CASE("no task starts on a draining worker while the watch of the worker entries hangs") {
+    constexpr duration drain_notice{2'500};
+    sim_world world(64, {"east"});
+    world.run_for(startup_time);
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    world.hang_watches(*owner, "servers/", true);
+    world.run_for(duration(500));
+    world.drain_worker("w-east-0");
+    const auto drained = world.now();
+    for (std::size_t i = 0; i < 30; ++i) {
+        world.submit(i % 2, sim_world::simple_job(6), duration(300));
+        world.run_for(duration(200));
+    }
+    for (const auto& run : world.workers().at("w-east-0").model->observed()) {
+        CHECK(run.from <= drained + drain_notice);
+    }
+    world.hang_watches(*owner, "servers/", false);
+    CHECK(finish_all(world, finish_time));
+    check_guarantees(world);
+}
+
 } // namespace fulmar
