host_claims: choose owners by the processors that their shards need

Cause: who claims a shard and who may ask for one were decided by different rules. Claims compared the number of shards with the processors, after the distance; any host without shards could ask an owner of two, or one in another data centre, for a shard, whatever its processors. A shard of 58 workers needs about 0.17 core. An owner also handed over a takeover that wasn't complete, and its successor began it anew.

Change: claims, requests and the answer to a request use one choice. A host whose processors don't suffice for the shard and its other shards comes after all that do, near or not; then come distance and load, counted in workers. Ties go to the present owner, so a shard doesn't move back and forth. An incomplete takeover isn't handed over. Hosts that aren't chosen wait longer before they claim a silent owner's shard all the same.

Evidence: "a host requests no shard that its processors can serve less well" and "an incomplete takeover is not handed over" fail on the old code.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -11,6 +11,16 @@
 
 constexpr duration claim_check_interval{200};
 
+// Processors that the owner of a shard needs for each worker, in thousandths of a core, at 1.3
+// starts per second and worker, and the share of a host's processors that may be used for this.
+constexpr std::int64_t processors_per_worker = 3;
+constexpr double usable_share = 0.8;
+
+constexpr duration size_update_interval{500};
+
+// Between two checks whether this host should own a shard of another host.
+constexpr duration shard_request_interval{500};
+
 // Returns the name in "name/incarnation".
 host_id host_name_of(const host_id& owner) {
     return {owner.value.substr(0, owner.value.find('/'))};
@@ -50,14 +60,38 @@
         }));
 }
 
+// Counts the workers of each shard.
+void host_control::update_shard_sizes() {
+    if (loop_.now() < next_size_update_) {
+        return;
+    }
+    next_size_update_ = loop_.now() + size_update_interval;
+    std::map<std::pair<data_centre_id, rack_id>, std::int64_t> racks;
+    for (const auto& [id, worker] : worker_entries_) {
+        ++racks[{worker.data_centre, worker.rack}];
+    }
+    for (const auto& shard : shard_list_) {
+        auto& size = shard_sizes_[shard.id] = 0;
+        for (const auto& rack : shard.racks) {
+            const auto found = racks.find({shard.data_centre, rack});
+            size += found == racks.end() ? 0 : found->second;
+        }
+    }
+}
+
 // Returns the host that should own a shard, excluding `except`; empty if there is none. Live hosts
-// that reach the store come first, then the nearest ones, then those with the fewest shards
-// relative to their processor share; ties go to the highest rendezvous hash.
-host_id host_control::choose_owner(const shard_record& shard, const host_id& except) const {
+// that reach the store come first, then those whose processors suffice for the shard and those that
+// they own already, then the nearest ones, then those with the fewest workers relative to their
+// processor share; ties go to the current owner, then to the highest rendezvous hash. `candidate`
+// counts as live: hosts without shards send no datagrams to other data centres.
+host_id host_control::choose_owner(const shard_record& shard, const host_id& except,
+                                   const host_id& candidate) const {
     struct option {
         bool store_unreachable; // for longer than the outage limit
+        bool overloaded;
         int distance;
-        double load;
+        double load; // processors that the workers need, relative to the host's
+        bool other;  // not the current owner
         std::uint64_t hash;
         host_id name;
     };
@@ -65,25 +99,44 @@
         const auto found = options_.regions.find(data_centre);
         return found == options_.regions.end() ? region_id{} : found->second;
     };
+    const auto size_of = [&](const shard_id& id) {
+        const auto found = shard_sizes_.find(id);
+        return found == shard_sizes_.end() ? 0 : found->second;
+    };
+    std::map<host_id, std::int64_t> workers;
+    for (const auto& [id, row] : claims_) {
+        workers[host_name_of(row.record.owner)] += id == shard.id ? 0 : size_of(id);
+    }
+    const auto claim = claims_.find(shard.id);
+    const auto current =
+        claim == claims_.end() ? host_id{} : host_name_of(claim->second.record.owner);
     const auto make = [&](const host_id& name, const data_centre_id& data_centre,
                           std::int64_t weight, std::int64_t store_unreachable_ms) {
         const int distance = data_centre == shard.data_centre                         ? 0
                              : region_of(data_centre) == region_of(shard.data_centre) ? 1
                                                                                       : 2;
-        const auto load = static_cast<double>(count_owned(name) + 1) /
-                          static_cast<double>(std::max<std::int64_t>(1, weight));
+        const auto load =
+            static_cast<double>((workers[name] + size_of(shard.id)) * processors_per_worker) /
+            static_cast<double>(std::max<std::int64_t>(1, weight));
         const bool store_unreachable =
             store_unreachable_ms > options_.timing.store_outage_limit.count();
-        return option{store_unreachable, distance, load, rendezvous_hash(shard.id, name), name};
+        return option{store_unreachable,
+                      load > usable_share,
+                      distance,
+                      load,
+                      name != current,
+                      rendezvous_hash(shard.id, name),
+                      name};
     };
     std::optional<option> best;
     const auto add_option = [&](const option& next) {
         if (next.name == except) {
             return;
         }
-        if (!best || std::tie(next.store_unreachable, next.distance, next.load, best->hash,
-                              next.name) < std::tie(best->store_unreachable, best->distance,
-                                                    best->load, next.hash, best->name)) {
+        if (!best || std::tie(next.store_unreachable, next.overloaded, next.distance, next.load,
+                              next.other, best->hash, next.name) <
+                         std::tie(best->store_unreachable, best->overloaded, best->distance,
+                                  best->load, best->other, next.hash, best->name)) {
             best = next;
         }
     };
@@ -92,7 +145,8 @@
                         store_.unreachable_for().count()));
     }
     for (const auto& [name, peer] : peers_) {
-        if (is_alive(peer) && peer.status.incarnation == peer.record.incarnation) {
+        const bool live = is_alive(peer) && peer.status.incarnation == peer.record.incarnation;
+        if (live || name == candidate) {
             add_option(make(name, peer.record.data_centre, peer.record.weight,
                             peer.status.store_unreachable_ms));
         }
@@ -152,8 +206,8 @@
     if (now - last_received <= owner_timeout || is_reachable_from_others(owner)) {
         return none;
     }
-    const bool chosen =
-        choose_owner(shard, owner) == options_.name || now - last_received > owner_timeout * 2;
+    const bool chosen = choose_owner(shard, owner) == options_.name ||
+                        now - last_received > owner_timeout + timing.remote_owner_timeout;
     return chosen ? owner_silent : none;
 }
 
@@ -165,32 +219,29 @@
     });
 }
 
-// Requests the handover of a shard that this host should own: a shard of its data centre whose
-// owner is in another data centre, or, while this host owns none, one of several shards of the same
-// owner.
+// Requests the handover of a shard that this host should own instead of the current owner. Claims
+// and requests follow the same choice, so a shard doesn't move back and forth.
 void host_control::request_shards() {
     const auto now = loop_.now();
     if (now < next_shard_request_ || now < started_ + options_.timing.settling_time) {
         return;
     }
+    next_shard_request_ = now + shard_request_interval;
     for (const auto& shard : shard_list_) {
         const auto claim = claims_.find(shard.id);
-        if (shard.data_centre != options_.data_centre || claim == claims_.end() ||
+        if (claim == claims_.end() ||
             now < claim->second.first_seen + options_.timing.settling_time) {
             continue;
         }
         const auto owner = host_name_of(claim->second.record.owner);
         const auto peer = peers_.find(owner);
-        if (peer == peers_.end() || !is_alive(peer->second)) {
-            continue;
-        }
-        const bool remote = peer->second.record.data_centre != options_.data_centre;
-        if (!remote && (!owned_.empty() || count_owned(owner) < 2)) {
+        if (peer == peers_.end() || !is_alive(peer->second) ||
+            choose_owner(shard, {}) != options_.name) {
             continue;
         }
         next_shard_request_ = now + options_.timing.settling_time;
-        log_.write_rare("event=shard_asked_for shard={} owner={} remote={} owner_shards={}",
-                        shard.id.value, owner.value, remote, count_owned(owner));
+        log_.write_rare("event=shard_asked_for shard={} owner={} owner_shards={} owned={}",
+                        shard.id.value, owner.value, count_owned(owner), owned_.size());
         const json body{{"shard", shard.id}, {"host", options_.name}};
         peers_link_.call(peer->second.record.address, "yield", body.dump(),
                          options_.timing.peer_timeout, [](const result<std::string>&) {});
@@ -198,21 +249,19 @@
     }
 }
 
-// Hands over a shard to the host that requested it if that host is nearer to the shard's workers or
-// this host owns several shards.
+// Hands over a shard to the host that requested it if this host, too, finds that it should own the
+// shard. An incomplete takeover isn't handed over, as the successor would begin it anew.
 void host_control::answer_yield_call(const std::string& body, const peer_reply& reply) {
     const auto in = json::parse(body, nullptr, false);
     const shard_id id{in.is_object() ? in.value("shard", "") : ""};
     const host_id host{in.is_object() ? in.value("host", "") : ""};
     const auto shard = find_owned(id);
-    const auto peer = peers_.find(host);
-    if (!shard || !shard->loaded || peer == peers_.end() || !orders_.healthy()) {
+    if (!shard || !shard->loaded || !shard->state.takeover_complete || !peers_.contains(host) ||
+        !orders_.healthy()) {
         reply(error{error_kind::unavailable, "the shard can't be handed over now"});
         return;
     }
-    const bool nearer = peer->second.record.data_centre == shard->state.data_centre &&
-                        options_.data_centre != shard->state.data_centre;
-    if (nearer || owned_.size() > 1) {
+    if (choose_owner({id, shard->state.data_centre, {}}, {}, host) == host) {
         shard->successor = host;
         transfer_shard(shard);
     }
@@ -226,6 +275,7 @@
     if (!meta_.loaded()) {
         return;
     }
+    update_shard_sizes();
     if (leaving_) {
         bool all_handed_over = true;
         for (const auto& [id, shard] : std::map(owned_)) {
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -196,7 +196,9 @@
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
     void request_shards();
     void answer_yield_call(const std::string& body, const peer_reply& reply);
-    host_id choose_owner(const shard_record& shard, const host_id& except) const;
+    void update_shard_sizes();
+    host_id choose_owner(const shard_record& shard, const host_id& except,
+                         const host_id& candidate = {}) const;
     std::size_t count_owned(const host_id& owner) const;
     void claim_shard(const shard_record& shard, const claim_row* claim, claim_reason reason);
     void activate_shard(const shard_record& shard, epoch_number epoch, revision_number revision);
@@ -260,6 +262,8 @@
     std::map<worker_id, worker_entry> worker_entries_;
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
+    std::map<shard_id, std::int64_t> shard_sizes_; // workers of each shard
+    time_point next_size_update_;
     std::set<shard_id> claiming_;
     site_config config_;
     std::set<data_centre_id> evacuated_;
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -54,6 +54,50 @@
     check_guarantees(world);
 }
 
+// A host without shards requested one from any owner of two, also from one with many times its
+// processors, and could then not serve it.
+TEST_CASE("a host requests no shard that its processors can serve less well") {
+    sim_world world(61, {"east"}, 2, 24);
+    world.set_processor_share(0, 500);
+    world.set_processor_share(1, 120);
+    for (std::size_t host = 0; host < 2; ++host) {
+        world.kill_host(host);
+        world.start_host(host);
+    }
+    world.run_for(startup_time);
+    REQUIRE(world.shards().size() == 2);
+    REQUIRE(world.owner_of("east.0") == 0);
+    REQUIRE(world.owner_of("east.1") == 0);
+    CHECK(keeps_owners(world, duration(15'000)));
+}
+
+// Each successor of an incomplete takeover waits anew for the workers that it can't reach.
+TEST_CASE("an incomplete takeover is not handed over") {
+    sim_world world(62, {"east"}, 2, 24);
+    world.set_processor_share(0, 500);
+    world.set_processor_share(1, 120);
+    for (std::size_t host = 0; host < 2; ++host) {
+        world.kill_host(host);
+        world.start_host(host);
+    }
+    world.run_for(startup_time);
+    world.submit(0, long_running_job(40), duration(0));
+    world.run_for(duration(1'500));
+    for (auto& [id, worker] : world.workers()) {
+        if (id.ends_with("0")) {
+            worker.disconnected_hosts.insert(1);
+        }
+    }
+    world.kill_host(0);
+    REQUIRE(world.run_until([&] { return world.owner_of("east.0") == 1; }, duration(3'000)));
+    world.start_host(0);
+    CHECK(keeps_owners(world, duration(7'000)));
+    CHECK(world.run_until(
+        [&] { return world.owner_of("east.0") == 0 && world.owner_of("east.1") == 0; },
+        duration(15'000)));
+    check_guarantees(world);
+}
+
 // Racks were counted while their workers were still registering, so that all racks of a data centre
 // went to one shard, whose owner could then not serve it.
 TEST_CASE("a rack joins another one's shard only once both are settled") {
