host_claims: learn from rejected claims, and don't claim without the store

Cause: a host whose view of the claims wasn't updated, because its watch hung or its store didn't answer, repeated a claim that the store had rejected, or hadn't answered, every 200 to 400 ms with the epoch and the owner that it knew. Each attempt is a charged call.

Change: the entries that a rejected claim returns update the view, a claim without an answer is repeated after a second, and a host that the store hasn't answered for a second claims nothing. `claim_rejected` and `claim_unanswered` tell the outcome.

Evidence: "a rejected claim is not repeated with the same epoch" fails on the old code (64 conflicts in 9 s, 1 allowed).

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -11,6 +11,9 @@
 
 constexpr duration claim_check_interval{200};
 
+// Until the next attempt to claim a shard when the store didn't answer one.
+constexpr duration claim_retry{1'000};
+
 // Processors that the owner of a shard needs for each worker, in thousandths of a core, at 1.3
 // starts per second and worker, and the share of a host's processors that may be used for this.
 constexpr std::int64_t processors_per_worker = 3;
@@ -292,8 +295,10 @@
             transfer_shard(shard);
         }
     }
+    const bool store_answers = store_.unreachable_for() <= claim_retry;
     for (const auto& shard : std::vector(shard_list_)) {
-        if (owned_.contains(shard.id) || claiming_.contains(shard.id)) {
+        if (owned_.contains(shard.id) || claiming_.contains(shard.id) ||
+            loop_.now() < next_claim_[shard.id]) {
             continue;
         }
         const auto row = claims_.find(shard.id);
@@ -304,17 +309,30 @@
             // doesn't show yet.
             if (claim->record.epoch > fenced_epochs_[shard.id]) {
                 activate_shard(shard, claim->record.epoch, claim->revision);
-            } else if (meta_.healthy() &&
+            } else if (store_answers && meta_.healthy() &&
                        loop_.now() > claim->first_seen + options_.timing.settling_time) {
                 claim_shard(shard, claim, claim_reason::lost_epoch);
             }
-        } else if (const auto reason = should_claim(shard, claim); reason != claim_reason::none) {
+            continue;
+        }
+        if (const auto reason = should_claim(shard, claim);
+            store_answers && reason != claim_reason::none) {
             claim_shard(shard, claim, reason);
         }
     }
     request_shards();
 }
 
+// Takes a shard's claim from the entries that a rejected claim returned: the view of a host whose
+// watch hangs doesn't show it.
+void host_control::apply_rejection(const shard_id& shard, const std::vector<store_entry>& present) {
+    for (const auto& entry : present) {
+        if (entry.key == claim_key(shard)) {
+            on_meta_change(entry.key, &entry);
+        }
+    }
+}
+
 void host_control::claim_shard(const shard_record& shard, const claim_row* claim,
                                claim_reason reason) {
     const claim_record next{self_, {claim == nullptr ? 1 : claim->record.epoch.value + 1}};
@@ -334,22 +352,31 @@
     store_transaction put;
     put.conditions.push_back({claim_key(shard.id), revision});
     put.puts.push_back({claim_key(shard.id), encode(next), {}});
-    store_.commit(std::move(put),
-                  [this, alive = alive_, shard, next](result<transaction_reply> reply) {
-                      if (!*alive) {
-                          return;
-                      }
-                      claiming_.erase(shard.id);
-                      counters_.count("claims", !reply ? to_string(reply.error().kind)
-                                                : reply.value().applied ? "applied"
-                                                                        : "conflict");
-                      // Without an answer, the view shows whether the claim was written.
-                      if (reply && reply.value().applied) {
-                          const auto applied = *reply.value().applied;
-                          claims_[shard.id] = {next, applied, loop_.now()};
-                          activate_shard(shard, next.epoch, applied);
-                      }
-                  });
+    store_.commit(
+        std::move(put), [this, alive = alive_, shard, next](result<transaction_reply> reply) {
+            if (!*alive) {
+                return;
+            }
+            claiming_.erase(shard.id);
+            counters_.count("claims", !reply                  ? to_string(reply.error().kind)
+                                      : reply.value().applied ? "applied"
+                                                              : "conflict");
+            if (!reply) {
+                next_claim_[shard.id] = loop_.now() + claim_retry;
+                log_.write_rare("event=claim_unanswered shard={} epoch={} reason={}",
+                                shard.id.value, next.epoch.value, to_string(reply.error().kind));
+            } else if (!reply.value().applied) {
+                log_.write_rare("event=claim_rejected shard={} epoch={}", shard.id.value,
+                                next.epoch.value);
+                apply_rejection(shard.id, reply.value().present);
+            }
+            // Without an answer, the view shows whether the claim was written.
+            if (reply && reply.value().applied) {
+                const auto applied = *reply.value().applied;
+                claims_[shard.id] = {next, applied, loop_.now()};
+                activate_shard(shard, next.epoch, applied);
+            }
+        });
 }
 
 } // namespace fulmar
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -193,6 +193,7 @@
     void record_join(const worker_entry& worker);
     void extend_shard_list();
     void maintain_claims();
+    void apply_rejection(const shard_id& shard, const std::vector<store_entry>& present);
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
     void request_shards();
     void answer_yield_call(const std::string& body, const peer_reply& reply);
@@ -265,6 +266,7 @@
     std::map<shard_id, std::int64_t> shard_sizes_; // workers of each shard
     time_point next_size_update_;
     std::set<shard_id> claiming_;
+    std::map<shard_id, time_point> next_claim_; // earliest time of the next attempt
     site_config config_;
     std::set<data_centre_id> evacuated_;
     std::optional<lease_id> lease_;
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -14,6 +14,14 @@
     return spec;
 }
 
+void isolate(sim_world& world, std::size_t host, bool isolated) {
+    for (std::size_t other = 0; other < world.host_count(); ++other) {
+        if (other != host) {
+            world.set_partition(host, other, isolated);
+        }
+    }
+}
+
 // Advances time and returns whether the owners of all shards stayed the same throughout.
 bool keeps_owners(sim_world& world, duration time) {
     constexpr duration step{100};
@@ -31,6 +39,11 @@
     return kept;
 }
 
+// Returns a host of the shard's data centre that doesn't own the shard; two hosts per data centre.
+std::size_t neighbour(std::size_t owner) {
+    return owner ^ 1U;
+}
+
 rack_map make_racks(const std::vector<std::size_t>& workers, bool settled, bool overdue = false) {
     rack_map racks;
     for (std::size_t i = 0; i < workers.size(); ++i) {
@@ -54,6 +67,23 @@
     check_guarantees(world);
 }
 
+// A host whose view of the claims isn't updated repeated a rejected claim every 200 ms.
+TEST_CASE("a rejected claim is not repeated with the same epoch") {
+    sim_world world(60);
+    world.run_for(startup_time);
+    world.submit(0, long_running_job(9), duration(0));
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    const std::size_t remote = *owner < 2 ? 2 : 0;
+    world.hang_watches(remote, "meta/", true);
+    isolate(world, remote, true);
+    world.kill_host(*owner);
+    world.run_for(duration(9'000));
+    CHECK(world.owner_of("east.0") == neighbour(*owner));
+    CHECK(world.counter(remote, "claims", "conflict") <= 1);
+    check_guarantees(world);
+}
+
 // A host without shards requested one from any owner of two, also from one with many times its
 // processors, and could then not serve it.
 TEST_CASE("a host requests no shard that its processors can serve less well") {
