host_claims: claim a silent owner's shard only if it stores nothing

Cause: a host claimed a shard when it had received no datagram from the owner for 1 to 3 s, and none of the peers that it heard had either. A host that is disconnected, or that was suspended or is late, hears nobody: its silence says nothing of the owner. Nothing in the store contradicted the claim.

Change: an owner writes the head of its shard every 0.3 s at least. From the first missing datagrams a host that may claim the shard reads the head, and reads it again 0.7 s later; it claims because of silence, or because the owner lacks the store, only if the head hasn't changed, and the claim's transaction requires that it still hasn't. The evidence is the store's, so a host's own delay can't falsify it. An owner that stores on but that no host hears is replaced after 2 s more by a host that hears most of those that should send it datagrams, because callers elsewhere can't reach its jobs.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -11,9 +11,6 @@
 
 constexpr duration claim_check_interval{200};
 
-// Until the next attempt to claim a shard when the store didn't answer one.
-constexpr duration claim_retry{1'000};
-
 // Processors that the owner of a shard needs for each worker, in thousandths of a core, at 1.3
 // starts per second and worker, and the share of a host's processors that may be used for this.
 constexpr std::int64_t processors_per_worker = 3;
@@ -24,6 +21,20 @@
 // Between two checks whether this host should own a shard of another host.
 constexpr duration shard_request_interval{500};
 
+// Until the next attempt to claim a shard when the store didn't answer one.
+constexpr duration claim_retry{1'000};
+
+// The store's records of a shard don't change for this long only if its owner has stopped working
+// or can't write to the store. More than twice shard_timing::progress_interval.
+constexpr duration stalled_after{700};
+
+// Longest time between two checks of an owner that turned out to work.
+constexpr duration longest_progress_window{4'000};
+
+// An owner that works but that no host receives datagrams from is replaced after this, in addition
+// to its failure timeout: callers at other hosts can't reach its jobs.
+constexpr duration cut_off_timeout{2'000};
+
 // Returns the name in "name/incarnation".
 host_id host_name_of(const host_id& owner) {
     return {owner.value.substr(0, owner.value.find('/'))};
@@ -50,6 +61,8 @@
         return "owner_without_store";
     case claim_reason::owner_silent:
         return "owner_silent";
+    case claim_reason::owner_cut_off:
+        return "owner_cut_off";
     case claim_reason::lost_epoch:
         return "lost_epoch";
     }
@@ -157,21 +170,111 @@
     return best ? best->name : host_id{};
 }
 
+duration host_control::owner_timeout(const data_centre_id& data_centre) const {
+    const auto& timing = options_.timing;
+    const int distance = distance_to(data_centre);
+    return distance == 0   ? timing.local_owner_timeout
+           : distance == 1 ? timing.region_owner_timeout
+                           : timing.remote_owner_timeout;
+}
+
+// Returns the time since the last sign of life of a claim's owner: a datagram, or the claim itself.
+duration host_control::owner_silence(const claim_row& claim) const {
+    auto last_received = std::max(started_, claim.first_seen);
+    const auto peer = peers_.find(host_name_of(claim.record.owner));
+    if (peer != peers_.end() && peer->second.last_received) {
+        last_received = std::max(last_received, *peer->second.last_received);
+    }
+    return loop_.now() - last_received;
+}
+
+// Returns whether this host receives datagrams from most of the hosts that send it any, the suspect
+// aside: those of its data centre, and the owners of shards. A host that doesn't is disconnected or
+// late itself.
+bool host_control::is_connected(const host_id& suspect) const {
+    std::size_t expected = 0;
+    std::size_t received = 0;
+    for (const auto& [name, peer] : peers_) {
+        const bool local = peer.record.data_centre == options_.data_centre;
+        if (name == suspect || (!local && count_owned(name) == 0)) {
+            continue;
+        }
+        ++expected;
+        received += peer.last_received && loop_.now() - *peer.last_received <=
+                                              owner_timeout(peer.record.data_centre)
+                        ? 1
+                        : 0;
+    }
+    return received * 2 > expected;
+}
+
+// From the first sign that the owner of a shard may have failed, checks whether it still stores
+// anything: reads the head of the shard, and again after a while.
+void host_control::track_progress(const shard_record& shard, const claim_row& claim) {
+    const auto owner = host_name_of(claim.record.owner);
+    const auto peer = peers_.find(owner);
+    const auto& timing = options_.timing;
+    const auto interval = distance_to(shard.data_centre) == 0 ? timing.local_gossip_interval
+                                                              : timing.global_gossip_interval;
+    const bool lacks_store =
+        peer != peers_.end() && peer->second.status.store_unreachable_ms > stalled_after.count();
+    const auto silence = owner_silence(claim);
+    if (owner == options_.name || (silence < interval * 3 / 2 && !lacks_store)) {
+        owner_progress_.erase(shard.id);
+        return;
+    }
+    const bool candidate =
+        silence > owner_timeout(shard.data_centre) || choose_owner(shard, owner) == options_.name;
+    const auto now = loop_.now();
+    auto& progress = owner_progress_.try_emplace(shard.id, owner_progress{}).first->second;
+    if (!candidate || progress.stalled || now < progress.next_read) {
+        return;
+    }
+    progress.next_read = now + progress.window;
+    store_.get(head_key(shard.id), [this, alive = alive_, id = shard.id,
+                                    now](const result<std::optional<store_entry>>& entry) {
+        if (*alive && entry) {
+            record_head(id, entry.value() ? entry.value()->revision : revision_number{}, now);
+        }
+    });
+}
+
+// Compares the head of another host's shard with the one read before. A host that finds the owner
+// working checks it less often from then on.
+void host_control::record_head(const shard_id& shard, revision_number head, time_point sent) {
+    const auto found = owner_progress_.find(shard);
+    if (found == owner_progress_.end()) {
+        return;
+    }
+    auto& progress = found->second;
+    if (progress.head == head && sent >= progress.read_at + stalled_after) {
+        progress.stalled = true;
+        next_claim_check_ = loop_.now();
+        return;
+    }
+    if (progress.head && progress.head != head) {
+        progress.stalled = false;
+        progress.window = std::min(progress.window * 2, longest_progress_window);
+        progress.next_read = sent + progress.window;
+    }
+    if (progress.head != head) {
+        progress.head = head;
+        progress.read_at = sent;
+    }
+}
+
 // Returns whether this host should claim a shard now. Nearer hosts act first.
 host_control::claim_reason host_control::should_claim(const shard_record& shard,
                                                       const claim_row* claim) const {
     using enum claim_reason;
     const auto now = loop_.now();
     const auto& timing = options_.timing;
-    const int distance = distance_to(shard.data_centre);
-    const auto owner_timeout = distance == 0   ? timing.local_owner_timeout
-                               : distance == 1 ? timing.region_owner_timeout
-                                               : timing.remote_owner_timeout;
+    const auto timeout = owner_timeout(shard.data_centre);
     const auto startup_grace_end = started_ + timing.local_gossip_interval * 2;
     if (claim == nullptr || claim->record.owner.value.empty()) {
         const auto first_seen =
             claim != nullptr ? claim->first_seen : shard_first_seen_.at(shard.id);
-        const auto wait = distance == 0 ? duration(0) : owner_timeout;
+        const auto wait = distance_to(shard.data_centre) == 0 ? duration(0) : timeout;
         const bool due = now >= std::max(startup_grace_end, first_seen + wait);
         return due && choose_owner(shard, {}) == options_.name ? unowned : none;
     }
@@ -189,16 +292,11 @@
         const bool due = now >= startup_grace_end;
         return due && choose_owner(shard, {}) == options_.name ? owner_restart : none;
     }
-    auto last_received = std::max(started_, claim->first_seen);
-    if (peer != peers_.end() && peer->second.last_received) {
-        last_received = std::max(last_received, *peer->second.last_received);
-    }
     // An owner that can't write to the store is replaced by a host that can. After an outage that
     // affects all hosts, each detects the store's return at a different time, so the first one
     // waits for the others. Hosts without shards send datagrams only within their data centre, so
     // nearer hosts act first.
-    const auto outage_limit =
-        timing.store_outage_limit + owner_timeout - timing.local_owner_timeout;
+    const auto outage_limit = timing.store_outage_limit + timeout - timing.local_owner_timeout;
     const bool lacks_store = peer != peers_.end() && is_alive(peer->second) &&
                              peer->second.status.store_unreachable_ms > outage_limit.count() &&
                              store_.healthy_for(timing.store_outage_limit);
@@ -206,12 +304,16 @@
         return choose_owner(shard, owner) == options_.name ? owner_without_store : none;
     }
     // An owner that is reachable from other hosts is only disconnected from this one.
-    if (now - last_received <= owner_timeout || is_reachable_from_others(owner)) {
+    const auto silence = owner_silence(*claim);
+    if (silence <= timeout || is_reachable_from_others(owner)) {
+        return none;
+    }
+    if (choose_owner(shard, owner) != options_.name &&
+        silence <= timeout + options_.timing.remote_owner_timeout) {
         return none;
     }
-    const bool chosen = choose_owner(shard, owner) == options_.name ||
-                        now - last_received > owner_timeout + timing.remote_owner_timeout;
-    return chosen ? owner_silent : none;
+    const bool cut_off = silence > timeout + cut_off_timeout && is_connected(owner);
+    return cut_off ? owner_cut_off : owner_silent;
 }
 
 bool host_control::is_reachable_from_others(const host_id& name) const {
@@ -222,6 +324,19 @@
     });
 }
 
+// Returns whether a claim for this reason requires that the owner stores nothing. What this host
+// receives, or doesn't, may be due to a fault of its own.
+bool host_control::needs_stalled_owner(claim_reason reason) {
+    return reason == claim_reason::owner_silent || reason == claim_reason::owner_without_store;
+}
+
+// Returns whether the owner of a shard had stored nothing for a while when it was last checked. The
+// claim then requires that this hasn't changed.
+bool host_control::has_stalled(const shard_id& shard) const {
+    const auto found = owner_progress_.find(shard);
+    return found != owner_progress_.end() && found->second.stalled;
+}
+
 // Requests the handover of a shard that this host should own instead of the current owner. Claims
 // and requests follow the same choice, so a shard doesn't move back and forth.
 void host_control::request_shards() {
@@ -315,22 +430,33 @@
             }
             continue;
         }
+        if (claim != nullptr && !claim->record.owner.value.empty()) {
+            track_progress(shard, *claim);
+        }
         if (const auto reason = should_claim(shard, claim);
-            store_answers && reason != claim_reason::none) {
+            store_answers && reason != claim_reason::none &&
+            (!needs_stalled_owner(reason) || has_stalled(shard.id))) {
             claim_shard(shard, claim, reason);
         }
     }
     request_shards();
 }
 
-// Takes a shard's claim from the entries that a rejected claim returned: the view of a host whose
-// watch hangs doesn't show it.
-void host_control::apply_rejection(const shard_id& shard, const std::vector<store_entry>& present) {
+// Takes a shard's claim and the revision of its head from the entries that a rejected claim
+// returned: the views of a host whose watches hang don't show them.
+void host_control::apply_rejection(const shard_id& shard, const std::vector<store_entry>& present,
+                                   time_point sent) {
     for (const auto& entry : present) {
         if (entry.key == claim_key(shard)) {
             on_meta_change(entry.key, &entry);
         }
     }
+    const auto head = std::find_if(present.begin(), present.end(), [&](const store_entry& entry) {
+        return entry.key == head_key(shard);
+    });
+    if (head != present.end()) {
+        record_head(shard, head->revision, sent);
+    }
 }
 
 void host_control::claim_shard(const shard_record& shard, const claim_row* claim,
@@ -351,32 +477,35 @@
                     worst_delay_.count(), owned_.size());
     store_transaction put;
     put.conditions.push_back({claim_key(shard.id), revision});
+    if (needs_stalled_owner(reason)) {
+        put.conditions.push_back({head_key(shard.id), *owner_progress_.at(shard.id).head});
+    }
     put.puts.push_back({claim_key(shard.id), encode(next), {}});
-    store_.commit(
-        std::move(put), [this, alive = alive_, shard, next](result<transaction_reply> reply) {
-            if (!*alive) {
-                return;
-            }
-            claiming_.erase(shard.id);
-            counters_.count("claims", !reply                  ? to_string(reply.error().kind)
-                                      : reply.value().applied ? "applied"
-                                                              : "conflict");
-            if (!reply) {
-                next_claim_[shard.id] = loop_.now() + claim_retry;
-                log_.write_rare("event=claim_unanswered shard={} epoch={} reason={}",
-                                shard.id.value, next.epoch.value, to_string(reply.error().kind));
-            } else if (!reply.value().applied) {
-                log_.write_rare("event=claim_rejected shard={} epoch={}", shard.id.value,
-                                next.epoch.value);
-                apply_rejection(shard.id, reply.value().present);
-            }
-            // Without an answer, the view shows whether the claim was written.
-            if (reply && reply.value().applied) {
-                const auto applied = *reply.value().applied;
-                claims_[shard.id] = {next, applied, loop_.now()};
-                activate_shard(shard, next.epoch, applied);
-            }
-        });
+    store_.commit(std::move(put), [this, alive = alive_, shard, next,
+                                   sent = now](result<transaction_reply> reply) {
+        if (!*alive) {
+            return;
+        }
+        claiming_.erase(shard.id);
+        counters_.count("claims", !reply                  ? to_string(reply.error().kind)
+                                  : reply.value().applied ? "applied"
+                                                          : "conflict");
+        if (!reply) {
+            next_claim_[shard.id] = loop_.now() + claim_retry;
+            log_.write_rare("event=claim_unanswered shard={} epoch={} reason={}", shard.id.value,
+                            next.epoch.value, to_string(reply.error().kind));
+        } else if (!reply.value().applied) {
+            log_.write_rare("event=claim_rejected shard={} epoch={}", shard.id.value,
+                            next.epoch.value);
+            apply_rejection(shard.id, reply.value().present, sent);
+        }
+        // Without an answer, the view shows whether the claim was written.
+        if (reply && reply.value().applied) {
+            const auto applied = *reply.value().applied;
+            claims_[shard.id] = {next, applied, loop_.now()};
+            activate_shard(shard, next.epoch, applied);
+        }
+    });
 }
 
 } // namespace fulmar
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -139,6 +139,14 @@
         revision_number revision;
         time_point first_seen; // when this revision was received
     };
+    // Head of another host's shard in the store, while its owner may have failed.
+    struct owner_progress {
+        std::optional<revision_number> head; // 0: no commit yet
+        time_point read_at;                  // send time of the first read that returned it
+        time_point next_read;
+        duration window{700}; // until the next read
+        bool stalled = false; // a second read returned the same head
+    };
     struct owned_shard {
         shard_state state;
         bool loaded = false;
@@ -185,6 +193,7 @@
         owner_restart,       // the owner runs as another incarnation now
         owner_without_store, // the owner can't write to the store
         owner_silent,        // no datagram from the owner arrives here or at its other peers
+        owner_cut_off,       // the same for longer, while datagrams from most hosts arrive here
         lost_epoch,          // this host owns it in an epoch that the workers reject
     };
     static std::string_view describe(claim_reason reason);
@@ -193,7 +202,15 @@
     void record_join(const worker_entry& worker);
     void extend_shard_list();
     void maintain_claims();
-    void apply_rejection(const shard_id& shard, const std::vector<store_entry>& present);
+    duration owner_timeout(const data_centre_id& data_centre) const;
+    duration owner_silence(const claim_row& claim) const;
+    bool is_connected(const host_id& suspect) const;
+    void track_progress(const shard_record& shard, const claim_row& claim);
+    void record_head(const shard_id& shard, revision_number head, time_point sent);
+    void apply_rejection(const shard_id& shard, const std::vector<store_entry>& present,
+                         time_point sent);
+    static bool needs_stalled_owner(claim_reason reason);
+    bool has_stalled(const shard_id& shard) const;
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
     void request_shards();
     void answer_yield_call(const std::string& body, const peer_reply& reply);
@@ -267,6 +284,7 @@
     time_point next_size_update_;
     std::set<shard_id> claiming_;
     std::map<shard_id, time_point> next_claim_; // earliest time of the next attempt
+    std::map<shard_id, owner_progress> owner_progress_;
     site_config config_;
     std::set<data_centre_id> evacuated_;
     std::optional<lease_id> lease_;
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -207,6 +207,7 @@
     commit.pending.reset();
     commit.unconfirmed = false;
     commit.next_attempt = now;
+    commit.last_applied = sent;
     commit.dirty_since.reset();
     commit.urgent = false;
     if (is_dirty(shard, now)) {
@@ -343,6 +344,9 @@
         if (!commit.dirty_since && find_used_workers(shard, now) != shard.stored_workers) {
             commit.dirty_since = now;
         }
+        if (!commit.dirty_since && now >= commit.last_applied + shard.timing.progress_interval) {
+            commit.dirty_since = now;
+        }
         if (!commit.dirty_since ||
             (!commit.urgent && now < *commit.dirty_since + shard.timing.commit_delay)) {
             return;
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -61,6 +61,9 @@
     duration commit_delay{50};
     // Between attempts to reach the store. Calls to an unavailable store are charged as well.
     duration commit_retry{300};
+    // An owner writes the head at least this often, so that hosts that receive no datagrams from it
+    // find that it works.
+    duration progress_interval{300};
     duration stop_retry{700};
     duration stop_repeat{3'000}; // when the worker confirmed a stop but still lists the run
     // An unhealthy worker gets no starts for this long; the pause doubles with each consecutive
@@ -162,6 +165,7 @@
     bool has_worker_list = false;      // the transaction includes the worker list
     std::set<worker_id> worker_list;   // the worker list in the transaction
     time_point next_attempt;           // earliest time of the next attempt
+    time_point last_applied;           // send time of the last transaction that was applied
     std::optional<time_point> dirty_since;
     // A caller or another shard waits for the change, so it skips the commit delay.
     bool urgent = false;
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -22,6 +22,11 @@
     }
 }
 
+// Returns the number of claims of a shard so far.
+std::uint64_t epoch_of(sim_world& world, const std::string& shard) {
+    return parse_claim(world.store().get(claim_key({shard}))->value).value().epoch.value;
+}
+
 // Advances time and returns whether the owners of all shards stayed the same throughout.
 bool keeps_owners(sim_world& world, duration time) {
     constexpr duration step{100};
@@ -54,6 +59,56 @@
 
 } // namespace
 
+// A host that receives no datagrams took every other owner for failed and claimed its shard.
+TEST_CASE("a disconnected host takes no shard from a working owner") {
+    for (std::uint64_t seed = 50; seed < 54; ++seed) {
+        sim_world world(seed);
+        world.run_for(startup_time);
+        world.submit(0, long_running_job(9), duration(0));
+        const auto east = world.owner_of("east.0");
+        REQUIRE(east);
+        isolate(world, neighbour(*east), true);
+        CHECK(keeps_owners(world, duration(12'000)));
+        isolate(world, neighbour(*east), false);
+        CHECK(keeps_owners(world, duration(6'000)));
+        check_guarantees(world);
+    }
+}
+
+// A host that runs again after a pause processes its timers before the datagrams that arrived
+// meanwhile, and took the owners for failed.
+TEST_CASE("a host that was suspended takes no shard from a working owner") {
+    for (std::uint64_t seed = 54; seed < 58; ++seed) {
+        sim_world world(seed);
+        world.run_for(startup_time);
+        world.submit(0, long_running_job(9), duration(0));
+        const auto east = world.owner_of("east.0");
+        REQUIRE(east);
+        world.run_for(duration(60)); // the next timer is due before the next datagram
+        world.freeze_host(neighbour(*east), duration(3'500));
+        CHECK(keeps_owners(world, duration(8'000)));
+        check_guarantees(world);
+    }
+}
+
+// A disconnected owner and its successor took the shard from each other for as long as the
+// partition lasted.
+TEST_CASE("a disconnected owner is replaced and doesn't claim its shard back") {
+    sim_world world(58);
+    world.run_for(startup_time);
+    world.submit(0, long_running_job(9), duration(0));
+    const auto east = world.owner_of("east.0");
+    REQUIRE(east);
+    isolate(world, *east, true);
+    CHECK(world.run_until([&] { return world.owner_of("east.0") == neighbour(*east); },
+                          duration(5'000)));
+    CHECK(keeps_owners(world, duration(12'000)));
+    isolate(world, *east, false);
+    CHECK(keeps_owners(world, duration(8'000)));
+    CHECK(epoch_of(world, "east.0") == 2);
+    check_guarantees(world);
+}
+
 // One watch without an answer counted as an unreachable store, although the store answered all
 // other calls of the owner.
 TEST_CASE("an owner keeps its shard while one of its watches hangs") {
@@ -200,4 +255,53 @@
     check_guarantees(world);
 }
 
+// A sequence of disconnected hosts, hanging watches and discarded history changed the owners of
+// some shards every few seconds, and their long-running tasks ended with their leases.
+TEST_CASE("long-running tasks stay at work while hosts are disconnected and watches hang") {
+    for (std::uint64_t seed = 65; seed < 73; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        sim_world world(seed, {"east", "west", "north"}, 3, 6);
+        world.run_for(startup_time);
+        const auto job = world.submit(0, long_running_job(30), duration(0));
+        world.run_for(duration(2'000));
+        const auto count_running = [&] {
+            std::size_t total = 0;
+            for (const auto& [id, worker] : world.workers()) {
+                total += worker.model->occupied().size();
+            }
+            return total;
+        };
+        REQUIRE(count_running() == 30);
+        std::set<std::size_t> isolated;
+        while (isolated.size() < 3) {
+            isolated.insert(random() % world.host_count());
+        }
+        for (const auto host : isolated) {
+            isolate(world, host, true);
+        }
+        world.run_for(duration(6'000));
+        for (std::size_t host = 0; host < world.host_count(); ++host) {
+            world.hang_watches(host, random() % 2 == 0 ? "op/" : "servers/", random() % 3 != 0);
+        }
+        world.run_for(duration(3'000));
+        world.store().compact();
+        for (std::size_t host = 0; host < world.host_count(); ++host) {
+            world.hang_watches(host, "op/", false);
+            world.hang_watches(host, "servers/", false);
+        }
+        world.run_for(duration(3'000));
+        for (const auto host : isolated) {
+            isolate(world, host, false);
+        }
+        world.run_for(duration(4'000));
+        CHECK(count_running() == 30);
+        CHECK(keeps_owners(world, duration(10'000)));
+        for (const auto& shard : world.shards()) {
+            CHECK(epoch_of(world, shard) <= 2);
+        }
+        check_guarantees(world);
+    }
+}
+
 } // namespace fulmar
