shard_loans: lend long-running tasks to shards with free room

Cause: 13 workers drained at once. A task was stopped as soon as another shard would have room once its short tasks had ended, and went to the shard with most of that room. Owners publish every half second what would be free, not what is.

Change: owners publish the free room of the workers that have most of it, too. A long-running task is lent to a shard with free room before any other, also if it waits for reserved room at home; it leaves a draining worker for free room only, and after 1.5 s for other room as well; a borrower that can't reserve room returns it after 0.3 s. Hosts of the former version read the status without the new field, and theirs is read.

Evidence: "a long-running task is lent to a shard with free room" fails on the old code (the task doesn't run within 2.5 s).

--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -51,6 +51,23 @@
     }
     room.fillers += std::max<std::int64_t>(0, filler_room(shard, worker));
     room.long_running.push_back(long_running_room(shard.tables, worker));
+    room.free_now.push_back(free);
+}
+
+// Returns the smaller of the free shares of the processors and memory of a large worker.
+double scarcest_share(const resources& free) {
+    constexpr double large_processors = 64'000;
+    constexpr double large_memory = 256'000;
+    return std::min(static_cast<double>(free.processors.value) / large_processors,
+                    static_cast<double>(free.memory.value) / large_memory);
+}
+
+// Keeps the workers with the most free room.
+void keep_freest(std::vector<resources>& rooms) {
+    std::sort(rooms.begin(), rooms.end(), [](const resources& a, const resources& b) {
+        return scarcest_share(a) > scarcest_share(b);
+    });
+    rooms.resize(std::min(rooms.size(), published_rooms_limit));
 }
 
 // Encodes resources as an array, as field names would take up most of a datagram.
@@ -64,6 +81,22 @@
             row.at(2).get<decltype(resources::accelerators)>()};
 }
 
+json encode_rooms(const std::vector<resources>& rooms) {
+    json rows = json::array();
+    for (const auto& room : rooms) {
+        rows.push_back(encode_resources(room));
+    }
+    return rows;
+}
+
+std::vector<resources> decode_rooms(const json& rows) {
+    std::vector<resources> rooms;
+    for (const auto& row : rows) {
+        rooms.push_back(decode_resources(row));
+    }
+    return rooms;
+}
+
 // Keeps the workers with the most room for long-running tasks.
 void keep_largest(std::vector<resources>& rooms) {
     std::sort(rooms.begin(), rooms.end(), [](const resources& a, const resources& b) {
@@ -117,13 +150,9 @@
         }
         json rooms = json::array();
         for (const auto& room : shard.rooms) {
-            json long_running = json::array();
-            for (const auto& free : room.long_running) {
-                long_running.push_back(encode_resources(free));
-            }
             rooms.push_back({room.service, encode_resources(room.free),
                              encode_resources(room.largest), room.fillers, room.undisturbing_rooms,
-                             std::move(long_running)});
+                             encode_rooms(room.long_running), encode_rooms(room.free_now)});
         }
         shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending),
                           std::move(rooms), std::move(effects)});
@@ -170,14 +199,12 @@
                 shard.pending[entry.at(0).get<queue_id>()] = entry.at(1).get<std::uint64_t>();
             }
             for (const auto& room : row.at(4)) {
-                std::vector<resources> long_running;
-                for (const auto& free : room.at(5)) {
-                    long_running.push_back(decode_resources(free));
-                }
-                shard.rooms.push_back({room.at(0).get<service_id>(), decode_resources(room.at(1)),
-                                       decode_resources(room.at(2)), std::move(long_running),
-                                       room.at(3).get<std::int64_t>(),
-                                       room.at(4).get<std::map<std::string, std::int64_t>>()});
+                shard.rooms.push_back(
+                    {room.at(0).get<service_id>(), decode_resources(room.at(1)),
+                     decode_resources(room.at(2)), decode_rooms(room.at(5)),
+                     room.size() > 6 ? decode_rooms(room.at(6)) : std::vector<resources>(),
+                     room.at(3).get<std::int64_t>(),
+                     room.at(4).get<std::map<std::string, std::int64_t>>()});
             }
             for (const auto& pair : row.at(5)) {
                 shard.effects.push_back({pair.at(0).get<std::string>(),
@@ -218,6 +245,7 @@
     }
     for (auto& room : status.rooms) {
         keep_largest(room.long_running);
+        keep_freest(room.free_now);
         for (const auto& [image, open] : shard.undisturbing_rooms) {
             room.undisturbing_rooms[image] = static_cast<std::int64_t>(open);
         }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -32,8 +32,13 @@
     // because room for them frees up within seconds.
     duration lend_after{120};
     duration lend_filler_after{400};
-    // A borrowed task that finds no room is returned after this.
+    // A borrowed task that finds no room is returned after this, a long-running one for which no
+    // room could be reserved sooner: it has to run again within 6 s.
     duration return_after{2'500};
+    duration return_unreserved_after{300};
+    // A long-running task leaves a draining worker only for room that is free, and after this also
+    // for room that short tasks still occupy.
+    duration drain_patience{1'500};
     duration loan_retry{400};    // between attempts to send a loan message
     duration retention{150'000}; // of ended jobs; callers require 120 s
 
@@ -82,6 +87,8 @@
     // Room for long-running tasks on the workers that have the most: what is free there once the
     // tasks that aren't long-running have ended.
     std::vector<resources> long_running;
+    // Room that is free now on the workers that have the most of what they have least of.
+    std::vector<resources> free_now;
     std::int64_t fillers = 0; // processors that fillers may use
     // The same by image of the fillers: processors that they may use without disturbing serving
     // tasks.
--- a/src/shard_drain.cpp
+++ b/src/shard_drain.cpp
@@ -16,10 +16,10 @@
 
 // Returns whether a task that has to leave its worker can be stopped now. If a worker of this shard
 // has room or will have it once shorter tasks have ended, the room is reserved, and the task runs
-// on until it fits there. Otherwise it stops as soon as another shard has room, and is then lent to
-// that shard.
+// on until it fits there. Otherwise it stops as soon as another shard has free room, after a while
+// also for room that short tasks still occupy, and is then lent to that shard.
 bool prepare_move(shard_state& shard, const job_row& job, const stage_row& stage,
-                  const run_row& run, time_point now) {
+                  const run_row& run, time_point draining_at, time_point now) {
     const auto& key = run.key.task;
     auto& task = *find_task(shard.tables, key);
     if (reserve_for_long_running(shard, job, stage, key, now)) {
@@ -27,7 +27,10 @@
         return accepts_starts(shard, target, now) && fits(run.need, free_resources(target, &key));
     }
     task.reservation_expired = false; // retry in this shard, unless another shard has room
-    return has_room_elsewhere(shard, job, job.spec.steps[key.step], now);
+    const auto kind = now >= draining_at + shard.timing.drain_patience
+                          ? room_kind::after_short_tasks
+                          : room_kind::free_now;
+    return has_room_elsewhere(shard, job, job.spec.steps[key.step], kind, now);
 }
 
 void move_runs(shard_state& shard, worker_row& leaving, time_point now) {
@@ -42,7 +45,7 @@
         if (!is_movable(job, run)) {
             continue;
         }
-        if (!prepare_move(shard, job, *stage, run, now)) {
+        if (!prepare_move(shard, job, *stage, run, leaving.draining_at, now)) {
             continue;
         }
         request_stop(run, stop_cause::moved, now);
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -98,10 +98,18 @@
 // Maximum number of tasks in one loan, so that several shards share a wide step.
 constexpr std::size_t loan_tasks = 16;
 
+// Which room counts for long-running tasks: what is free, or also what short tasks still occupy.
+enum class room_kind : std::uint8_t { free_now, after_short_tasks };
+
+// Returns whether room that short tasks still occupy counts for a step: it is reserved for the
+// step's tasks, which start there once the short tasks have ended.
+bool uses_long_running_room(const step_spec& step);
+
 // Returns the shard with the most room for a step and the number of tasks that fit there, or
 // nullptr and 0.
 std::pair<lending_room*, std::size_t> find_borrower(shard_state& shard, const job_row& job,
-                                                    const step_spec& step, time_point now);
+                                                    const step_spec& step, room_kind kind,
+                                                    time_point now);
 
 // Subtracts the tasks that were just lent to a shard from its reported room, until its owner's next
 // report.
@@ -114,7 +122,7 @@
 // Returns whether another shard has room for a task of the step now. Always false for borrowed
 // jobs.
 bool has_room_elsewhere(const shard_state& shard, const job_row& job, const step_spec& step,
-                        time_point now);
+                        room_kind kind, time_point now);
 
 // Returns the worker list in the pending transaction, or nullptr if there is none.
 const std::set<worker_id>* find_pending_list(const commit_state& commit);
--- a/src/shard_lending_room.cpp
+++ b/src/shard_lending_room.cpp
@@ -13,12 +13,6 @@
 // Between two log lines about tasks of one stage that find no room.
 constexpr duration room_log_interval{2'000};
 
-// Returns whether room that short tasks still occupy counts for a step: it is reserved for the
-// step's tasks, which start there once the short tasks have ended.
-bool uses_long_running_room(const step_spec& step) {
-    return step.long_running && !step.gang;
-}
-
 // Returns how many tasks with this need fit into free resources, at most loan_tasks.
 std::int64_t count_fitting(const resources& need, const resources& free) {
     if (!fits(need, free)) {
@@ -36,7 +30,7 @@
 
 // Returns how many tasks of a step another shard has room for; 0 if no tasks may be lent to it now.
 std::size_t count_room(const lending_room& other, const service_id& service, const step_spec& step,
-                       time_point now) {
+                       room_kind kind, time_point now) {
     if (!other.available || now < other.no_loans_before) {
         return 0;
     }
@@ -52,7 +46,8 @@
         }
         if (uses_long_running_room(step)) {
             std::int64_t tasks = 0;
-            for (const auto& free : room.long_running) {
+            for (const auto& free :
+                 kind == room_kind::free_now ? room.free_now : room.long_running) {
                 tasks += count_fitting(step.need, free);
             }
             return static_cast<std::size_t>(tasks);
@@ -78,6 +73,10 @@
 
 } // namespace
 
+bool uses_long_running_room(const step_spec& step) {
+    return step.long_running && !step.gang;
+}
+
 void deduct_room(lending_room& other, const service_id& service, const step_spec& step,
                  std::size_t tasks) {
     const auto count = static_cast<std::int64_t>(tasks);
@@ -92,6 +91,7 @@
             }
         } else if (uses_long_running_room(step)) {
             deduct_long_running_room(room.long_running, step.need, count);
+            deduct_long_running_room(room.free_now, step.need, count);
         } else {
             room.free.processors.value -= step.need.processors.value * count;
             room.largest.processors.value -= step.need.processors.value;
@@ -100,10 +100,12 @@
 }
 
 std::pair<lending_room*, std::size_t> find_borrower(shard_state& shard, const job_row& job,
-                                                    const step_spec& step, time_point now) {
+                                                    const step_spec& step, room_kind kind,
+                                                    time_point now) {
     std::pair<lending_room*, std::size_t> best{nullptr, 0};
     for (auto& [id, other] : shard.other_shards) {
-        if (const auto room = count_room(other, job.queue.service, step, now); room > best.second) {
+        if (const auto room = count_room(other, job.queue.service, step, kind, now);
+            room > best.second) {
             best = {&other, room};
         }
     }
@@ -111,10 +113,10 @@
 }
 
 bool has_room_elsewhere(const shard_state& shard, const job_row& job, const step_spec& step,
-                        time_point now) {
+                        room_kind kind, time_point now) {
     return !is_borrowed(job) &&
            std::any_of(shard.other_shards.begin(), shard.other_shards.end(), [&](const auto& row) {
-               return count_room(row.second, job.queue.service, step, now) > 0;
+               return count_room(row.second, job.queue.service, step, kind, now) > 0;
            });
 }
 
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -261,13 +261,17 @@
     if (loan.since == time_point{}) {
         loan.since = now;
     }
-    if (loan.withdrawn || now < loan.since + shard.timing.return_after) {
+    if (loan.withdrawn || now < loan.since + shard.timing.return_unreserved_after) {
         return;
     }
     auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
+    const bool reservable = uses_long_running_room(job.spec.steps[loan.step]);
     for (const auto index : loan.tasks) {
         auto& task = stage.tasks[index];
-        if (stage.waiting.contains(index) && task.loan == loan.loan) {
+        const auto limit = reservable && !task.reserved_worker
+                               ? shard.timing.return_unreserved_after
+                               : shard.timing.return_after;
+        if (stage.waiting.contains(index) && task.loan == loan.loan && now >= loan.since + limit) {
             stage.waiting.erase(index);
             drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
             report_task(shard, job, task, loan_result::returned, now);
@@ -361,11 +365,13 @@
 }
 
 // Returns the waiting tasks that may be lent: those without reserved room here, or all while the
-// data centre is out of service.
-std::vector<std::uint32_t> find_lendable(const shard_state& shard, const stage_row& stage) {
+// data centre is out of service or if the other shard has free room.
+std::vector<std::uint32_t> find_lendable(const shard_state& shard, const stage_row& stage,
+                                         room_kind kind) {
     std::vector<std::uint32_t> found;
     for (const auto index : stage.waiting) {
-        if (!stage.tasks[index].reserved_worker || !shard.data_centre_open) {
+        if (!stage.tasks[index].reserved_worker || !shard.data_centre_open ||
+            kind == room_kind::free_now) {
             found.push_back(index);
         }
     }
@@ -373,14 +379,14 @@
 }
 
 void make_loan(shard_state& shard, job_row& job, stage_row& stage, lending_room& other,
-               std::size_t count, time_point now) {
+               std::size_t count, room_kind kind, time_point now) {
     loan_row loan;
     loan.number = (shard.epoch.value << loan_counter_bits) + ++shard.loans_made;
     loan.to = other.shard;
     loan.job = job.id;
     loan.occurrence = stage.occurrence;
     loan.step = stage.step;
-    for (const auto index : find_lendable(shard, stage)) {
+    for (const auto index : find_lendable(shard, stage, kind)) {
         if (loan.tasks.size() == count) {
             break;
         }
@@ -401,6 +407,19 @@
     shard.tables.loans.emplace(loan.number, std::move(loan));
 }
 
+// Lends long-running tasks to shards that have free room for them.
+void lend_to_free_room(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
+    constexpr auto kind = room_kind::free_now;
+    const auto& step = job.spec.steps[stage.step];
+    while (!find_lendable(shard, stage, kind).empty()) {
+        const auto [best, most] = find_borrower(shard, job, step, kind, now);
+        if (best == nullptr) {
+            return;
+        }
+        make_loan(shard, job, stage, *best, std::min(most, loan_tasks), kind, now);
+    }
+}
+
 } // namespace
 
 void report_task(shard_state& shard, job_row& job, task_row& task, loan_result result,
@@ -447,14 +466,18 @@
     if (step.gang && stage.waiting.size() < step.count) {
         return; // the members of a gang must run together
     }
-    while (!find_lendable(shard, stage).empty()) {
-        const auto [best, most] = find_borrower(shard, job, step, now);
+    if (uses_long_running_room(step)) {
+        lend_to_free_room(shard, job, stage, now);
+    }
+    constexpr auto kind = room_kind::after_short_tasks;
+    while (!find_lendable(shard, stage, kind).empty()) {
+        const auto [best, most] = find_borrower(shard, job, step, kind, now);
         if (best == nullptr || (step.gang && most < step.count)) {
             log_no_room(shard, job, stage, now);
             return;
         }
         make_loan(shard, job, stage, *best, step.gang ? step.count : std::min(most, loan_tasks),
-                  now);
+                  kind, now);
     }
 }
 
--- a/tests/long_running_tasks_test.cpp
+++ b/tests/long_running_tasks_test.cpp
@@ -116,6 +116,46 @@
     check_guarantees(world);
 }
 
+// A long-running task was lent to the shard that would have the most room once short tasks had
+// ended. It waited there, was returned and lent to the next one, and didn't run for up to 10 s
+// while a third shard had free room.
+TEST_CASE("a long-running task is lent to a shard with free room") {
+    sim_world world(24, {"east", "north", "west"});
+    const auto open_only = [&](const std::string& open) {
+        for (const auto& name : {"east", "north", "west"}) {
+            world.evacuate(name, name != open);
+        }
+        world.run_for(duration(1'000));
+    };
+    world.run_for(startup_time);
+    open_only("east");
+    auto spec = long_running_job(6);
+    spec.steps.front().need = {{7'000}, {4'000}, {0}};
+    const auto job = world.submit(0, spec, duration(0));
+    world.run_for(duration(1'500));
+    REQUIRE(count_running(world, job, "w-east") == 6);
+    open_only("west");
+    spec.steps.front().count = 5;
+    const auto others = world.submit(4, spec, duration(0));
+    world.run_for(duration(1'500));
+    REQUIRE(count_running(world, others, "w-west") == 5);
+    open_only("north");
+    auto short_tasks = sim_world::simple_job(24);
+    short_tasks.steps.front().checkpoints = false;
+    const auto busy = world.submit(2, short_tasks, duration(20'000));
+    world.run_for(duration(1'500));
+    REQUIRE(count_running(world, busy, "w-north") == 24);
+    for (const auto& name : {"east", "north", "west"}) {
+        world.evacuate(name, false);
+    }
+    world.run_for(duration(1'000));
+    world.drain_worker("w-east-0");
+    CHECK(
+        world.run_until([&] { return count_running(world, job, "w-west") == 1; }, duration(2'500)));
+    CHECK(count_running(world, job, "w-") == 6);
+    check_guarantees(world);
+}
+
 // Each takeover waited again for workers that had been lost long before it.
 TEST_CASE("a takeover doesn't wait for workers whose leases had ended before") {
     sim_world world(23, {"east"});
