host_control: judge an outage of the store by all calls, and from its start

What callers would see: tasks that start on draining workers, or by old orders of operators, while the watches of most hosts hang.

Cause: a host took the store for unreachable to all when no peer's watch of the orders was healthy, and then counted its copies of orders and worker entries as recent, whatever their age. It didn't ask its own calls.

Change: it is an outage only if the store answers no call of this host and of those that it receives datagrams from, and copies that weren't recent at its start don't become so. The watch of the worker entries waits 0.6 s, so that a quiet view stays below the strictest limit.

Evidence: "hanging watches don't count as an outage of the store".

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -13,7 +13,9 @@
 // Each watch reply confirms the orders, so the wait bounds the age of the confirmation.
 constexpr duration orders_watch_wait{1'500};
 constexpr duration meta_watch_wait{10'000};
-constexpr duration workers_watch_wait{1'000};
+// Twice the wait, or the wait and the interval below, is the age that a quiet view reaches; it must
+// be below host_timing::workers_freshness.
+constexpr duration workers_watch_wait{600};
 
 // Batches changes, as each worker writes its entry every second or two and each write is an event.
 // Must be well below the 2.5 s after which a draining worker must get no more starts.
@@ -396,11 +398,10 @@
             continue;
         }
         ++reachable;
-        if (peer.status.store_reachable) {
-            reports.store_reached = true;
-            reports.orders_current =
-                reports.orders_current || peer.status.orders_revision <= orders_.revision();
-        }
+        reports.store_reached = reports.store_reached || peer.status.store_unreachable_ms == 0;
+        reports.orders_current =
+            reports.orders_current ||
+            (peer.status.store_reachable && peer.status.orders_revision <= orders_.revision());
     }
     reports.from_most_hosts = reachable * 2 > peers_.size() + 1;
     return reports;
@@ -408,8 +409,9 @@
 
 // Updates whether this host's copies of the operator orders and of the worker entries are recent
 // enough for starts. They are if the store has confirmed them. Orders also are if a peer that
-// reaches the store has no newer ones. While this host receives datagrams from most hosts and none
-// of them reaches the store, it misses nothing: operators and workers write to the same store.
+// reaches the store has no newer ones. While the store answers neither this host nor those that it
+// receives datagrams from, which are most, copies that were recent enough stay so: operators and
+// workers write to the same store.
 void host_control::update_freshness() {
     const auto now = loop_.now();
     const auto& timing = options_.timing;
@@ -424,11 +426,12 @@
         return;
     }
     const auto reports = collect_reports();
-    if (!reports.store_reached && reports.from_most_hosts) {
+    const bool outage =
+        store_.unreachable_for() > duration(0) && !reports.store_reached && reports.from_most_hosts;
+    orders_fresh_ = orders_confirmed || reports.orders_current || (outage && orders_fresh_);
+    if (outage && workers_fresh_) {
         last_outage_ = now;
     }
-    orders_fresh_ = orders_confirmed || reports.orders_current || last_outage_ == now;
-    // A worker can report that it leaves only after the outage.
     workers_fresh_ =
         workers_confirmed || (last_outage_ && now - *last_outage_ <= timing.workers_freshness);
 }
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -161,7 +161,7 @@
 
     // What peers that this host receives datagrams from report about the store.
     struct peer_reports {
-        bool store_reached = false;   // one of them reaches it
+        bool store_reached = false;   // the store answers one of them
         bool orders_current = false;  // one that reaches it has no newer orders than this host
         bool from_most_hosts = false; // more than half of all hosts, this one included
     };
@@ -303,7 +303,7 @@
     bool fetching_orders_ = false;
     bool orders_fresh_ = false;
     bool workers_fresh_ = false;
-    // When this host last received datagrams from most hosts while none of them reached the store.
+    // When the store last answered neither this host nor those that it receives datagrams from.
     std::optional<time_point> last_outage_;
     std::function<void()> on_drained_;
     std::uint64_t next_token_ = 1;
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -255,6 +255,29 @@
     check_guarantees(world);
 }
 
+// The same while the watches of the orders hang as well: that looked like an outage of the store,
+// during which copies of any age counted as recent.
+TEST_CASE("hanging watches don't count as an outage of the store") {
+    constexpr duration drain_notice{2'500};
+    sim_world world(65, {"east"});
+    world.run_for(startup_time);
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        world.hang_watches(host, "servers/", true);
+        world.hang_watches(host, "op/", true);
+    }
+    world.run_for(duration(500));
+    world.drain_worker("w-east-0");
+    const auto drained = world.now();
+    for (std::size_t i = 0; i < 30; ++i) {
+        world.submit(i % 2, sim_world::simple_job(6), duration(300));
+        world.run_for(duration(200));
+    }
+    for (const auto& run : world.workers().at("w-east-0").model->observed()) {
+        CHECK(run.from <= drained + drain_notice);
+    }
+    check_guarantees(world);
+}
+
 // A sequence of disconnected hosts, hanging watches and discarded history changed the owners of
 // some shards every few seconds, and their long-running tasks ended with their leases.
 TEST_CASE("long-running tasks stay at work while hosts are disconnected and watches hang") {
