host_claims: read the claim of a shard that is handed over

What callers would see: a shard that nobody serves for up to 11 s after a planned stop.

Cause: the successor learned of its claim by its watch of the claims, which may hang until it times out (10 s and 1 s); the predecessor's message only made it look at its own copy sooner. As it sends datagrams, nobody claims the shard from it.

Change: the message names the shard, and the successor reads its claim.

Evidence: "a shard handed over to a host whose watch hangs is served at once".

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -442,6 +442,18 @@
     request_shards();
 }
 
+// Reads the claim of a shard that was handed over to this host: its view of the claims doesn't show
+// it while its watch hangs.
+void host_control::read_claim(const std::string& shard) {
+    store_.get(claim_key({shard}),
+               [this, alive = alive_](const result<std::optional<store_entry>>& entry) {
+                   if (*alive && entry && entry.value()) {
+                       on_meta_change(entry.value()->key, &*entry.value());
+                       maintain_claims();
+                   }
+               });
+}
+
 // Takes a shard's claim and the revision of its head from the entries that a rejected claim
 // returned: the views of a host whose watches hang don't show them.
 void host_control::apply_rejection(const shard_id& shard, const std::vector<store_entry>& present,
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -202,6 +202,7 @@
     void record_join(const worker_entry& worker);
     void extend_shard_list();
     void maintain_claims();
+    void read_claim(const std::string& shard);
     duration owner_timeout(const data_centre_id& data_centre) const;
     duration owner_silence(const claim_row& claim) const;
     bool is_connected(const host_id& suspect) const;
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -254,7 +254,7 @@
         if (reply.value().applied) {
             claims_[shard->state.id] = {next, *reply.value().applied, loop_.now()};
             if (const auto peer = peers_.find(successor); peer != peers_.end()) {
-                peers_link_.call(peer->second.record.address, "claims", "",
+                peers_link_.call(peer->second.record.address, "claims", shard->state.id.value,
                                  options_.timing.peer_timeout, [](const result<std::string>&) {});
             }
         }
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -278,6 +278,22 @@
     check_guarantees(world);
 }
 
+// The successor of a planned handover learned of its claim by its watch, and the shard had no owner
+// that served it until the watch timed out.
+TEST_CASE("a shard handed over to a host whose watch hangs is served at once") {
+    sim_world world(66, {"east"});
+    world.run_for(startup_time);
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    world.hang_watches(neighbour(*owner), "meta/", true);
+    world.stop_host(*owner);
+    world.run_for(duration(1'000));
+    REQUIRE(world.owner_of("east.0") == neighbour(*owner));
+    const auto job = world.submit(neighbour(*owner), sim_world::simple_job(6), duration(5'000));
+    CHECK(world.run_until([&] { return world.running(job); }, duration(1'500)));
+    check_guarantees(world);
+}
+
 // A sequence of disconnected hosts, hanging watches and discarded history changed the owners of
 // some shards every few seconds, and their long-running tasks ended with their leases.
 TEST_CASE("long-running tasks stay at work while hosts are disconnected and watches hang") {
