host_claims, shard_loans: close gaps that a review of the change found

The present owner's load counts 0.8 times, a shard counts with the most workers that it had within 10 s, and nothing is claimed before the workers are known.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -18,6 +18,16 @@
 
 constexpr duration size_update_interval{500};
 
+// A shard counts with the most workers that it had within this time.
+constexpr duration size_memory{10'000};
+
+// Part of its load with which the present owner of a shard is compared with others: a shard moves
+// for a clear gain only.
+constexpr double owner_advantage = 0.8;
+
+// Until a host requests the same shard again.
+constexpr duration request_retry_interval{10'000};
+
 // Between two checks whether this host should own a shard of another host.
 constexpr duration shard_request_interval{500};
 
@@ -87,10 +97,15 @@
         ++racks[{worker.data_centre, worker.rack}];
     }
     for (const auto& shard : shard_list_) {
-        auto& size = shard_sizes_[shard.id] = 0;
+        std::int64_t workers = 0;
         for (const auto& rack : shard.racks) {
             const auto found = racks.find({shard.data_centre, rack});
-            size += found == racks.end() ? 0 : found->second;
+            workers += found == racks.end() ? 0 : found->second;
+        }
+        // Entries that have expired are mostly back soon.
+        auto& size = shard_sizes_[shard.id];
+        if (workers >= size.workers || loop_.now() > size.seen + size_memory) {
+            size = {workers, loop_.now()};
         }
     }
 }
@@ -98,8 +113,8 @@
 // Returns the host that should own a shard, excluding `except`; empty if there is none. Live hosts
 // that reach the store come first, then those whose processors suffice for the shard and those that
 // they own already, then the nearest ones, then those with the fewest workers relative to their
-// processor share; ties go to the current owner, then to the highest rendezvous hash. `candidate`
-// counts as live: hosts without shards send no datagrams to other data centres.
+// processor share; ties go to the highest rendezvous hash. The present owner's load counts a little
+// less. `candidate` counts as live: hosts without shards send no datagrams to other data centres.
 host_id host_control::choose_owner(const shard_record& shard, const host_id& except,
                                    const host_id& candidate) const {
     struct option {
@@ -107,7 +122,6 @@
         bool overloaded;
         int distance;
         double load; // processors that the workers need, relative to the host's
-        bool other;  // not the current owner
         std::uint64_t hash;
         host_id name;
     };
@@ -117,7 +131,7 @@
     };
     const auto size_of = [&](const shard_id& id) {
         const auto found = shard_sizes_.find(id);
-        return found == shard_sizes_.end() ? 0 : found->second;
+        return found == shard_sizes_.end() ? std::int64_t{0} : found->second.workers;
     };
     std::map<host_id, std::int64_t> workers;
     for (const auto& [id, row] : claims_) {
@@ -133,14 +147,14 @@
                                                                                       : 2;
         const auto load =
             static_cast<double>((workers[name] + size_of(shard.id)) * processors_per_worker) /
-            static_cast<double>(std::max<std::int64_t>(1, weight));
+            static_cast<double>(std::max<std::int64_t>(1, weight)) *
+            (name == current ? owner_advantage : 1);
         const bool store_unreachable =
             store_unreachable_ms > options_.timing.store_outage_limit.count();
         return option{store_unreachable,
                       load > usable_share,
                       distance,
                       load,
-                      name != current,
                       rendezvous_hash(shard.id, name),
                       name};
     };
@@ -149,10 +163,11 @@
         if (next.name == except) {
             return;
         }
-        if (!best || std::tie(next.store_unreachable, next.overloaded, next.distance, next.load,
-                              next.other, best->hash, next.name) <
-                         std::tie(best->store_unreachable, best->overloaded, best->distance,
-                                  best->load, best->other, next.hash, best->name)) {
+        // The higher hash is better, so the two change places.
+        if (!best ||
+            std::tie(next.store_unreachable, next.overloaded, next.distance, next.load, best->hash,
+                     next.name) < std::tie(best->store_unreachable, best->overloaded,
+                                           best->distance, best->load, next.hash, best->name)) {
             best = next;
         }
     };
@@ -226,7 +241,7 @@
     const bool candidate =
         silence > owner_timeout(shard.data_centre) || choose_owner(shard, owner) == options_.name;
     const auto now = loop_.now();
-    auto& progress = owner_progress_.try_emplace(shard.id, owner_progress{}).first->second;
+    auto& progress = owner_progress_.try_emplace(shard.id, owner_progress{now}).first->second;
     if (!candidate || progress.stalled || now < progress.next_read) {
         return;
     }
@@ -247,6 +262,9 @@
         return;
     }
     auto& progress = found->second;
+    if (sent < progress.suspected_at) {
+        return; // of an earlier suspicion
+    }
     if (progress.head == head && sent >= progress.read_at + stalled_after) {
         progress.stalled = true;
         next_claim_check_ = loop_.now();
@@ -259,7 +277,7 @@
     }
     if (progress.head != head) {
         progress.head = head;
-        progress.read_at = sent;
+        progress.read_at = loop_.now();
     }
 }
 
@@ -330,6 +348,11 @@
     return reason == claim_reason::owner_silent || reason == claim_reason::owner_without_store;
 }
 
+// Returns whether a claim for this reason takes a shard from a host that may still work.
+bool host_control::replaces_owner(claim_reason reason) {
+    return needs_stalled_owner(reason) || reason == claim_reason::owner_cut_off;
+}
+
 // Returns whether the owner of a shard had stored nothing for a while when it was last checked. The
 // claim then requires that this hasn't changed.
 bool host_control::has_stalled(const shard_id& shard) const {
@@ -353,10 +376,11 @@
         }
         const auto owner = host_name_of(claim->second.record.owner);
         const auto peer = peers_.find(owner);
-        if (peer == peers_.end() || !is_alive(peer->second) ||
+        if (peer == peers_.end() || !is_alive(peer->second) || now < next_request_[shard.id] ||
             choose_owner(shard, {}) != options_.name) {
             continue;
         }
+        next_request_[shard.id] = now + request_retry_interval;
         next_shard_request_ = now + options_.timing.settling_time;
         log_.write_rare("event=shard_asked_for shard={} owner={} owner_shards={} owned={}",
                         shard.id.value, owner.value, count_owned(owner), owned_.size());
@@ -405,6 +429,9 @@
         }
         return;
     }
+    if (!worker_view_.loaded()) {
+        return; // the sizes of the shards aren't known
+    }
     for (const auto& [id, shard] : std::map(owned_)) {
         if (!shard->successor.value.empty()) {
             transfer_shard(shard);
@@ -424,7 +451,7 @@
             // doesn't show yet.
             if (claim->record.epoch > fenced_epochs_[shard.id]) {
                 activate_shard(shard, claim->record.epoch, claim->revision);
-            } else if (store_answers && meta_.healthy() &&
+            } else if (store_answers &&
                        loop_.now() > claim->first_seen + options_.timing.settling_time) {
                 claim_shard(shard, claim, claim_reason::lost_epoch);
             }
@@ -434,7 +461,7 @@
             track_progress(shard, *claim);
         }
         if (const auto reason = should_claim(shard, claim);
-            store_answers && reason != claim_reason::none &&
+            reason != claim_reason::none && (store_answers || !replaces_owner(reason)) &&
             (!needs_stalled_owner(reason) || has_stalled(shard.id))) {
             claim_shard(shard, claim, reason);
         }
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -141,9 +141,10 @@
     };
     // Head of another host's shard in the store, while its owner may have failed.
     struct owner_progress {
-        std::optional<revision_number> head; // 0: no commit yet
-        time_point read_at;                  // send time of the first read that returned it
-        time_point next_read;
+        time_point suspected_at;
+        std::optional<revision_number> head{}; // 0: no commit yet
+        time_point read_at{};                  // when the first read that returned it was answered
+        time_point next_read{};
         duration window{700}; // until the next read
         bool stalled = false; // a second read returned the same head
     };
@@ -211,6 +212,7 @@
     void apply_rejection(const shard_id& shard, const std::vector<store_entry>& present,
                          time_point sent);
     static bool needs_stalled_owner(claim_reason reason);
+    static bool replaces_owner(claim_reason reason);
     bool has_stalled(const shard_id& shard) const;
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
     void request_shards();
@@ -281,7 +283,12 @@
     std::map<worker_id, worker_entry> worker_entries_;
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
-    std::map<shard_id, std::int64_t> shard_sizes_; // workers of each shard
+    struct shard_size {
+        std::int64_t workers = 0;
+        time_point seen; // when the shard last had that many
+    };
+    std::map<shard_id, shard_size> shard_sizes_;
+    std::map<shard_id, time_point> next_request_; // earliest time of the next request
     time_point next_size_update_;
     std::set<shard_id> claiming_;
     std::map<shard_id, time_point> next_claim_; // earliest time of the next attempt
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -531,6 +531,7 @@
     } else if (method == "yield") {
         answer_yield_call(body, reply);
     } else if (method == "claims") {
+        next_claim_check_ = loop_.now();
         read_claim(body);
         reply(std::string());
     } else if (method == "orders") {
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -17,7 +17,7 @@
 constexpr duration rack_settling_time{1'000};
 
 // A rack whose data centre doesn't settle gets a shard of its own after this.
-constexpr duration rack_settling_limit{5'000};
+constexpr duration rack_settling_limit{12'000};
 
 } // namespace
 
@@ -44,7 +44,6 @@
 // Counts the workers of each rack, and tells the racks that may still grow. Workers that joined
 // after the view was last confirmed aren't in it, so that is the time that counts.
 rack_map host_control::describe_racks() const {
-    const auto now = loop_.now();
     const auto confirmed = worker_view_.confirmed().value_or(started_);
     rack_map racks;
     for (const auto& [id, worker] : worker_entries_) {
@@ -54,7 +53,8 @@
         rack.settled =
             joined == last_join_.end() || confirmed >= joined->second + rack_settling_time;
         const auto seen = rack_first_seen_.find({worker.data_centre, worker.rack});
-        rack.overdue = seen != rack_first_seen_.end() && now >= seen->second + rack_settling_limit;
+        rack.overdue =
+            seen != rack_first_seen_.end() && confirmed >= seen->second + rack_settling_limit;
     }
     return racks;
 }
--- a/src/monitored_store.cpp
+++ b/src/monitored_store.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-// A longer time without an answer, while calls fail, is a gap. Shorter ones are common: a call that
-// the store loses fails after its timeout while other calls are answered.
-constexpr duration gap_limit{500};
+// A longer time without an answer, while calls fail, is a gap. Shorter ones are common: a host
+// without shards makes few calls but watches, which are answered about once a second.
+constexpr duration gap_limit{1'500};
 
 } // namespace
 
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -344,7 +344,8 @@
         if (!commit.dirty_since && find_used_workers(shard, now) != shard.stored_workers) {
             commit.dirty_since = now;
         }
-        if (!commit.dirty_since && now >= commit.last_applied + shard.timing.progress_interval) {
+        if (!commit.dirty_since && !shard.releasing &&
+            now >= commit.last_applied + shard.timing.progress_interval) {
             commit.dirty_since = now;
         }
         if (!commit.dirty_since ||
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -205,7 +205,7 @@
     time_point next_takeover_log;   // earliest time of the next log line about the takeover
 
     // Set by the host.
-    bool starts_allowed = true;   // the host's copy of the operators' orders is up to date
+    bool starts_allowed = true;   // the host's copies of orders and worker entries are up to date
     bool data_centre_open = true; // operators have not taken the data centre out of service
     bool releasing = false;       // a handover is being prepared: no starts
     bool handing_over = false;    // the claim is being written for the successor: no commits
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -18,6 +18,10 @@
 // A shard that returned or refused tasks gets no more for this long.
 constexpr duration refusal_pause{3'000};
 
+// The same for long-running tasks, which have to run again within 6 s. Owners publish their room
+// twice in this time.
+constexpr duration long_running_refusal_pause{1'000};
+
 constexpr std::string_view state_taken = "taken";
 constexpr std::string_view state_refused = "refused";
 constexpr std::string_view state_gone = "gone";
@@ -223,7 +227,9 @@
     } else {
         reclaim_task(shard, job, key, now);
         auto& other = shard.other_shards[loan.to];
-        other.no_loans_before = now + refusal_pause;
+        other.no_loans_before =
+            now + (uses_long_running_room(job.spec.steps[loan.step]) ? long_running_refusal_pause
+                                                                     : refusal_pause);
     }
 }
 
@@ -253,9 +259,10 @@
     answer_when_stored(shard, job, token, state_settled);
 }
 
-// Returns tasks to the lender that found no room here within `return_after`.
+// Returns tasks to the lender that found no room here within `return_after`, or within
+// `return_unreserved_after` if they could reserve none.
 void return_unplaced(shard_state& shard, job_row& job, borrowed_tasks& loan, time_point now) {
-    if (!shard.takeover_complete) {
+    if (!shard.takeover_complete && job.inherited) {
         return; // a run of a task, started by an earlier owner of this shard, may still be unknown
     }
     if (loan.since == time_point{}) {
@@ -364,16 +371,17 @@
     });
 }
 
-// Returns the waiting tasks that may be lent: those without reserved room here, or all while the
-// data centre is out of service or if the other shard has free room.
+// Returns the waiting tasks that may be lent for room of this kind: those without reserved room
+// here, then the others if the data centre is out of service or the room is free.
 std::vector<std::uint32_t> find_lendable(const shard_state& shard, const stage_row& stage,
                                          room_kind kind) {
     std::vector<std::uint32_t> found;
+    std::vector<std::uint32_t> reserved;
     for (const auto index : stage.waiting) {
-        if (!stage.tasks[index].reserved_worker || !shard.data_centre_open ||
-            kind == room_kind::free_now) {
-            found.push_back(index);
-        }
+        (stage.tasks[index].reserved_worker ? reserved : found).push_back(index);
+    }
+    if (!shard.data_centre_open || kind == room_kind::free_now) {
+        found.insert(found.end(), reserved.begin(), reserved.end());
     }
     return found;
 }
