host_claims: count the workers of a new shard before it is claimed

Cause: the sizes of the shards are counted every 0.5 s. A shard that was new since counted as empty, so every host's processors sufficed for it and the hash decided.

Change: the sizes are counted when the list of shards changes.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -186,6 +186,7 @@
         for (const auto& shard : shard_list_) {
             shard_first_seen_.try_emplace(shard.id, loop_.now());
         }
+        next_size_update_ = loop_.now();
         for (const auto& [id, shard] : owned_) {
             for (const auto& record : shard_list_) {
                 if (record.id == id) {
--- a/tests/shard_ownership_test.cpp
+++ b/tests/shard_ownership_test.cpp
@@ -153,6 +153,9 @@
     REQUIRE(world.shards().size() == 2);
     REQUIRE(world.owner_of("east.0") == 0);
     REQUIRE(world.owner_of("east.1") == 0);
+    // Nobody else claimed them while their sizes were unknown.
+    CHECK(epoch_of(world, "east.0") == 1);
+    CHECK(epoch_of(world, "east.1") == 1);
     CHECK(keeps_owners(world, duration(15'000)));
 }
 
