shard_waits, host_control: log where long-running tasks wait, and the work of placement

The logs told where a task was lent, but not its return, nor where it waited in between; control_delayed told that an owner was late, but not what it did.

Change: task_waits follows each long-running task without a run, on its lender and its borrower; task_returned and task_taken_back are logged; control_delayed counts advances, searches for room and the pairs of task and worker that they compare. No decision changes.

no functional change

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -499,14 +499,27 @@
     if (worst_delay_ >= reported_delay) {
         std::size_t workers = 0;
         std::size_t jobs = 0;
+        std::size_t waiting = 0;
+        std::uint64_t rounds = 0;
+        std::uint64_t checks = 0;
         for (const auto& [id, shard] : owned_) {
             workers += shard->state.tables.workers.size();
             jobs += shard->state.active.size();
+            waiting += count_waiting_tasks(shard->state);
+            rounds += shard->state.placement_rounds;
+            checks += shard->state.placement_checks;
         }
-        log_.write_rare("event=control_delayed delay_ms={} share={} shards={} workers={} jobs={}",
-                        worst_delay_.count(), options_.weight, owned_.size(), workers, jobs);
+        log_.write_rare("event=control_delayed delay_ms={} share={} shards={} workers={} jobs={} "
+                        "waiting_tasks={} advances={} placements={} worker_checks={}",
+                        worst_delay_.count(), options_.weight, owned_.size(), workers, jobs,
+                        waiting, advances_, rounds, checks);
     }
     worst_delay_ = duration(0);
+    advances_ = 0;
+    for (const auto& [id, shard] : owned_) {
+        shard->state.placement_rounds = 0;
+        shard->state.placement_checks = 0;
+    }
     next_delay_report_ = now + report_interval;
 }
 
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -299,7 +299,8 @@
     time_point started_;
     // How late the control thread runs its ticks.
     time_point next_tick_;
-    duration worst_delay_{0}; // in the current report interval
+    duration worst_delay_{0};    // in the current report interval
+    std::uint64_t advances_ = 0; // of the owned shards, in the current report interval
     time_point next_delay_report_;
     time_point next_local_gossip_;
     time_point next_global_gossip_;
--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -22,6 +22,7 @@
         }
         return;
     }
+    ++advances_;
     shard_actions actions;
     advance(shard->state, loop_.now(), loop_.unix_now(), actions);
     execute(shard, actions);
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -536,6 +536,7 @@
         shard.last_placement = now;
         place_tasks(shard, now, actions);
     }
+    log_waiting_tasks(shard, now);
     regroup_tasks(shard, now);
     drain_long_running_tasks(shard, now);
     send_stops(shard, now, actions);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -243,6 +243,10 @@
     bool placement_needed = true; // set when something changed since the last placement
     time_point last_placement;
     time_point next_purge;
+    time_point next_wait_check;
+    // Work of placement since the last report: rounds, and pairs of task and worker compared.
+    std::uint64_t placement_rounds = 0;
+    std::uint64_t placement_checks = 0;
 
     metrics* counters = nullptr;
     decision_log* log = nullptr;
@@ -253,6 +257,9 @@
                        revision_number claim_revision, const shard_timing& timing,
                        metrics& counters, decision_log& log);
 
+// Returns the number of tasks that this shard is to run and that have no run.
+std::size_t count_waiting_tasks(const shard_state& shard);
+
 // Loads the shard's stored records; logs and skips those that can't be parsed.
 void load_shard(shard_state& shard, const std::vector<store_entry>& entries);
 
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -171,6 +171,9 @@
 // Jobs with long-running steps and jobs with due times always count as in time.
 timeliness predict_timeliness(const shard_state& shard, const job_row& job);
 
+// Logs the long-running tasks that don't run, with what each of them waits for.
+void log_waiting_tasks(shard_state& shard, time_point now);
+
 // Chooses workers for waiting tasks and sends the start commands.
 void place_tasks(shard_state& shard, time_point now, shard_actions& actions);
 
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -226,6 +226,11 @@
         end_job(shard, job, job_phase::failed, now, unix_now);
     } else {
         reclaim_task(shard, job, key, now);
+        if (uses_long_running_room(job.spec.steps[loan.step])) {
+            shard.log->write_rare("event=task_taken_back task={}.{}.{}.{} shard={} from={} loan={}",
+                                  job.id.value, loan.occurrence, loan.step, index, shard.id.value,
+                                  loan.to.value, loan.number);
+        }
         auto& other = shard.other_shards[loan.to];
         other.no_loans_before =
             now + (uses_long_running_room(job.spec.steps[loan.step]) ? long_running_refusal_pause
@@ -283,6 +288,13 @@
             drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
             report_task(shard, job, task, loan_result::returned, now);
             shard.counters->count("loans", "returned");
+            if (reservable) {
+                shard.log->write_rare("event=task_returned task={}.{}.{}.{} shard={} to={} loan={} "
+                                      "held_ms={}",
+                                      job.id.value, stage.occurrence, stage.step, index,
+                                      shard.id.value, job.lender.value, loan.loan,
+                                      (now - loan.since).count());
+            }
         }
     }
 }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -115,6 +115,7 @@
     const auto waited = std::chrono::duration<double>(now - *next.stage->ready_since).count();
     const double min_pace =
         std::max(lowest_min_pace, initial_min_pace - min_pace_decrease_per_second * waited);
+    shard.placement_checks += shard.tables.workers.size();
     for (auto& [id, worker] : shard.tables.workers) {
         if (!accepts_starts(shard, worker, now) || task.last_failed_on == id ||
             !can_run_on(*next.job, *next.stage, worker) || !fits_worker(shard, worker, step, key)) {
@@ -234,6 +235,7 @@
     if (shard.releasing || !has_authority(shard, now)) {
         return;
     }
+    ++shard.placement_rounds;
     const bool allowed = shard.starts_allowed && shard.data_centre_open;
     for (const auto& next : find_candidates(shard)) {
         // Until the takeover is complete, the task may already run on a worker of a predecessor
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -150,6 +150,7 @@
     std::optional<worker_id> last_failed_on;
     std::optional<worker_id> reserved_worker; // worker on which room is reserved for it
     bool reservation_expired = false;         // a reservation expired since its last start
+    std::optional<time_point> idle_since;     // since when a long-running task has had no run here
 };
 
 // One step of one occurrence.
