host_gossip: offer no room on workers that get no starts for now

What callers saw: tasks were lent to another shard and returned, again and again, while they waited.

Cause: a worker with failed runs or refused starts gets no starts for up to 8 s and so has the most free room of its shard, which the shard published as room for tasks of others.

Change: the free resources that a shard publishes, and by which hosts choose a shard for a job, leave such workers out. Its capacity and load count as before.

Test: "a worker that gets no starts for now offers no room to other shards".

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -350,7 +350,7 @@
     status.orders_revision = orders_.revision();
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
-            status.shards.push_back(summarize(shard->state));
+            status.shards.push_back(summarize(shard->state, loop_.now()));
         }
     }
     return status;
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -232,7 +232,7 @@
     }
 }
 
-shard_status summarize(const shard_state& shard) {
+shard_status summarize(const shard_state& shard, time_point now) {
     shard_status status;
     status.id = shard.id;
     status.epoch = shard.epoch;
@@ -245,7 +245,10 @@
         load.capacity += worker.entry.capacity.processors.value;
         load.committed += worker.committed.processors.value;
         load.fillers += worker.filler_demand;
-        add_room(find_room(status.rooms, worker.entry.service), shard, worker);
+        auto& room = find_room(status.rooms, worker.entry.service);
+        if (worker.no_starts_before <= now) {
+            add_room(room, shard, worker);
+        }
     }
     for (auto& room : status.rooms) {
         keep_largest(room.long_running);
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -68,7 +68,8 @@
 void limit_effects(host_status& status);
 
 // Returns a shard's load, free resources and pending jobs. Only workers that are listed, reachable
-// and not draining count; the effects are left empty.
-shard_status summarize(const shard_state& shard);
+// and not draining count, and for the free resources only those that get starts now; the effects
+// are left empty.
+shard_status summarize(const shard_state& shard, time_point now);
 
 } // namespace fulmar
--- a/src/host_loans.cpp
+++ b/src/host_loans.cpp
@@ -30,7 +30,7 @@
     std::map<shard_id, shard_status> own;
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
-            newest[id] = &(own[id] = summarize(shard->state));
+            newest[id] = &(own[id] = summarize(shard->state, loop_.now()));
         }
     }
     for (const auto& [id, shard] : owned_) {
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -132,7 +132,7 @@
             continue;
         }
         counted.insert(id);
-        const auto status = summarize(shard->state);
+        const auto status = summarize(shard->state, loop_.now());
         if (const auto found = status.pending.find(queue); found != status.pending.end()) {
             total += found->second;
         }
@@ -222,7 +222,7 @@
     };
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
-            add_option(summarize(shard->state));
+            add_option(summarize(shard->state, loop_.now()));
         }
     }
     for (const auto& [name, peer] : peers_) {
--- a/tests/host_gossip_test.cpp
+++ b/tests/host_gossip_test.cpp
@@ -1,5 +1,6 @@
 // Datagrams between hosts.
 #include "host_gossip.hpp"
+#include "shard_internal.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -39,3 +40,38 @@
     CHECK(read.value().shards.back().rooms.front().long_running.size() == 8);
     CHECK(read.value().shards.back().rooms.front().long_running.back().memory.value == 120'000);
 }
+
+// Other shards lent tasks for the room of a worker that got no starts after failed runs. Its room
+// was the largest of all because of that, and the tasks were returned.
+TEST_CASE("a worker that gets no starts for now offers no room to other shards") {
+    metrics counters;
+    decision_log log("", {}, {});
+    const time_point now{duration(1'000)};
+    const shard_record record{{"east.0"}, {"east"}, {{"r1"}}};
+    auto shard = make_shard(record, {"host/1"}, {1}, {1}, {}, counters, log);
+    load_shard(shard, {});
+    for (const auto* id : {"paused", "busy"}) {
+        worker_entry entry;
+        entry.target = {{id}, {"10.0.0.1", 1}};
+        entry.service = {"desk"};
+        entry.capacity = {{8'000}, {32'000}, {0}};
+        on_worker_entry(shard, entry, now);
+        hold_reply report;
+        report.clock = {1'000};
+        on_hold_reply(shard, entry.target.id, report, now, now, unix_time{1'700'000'000'000});
+    }
+    shard.tables.workers.at({"busy"}).committed.processors.value = 6'000;
+    auto& paused = shard.tables.workers.at({"paused"});
+    paused.no_starts_before = now + duration(500);
+
+    const auto room = summarize(shard, now).rooms.at(0);
+    CHECK(room.largest.processors.value == 2'000);
+    CHECK(room.free.processors.value == 2'000);
+    CHECK(room.fillers == 2'000);
+    CHECK(room.long_running.size() == 1);
+    CHECK(summarize(shard, now).loads.at(0).capacity == 16'000);
+
+    const auto later = summarize(shard, paused.no_starts_before).rooms.at(0);
+    CHECK(later.largest.processors.value == 8'000);
+    CHECK(later.long_running.size() == 2);
+}
