wire: decode what other programs write with bounds on nesting, numbers and names

Callers, operators, workers and other writers of the store saw processes that end by themselves, or that follow a list no longer, after one odd text.

--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -1,6 +1,6 @@
 #include "host_gossip.hpp"
 
-#include "fulmar/json.hpp"
+#include "bounded_json.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -122,7 +122,7 @@
 
 result<host_record> parse_host_record(std::string_view text) {
     try {
-        const auto in = json::parse(text);
+        const auto in = parse_bounded_json(text);
         const auto address = parse_address(in.at("address").get<std::string>());
         if (!address) {
             return address.error();
@@ -131,7 +131,7 @@
                            in.at("data_centre").get<data_centre_id>(), address.value(),
                            in.at("weight").get<std::int64_t>()};
     } catch (const std::exception& failure) {
-        return error{error_kind::protocol_error, failure.what()};
+        return error{error_kind::protocol_error, make_printable(failure.what())};
     }
 }
 
@@ -178,7 +178,7 @@
 
 result<host_status> parse_host_status(std::string_view datagram) {
     try {
-        const auto in = json::from_msgpack(datagram);
+        const auto in = parse_bounded_msgpack(datagram);
         host_status status;
         status.name = in.at(0).get<host_id>();
         status.incarnation = in.at(1).get<std::string>();
@@ -220,7 +220,7 @@
         }
         return status;
     } catch (const std::exception& failure) {
-        return error{error_kind::protocol_error, failure.what()};
+        return error{error_kind::protocol_error, make_printable(failure.what())};
     }
 }
 
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -1,5 +1,7 @@
 #include "shard_records.hpp"
 
+#include "bounded_json.hpp"
+
 #include <charconv>
 
 namespace fulmar {
@@ -104,9 +106,9 @@
 template <class Parse>
 auto parse_record(std::string_view text, Parse parse) -> result<decltype(parse(json()))> {
     try {
-        return parse(json::parse(text));
+        return parse(parse_bounded_json(text));
     } catch (const std::exception& failure) {
-        return error{error_kind::protocol_error, failure.what()};
+        return error{error_kind::protocol_error, make_printable(failure.what())};
     }
 }
 
