host_control: a worker's odd entry names no worker, and its data centre must be known

Another writer left odd entries among those of the workers. Two of them were used: - An entry that couldn't be read and replaced a good one under the same id left the worker listed with its former entry, so it got further starts.

Now an entry that can't be read, or whose data centre isn't in the settings, unlists the worker, as a missing entry does: what runs there goes on and ends as before, but nothing starts until the worker's next heartbeat replaces the entry. Each key is reported once until it is deleted, so the set of reported keys is bounded by the list. Keys are quoted in log lines, without control characters.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -1,5 +1,7 @@
 #include "host_control.hpp"
 
+#include "bounded_json.hpp"
+
 #include <algorithm>
 #include <cassert>
 
@@ -140,7 +142,8 @@
 void host_control::on_meta_change(const std::string& key, const store_entry* entry) {
     const auto reject = [&](const error& failure) {
         counters_.count("unreadable_records");
-        log_.write("event=record_unreadable key={} detail=\"{}\"", key, failure.detail);
+        log_.write(R"(event=record_unreadable key="{}" detail="{}")", make_printable(key),
+                   make_printable(failure.detail));
     };
     if (key.starts_with(hosts_prefix)) {
         const host_id name{key.substr(hosts_prefix.size())};
@@ -245,43 +248,12 @@
             evacuated_.erase(data_centre);
         }
         log_.write_rare("event=data_centre_{} data_centre={}",
-                        entry != nullptr ? "taken_out" : "taken_back", data_centre.value);
+                        entry != nullptr ? "taken_out" : "taken_back",
+                        make_printable(data_centre.value));
         update_start_permissions();
     }
 }
 
-void host_control::on_workers_change(const std::string& key, const store_entry* entry) {
-    const worker_id id{key.substr(options_.layout.workers_prefix.size())};
-    if (entry == nullptr) {
-        worker_entries_.erase(id);
-        for (const auto& [name, shard] : owned_) {
-            on_worker_unlisted(shard->state, id, loop_.now());
-        }
-        return;
-    }
-    auto worker = options_.layout.parse_worker(id.value, entry->value);
-    if (!worker) {
-        // Other writers may put entries under this prefix; each is reported once.
-        if (unreadable_.insert(key).second) {
-            counters_.count("unreadable_worker_entries");
-            log_.write("event=worker_entry_unreadable key={} detail=\"{}\"", key,
-                       worker.error().detail);
-        }
-        return;
-    }
-    if (!worker_entries_.contains(id)) {
-        record_join(worker.value());
-    }
-    worker_entries_[id] = worker.value();
-    for (const auto& [name, shard] : owned_) {
-        if (shard->loaded && owns_worker(*shard, worker.value())) {
-            on_worker_entry(shard->state, worker.value(), loop_.now());
-            schedule_shard(shard);
-        }
-    }
-    maintain_shard_list();
-}
-
 // Membership.
 
 bool host_control::is_alive(const peer_row& peer) const {
