--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -3,6 +3,8 @@
 // filler that didn't disturb it before may disturb it for a while.
 #include "shard_internal.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
@@ -41,6 +43,11 @@
 constexpr double slack_limit = 1.2;
 constexpr double recovered_slack = 1.1;
 
+// A serving task that is over its target for this long is logged with each report, with at most
+// this many of the fillers beside it.
+constexpr duration logged_over_target{1'500};
+constexpr std::size_t logged_fillers = 6;
+
 // A filler at this pace or less counts as throttled. It is stopped after this time if there is room
 // for it elsewhere.
 constexpr int throttled_percent = 10;
@@ -113,6 +120,30 @@
     }
 }
 
+void log_over_target(const shard_state& shard, const worker_row& worker,
+                     const std::vector<run_row*>& serving, const std::vector<run_row*>& fillers,
+                     time_point now) {
+    for (const auto* run : serving) {
+        const auto over = time_since(run->average_over_since, now);
+        if (over < logged_over_target || fillers.empty()) {
+            continue;
+        }
+        std::string paces;
+        for (std::size_t i = 0; i < std::min(fillers.size(), logged_fillers); ++i) {
+            const auto& filler = *fillers[i];
+            paces += fmt::format("{}{}:{}/{}/{}", i == 0 ? "" : ",", filler.key.task.job.value,
+                                 filler.pace_target, filler.pace_confirmed, filler.measurement);
+        }
+        shard.log->write("event=over_target task={}.{}.{}.{} worker={} over_ms={} every_ms={} "
+                         "slack={:.2f} average_slack={:.2f} hold_ms={} fillers={} paces={}",
+                         run->key.task.job.value, run->key.task.occurrence, run->key.task.step,
+                         run->key.task.index, worker.entry.target.id.value, over.count(),
+                         time_since(run->over_target_since, now).count(), slack_of(*run),
+                         run->average_slack, (now - worker.hold_sent).count(), fillers.size(),
+                         paces);
+    }
+}
+
 // Share of the worker's processors that a filler would use at full pace, and its image.
 struct filler_demand {
     std::string image;
@@ -223,6 +254,7 @@
     }
     learn_from_tails(shard, worker, serving, fillers, now);
     plan_paces(shard, worker, now);
+    log_over_target(shard, worker, serving, fillers, now);
 }
 
 void plan_paces(shard_state& shard, worker_row& worker, time_point now) {
