shard_pacing: start no filler beside a serving task over its target

The limits pause the fillers that run, but a filler that starts works at full pace until its start is confirmed and its pace takes effect. If the estimates take its image for harmless, new fillers were placed beside a task over its target, one after the other. The pace that is predicted for a new filler is now 0 there. Run on with the new test (build of the shard sources and tests/pacing_test.cpp with -O0): "no filler starts beside a serving task that is over its target" failed with 1.0 == 0.0; passes with the change.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -171,6 +171,9 @@
                     time_point now) {
     double allowed = 1.0;
     for (const auto* run : serving) {
+        if (run->average_over_since) {
+            return 0; // a new filler would run at full pace until its start is confirmed
+        }
         if (loss_by(shard, *run, filler) == 0) {
             continue;
         }
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -127,3 +127,20 @@
     }
     CHECK(world.pace() == 0);
 }
+
+// A filler that starts works at full pace until its start is confirmed and its pace takes effect,
+// so that new fillers, each for a moment, kept a serving task over its target.
+TEST_CASE("no filler starts beside a serving task that is over its target") {
+    shared_worker world;
+    world.trust_fillers();
+    const auto predict = [&] {
+        const auto& step = world.shard.tables.jobs.at(world.filler.task.job).spec.steps[0];
+        return predict_pace(world.shard, world.shard.tables.workers.at(world.entry.target.id), step,
+                            world.now);
+    };
+    world.report(duration(40));
+    CHECK(predict() > 0.9);
+    world.report(duration(120));
+    world.report(duration(120));
+    CHECK(predict() == 0.0);
+}
