shard_pacing: send a pace again that the worker refused

Every answer but a refused epoch counted as an executed pace, also those of an unhealthy worker, which has done nothing; a paused filler then worked on until its target pace changed. A refused pace is now sent again after the worker's next report, so at most once per report. Run on with the new test (build of the shard sources and tests/pacing_test.cpp with -O0): "a pace that the worker refuses is sent again after its next report" failed with { } == { 0 }; passes with the change.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -51,6 +51,11 @@
 constexpr double slack_limit = 1.2;
 constexpr double recovered_slack = 1.1;
 
+// Values of `pace_confirmed` besides a pace. An unknown pace is sent at once, a refused one after
+// the worker's next report.
+constexpr int unknown_pace = -1;
+constexpr int refused_pace = -2;
+
 // A serving task that is over its target for this long is logged with each report, with at most
 // this many of the fillers beside it.
 constexpr duration logged_over_target{1'500};
@@ -128,6 +133,15 @@
     }
 }
 
+// Marks the paces that the worker refused, so that they are sent again.
+void check_confirmed_paces(const std::vector<run_row*>& fillers) {
+    for (auto* run : fillers) {
+        if (run->pace_confirmed == refused_pace) {
+            run->pace_confirmed = unknown_pace;
+        }
+    }
+}
+
 void log_over_target(const shard_state& shard, const worker_row& worker,
                      const std::vector<run_row*>& serving, const std::vector<run_row*>& fillers,
                      time_point now) {
@@ -264,6 +278,7 @@
         }
     }
     learn_from_tails(shard, worker, serving, fillers, now);
+    check_confirmed_paces(fillers);
     plan_paces(shard, worker, now);
     log_over_target(shard, worker, serving, fillers, now);
 }
@@ -329,7 +344,7 @@
 void send_paces(shard_state& shard, shard_actions& actions) {
     for (auto& [key, run] : shard.tables.runs) {
         if (run.phase != run_phase::running || run.pace_in_flight ||
-            run.pace_target == run.pace_confirmed) {
+            run.pace_target == run.pace_confirmed || run.pace_confirmed == refused_pace) {
             continue;
         }
         run.pace_in_flight = true;
@@ -348,14 +363,16 @@
     auto& run = found->second;
     run.pace_in_flight = false;
     if (!reply) {
-        run.pace_confirmed = -1; // unknown, so the pace is sent again
+        run.pace_confirmed = unknown_pace;
         return;
     }
-    if (reply.value().outcome == command_outcome::fenced) {
+    const auto outcome = reply.value().outcome;
+    if (outcome == command_outcome::fenced) {
         lose_shard(shard, "fenced");
         return;
     }
-    run.pace_confirmed = percent;
+    const bool executed = outcome == command_outcome::done || outcome == command_outcome::missing;
+    run.pace_confirmed = executed ? percent : refused_pace;
 }
 
 bool is_shared(const shard_state& shard, const worker_row& worker) {
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -144,3 +144,18 @@
     world.report(duration(120));
     CHECK(predict() == 0.0);
 }
+
+// A worker that is unhealthy refuses a pause and does nothing; the pause counted as executed.
+TEST_CASE("a pace that the worker refuses is sent again after its next report") {
+    shared_worker world;
+    for (int i = 0; i < 8; ++i) {
+        world.report(duration(150));
+    }
+    CHECK(world.send() == std::vector<int>{0});
+    world.answer_pace(0, command_outcome::unhealthy);
+    CHECK(world.send().empty());
+    world.report(duration(150));
+    CHECK(world.send() == std::vector<int>{0});
+    world.answer_pace(0, command_outcome::done);
+    CHECK(world.send().empty());
+}
