shard_pacing: send a pause again that the worker's report contradicts

A command without a reply may be executed seconds later, after newer ones. A filler then worked at an old pace while its owner took it for paused, although each report showed its use of processors. A pause is now sent again while a report shows that the filler uses more than a tenth of its processors. The first report after a pause may still cover the time before it; that costs one more command. Run on with the new test (build of the shard sources and tests/pacing_test.cpp with -O0): "a pause is sent again if a report shows that the filler works" failed with { } == { 0 }; passes with the change.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -56,6 +56,9 @@
 constexpr int unknown_pace = -1;
 constexpr int refused_pace = -2;
 
+// A paused filler that uses more than this share of its processors, in percent, isn't paused.
+constexpr int paused_use_percent = 10;
+
 // A serving task that is over its target for this long is logged with each report, with at most
 // this many of the fillers beside it.
 constexpr duration logged_over_target{1'500};
@@ -133,10 +136,13 @@
     }
 }
 
-// Marks the paces that the worker refused, so that they are sent again.
+// Marks the paces that are to be sent again: those that the worker refused, and pauses that the
+// report contradicts, because an earlier command with another pace was executed after the pause.
 void check_confirmed_paces(const std::vector<run_row*>& fillers) {
     for (auto* run : fillers) {
-        if (run->pace_confirmed == refused_pace) {
+        const bool paused = run->pace_target == 0 && run->pace_confirmed == 0;
+        const bool works = run->measurement * 100 > run->need.processors.value * paused_use_percent;
+        if (run->pace_confirmed == refused_pace || (paused && works)) {
             run->pace_confirmed = unknown_pace;
         }
     }
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -159,3 +159,18 @@
     world.answer_pace(0, command_outcome::done);
     CHECK(world.send().empty());
 }
+
+// A command without a reply may be executed seconds later, after the pause that followed it; the
+// filler then worked on, although its reports showed it.
+TEST_CASE("a pause is sent again if a report shows that the filler works") {
+    shared_worker world;
+    for (int i = 0; i < 8; ++i) {
+        world.report(duration(150));
+    }
+    CHECK(world.send() == std::vector<int>{0});
+    world.answer_pace(0, command_outcome::done);
+    world.report(duration(150), 0);
+    CHECK(world.send().empty());
+    world.report(duration(150), 2'000);
+    CHECK(world.send() == std::vector<int>{0});
+}
