shard_reports: assume that adopted tasks were over their targets before the takeover

A new owner counted the time over the target from its second report: it ignored the measurement in the list in which it adopts a run, and the time under its predecessor. Takeover and limit together exceed 4 s. The measurement now counts at once, and a serving task that is over its target by it counts as over it since 3 s ago, the longest takeover; the first measurement below the target ends that. Run on with the new test (build of the shard sources and tests/pacing_test.cpp with -O0): "fillers are paused if the first report to a new owner is over the target" failed with 100 == 0; passes with the change. "fillers keep their pace if the first report to a new owner is below the target" guards the other direction and passed before.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -124,11 +124,10 @@
             run->over_target_since = now;
         }
         const double capped = std::min(slack, slack_limit);
+        const bool first = run->average_slack == 0;
         run->average_slack =
-            run->average_slack == 0
-                ? capped
-                : run->average_slack + slack_weight * (capped - run->average_slack);
-        if (run->average_slack >= recovered_slack) {
+            first ? capped : run->average_slack + slack_weight * (capped - run->average_slack);
+        if (run->average_slack >= recovered_slack || (first && slack >= 1.0)) {
             run->average_over_since.reset();
         } else if (slack < 1.0 && !run->average_over_since) {
             run->average_over_since = now;
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -12,6 +12,10 @@
 // After a worker refused a start for lack of room, it gets no further starts for this long.
 constexpr duration no_room_pause{300};
 
+// How long a predecessor may have known that a serving task is over its target before the first
+// report to this owner shows it.
+constexpr duration takeover_time{3'000};
+
 // Marks a task as done and stops its other runs.
 void finish_task(shard_state& shard, stage_row& stage, const task_key& key, time_point now) {
     auto& task = stage.tasks[key.index];
@@ -26,6 +30,15 @@
     }
 }
 
+// Sets what a predecessor knew about a run as far as the sharing of its worker depends on it. The
+// measurements that follow show whether a serving task is over its target.
+void assume_predecessor_pacing(run_row& run, time_point now) {
+    if (run.tail_target.count() > 0 && run.measurement > 0) {
+        run.over_target_since = now - takeover_time;
+        run.average_over_since = run.over_target_since;
+    }
+}
+
 // Adds a run that a worker lists and that this owner didn't start: a predecessor started it. The
 // run is stopped if its task doesn't need it.
 void adopt_run(shard_state& shard, worker_row& worker, const run_status& row, time_point now) {
@@ -35,10 +48,14 @@
     run.phase = run_phase::running;
     run.start_sent = now;
     run.confirmed = now;
+    run.checkpoint = row.checkpoint;
+    run.progress_percent = row.progress_percent;
+    run.measurement = row.measurement;
     const auto job = shard.tables.jobs.find(row.run.task.job);
     if (job != shard.tables.jobs.end() && row.run.task.step < job->second.spec.steps.size()) {
         apply_step_spec(run, job->second.spec.steps[row.run.task.step]);
     }
+    assume_predecessor_pacing(run, now);
     auto* task = find_task(shard.tables, row.run.task);
     const bool wanted = task != nullptr && !task->done && !task->not_local && task->runs.empty();
     const auto cause = task == nullptr ? stop_cause::cancelled : stop_cause::duplicate;
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -174,3 +174,20 @@
     world.report(duration(150), 2'000);
     CHECK(world.send() == std::vector<int>{0});
 }
+
+// A new owner counted the time over the target from its own second report, so that with the time of
+// the predecessor and of the takeover the fillers disturbed the task for over 4 s.
+TEST_CASE("fillers are paused if the first report to a new owner is over the target") {
+    shared_worker world;
+    world.trust_fillers();
+    world.report(duration(120));
+    CHECK(world.pace() == 0);
+}
+
+// Guards against pausing fillers after each takeover.
+TEST_CASE("fillers keep their pace if the first report to a new owner is below the target") {
+    shared_worker world;
+    world.trust_fillers();
+    world.report(duration(96));
+    CHECK(world.pace() > 0);
+}
