shard_reports: take the pace of adopted fillers for unknown

A new owner took the pace of an adopted filler for 100. A filler that its predecessor had paused stood still until its target pace changed, as 100 was never sent. The pace is now unknown at first, so it is sent once after a takeover. Run on with the new test (build of the shard sources and tests/pacing_test.cpp with -O0): "the pace of an adopted filler is sent" failed with { } == { 100 }; passes with the change.

--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -33,6 +33,9 @@
 // Sets what a predecessor knew about a run as far as the sharing of its worker depends on it. The
 // measurements that follow show whether a serving task is over its target.
 void assume_predecessor_pacing(run_row& run, time_point now) {
+    if (run.filler) {
+        run.pace_confirmed = -1;
+    }
     if (run.tail_target.count() > 0 && run.measurement > 0) {
         run.over_target_since = now - takeover_time;
         run.average_over_since = run.over_target_since;
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -191,3 +191,11 @@
     world.report(duration(96));
     CHECK(world.pace() > 0);
 }
+
+// A new owner took the pace of an adopted filler for 100, so that a filler that its predecessor had
+// paused stood still until its pace changed.
+TEST_CASE("the pace of an adopted filler is sent") {
+    shared_worker world;
+    world.report(duration(40));
+    CHECK(world.send() == std::vector<int>{100});
+}
