shard_reports: plan paces also when a hold gets no reply

Paces were planned only with a report or the start of a filler. If reports stopped while a serving task was over its target, the time went on but no pause followed. Paces are now also planned when a hold fails. Run on with the new test (build of the shard sources and tests/pacing_test.cpp with -O0): "fillers are paused in time if reports stop while a task is over its target" failed with 100 == 0; passes with the change.

--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -325,6 +325,7 @@
     worker.hold_in_flight = false;
     if (!reply) {
         mark_unreachable(shard, worker, to_string(reply.error().kind), sent, now);
+        plan_paces(shard, worker, now); // the times over the targets go on without a report
         return;
     }
     const auto& report = reply.value();
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -199,3 +199,19 @@
     world.report(duration(40));
     CHECK(world.send() == std::vector<int>{100});
 }
+
+// The worker's reports stopped while a serving task was over its target, and the fillers beside it
+// worked on, because their paces were only planned with a report.
+TEST_CASE("fillers are paused in time if reports stop while a task is over its target") {
+    shared_worker world;
+    world.trust_fillers();
+    world.report(duration(40));
+    world.report(duration(120));
+    CHECK(world.pace() > 0);
+    for (int i = 0; i < 2; ++i) {
+        world.now += duration(1'200);
+        on_hold_reply(world.shard, world.entry.target.id, error{error_kind::timeout, ""}, world.now,
+                      world.now, wall_clock);
+    }
+    CHECK(world.pace() == 0);
+}
