shard_placement: search again only where room may have grown

What callers saw: owners with 0.1 core ran 0.1 to 0.7 s late second after second, and long-running tasks waited behind their late steps.

Cause: each event of a shard led to a search for every waiting stage on all workers, although most events change no worker.

Change: each round takes a view of every worker (whether it accepts starts, its free resources, its room for fillers, removed runs and reservations, measurements) and compares it with the round before; a worker whose view gives more room gets a new change number. Views are compared and not reported, so that no code that changes a worker can forget it. A failed search is remembered by service, label, image and need, with the highest pace that was predicted, and answers for all steps that need as much or more. It is repeated only on workers that changed since, and on all workers after 1 s (fillers that lack pace: 0.3 s, because the pace also depends on measurements elsewhere). A filler whose required pace falls to the highest predicted one is searched for at once. Rounds between the complete ones, which follow each other after 0.2 s, order and lend only stages that may start. Stages of long-running tasks are in every round, are tried first on the worker reserved for them, and no limit skips them. Workers refer to the rows of their runs, so that deriving a worker's figures needs no lookups by key, and a prediction computes the losses once for each image.

Test: 16 full workers, 600 tasks of 100 jobs waiting. 200 replies that give no room: 320,000 pairs before, 16 now. One worker that gains room: 1,696 before, 9 now. On the old code: placement_cost_test.cpp:133: CHECK( world.shard.placement_checks <= 100 * 16 ) 320000 <= 1600 placement_cost_test.cpp:148: CHECK( world.shard.placement_checks <= 100 + world.actions.starts.size() ) 1696 <= 107 The tests of starts after a pause, an expired reservation and a fallen pace pass on both. Run: placement_cost, pacing, reservation and shard_records tests in a reduced build (15 cases pass).

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Interval of placement rounds when nothing changed. They only serve conditions that depend on
-// time.
-constexpr duration placement_interval{200};
-
 constexpr duration takeover_log_interval{1'000};
 
 void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
@@ -531,7 +527,7 @@
     }
     complete_takeover(shard, now);
     expire_workers(shard, now);
-    if (shard.placement_needed || now >= shard.last_placement + placement_interval) {
+    if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
         shard.placement_needed = false;
         shard.last_placement = now;
         place_tasks(shard, now, actions);
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -130,18 +130,30 @@
 double allowed_pace(const shard_state& shard, const std::vector<const run_row*>& serving,
                     const std::vector<filler_demand>& fillers, const filler_demand& filler,
                     time_point now) {
+    // Both sums are the same for all serving tasks of an image.
+    struct losses {
+        const std::string* image = nullptr;
+        double own = 0;
+        double total = 0;
+    };
+    std::vector<losses> known;
     double allowed = 1.0;
     for (const auto* run : serving) {
-        if (loss_by(shard, *run, filler) == 0) {
-            continue;
+        auto row = std::find_if(known.begin(), known.end(),
+                                [&](const losses& other) { return *other.image == run->image; });
+        if (row == known.end()) {
+            losses added{&run->image, loss_by(shard, *run, filler), 0};
+            for (const auto& other : fillers) {
+                added.total += added.own == 0 ? 0 : loss_by(shard, *run, other);
+            }
+            row = known.insert(known.end(), added);
         }
-        double total = 0;
-        for (const auto& other : fillers) {
-            total += loss_by(shard, *run, other);
+        if (row->own == 0) {
+            continue;
         }
         const double room =
             expected_slack(shard.effects, run->key.task.job.value, now, lookahead) - min_slack;
-        allowed = std::min(allowed, std::max(0.0, room) / total);
+        allowed = std::min(allowed, std::max(0.0, room) / row->total);
     }
     return allowed;
 }
@@ -331,8 +343,8 @@
                     time_point now) {
     std::vector<const run_row*> serving;
     std::vector<filler_demand> demands;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.tail_target.count() > 0) {
             serving.push_back(&run);
         } else if (run.filler) {
@@ -347,21 +359,21 @@
                          const std::string& image, time_point now) {
     double room = static_cast<double>(std::max<std::int64_t>(0, filler_room(shard, worker)));
     std::vector<filler_demand> demands;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.filler) {
             demands.push_back(demand_of(worker, run));
         }
     }
     const auto capacity = static_cast<double>(worker.entry.capacity.processors.value);
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         const double loss = run.tail_target.count() > 0 ? loss_by(shard, run, {image, 1.0}) : 0;
         if (loss == 0) {
             continue;
         }
         double remaining_slack =
-            expected_slack(shard.effects, key.task.job.value, now, lookahead) - min_slack;
+            expected_slack(shard.effects, run.key.task.job.value, now, lookahead) - min_slack;
         for (const auto& other : demands) {
             remaining_slack -= loss_by(shard, run, other);
         }
@@ -370,11 +382,11 @@
     return room;
 }
 
-double other_serving_share(const shard_state& shard, const worker_row& worker,
+double other_serving_share(const shard_state& /*shard*/, const worker_row& worker,
                            const std::string& image) {
     double other = 0;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.tail_target.count() > 0 && run.image != image) {
             other += share_of(worker, run.need.processors.value);
         }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -16,6 +16,10 @@
 // its predecessors may have used without its knowledge.
 constexpr std::uint64_t runs_per_epoch = 1'000;
 
+// Interval of rounds over all stages that wait. They lend tasks to other shards, whose rooms are
+// reported at a similar interval.
+constexpr duration complete_round_interval{200};
+
 // Returns the number of a task's next run.
 run_number next_run(const shard_state& shard, const task_row& task) {
     const auto first = (shard.epoch.value - 1) * runs_per_epoch + 1;
@@ -42,6 +46,11 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+// Returns whether the worker meets a step's conditions on service and label.
+bool can_host(const job_row& job, const step_spec& step, const worker_row& worker) {
+    return worker.entry.service == job.queue.service && has_label(worker, step.label);
+}
+
 // A stage with tasks to start.
 struct candidate {
     job_row* job = nullptr;
@@ -51,7 +60,54 @@
     unix_time accepted;
 };
 
-std::vector<candidate> find_candidates(shard_state& shard) {
+double min_pace_of(const stage_row& stage, time_point now) {
+    const auto waited = std::chrono::duration<double>(now - *stage.ready_since).count();
+    return std::max(lowest_min_pace, initial_min_pace - min_pace_decrease_per_second * waited);
+}
+
+// Returns the number of the last change of a worker that may have given room to tasks of a step.
+std::uint64_t last_grown(const worker_row& worker, const step_spec& step) {
+    return step.filler ? worker.last_view.filler_grown : worker.last_view.grown;
+}
+
+// Records what decides whether tasks fit on a worker.
+void view_worker(shard_state& shard, worker_row& worker, time_point now) {
+    room_view next;
+    next.accepts = accepts_starts(shard, worker, now);
+    next.free = free_resources(worker);
+    next.filler = filler_room(shard, worker);
+    next.alone = worker.filler_demand == 0;
+    next.serves = std::any_of(worker.run_rows.begin(), worker.run_rows.end(),
+                              [](const run_row* run) { return run->tail_target.count() > 0; });
+    next.releases = worker.releases;
+    next.measured = worker.clock_at;
+    next.service = worker.entry.service;
+    next.labels = worker.entry.labels;
+    update_view(shard.tables.searches, worker.last_view, std::move(next));
+}
+
+void view_workers(shard_state& shard, time_point now) {
+    for (auto& [id, worker] : shard.tables.workers) {
+        view_worker(shard, worker, now);
+    }
+}
+
+// Returns whether a search for room for the stage may have another result than the last one.
+// Long-running tasks are always searched for: they have to run again within seconds.
+bool may_start(const shard_state& shard, const job_row& job, const stage_row& stage,
+               time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    if (step.long_running) {
+        return true;
+    }
+    const auto* failed = find_failed(shard.tables.searches, job.queue.service, step,
+                                     step.filler ? min_pace_of(stage, now) : 0);
+    return failed == nullptr || failed->change != shard.tables.searches.change;
+}
+
+// Returns the stages with tasks that wait, in the order in which they get room. If not `all`, only
+// those of which tasks may start.
+std::vector<candidate> find_candidates(shard_state& shard, bool all, time_point now) {
     std::vector<candidate> found;
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
@@ -60,15 +116,27 @@
             std::any_of(job.borrowed.begin(), job.borrowed.end(), [&](const borrowed_tasks& loan) {
                 return loan.version > job.stored_version;
             });
-        if (unstored) {
+        // Until the takeover is complete, the task may already run on a worker of a predecessor
+        // without this owner's knowledge.
+        if (unstored || (!shard.takeover_complete && job.inherited)) {
             continue;
         }
-        const auto expected = predict_timeliness(shard, job);
+        std::optional<timeliness> expected;
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
-                if (stage.open && !stage.waiting.empty()) {
-                    found.push_back({&job, &stage, job.queue.priority, expected, job.accepted});
+                if (!stage.open || stage.waiting.empty()) {
+                    continue;
                 }
+                if (!stage.ready_since) {
+                    stage.ready_since = now;
+                }
+                if (!all && !may_start(shard, job, stage, now)) {
+                    continue;
+                }
+                if (!expected) {
+                    expected = predict_timeliness(shard, job);
+                }
+                found.push_back({&job, &stage, job.queue.priority, *expected, job.accepted});
             }
         }
     }
@@ -112,24 +180,48 @@
     const task_key key{next.job->id, next.stage->occurrence, next.stage->step, index};
     worker_row* best = nullptr;
     std::int64_t best_score = 0;
-    const auto waited = std::chrono::duration<double>(now - *next.stage->ready_since).count();
-    const double min_pace =
-        std::max(lowest_min_pace, initial_min_pace - min_pace_decrease_per_second * waited);
-    shard.placement_checks += shard.tables.workers.size();
+    const double min_pace = step.filler ? min_pace_of(*next.stage, now) : 0;
+    const auto& service = next.job->queue.service;
+    if (task.reserved_worker) {
+        // Room that is reserved for the task itself isn't part of any other search.
+        const auto reserved = shard.tables.workers.find(*task.reserved_worker);
+        ++shard.placement_checks;
+        if (reserved != shard.tables.workers.end() &&
+            accepts_starts(shard, reserved->second, now) &&
+            task.last_failed_on != reserved->first &&
+            can_run_on(*next.job, *next.stage, reserved->second) &&
+            fits_worker(shard, reserved->second, step, key)) {
+            return &reserved->second;
+        }
+    }
+    const auto* known = find_failed(shard.tables.searches, service, step, min_pace);
+    if (known != nullptr && known->change == shard.tables.searches.change) {
+        return nullptr;
+    }
+    failed_search failed{step.need, known == nullptr ? -1 : known->best_pace,
+                         shard.tables.searches.change, known == nullptr ? now : known->complete};
+    const auto since = known == nullptr ? 0 : known->change;
+    bool excluded = false; // a worker with room was passed over because of this task or stage
     for (auto& [id, worker] : shard.tables.workers) {
-        if (!accepts_starts(shard, worker, now) || task.last_failed_on == id ||
-            !can_run_on(*next.job, *next.stage, worker) || !fits_worker(shard, worker, step, key)) {
+        if (known != nullptr && last_grown(worker, step) <= since) {
             continue;
         }
-        if (task.reserved_worker == id) {
-            return &worker;
+        ++shard.placement_checks;
+        if (!accepts_starts(shard, worker, now) || !can_host(*next.job, step, worker) ||
+            !fits_worker(shard, worker, step, key)) {
+            continue;
+        }
+        const double pace = step.filler ? predict_pace(shard, worker, step, now) : 1;
+        if (step.filler && pace < min_pace) {
+            failed.best_pace = std::max(failed.best_pace, pace);
+            continue;
+        }
+        if (task.last_failed_on == id || !can_run_on(*next.job, *next.stage, worker)) {
+            excluded = true;
+            continue;
         }
         auto score = score_worker(shard, worker, step);
         if (step.filler) {
-            const double pace = predict_pace(shard, worker, step, now);
-            if (pace < min_pace) {
-                continue;
-            }
             score += static_cast<std::int64_t>(pace * pace_weight);
         } else if (step.long_running && step.tail_target.count() > 0) {
             // Prefers the worker that would have the fewest processors left.
@@ -142,6 +234,9 @@
             best_score = score;
         }
     }
+    if (best == nullptr && !excluded) {
+        record_failed(shard.tables.searches, service, step, failed);
+    }
     return best;
 }
 
@@ -196,6 +291,7 @@
         if (step.filler) {
             plan_paces(shard, *worker, now);
         }
+        view_worker(shard, *worker, now);
     }
 }
 
@@ -209,7 +305,7 @@
 
 bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
     const auto& step = job.spec.steps[stage.step];
-    if (worker.entry.service != job.queue.service || !has_label(worker, step.label)) {
+    if (!can_host(job, step, worker)) {
         return false;
     }
     const auto runs_by_worker = stage.runs_by_worker.find(worker.entry.target.id);
@@ -217,10 +313,10 @@
            runs_by_worker->second < step.spread_limit;
 }
 
-std::int64_t filler_room(const shard_state& shard, const worker_row& worker) {
+std::int64_t filler_room(const shard_state& /*shard*/, const worker_row& worker) {
     std::int64_t idle = worker.entry.capacity.processors.value;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.filler) {
             idle -= run.need.processors.value * run.pace_target / 100;
             continue;
@@ -237,15 +333,15 @@
     }
     ++shard.placement_rounds;
     const bool allowed = shard.starts_allowed && shard.data_centre_open;
-    for (const auto& next : find_candidates(shard)) {
-        // Until the takeover is complete, the task may already run on a worker of a predecessor
-        // without this owner's knowledge.
-        if (!shard.takeover_complete && next.job->inherited) {
-            continue;
-        }
-        if (!next.stage->ready_since) {
-            next.stage->ready_since = now;
-        }
+    auto& searches = shard.tables.searches;
+    expire_failed(searches, now);
+    view_workers(shard, now);
+    // The other rounds only serve stages that may start, and lend no tasks of others.
+    const bool complete = !shard.data_centre_open || now >= searches.next_complete_round;
+    if (complete) {
+        searches.next_complete_round = now + complete_round_interval;
+    }
+    for (const auto& next : find_candidates(shard, complete, now)) {
         if (allowed) {
             place_stage(shard, next, now, actions);
         }
@@ -260,6 +356,7 @@
             next.stage->ready_since.reset();
         }
     }
+    view_workers(shard, now); // reservations were made and dropped
 }
 
 } // namespace fulmar
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -37,6 +37,17 @@
     return stage != nullptr && key.index < stage->tasks.size() ? &stage->tasks[key.index] : nullptr;
 }
 
+namespace {
+
+// Returns the position of a run, or of the first one after it, in a worker's rows.
+std::vector<run_row*>::iterator find_row(worker_row& worker, const run_key& key) {
+    return std::lower_bound(
+        worker.run_rows.begin(), worker.run_rows.end(), key,
+        [](const run_row* row, const run_key& wanted) { return row->key < wanted; });
+}
+
+} // namespace
+
 run_row& add_run(shard_tables& tables, run_row run) {
     auto* stage = find_stage(tables, run.key.task);
     auto& worker = tables.workers.at(run.worker);
@@ -56,16 +67,19 @@
         run.need.processors.value;
     const auto [row, added] = tables.runs.emplace(run.key, std::move(run));
     assert(added);
+    worker.run_rows.insert(find_row(worker, row->first), &row->second);
     return row->second;
 }
 
 void remove_run(shard_tables& tables, const run_key& key) {
     const auto found = tables.runs.find(key);
     assert(found != tables.runs.end());
+    auto& worker = tables.workers.at(found->second.worker);
+    worker.run_rows.erase(find_row(worker, key));
     const run_row run = std::move(found->second);
     tables.runs.erase(found);
-    auto& worker = tables.workers.at(run.worker);
-    worker.runs.erase(key);
+    worker.runs.erase(run.key);
+    ++worker.releases;
     worker.committed.memory.value -= run.need.memory.value;
     worker.committed.accelerators.value -= run.need.accelerators.value;
     (run.filler ? worker.filler_demand : worker.committed.processors.value) -=
@@ -93,6 +107,7 @@
     if (const auto worker = tables.workers.find(*task->reserved_worker);
         worker != tables.workers.end()) {
         worker->second.reserved.erase(key);
+        ++worker->second.releases;
     }
     task->reserved_worker.reset();
 }
@@ -104,6 +119,7 @@
             task->reserved_worker.reset();
         }
         worker.reserved.erase(key);
+        ++worker.releases;
     }
 }
 
@@ -162,10 +178,10 @@
     return free;
 }
 
-resources long_running_room(const shard_tables& tables, const worker_row& worker) {
+resources long_running_room(const shard_tables& /*tables*/, const worker_row& worker) {
     auto room = free_resources(worker);
-    for (const auto& key : worker.runs) {
-        const auto& run = tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.long_running) {
             continue;
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -6,6 +6,7 @@
 #include "fulmar/job.hpp"
 #include "fulmar/types.hpp"
 #include "fulmar/worker_link.hpp"
+#include "shard_search.hpp"
 
 #include <deque>
 #include <map>
@@ -45,6 +46,8 @@
     unreachable, // the worker did not reply to the last call
 };
 
+struct run_row;
+
 struct worker_row {
     worker_entry entry;
     bool listed = false;    // the platform's store has an entry for it
@@ -76,6 +79,9 @@
     resources committed;
     std::int64_t filler_demand = 0; // thousandths of a core that its fillers request
     std::set<run_key> runs;
+    std::vector<run_row*> run_rows; // the rows of `runs`, in the same order
+    std::uint64_t releases = 0;     // number of runs and reservations that were removed
+    room_view last_view;            // as of the last comparison by placement
     struct reservation {
         resources need;
         time_point until;
@@ -227,10 +233,19 @@
 };
 
 struct shard_tables {
+    // Workers refer to rows of runs.
+    shard_tables() = default;
+    shard_tables(const shard_tables&) = delete;
+    shard_tables(shard_tables&&) = default;
+    shard_tables& operator=(const shard_tables&) = delete;
+    shard_tables& operator=(shard_tables&&) = default;
+    ~shard_tables() = default;
+
     std::map<worker_id, worker_row> workers;
     std::map<job_id, job_row> jobs;
     std::map<run_key, run_row> runs;
     std::map<std::uint64_t, loan_row> loans; // loans that this shard made as the lender
+    search_memory searches;
 };
 
 // Returns whether the job belongs to another shard.
