placement_cost_test: searches that must not answer for other tasks

A remembered search that failed may keep tasks waiting beside free room in three ways, and no test showed them: it failed only because the task had failed on the worker with room; it answers for tasks that need less; a pause of a worker ends unseen until the next search on all workers. The test of the pause ended it when that search was due and could not tell; it now ends it between two of them.

--- a/tests/placement_cost_test.cpp
+++ b/tests/placement_cost_test.cpp
@@ -155,9 +155,9 @@
     world.add_job(make_step(1, capacity));
     world.load(1);
     REQUIRE(world.actions.starts.size() == 1);
-    world.row(0).no_starts_before = world.now + duration(800);
+    world.row(0).no_starts_before = world.now + duration(2'600);
     world.report(0, true);
-    for (int i = 0; i < 15; ++i) {
+    for (int i = 0; i < 51; ++i) {
         world.step_to(world.now + duration(50));
         REQUIRE(world.actions.starts.empty());
     }
@@ -193,6 +193,36 @@
     CHECK(find_task(world.shard.tables, {second, 0, 0, 0})->runs.size() == 1);
 }
 
+// A search that failed only because of the task must not answer for other tasks, which would wait
+// beside free room.
+TEST_CASE("a task that may not start where it failed doesn't keep others from that room") {
+    busy_shard world;
+    world.add_job(make_step(1, capacity));
+    const auto failed = world.add_job(make_step(1, capacity));
+    const auto other = world.add_job(make_step(1, capacity));
+    world.load(1);
+    REQUIRE(world.actions.starts.size() == 1);
+    find_task(world.shard.tables, {failed, 0, 0, 0})->last_failed_on = world.workers[0].target.id;
+    world.report(0, true);
+    world.step_to(world.now + duration(5));
+    REQUIRE(world.actions.starts.size() == 1);
+    CHECK(world.actions.starts[0].command.run.task.job == other);
+}
+
+// A search that failed must not answer for tasks that need less.
+TEST_CASE("a task starts beside one that needs more than the free room") {
+    busy_shard world;
+    world.add_job(make_step(2, capacity / 2));
+    world.add_job(make_step(1, capacity));
+    const auto smaller = world.add_job(make_step(1, capacity / 4));
+    world.load(1);
+    REQUIRE(world.actions.starts.size() == 2);
+    world.report(0, true);
+    world.step_to(world.now + duration(5));
+    REQUIRE(world.actions.starts.size() == 1);
+    CHECK(world.actions.starts[0].command.run.task.job == smaller);
+}
+
 // A search that isn't repeated while the required pace falls leaves fillers waiting for good.
 TEST_CASE("a filler starts once the pace that it requires has fallen to the predicted one") {
     constexpr duration tail_target{100};
