shard_loans: take an offer for a job whose records are still to be removed

Callers saw long-running tasks wait for another shard that had room. A shard that has returned all tasks of a job removes its records of the job. Until they were removed it answered offers of further tasks of the job with "retry", and the removal was the last kind to get room in a transaction.

An offer now cancels the removal, unless a transaction with it is under way; then "retry" still is the answer, for the time of that transaction.

The test "an offer is taken while the removal of the job's records waits" fails on the former code: the offer is answered at once, and no transaction stores the loan. The second one guards the case in which the removal may take effect; it passes with both.

--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -128,14 +128,23 @@
     }
 }
 
+// Keeps the records of a borrowed job that were to be removed. Returns false if a transaction that
+// removes them may take effect.
+bool keep_borrowed_job(shard_state& shard, const job_id& id) {
+    const auto& removed = shard.commit.purged;
+    if (shard.commit.pending && std::find(removed.begin(), removed.end(), id) != removed.end()) {
+        return false;
+    }
+    std::erase(shard.to_purge, id);
+    return true;
+}
+
 void process_offer(shard_state& shard, const json& body, request_token token, time_point now) {
     const auto id = body.at("job").get<job_id>();
     const auto number = body.at("loan").get<std::uint64_t>();
     const auto known = shard.tables.jobs.find(id);
     if (known != shard.tables.jobs.end()) {
-        const bool leaving =
-            std::find(shard.to_purge.begin(), shard.to_purge.end(), id) != shard.to_purge.end();
-        if (leaving || !is_borrowed(known->second)) {
+        if (!is_borrowed(known->second) || !keep_borrowed_job(shard, id)) {
             answer_now(shard, token, state_retry);
             return;
         }
@@ -450,31 +459,6 @@
     task.result_version = job.version;
 }
 
-void rebuild_loan_table(shard_state& shard) {
-    for (auto& [id, job] : shard.tables.jobs) {
-        for (const auto& [number, to] : job.loans) {
-            auto& loan = shard.tables.loans[number];
-            loan.number = number;
-            loan.to = to;
-            loan.job = id;
-            loan.withdrawn = has_ended(job.phase);
-        }
-        for (const auto& [occurrence, row] : job.occurrences) {
-            for (const auto& stage : row.stages) {
-                for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
-                    const auto loan = shard.tables.loans.find(stage.tasks[index].loan);
-                    if (is_borrowed(job) || loan == shard.tables.loans.end()) {
-                        continue;
-                    }
-                    loan->second.occurrence = occurrence;
-                    loan->second.step = stage.step;
-                    loan->second.tasks.insert(index);
-                }
-            }
-        }
-    }
-}
-
 void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
     const auto& step = job.spec.steps[stage.step];
     const auto timeout = !shard.data_centre_open ? duration(0)
@@ -508,28 +492,6 @@
     collect_due_answers(shard, actions);
 }
 
-bool is_new_offer(const shard_state& shard, const json& body) {
-    if (body.at("kind") != "offer") {
-        return false;
-    }
-    const auto job = shard.tables.jobs.find(body.at("job").get<job_id>());
-    const auto number = body.at("loan").get<std::uint64_t>();
-    return job == shard.tables.jobs.end() ||
-           std::none_of(job->second.borrowed.begin(), job->second.borrowed.end(),
-                        [&](const borrowed_tasks& row) { return row.loan == number; });
-}
-
-bool record_includes_loan(const json& body, std::string_view lender_progress) {
-    const auto progress = json::parse(lender_progress, nullptr, false);
-    if (!progress.is_object() || has_ended(static_cast<job_phase>(progress.value("phase", 0)))) {
-        return false;
-    }
-    const auto loans = progress.value("loans", json::array());
-    return std::any_of(loans.begin(), loans.end(), [&](const json& row) {
-        return row.at(0) == body.at("loan") && row.at(1) == body.at("to");
-    });
-}
-
 void on_loan_message(shard_state& shard, const json& body, request_token token, time_point now,
                      unix_time unix_now) {
     const auto kind = body.at("kind").get<std::string>();
--- /dev/null
+++ b/tests/loan_messages_test.cpp
@@ -0,0 +1,171 @@
+// Messages about loans.
+#include "shard_internal.hpp"
+#include "shard_records.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace fulmar;
+
+namespace {
+
+constexpr unix_time wall_clock{1'700'000'000'000};
+const job_id lent_job{"00000000000000aa"};
+
+job_spec make_spec() {
+    job_spec spec;
+    spec.steps.emplace_back();
+    spec.steps.front().count = 3;
+    spec.steps.front().long_running = true;
+    return spec;
+}
+
+struct loan_world {
+    metrics counters;
+    decision_log log{"", {}, {}};
+    shard_record record{{"east.0"}, {"east"}, {{"r1"}}};
+    time_point now{duration(1'000)};
+    std::uint64_t revision = 10;
+    request_token next_token = 1;
+    shard_state shard;
+
+    loan_world()
+        : shard(make_shard(record, {"host/1"}, {1}, {1}, {}, counters, log)) {}
+
+    json envelope(const std::string& kind, std::uint64_t loan) const {
+        return {{"kind", kind},
+                {"from", "west.0"},
+                {"to", "east.0"},
+                {"loan", loan},
+                {"job", lent_job}};
+    }
+
+    json offer(std::uint64_t loan, std::uint32_t task) const {
+        queue_spec queue;
+        queue.service = {"desk"};
+        auto body = envelope("offer", loan);
+        body["queue"] = encode_queue(queue);
+        body["spec"] = encode_spec(make_spec());
+        body["accepted"] = wall_clock;
+        body["occurrence"] = 0;
+        body["step"] = 0;
+        body["tasks"] = {{task, 0, json::array(), 0, ""}};
+        return body;
+    }
+
+    // A loan of tasks 0 and 1 that this shard made.
+    void lend(std::uint64_t number) {
+        job_row job;
+        job.id = lent_job;
+        job.queue.service = {"desk"};
+        job.spec = make_spec();
+        job.next_occurrence = 1;
+        job.phase = job_phase::running;
+        auto occurrence = make_occurrence(job.spec, 0);
+        for (const auto index : {0U, 1U}) {
+            occurrence.stages.front().tasks[index].loan = number;
+            occurrence.stages.front().tasks[index].not_local = true;
+        }
+        job.occurrences.emplace(0, std::move(occurrence));
+        job.loans[number] = {"west.0"};
+        load_shard(shard, {{job_key(record.id, job.id), encode_job(job), {1}},
+                           {progress_key(record.id, job.id), encode_progress(job), {2}}});
+    }
+
+    json returned(std::uint64_t loan, const std::vector<std::uint32_t>& tasks) const {
+        auto body = envelope("result", loan);
+        body["tasks"] = json::array();
+        for (const auto index : tasks) {
+            body["tasks"].push_back(
+                {index, static_cast<int>(loan_result::returned), json::array(), 0, ""});
+        }
+        return body;
+    }
+
+    request_token receive(const json& body) {
+        const auto token = next_token++;
+        on_loan_message(shard, body, token, now, wall_clock);
+        return token;
+    }
+
+    shard_actions step() {
+        shard_actions actions;
+        now += shard.timing.commit_delay;
+        advance(shard, now, wall_clock, actions);
+        return actions;
+    }
+
+    void apply() {
+        transaction_reply reply;
+        reply.applied = revision_number{++revision};
+        on_commit_reply(shard, reply, now, now);
+    }
+
+    void change() { record_change(shard, shard.tables.jobs.at(lent_job), false, now); }
+};
+
+std::string find_answer(const shard_actions& actions, request_token token) {
+    const auto found =
+        std::find_if(actions.loan_answers.begin(), actions.loan_answers.end(),
+                     [&](const loan_answer& answer) { return answer.token == token; });
+    return found == actions.loan_answers.end() ? "" : found->state;
+}
+
+} // namespace
+
+// A shard that had returned all its tasks of a job refused new ones until the job's records were
+// removed, which waited for all other changes: 6.9 s in a run on a user's bench.
+TEST_CASE("an offer is taken while the removal of the job's records waits") {
+    loan_world world;
+    world.receive(world.offer(7, 0));
+    world.step();
+    world.apply();
+    world.receive(world.envelope("withdraw", 7));
+    world.step();
+    world.apply();
+    // The loan is removed, and then the job; another transaction is in flight meanwhile.
+    world.step();
+    REQUIRE(world.step().commit);
+    world.apply();
+    world.shard.commit.in_flight = true;
+    world.step();
+    REQUIRE(world.shard.to_purge == std::vector<job_id>{lent_job});
+    world.shard.commit.in_flight = false;
+    const auto token = world.receive(world.offer(8, 1));
+    const auto actions = world.step();
+    CHECK(find_answer(actions, token).empty());
+    REQUIRE(actions.commit);
+    CHECK(actions.commit->removals.empty());
+    world.apply();
+    CHECK(find_answer(world.step(), token) == "taken");
+    CHECK(world.shard.tables.jobs.at(lent_job).borrowed.size() == 1);
+}
+
+// A transaction that removes the job's records may take effect, so that the tasks must not be
+// taken before its outcome is known.
+TEST_CASE("an offer is refused while the job's records are being removed") {
+    loan_world world;
+    world.receive(world.offer(7, 0));
+    world.step();
+    world.apply();
+    world.receive(world.envelope("withdraw", 7));
+    world.step();
+    world.apply();
+    std::optional<store_transaction> sent;
+    for (int round = 0; round < 5 && (!sent || sent->removals.empty()); ++round) {
+        if (sent) {
+            world.apply();
+        }
+        sent = world.step().commit;
+    }
+    REQUIRE(sent);
+    REQUIRE_FALSE(sent->removals.empty());
+    const auto refused = world.receive(world.offer(8, 1));
+    CHECK(find_answer(world.step(), refused) == "retry");
+    world.apply();
+    world.step();
+    REQUIRE_FALSE(world.shard.tables.jobs.contains(lent_job));
+    world.receive(world.offer(8, 1));
+    CHECK(world.shard.tables.jobs.contains(lent_job));
+}
