shard_loans: answer a message about a loan once its own effect is stored

Callers saw long-running tasks wait in loans whose offer had long been stored by the borrower. An answer waited for the version that the job's record had when the message arrived. A message that was sent again, after 0.8 s, therefore waited for a newer version each time, and so on while the job kept changing; a result that was sent again even changed the record itself. Each repetition added another waiting answer. A withdrawn loan was removed only when its job had no unstored change at all.

The answer now waits for the version that holds what the message asked for: the loan, its withdrawal or its results, and for a loan that was closed the version without it. If that is stored, as it is for whatever is loaded from the store, the answer follows at once. The answer to a repeated message replaces the one to its predecessor. So a call's timeout no longer has to exceed the time of a commit: whatever is stored is confirmed by the next repetition.

Six cases of tests/loan_messages_test.cpp fail on the former code; for instance the answer to a repeated offer is missing after the loan is stored ("" == "taken"), and 50 repetitions leave 51 waiting answers (51 == 1).

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -234,8 +234,14 @@
         // Version of the job's record that must be stored before the answer.
         std::uint64_t version = 0;
         std::string state;
+        std::uint64_t loan = 0;
     };
     std::vector<waiting_loan_answer> loan_answers;
+    struct closed_loan {
+        job_id job;
+        std::uint64_t version = 0; // of the job's record without the loan
+    };
+    std::map<std::uint64_t, closed_loan> closed_loans; // until that version is stored
     struct returned_task {
         task_key task;
         std::uint64_t version = 0; // version of the job's record that no longer includes the loan
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -97,6 +97,7 @@
     if (job != shard.tables.jobs.end()) {
         job->second.loans.erase(number);
         record_change(shard, job->second, false, now);
+        shard.closed_loans[number] = {job->second.id, job->second.version};
     }
 }
 
@@ -106,26 +107,22 @@
     return found == job.borrowed.end() ? nullptr : &*found;
 }
 
-// Answers once the current version of the job's record is stored.
-void answer_when_stored(shard_state& shard, const job_row& job, request_token token,
-                        std::string_view state) {
-    shard.loan_answers.push_back({token, job.id, job.version, std::string(state)});
+// Answers once this version of the job's record is stored: the one that holds what the message
+// asked for, as the record may keep changing. The answer to a repeated message replaces the one to
+// its predecessor, whose sender no longer waits.
+void answer_when_stored(shard_state& shard, const job_id& job, std::uint64_t loan,
+                        std::uint64_t version, request_token token, std::string_view state) {
+    for (auto& waiting : shard.loan_answers) {
+        if (waiting.loan == loan && waiting.job == job && waiting.state == state) {
+            waiting.version = 0;
+            waiting.state = state_retry;
+        }
+    }
+    shard.loan_answers.push_back({token, job, version, std::string(state), loan});
 }
 
 void answer_now(shard_state& shard, request_token token, std::string_view state) {
-    shard.loan_answers.push_back({token, {}, 0, std::string(state)});
-}
-
-// Answers a message about a loan that isn't in the tables: immediately if the job is unknown,
-// otherwise once the current version of its record is stored.
-void answer_without_loan(shard_state& shard, const json& body, request_token token,
-                         std::string_view state) {
-    const auto job = shard.tables.jobs.find(body.at("job").get<job_id>());
-    if (job == shard.tables.jobs.end()) {
-        answer_now(shard, token, state);
-    } else {
-        answer_when_stored(shard, job->second, token, state);
-    }
+    shard.loan_answers.push_back({token, {}, 0, std::string(state), 0});
 }
 
 // Keeps the records of a borrowed job that were to be removed. Returns false if a transaction that
@@ -148,8 +145,8 @@
             answer_now(shard, token, state_retry);
             return;
         }
-        if (find_borrowed(known->second, number) != nullptr) {
-            answer_when_stored(shard, known->second, token, state_taken);
+        if (const auto* loan = find_borrowed(known->second, number)) {
+            answer_when_stored(shard, id, number, loan->version, token, state_taken);
             return;
         }
     } else {
@@ -186,19 +183,19 @@
     record_change(shard, job, true, now);
     loan.version = job.version;
     job.borrowed.push_back(std::move(loan));
-    answer_when_stored(shard, job, token, state_taken);
+    answer_when_stored(shard, id, number, job.version, token, state_taken);
     shard.counters->count("loans", "taken");
     shard.log->write("event=tasks_borrowed job={} shard={} from={} loan={} tasks={}", id.value,
                      shard.id.value, job.lender.value, number, job.borrowed.back().tasks.size());
 }
 
 void process_withdrawal(shard_state& shard, const json& body, request_token token, time_point now) {
+    const auto number = body.at("loan").get<std::uint64_t>();
     const auto found = shard.tables.jobs.find(body.at("job").get<job_id>());
-    auto* loan = found == shard.tables.jobs.end()
-                     ? nullptr
-                     : find_borrowed(found->second, body.at("loan").get<std::uint64_t>());
+    auto* loan = found == shard.tables.jobs.end() ? nullptr : find_borrowed(found->second, number);
     if (loan == nullptr) {
-        answer_without_loan(shard, body, token, state_gone);
+        // The loan is only removed after its withdrawal is stored or its results are settled.
+        answer_now(shard, token, state_gone);
         return;
     }
     auto& job = found->second;
@@ -215,8 +212,9 @@
             }
         }
         record_change(shard, job, true, now);
+        loan->withdrawn_version = job.version;
     }
-    answer_when_stored(shard, job, token, state_gone);
+    answer_when_stored(shard, job.id, number, loan->withdrawn_version, token, state_gone);
 }
 
 // Applies the borrower's result for one lent task.
@@ -253,24 +251,38 @@
     const auto found = shard.tables.loans.find(number);
     if (found == shard.tables.loans.end()) {
         // An earlier report closed the loan; its answer was lost or still waits for the commit.
-        answer_without_loan(shard, body, token, state_settled);
+        const auto closed = shard.closed_loans.find(number);
+        if (closed == shard.closed_loans.end()) {
+            answer_now(shard, token, state_settled);
+        } else {
+            answer_when_stored(shard, closed->second.job, number, closed->second.version, token,
+                               state_settled);
+        }
         return;
     }
     const auto id = found->second.job;
     found->second.accepted = true;
+    bool is_new = false;
     for (const auto& entry : body.at("tasks")) {
         auto& job = shard.tables.jobs.at(id);
         auto& loan = found->second;
-        if (loan.tasks.erase(entry.at(0).get<std::uint32_t>()) > 0 && !has_ended(job.phase)) {
+        const bool added = loan.tasks.erase(entry.at(0).get<std::uint32_t>()) > 0;
+        is_new = is_new || added;
+        if (added && !has_ended(job.phase)) {
             apply_result(shard, job, loan, entry, now, unix_now);
         }
     }
     auto& job = shard.tables.jobs.at(id);
-    record_change(shard, job, true, now);
+    if (is_new) {
+        record_change(shard, job, true, now);
+        found->second.results_version = job.version;
+    }
+    auto version = found->second.results_version;
     if (found->second.tasks.empty()) {
         close_loan(shard, number, now);
+        version = job.version;
     }
-    answer_when_stored(shard, job, token, state_settled);
+    answer_when_stored(shard, id, number, version, token, state_settled);
 }
 
 // Returns tasks to the lender that found no room here within `return_after`, or within
@@ -336,7 +348,7 @@
     const auto before = job.borrowed.size();
     std::erase_if(job.borrowed, [&](const borrowed_tasks& loan) {
         const auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
-        return loan.withdrawn && job.stored_version == job.version &&
+        return loan.withdrawn && job.stored_version >= loan.withdrawn_version &&
                std::all_of(loan.tasks.begin(), loan.tasks.end(),
                            [&](std::uint32_t index) { return stage.tasks[index].runs.empty(); });
     });
@@ -390,6 +402,10 @@
         }
         return due;
     });
+    std::erase_if(shard.closed_loans, [&](const auto& row) {
+        const auto job = shard.tables.jobs.find(row.second.job);
+        return job == shard.tables.jobs.end() || job->second.stored_version >= row.second.version;
+    });
 }
 
 // Returns the waiting tasks that may be lent for room of this kind: those without reserved room
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -180,8 +180,9 @@
     std::set<std::uint32_t> tasks; // tasks whose results the lender hasn't stored yet
     // Version of the job's record that includes the loan; its tasks start only once that is stored.
     std::uint64_t version = 0;
-    bool withdrawn = false; // the lender withdrew the loan
-    bool in_flight = false; // a report to the lender has no reply yet
+    bool withdrawn = false;              // the lender withdrew the loan
+    std::uint64_t withdrawn_version = 0; // of the job's record that includes the withdrawal
+    bool in_flight = false;              // a report to the lender has no reply yet
     time_point next_report;
     time_point since; // when this owner started to look for room
 };
@@ -197,6 +198,8 @@
     // Version of the job's record that includes the loan; the offer is sent only once that is
     // stored.
     std::uint64_t version = 0;
+    // Version of the job's record that includes the borrower's last results.
+    std::uint64_t results_version = 0;
     bool accepted = false;  // the borrower has stored the loan
     bool withdrawn = false; // the borrower is to stop the tasks and drop the loan
     bool in_flight = false; // a message to the borrower has no reply yet
--- a/tests/loan_messages_test.cpp
+++ b/tests/loan_messages_test.cpp
@@ -1,4 +1,4 @@
-// Messages about loans.
+// Answers to messages about loans: each waits for what the message asked for, and for nothing else.
 #include "shard_internal.hpp"
 #include "shard_records.hpp"
 
@@ -112,8 +112,85 @@
     return found == actions.loan_answers.end() ? "" : found->state;
 }
 
+// Sends a message, and again while the record with its effect is being stored and keeps changing.
+// Returns the answer to the repetition once that record is stored, or "early" if an answer came
+// before.
+std::string answer_to_repetition(loan_world& world, const json& body, const std::string& state) {
+    const auto first = world.receive(body);
+    auto actions = world.step();
+    REQUIRE(actions.commit);
+    const bool early = find_answer(actions, first) == state;
+    world.change();
+    const auto second = world.receive(body);
+    const bool repeated_early = find_answer(world.step(), second) == state;
+    world.change();
+    world.apply();
+    const auto answer = find_answer(world.step(), second);
+    return early || repeated_early ? "early" : answer;
+}
+
 } // namespace
 
+// A repeated offer waited for a newer version of the record each time: on a busy host, none was
+// answered in time, and the lender took its tasks for unconfirmed although they were stored.
+TEST_CASE("a repeated offer is answered once the loan is stored") {
+    loan_world world;
+    CHECK(answer_to_repetition(world, world.offer(7, 0), "taken") == "taken");
+    // Its effect is stored, so that a further one is answered at once.
+    world.change();
+    const auto token = world.receive(world.offer(7, 0));
+    CHECK(find_answer(world.step(), token) == "taken");
+}
+
+// The same for a withdrawal: a cancellation waited until the borrowed job had no changes.
+TEST_CASE("a repeated withdrawal is answered once it is stored") {
+    loan_world world;
+    world.receive(world.offer(7, 0));
+    world.receive(world.offer(8, 1));
+    world.step();
+    world.apply();
+    CHECK(answer_to_repetition(world, world.envelope("withdraw", 7), "gone") == "gone");
+    world.change();
+    const auto token = world.receive(world.envelope("withdraw", 7));
+    CHECK(find_answer(world.step(), token) == "gone");
+}
+
+// The same for results: the borrower kept tasks that the lender had already taken back.
+TEST_CASE("a repeated result is answered once it is stored") {
+    loan_world world;
+    world.lend(7);
+    CHECK(answer_to_repetition(world, world.returned(7, {0}), "settled") == "settled");
+    world.step();
+    world.apply();
+    // This one closes the loan.
+    CHECK(answer_to_repetition(world, world.returned(7, {1}), "settled") == "settled");
+    world.change();
+    const auto token = world.receive(world.returned(7, {1}));
+    CHECK(find_answer(world.step(), token) == "settled");
+}
+
+// A repeated result changed the record again, so that a transaction stored it for nothing.
+TEST_CASE("a repeated result changes no record") {
+    loan_world world;
+    world.lend(7);
+    world.receive(world.returned(7, {0}));
+    const auto version = world.shard.tables.jobs.at(lent_job).version;
+    world.receive(world.returned(7, {0}));
+    CHECK(world.shard.tables.jobs.at(lent_job).version == version);
+}
+
+// Each repetition added an answer that waited, for as long as the store didn't reply.
+TEST_CASE("repeated messages do not add up to waiting answers") {
+    loan_world world;
+    world.receive(world.offer(7, 0));
+    REQUIRE(world.step().commit);
+    for (int repetition = 0; repetition < 50; ++repetition) {
+        world.receive(world.offer(7, 0));
+        world.step();
+    }
+    CHECK(world.shard.loan_answers.size() == 1);
+}
+
 // A shard that had returned all its tasks of a job refused new ones until the job's records were
 // removed, which waited for all other changes: 6.9 s in a run on a user's bench.
 TEST_CASE("an offer is taken while the removal of the job's records waits") {
@@ -169,3 +246,21 @@
     world.receive(world.offer(8, 1));
     CHECK(world.shard.tables.jobs.contains(lent_job));
 }
+
+// A withdrawn loan was removed only once its job had no unstored changes.
+TEST_CASE("a withdrawn loan is removed although its job keeps changing") {
+    loan_world world;
+    world.receive(world.offer(7, 0));
+    world.receive(world.offer(8, 1));
+    world.step();
+    world.apply();
+    world.receive(world.envelope("withdraw", 7));
+    for (int round = 0; round < 4; ++round) {
+        world.step();
+        world.change();
+        world.apply();
+        world.change();
+        world.step();
+    }
+    CHECK(world.shard.tables.jobs.at(lent_job).borrowed.size() == 1);
+}
