--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -235,6 +235,8 @@
     void execute(const shard_pointer& shard, shard_actions& actions);
     void check_claim(const shard_pointer& shard);
     void update_rooms();
+    void send_room_requests(const shard_pointer& shard);
+    void answer_room_call(const std::string& body, const peer_reply& reply);
     void send_loan_message(const shard_pointer& shard, const loan_message& message);
     void answer_loan_call(const std::string& body, const peer_reply& reply);
     void process_loan_message(const shard_pointer& shard, const json& body,
@@ -299,7 +301,8 @@
     time_point started_;
     // How late the control thread runs its ticks.
     time_point next_tick_;
-    duration worst_delay_{0}; // in the current report interval
+    duration worst_delay_{0};    // in the current report interval
+    std::uint64_t advances_ = 0; // of the owned shards, in the current report interval
     time_point next_delay_report_;
     time_point next_local_gossip_;
     time_point next_global_gossip_;
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -132,7 +132,7 @@
             continue;
         }
         counted.insert(id);
-        const auto status = summarize(shard->state);
+        const auto status = summarize(shard->state, loop_.now());
         if (const auto found = status.pending.find(queue); found != status.pending.end()) {
             total += found->second;
         }
@@ -222,7 +222,7 @@
     };
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
-            add_option(summarize(shard->state));
+            add_option(summarize(shard->state, loop_.now()));
         }
     }
     for (const auto& [name, peer] : peers_) {
@@ -528,6 +528,8 @@
         answer_phase_call(body, reply, method == "cancel");
     } else if (method == "loan") {
         answer_loan_call(body, reply);
+    } else if (method == "room") {
+        answer_room_call(body, reply);
     } else if (method == "yield") {
         answer_yield_call(body, reply);
     } else if (method == "claims") {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-// Interval of placement rounds when nothing changed. They only serve conditions that depend on
-// time.
-constexpr duration placement_interval{200};
-
 constexpr duration takeover_log_interval{1'000};
 
 void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
@@ -431,14 +427,6 @@
     run.stop_answered.reset();
 }
 
-void record_change(shard_state& shard, job_row& job, bool urgent, time_point now) {
-    mark_changed(job);
-    shard.commit.urgent = shard.commit.urgent || urgent;
-    if (!shard.commit.dirty_since) {
-        shard.commit.dirty_since = now;
-    }
-}
-
 std::optional<worker_clock> earliest_clock(const shard_state& shard, const worker_row& worker,
                                            time_point now) {
     if (!worker.clock) {
@@ -531,12 +519,13 @@
     }
     complete_takeover(shard, now);
     expire_workers(shard, now);
-    if (shard.placement_needed || now >= shard.last_placement + placement_interval) {
+    if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
         shard.placement_needed = false;
-        shard.last_placement = now;
         place_tasks(shard, now, actions);
     }
+    log_waiting_tasks(shard, now);
     regroup_tasks(shard, now);
+    serve_room_requests(shard, now, now);
     drain_long_running_tasks(shard, now);
     send_stops(shard, now, actions);
     send_paces(shard, actions);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -103,6 +103,38 @@
     std::vector<rack_id> racks;
     std::vector<service_room> rooms;
     time_point no_loans_before; // set when it returned or refused tasks
+    // Until then long-running tasks are lent to it for the room that it publishes: its owner
+    // doesn't know room requests.
+    time_point unasked_until;
+};
+
+// A long-running task of another shard that waits for room in this one. Expires unless its owner
+// repeats it. Its reservation is a grant: its shard lends it here once it fits.
+struct room_request {
+    shard_id from;
+    service_id service;
+    std::string label;
+    std::uint32_t spread_limit = 0;
+    resources need;
+    time_point since; // when the task began to wait
+    time_point until;
+    bool lending = false;            // a loan to this shard is being made
+    std::optional<worker_id> worker; // on which room is reserved for it
+    time_point reserved_at;
+    time_point no_room_before; // set when a reservation wasn't used in time
+};
+
+// A message to the owner of another shard with all tasks that wait for room there. Its reply is
+// passed to on_room_reply.
+struct room_request_message {
+    shard_id to;
+    std::string body;
+};
+
+// Room that another shard holds for a task of this one.
+struct granted_room {
+    shard_id by;
+    time_point until;
 };
 
 // A message to the owner of another shard about lent tasks. Its reply is passed to on_loan_reply.
@@ -161,18 +193,30 @@
 // the same transaction is sent again; its condition on the head's revision makes sure that it takes
 // effect at most once.
 struct commit_state {
+    // A change of a job's record that no transaction includes yet.
+    struct unstored_change {
+        time_point since;    // the first change since the last transaction with the record
+        bool urgent = false; // a caller or another shard waits for it
+    };
+    struct stored_change {
+        job_id job;
+        std::uint64_t version = 0; // of the record in the transaction
+        unstored_change change;
+    };
+
     bool in_flight = false;
     bool unconfirmed = false; // an attempt got no reply, so it may take effect at any time
     std::optional<store_transaction> pending;
     std::uint64_t number = 0;
-    std::vector<std::pair<job_id, std::uint64_t>> versions; // of the records in the transaction
-    std::vector<job_id> submissions;                        // jobs submitted in the transaction
-    std::vector<job_id> purged;        // jobs whose records the transaction removes
-    std::vector<job_id> borrowed_jobs; // borrowed jobs first stored in the transaction
-    bool has_worker_list = false;      // the transaction includes the worker list
-    std::set<worker_id> worker_list;   // the worker list in the transaction
-    time_point next_attempt;           // earliest time of the next attempt
-    time_point last_applied;           // send time of the last transaction that was applied
+    std::map<job_id, unstored_change> unstored;
+    std::vector<stored_change> changes; // in the transaction
+    std::vector<job_id> submissions;    // jobs submitted in the transaction
+    std::vector<job_id> purged;         // jobs whose records the transaction removes
+    std::vector<job_id> borrowed_jobs;  // borrowed jobs first stored in the transaction
+    bool has_worker_list = false;       // the transaction includes the worker list
+    std::set<worker_id> worker_list;    // the worker list in the transaction
+    time_point next_attempt;            // earliest time of the next attempt
+    time_point last_applied;            // send time of the last transaction that was applied
     std::optional<time_point> dirty_since;
     // A caller or another shard waits for the change, so it skips the commit delay.
     bool urgent = false;
@@ -222,16 +266,29 @@
         // Version of the job's record that must be stored before the answer.
         std::uint64_t version = 0;
         std::string state;
+        std::uint64_t loan = 0;
     };
     std::vector<waiting_loan_answer> loan_answers;
+    struct closed_loan {
+        job_id job;
+        std::uint64_t version = 0; // of the job's record without the loan
+    };
+    std::map<std::uint64_t, closed_loan> closed_loans; // until that version is stored
     struct returned_task {
         task_key task;
         std::uint64_t version = 0; // version of the job's record that no longer includes the loan
     };
     // Tasks that must not start before that version is stored.
     std::vector<returned_task> returned_tasks;
-    std::map<shard_id, lending_room> other_shards; // updated by the host
-    std::uint32_t loans_made = 0;                  // number of loans made under this epoch
+    std::map<shard_id, lending_room> other_shards;        // updated by the host
+    std::uint32_t loans_made = 0;                         // number of loans made under this epoch
+    std::map<task_key, room_request> room_requests;       // of other shards
+    std::map<shard_id, std::uint64_t> last_room_requests; // number of each shard's last message
+    std::map<task_key, granted_room> granted_rooms;       // by other shards
+    std::map<task_key, time_point> leaving_tasks; // run on a draining worker; when last seen
+    std::uint32_t room_messages = 0;              // number of messages with room requests
+    bool room_requested = false;                  // the last message listed tasks
+    time_point next_room_service;
     // From measurements of this shard's workers and estimates of other shards.
     filler_effects effects;
     // Processors that fillers requested recently, by image.
@@ -241,8 +298,11 @@
     time_point next_regroup;
     unix_time wall_clock;         // at the last event
     bool placement_needed = true; // set when something changed since the last placement
-    time_point last_placement;
     time_point next_purge;
+    time_point next_wait_check;
+    // Work of placement since the last report: rounds, and pairs of task and worker compared.
+    std::uint64_t placement_rounds = 0;
+    std::uint64_t placement_checks = 0;
 
     metrics* counters = nullptr;
     decision_log* log = nullptr;
@@ -253,6 +313,9 @@
                        revision_number claim_revision, const shard_timing& timing,
                        metrics& counters, decision_log& log);
 
+// Returns the number of tasks that this shard is to run and that have no run.
+std::size_t count_waiting_tasks(const shard_state& shard);
+
 // Loads the shard's stored records; logs and skips those that can't be parsed.
 void load_shard(shard_state& shard, const std::vector<store_entry>& entries);
 
@@ -304,6 +367,18 @@
 void on_loan_reply(shard_state& shard, const loan_message& message,
                    const result<std::string>& state, time_point now);
 
+// Returns the messages to the owners of all available shards about the long-running tasks that wait
+// for room. They are repeated with each call as long as tasks wait.
+std::vector<room_request_message> make_room_requests(shard_state& shard, time_point now);
+
+// Processes such a message and returns the answer: the tasks for which room is reserved and free.
+// Writes nothing to the store. Throws a std::exception if the body is malformed.
+std::string on_room_requests(shard_state& shard, const json& body, time_point now);
+
+// Processes the answer to a room_request_message. Throws a std::exception if it is malformed.
+void on_room_reply(shard_state& shard, const shard_id& from, const result<std::string>& reply,
+                   time_point now);
+
 // Performs the actions that are due, and collects the commands, the transaction and the answers to
 // send.
 void advance(shard_state& shard, time_point now, unix_time unix_now, shard_actions& actions);
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -97,6 +97,7 @@
     if (job != shard.tables.jobs.end()) {
         job->second.loans.erase(number);
         record_change(shard, job->second, false, now);
+        shard.closed_loans[number] = {job->second.id, job->second.version};
     }
 }
 
@@ -106,26 +107,33 @@
     return found == job.borrowed.end() ? nullptr : &*found;
 }
 
-// Answers once the current version of the job's record is stored.
-void answer_when_stored(shard_state& shard, const job_row& job, request_token token,
-                        std::string_view state) {
-    shard.loan_answers.push_back({token, job.id, job.version, std::string(state)});
+// Answers once this version of the job's record is stored: the one that holds what the message
+// asked for, as the record may keep changing. The answer to a repeated message replaces the one to
+// its predecessor, whose sender no longer waits.
+void answer_when_stored(shard_state& shard, const job_id& job, std::uint64_t loan,
+                        std::uint64_t version, request_token token, std::string_view state) {
+    for (auto& waiting : shard.loan_answers) {
+        if (waiting.loan == loan && waiting.job == job && waiting.state == state) {
+            waiting.version = 0;
+            waiting.state = state_retry;
+        }
+    }
+    shard.loan_answers.push_back({token, job, version, std::string(state), loan});
 }
 
 void answer_now(shard_state& shard, request_token token, std::string_view state) {
-    shard.loan_answers.push_back({token, {}, 0, std::string(state)});
+    shard.loan_answers.push_back({token, {}, 0, std::string(state), 0});
 }
 
-// Answers a message about a loan that isn't in the tables: immediately if the job is unknown,
-// otherwise once the current version of its record is stored.
-void answer_without_loan(shard_state& shard, const json& body, request_token token,
-                         std::string_view state) {
-    const auto job = shard.tables.jobs.find(body.at("job").get<job_id>());
-    if (job == shard.tables.jobs.end()) {
-        answer_now(shard, token, state);
-    } else {
-        answer_when_stored(shard, job->second, token, state);
+// Keeps the records of a borrowed job that were to be removed. Returns false if a transaction that
+// removes them may take effect.
+bool keep_borrowed_job(shard_state& shard, const job_id& id) {
+    const auto& removed = shard.commit.purged;
+    if (shard.commit.pending && std::find(removed.begin(), removed.end(), id) != removed.end()) {
+        return false;
     }
+    std::erase(shard.to_purge, id);
+    return true;
 }
 
 void process_offer(shard_state& shard, const json& body, request_token token, time_point now) {
@@ -133,14 +141,12 @@
     const auto number = body.at("loan").get<std::uint64_t>();
     const auto known = shard.tables.jobs.find(id);
     if (known != shard.tables.jobs.end()) {
-        const bool leaving =
-            std::find(shard.to_purge.begin(), shard.to_purge.end(), id) != shard.to_purge.end();
-        if (leaving || !is_borrowed(known->second)) {
+        if (!is_borrowed(known->second) || !keep_borrowed_job(shard, id)) {
             answer_now(shard, token, state_retry);
             return;
         }
-        if (find_borrowed(known->second, number) != nullptr) {
-            answer_when_stored(shard, known->second, token, state_taken);
+        if (const auto* loan = find_borrowed(known->second, number)) {
+            answer_when_stored(shard, id, number, loan->version, token, state_taken);
             return;
         }
     } else {
@@ -177,19 +183,19 @@
     record_change(shard, job, true, now);
     loan.version = job.version;
     job.borrowed.push_back(std::move(loan));
-    answer_when_stored(shard, job, token, state_taken);
+    answer_when_stored(shard, id, number, job.version, token, state_taken);
     shard.counters->count("loans", "taken");
     shard.log->write("event=tasks_borrowed job={} shard={} from={} loan={} tasks={}", id.value,
                      shard.id.value, job.lender.value, number, job.borrowed.back().tasks.size());
 }
 
 void process_withdrawal(shard_state& shard, const json& body, request_token token, time_point now) {
+    const auto number = body.at("loan").get<std::uint64_t>();
     const auto found = shard.tables.jobs.find(body.at("job").get<job_id>());
-    auto* loan = found == shard.tables.jobs.end()
-                     ? nullptr
-                     : find_borrowed(found->second, body.at("loan").get<std::uint64_t>());
+    auto* loan = found == shard.tables.jobs.end() ? nullptr : find_borrowed(found->second, number);
     if (loan == nullptr) {
-        answer_without_loan(shard, body, token, state_gone);
+        // The loan is only removed after its withdrawal is stored or its results are settled.
+        answer_now(shard, token, state_gone);
         return;
     }
     auto& job = found->second;
@@ -206,8 +212,9 @@
             }
         }
         record_change(shard, job, true, now);
+        loan->withdrawn_version = job.version;
     }
-    answer_when_stored(shard, job, token, state_gone);
+    answer_when_stored(shard, job.id, number, loan->withdrawn_version, token, state_gone);
 }
 
 // Applies the borrower's result for one lent task.
@@ -226,6 +233,11 @@
         end_job(shard, job, job_phase::failed, now, unix_now);
     } else {
         reclaim_task(shard, job, key, now);
+        if (uses_long_running_room(job.spec.steps[loan.step])) {
+            shard.log->write_rare("event=task_taken_back task={}.{}.{}.{} shard={} from={} loan={}",
+                                  job.id.value, loan.occurrence, loan.step, index, shard.id.value,
+                                  loan.to.value, loan.number);
+        }
         auto& other = shard.other_shards[loan.to];
         other.no_loans_before =
             now + (uses_long_running_room(job.spec.steps[loan.step]) ? long_running_refusal_pause
@@ -239,24 +251,38 @@
     const auto found = shard.tables.loans.find(number);
     if (found == shard.tables.loans.end()) {
         // An earlier report closed the loan; its answer was lost or still waits for the commit.
-        answer_without_loan(shard, body, token, state_settled);
+        const auto closed = shard.closed_loans.find(number);
+        if (closed == shard.closed_loans.end()) {
+            answer_now(shard, token, state_settled);
+        } else {
+            answer_when_stored(shard, closed->second.job, number, closed->second.version, token,
+                               state_settled);
+        }
         return;
     }
     const auto id = found->second.job;
     found->second.accepted = true;
+    bool is_new = false;
     for (const auto& entry : body.at("tasks")) {
         auto& job = shard.tables.jobs.at(id);
         auto& loan = found->second;
-        if (loan.tasks.erase(entry.at(0).get<std::uint32_t>()) > 0 && !has_ended(job.phase)) {
+        const bool added = loan.tasks.erase(entry.at(0).get<std::uint32_t>()) > 0;
+        is_new = is_new || added;
+        if (added && !has_ended(job.phase)) {
             apply_result(shard, job, loan, entry, now, unix_now);
         }
     }
     auto& job = shard.tables.jobs.at(id);
-    record_change(shard, job, true, now);
+    if (is_new) {
+        record_change(shard, job, true, now);
+        found->second.results_version = job.version;
+    }
+    auto version = found->second.results_version;
     if (found->second.tasks.empty()) {
         close_loan(shard, number, now);
+        version = job.version;
     }
-    answer_when_stored(shard, job, token, state_settled);
+    answer_when_stored(shard, id, number, version, token, state_settled);
 }
 
 // Returns tasks to the lender that found no room here within `return_after`, or within
@@ -268,6 +294,7 @@
     if (loan.since == time_point{}) {
         loan.since = now;
     }
+    use_granted_rooms(shard, job, loan, now);
     if (loan.withdrawn || now < loan.since + shard.timing.return_unreserved_after) {
         return;
     }
@@ -283,6 +310,13 @@
             drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
             report_task(shard, job, task, loan_result::returned, now);
             shard.counters->count("loans", "returned");
+            if (reservable) {
+                shard.log->write_rare("event=task_returned task={}.{}.{}.{} shard={} to={} loan={} "
+                                      "held_ms={}",
+                                      job.id.value, stage.occurrence, stage.step, index,
+                                      shard.id.value, job.lender.value, loan.loan,
+                                      (now - loan.since).count());
+            }
         }
     }
 }
@@ -315,7 +349,7 @@
     const auto before = job.borrowed.size();
     std::erase_if(job.borrowed, [&](const borrowed_tasks& loan) {
         const auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
-        return loan.withdrawn && job.stored_version == job.version &&
+        return loan.withdrawn && job.stored_version >= loan.withdrawn_version &&
                std::all_of(loan.tasks.begin(), loan.tasks.end(),
                            [&](std::uint32_t index) { return stage.tasks[index].runs.empty(); });
     });
@@ -369,6 +403,10 @@
         }
         return due;
     });
+    std::erase_if(shard.closed_loans, [&](const auto& row) {
+        const auto job = shard.tables.jobs.find(row.second.job);
+        return job == shard.tables.jobs.end() || job->second.stored_version >= row.second.version;
+    });
 }
 
 // Returns the waiting tasks that may be lent for room of this kind: those without reserved room
@@ -386,18 +424,33 @@
     return found;
 }
 
+// Lends waiting tasks to the shard that published the most room of this kind. Returns whether it
+// lent any.
+bool lend_to_published_room(shard_state& shard, job_row& job, stage_row& stage, room_kind kind,
+                            time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    auto tasks = find_lendable(shard, stage, kind);
+    const auto [best, most] = find_borrower(shard, job, step, kind, now);
+    if (tasks.empty() || best == nullptr || (step.gang && most < step.count)) {
+        return false;
+    }
+    tasks.resize(
+        std::min<std::size_t>(tasks.size(), step.gang ? step.count : std::min(most, loan_tasks)));
+    make_loan(shard, job, stage, *best, tasks, now);
+    return true;
+}
+
+} // namespace
+
 void make_loan(shard_state& shard, job_row& job, stage_row& stage, lending_room& other,
-               std::size_t count, room_kind kind, time_point now) {
+               const std::vector<std::uint32_t>& tasks, time_point now) {
     loan_row loan;
     loan.number = (shard.epoch.value << loan_counter_bits) + ++shard.loans_made;
     loan.to = other.shard;
     loan.job = job.id;
     loan.occurrence = stage.occurrence;
     loan.step = stage.step;
-    for (const auto index : find_lendable(shard, stage, kind)) {
-        if (loan.tasks.size() == count) {
-            break;
-        }
+    for (const auto index : tasks) {
         stage.waiting.erase(index);
         drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
         stage.tasks[index].not_local = true;
@@ -415,21 +468,6 @@
     shard.tables.loans.emplace(loan.number, std::move(loan));
 }
 
-// Lends long-running tasks to shards that have free room for them.
-void lend_to_free_room(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
-    constexpr auto kind = room_kind::free_now;
-    const auto& step = job.spec.steps[stage.step];
-    while (!find_lendable(shard, stage, kind).empty()) {
-        const auto [best, most] = find_borrower(shard, job, step, kind, now);
-        if (best == nullptr) {
-            return;
-        }
-        make_loan(shard, job, stage, *best, std::min(most, loan_tasks), kind, now);
-    }
-}
-
-} // namespace
-
 void report_task(shard_state& shard, job_row& job, task_row& task, loan_result result,
                  time_point now) {
     task.result = result;
@@ -438,31 +476,6 @@
     task.result_version = job.version;
 }
 
-void rebuild_loan_table(shard_state& shard) {
-    for (auto& [id, job] : shard.tables.jobs) {
-        for (const auto& [number, to] : job.loans) {
-            auto& loan = shard.tables.loans[number];
-            loan.number = number;
-            loan.to = to;
-            loan.job = id;
-            loan.withdrawn = has_ended(job.phase);
-        }
-        for (const auto& [occurrence, row] : job.occurrences) {
-            for (const auto& stage : row.stages) {
-                for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
-                    const auto loan = shard.tables.loans.find(stage.tasks[index].loan);
-                    if (is_borrowed(job) || loan == shard.tables.loans.end()) {
-                        continue;
-                    }
-                    loan->second.occurrence = occurrence;
-                    loan->second.step = stage.step;
-                    loan->second.tasks.insert(index);
-                }
-            }
-        }
-    }
-}
-
 void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
     const auto& step = job.spec.steps[stage.step];
     const auto timeout = !shard.data_centre_open ? duration(0)
@@ -475,17 +488,14 @@
         return; // the members of a gang must run together
     }
     if (uses_long_running_room(step)) {
-        lend_to_free_room(shard, job, stage, now);
-    }
-    constexpr auto kind = room_kind::after_short_tasks;
-    while (!find_lendable(shard, stage, kind).empty()) {
-        const auto [best, most] = find_borrower(shard, job, step, kind, now);
-        if (best == nullptr || (step.gang && most < step.count)) {
-            log_no_room(shard, job, stage, now);
-            return;
+        lend_to_granted_room(shard, job, stage, now);
+        while (lend_to_published_room(shard, job, stage, room_kind::free_now, now)) {
         }
-        make_loan(shard, job, stage, *best, step.gang ? step.count : std::min(most, loan_tasks),
-                  kind, now);
+    }
+    while (lend_to_published_room(shard, job, stage, room_kind::after_short_tasks, now)) {
+    }
+    if (!find_lendable(shard, stage, room_kind::after_short_tasks).empty()) {
+        log_no_room(shard, job, stage, now);
     }
 }
 
@@ -496,28 +506,6 @@
     collect_due_answers(shard, actions);
 }
 
-bool is_new_offer(const shard_state& shard, const json& body) {
-    if (body.at("kind") != "offer") {
-        return false;
-    }
-    const auto job = shard.tables.jobs.find(body.at("job").get<job_id>());
-    const auto number = body.at("loan").get<std::uint64_t>();
-    return job == shard.tables.jobs.end() ||
-           std::none_of(job->second.borrowed.begin(), job->second.borrowed.end(),
-                        [&](const borrowed_tasks& row) { return row.loan == number; });
-}
-
-bool record_includes_loan(const json& body, std::string_view lender_progress) {
-    const auto progress = json::parse(lender_progress, nullptr, false);
-    if (!progress.is_object() || has_ended(static_cast<job_phase>(progress.value("phase", 0)))) {
-        return false;
-    }
-    const auto loans = progress.value("loans", json::array());
-    return std::any_of(loans.begin(), loans.end(), [&](const json& row) {
-        return row.at(0) == body.at("loan") && row.at(1) == body.at("to");
-    });
-}
-
 void on_loan_message(shard_state& shard, const json& body, request_token token, time_point now,
                      unix_time unix_now) {
     const auto kind = body.at("kind").get<std::string>();
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -3,6 +3,8 @@
 // filler that didn't disturb it before may disturb it for a while.
 #include "shard_internal.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
@@ -22,25 +24,46 @@
 // A smaller effect on slack is treated as noise.
 constexpr double min_effect = 2.0;
 
-// Fillers may keep a serving task over its target for at most 4 s. After these times over the
-// target, first the fillers that are estimated to disturb the task and then all fillers on the
-// worker are paused, whatever the estimates say.
-constexpr duration blamed_over_target_limit{1'200};
-constexpr duration over_target_limit{2'200};
+// Fillers may keep a serving task over its target for at most this long, whatever the estimates
+// say.
+constexpr duration interference_limit{4'000};
 
-// The same limit for all fillers if some measurements are below the target. The excess is detected
-// within 0.5 s, and a new pace takes effect within 0.7 s.
-constexpr duration average_over_target_limit{2'700};
+// The parts of that time that are not for waiting: the first measurement that shows the excess
+// covers half a second and arrives up to half a second later; a decision is taken with a report, so
+// up to half a second late; and the control thread may be busy for 0.7 s before it sends the new
+// pace, which takes effect 0.1 s later.
+constexpr duration detection_time{1'000};
+constexpr duration report_interval{500};
+constexpr duration reaction_time{800};
+
+// After these times over the target, first the fillers that are estimated to disturb the task and
+// then all fillers on the worker are paused.
+constexpr duration blamed_over_target_limit{1'200};
+constexpr duration over_target_limit =
+    interference_limit - detection_time - report_interval - reaction_time;
 
 // A single measurement near the target has an error of about a fifth, so that a task that is over
-// its target for seconds shows some measurements below it. For average_over_target_limit, the slack
-// is therefore smoothed: the newest measurement has a weight of one half, and slack above
-// slack_limit counts as slack_limit. A task counts as over its target from when its smoothed slack
-// falls below 1 until it reaches recovered_slack, which is 1 plus half of that error.
+// its target for seconds shows some measurements below it. The slack is therefore smoothed: the
+// newest measurement has a weight of one half, and slack above slack_limit counts as slack_limit. A
+// task counts as over its target from the first measurement that shows it until its smoothed slack
+// reaches recovered_slack, which is 1 plus half of that error.
 constexpr double slack_weight = 0.5;
 constexpr double slack_limit = 1.2;
 constexpr double recovered_slack = 1.1;
 
+// Values of `pace_confirmed` besides a pace. An unknown pace is sent at once, a refused one after
+// the worker's next report.
+constexpr int unknown_pace = -1;
+constexpr int refused_pace = -2;
+
+// A paused filler that uses more than this share of its processors, in percent, isn't paused.
+constexpr int paused_use_percent = 10;
+
+// A serving task that is over its target for this long is logged with each report, with at most
+// this many of the fillers beside it.
+constexpr duration logged_over_target{1'500};
+constexpr std::size_t logged_fillers = 6;
+
 // A filler at this pace or less counts as throttled. It is stopped after this time if there is room
 // for it elsewhere.
 constexpr int throttled_percent = 10;
@@ -101,18 +124,53 @@
             run->over_target_since = now;
         }
         const double capped = std::min(slack, slack_limit);
+        const bool first = run->average_slack == 0;
         run->average_slack =
-            run->average_slack == 0
-                ? capped
-                : run->average_slack + slack_weight * (capped - run->average_slack);
-        if (run->average_slack >= recovered_slack) {
+            first ? capped : run->average_slack + slack_weight * (capped - run->average_slack);
+        if (run->average_slack >= recovered_slack || (first && slack >= 1.0)) {
             run->average_over_since.reset();
-        } else if (run->average_slack < 1.0 && !run->average_over_since) {
+        } else if (slack < 1.0 && !run->average_over_since) {
             run->average_over_since = now;
         }
     }
 }
 
+// Marks the paces that are to be sent again: those that the worker refused, and pauses that the
+// report contradicts, because an earlier command with another pace was executed after the pause.
+void check_confirmed_paces(const std::vector<run_row*>& fillers) {
+    for (auto* run : fillers) {
+        const bool paused = run->pace_target == 0 && run->pace_confirmed == 0;
+        const bool works = run->measurement * 100 > run->need.processors.value * paused_use_percent;
+        if (run->pace_confirmed == refused_pace || (paused && works)) {
+            run->pace_confirmed = unknown_pace;
+        }
+    }
+}
+
+void log_over_target(const shard_state& shard, const worker_row& worker,
+                     const std::vector<run_row*>& serving, const std::vector<run_row*>& fillers,
+                     time_point now) {
+    for (const auto* run : serving) {
+        const auto over = time_since(run->average_over_since, now);
+        if (over < logged_over_target || fillers.empty()) {
+            continue;
+        }
+        std::string paces;
+        for (std::size_t i = 0; i < std::min(fillers.size(), logged_fillers); ++i) {
+            const auto& filler = *fillers[i];
+            paces += fmt::format("{}{}:{}/{}/{}", i == 0 ? "" : ",", filler.key.task.job.value,
+                                 filler.pace_target, filler.pace_confirmed, filler.measurement);
+        }
+        shard.log->write("event=over_target task={}.{}.{}.{} worker={} over_ms={} every_ms={} "
+                         "slack={:.2f} average_slack={:.2f} hold_ms={} fillers={} paces={}",
+                         run->key.task.job.value, run->key.task.occurrence, run->key.task.step,
+                         run->key.task.index, worker.entry.target.id.value, over.count(),
+                         time_since(run->over_target_since, now).count(), slack_of(*run),
+                         run->average_slack, (now - worker.hold_sent).count(), fillers.size(),
+                         paces);
+    }
+}
+
 // Share of the worker's processors that a filler would use at full pace, and its image.
 struct filler_demand {
     std::string image;
@@ -130,18 +188,33 @@
 double allowed_pace(const shard_state& shard, const std::vector<const run_row*>& serving,
                     const std::vector<filler_demand>& fillers, const filler_demand& filler,
                     time_point now) {
+    // Both sums are the same for all serving tasks of an image.
+    struct losses {
+        const std::string* image = nullptr;
+        double own = 0;
+        double total = 0;
+    };
+    std::vector<losses> known;
     double allowed = 1.0;
     for (const auto* run : serving) {
-        if (loss_by(shard, *run, filler) == 0) {
-            continue;
+        if (run->average_over_since) {
+            return 0; // a new filler would run at full pace until its start is confirmed
         }
-        double total = 0;
-        for (const auto& other : fillers) {
-            total += loss_by(shard, *run, other);
+        auto row = std::find_if(known.begin(), known.end(),
+                                [&](const losses& other) { return *other.image == run->image; });
+        if (row == known.end()) {
+            losses added{&run->image, loss_by(shard, *run, filler), 0};
+            for (const auto& other : fillers) {
+                added.total += added.own == 0 ? 0 : loss_by(shard, *run, other);
+            }
+            row = known.insert(known.end(), added);
+        }
+        if (row->own == 0) {
+            continue;
         }
         const double room =
             expected_slack(shard.effects, run->key.task.job.value, now, lookahead) - min_slack;
-        allowed = std::min(allowed, std::max(0.0, room) / total);
+        allowed = std::min(allowed, std::max(0.0, room) / row->total);
     }
     return allowed;
 }
@@ -222,14 +295,16 @@
         }
     }
     learn_from_tails(shard, worker, serving, fillers, now);
+    check_confirmed_paces(fillers);
     plan_paces(shard, worker, now);
+    log_over_target(shard, worker, serving, fillers, now);
 }
 
 void plan_paces(shard_state& shard, worker_row& worker, time_point now) {
     std::vector<const run_row*> serving;
     std::vector<run_row*> fillers;
-    duration over_target{0};
-    duration average_over_target{0};
+    duration every_over_target{0}; // by each of the last measurements
+    duration over_target{0};       // by their average
     for (const auto& key : worker.runs) {
         auto& run = shard.tables.runs.at(key);
         if (run.phase == run_phase::stopping) {
@@ -237,9 +312,8 @@
         }
         if (run.tail_target.count() > 0) {
             serving.push_back(&run);
-            over_target = std::max(over_target, time_since(run.over_target_since, now));
-            average_over_target =
-                std::max(average_over_target, time_since(run.average_over_since, now));
+            every_over_target = std::max(every_over_target, time_since(run.over_target_since, now));
+            over_target = std::max(over_target, time_since(run.average_over_since, now));
         } else if (run.filler) {
             fillers.push_back(&run);
         }
@@ -270,8 +344,8 @@
             }
         }
         auto pace = static_cast<int>(100 * allowed);
-        if (over_target >= over_target_limit || average_over_target >= average_over_target_limit ||
-            (over_target >= blamed_over_target_limit && blamed)) {
+        if (over_target >= over_target_limit ||
+            (every_over_target >= blamed_over_target_limit && blamed)) {
             pace = 0;
         }
         if (std::abs(pace - run->pace_target) >= min_pace_change || pace == 0 || pace == 100) {
@@ -287,7 +361,7 @@
 void send_paces(shard_state& shard, shard_actions& actions) {
     for (auto& [key, run] : shard.tables.runs) {
         if (run.phase != run_phase::running || run.pace_in_flight ||
-            run.pace_target == run.pace_confirmed) {
+            run.pace_target == run.pace_confirmed || run.pace_confirmed == refused_pace) {
             continue;
         }
         run.pace_in_flight = true;
@@ -306,14 +380,16 @@
     auto& run = found->second;
     run.pace_in_flight = false;
     if (!reply) {
-        run.pace_confirmed = -1; // unknown, so the pace is sent again
+        run.pace_confirmed = unknown_pace;
         return;
     }
-    if (reply.value().outcome == command_outcome::fenced) {
+    const auto outcome = reply.value().outcome;
+    if (outcome == command_outcome::fenced) {
         lose_shard(shard, "fenced");
         return;
     }
-    run.pace_confirmed = percent;
+    const bool executed = outcome == command_outcome::done || outcome == command_outcome::missing;
+    run.pace_confirmed = executed ? percent : refused_pace;
 }
 
 bool is_shared(const shard_state& shard, const worker_row& worker) {
@@ -331,8 +407,8 @@
                     time_point now) {
     std::vector<const run_row*> serving;
     std::vector<filler_demand> demands;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.tail_target.count() > 0) {
             serving.push_back(&run);
         } else if (run.filler) {
@@ -347,21 +423,21 @@
                          const std::string& image, time_point now) {
     double room = static_cast<double>(std::max<std::int64_t>(0, filler_room(shard, worker)));
     std::vector<filler_demand> demands;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.filler) {
             demands.push_back(demand_of(worker, run));
         }
     }
     const auto capacity = static_cast<double>(worker.entry.capacity.processors.value);
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         const double loss = run.tail_target.count() > 0 ? loss_by(shard, run, {image, 1.0}) : 0;
         if (loss == 0) {
             continue;
         }
         double remaining_slack =
-            expected_slack(shard.effects, key.task.job.value, now, lookahead) - min_slack;
+            expected_slack(shard.effects, run.key.task.job.value, now, lookahead) - min_slack;
         for (const auto& other : demands) {
             remaining_slack -= loss_by(shard, run, other);
         }
@@ -370,11 +446,11 @@
     return room;
 }
 
-double other_serving_share(const shard_state& shard, const worker_row& worker,
+double other_serving_share(const shard_state& /*shard*/, const worker_row& worker,
                            const std::string& image) {
     double other = 0;
-    for (const auto& key : worker.runs) {
-        const auto& run = shard.tables.runs.at(key);
+    for (const auto* row : worker.run_rows) {
+        const auto& run = *row;
         if (run.tail_target.count() > 0 && run.image != image) {
             other += share_of(worker, run.need.processors.value);
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -6,6 +6,7 @@
 #include "fulmar/job.hpp"
 #include "fulmar/types.hpp"
 #include "fulmar/worker_link.hpp"
+#include "shard_search.hpp"
 
 #include <deque>
 #include <map>
@@ -45,6 +46,8 @@
     unreachable, // the worker did not reply to the last call
 };
 
+struct run_row;
+
 struct worker_row {
     worker_entry entry;
     bool listed = false;    // the platform's store has an entry for it
@@ -76,6 +79,9 @@
     resources committed;
     std::int64_t filler_demand = 0; // thousandths of a core that its fillers request
     std::set<run_key> runs;
+    std::vector<run_row*> run_rows; // the rows of `runs`, in the same order
+    std::uint64_t releases = 0;     // number of runs and reservations that were removed
+    room_view last_view;            // as of the last comparison by placement
     struct reservation {
         resources need;
         time_point until;
@@ -122,11 +128,11 @@
     std::optional<time_point> over_target_since; // since when each measured tail exceeds the target
     // Target divided by tail, smoothed over the last measurements; 0: none yet.
     double average_slack = 0;
-    // Since when `average_slack` is below 1 and has not recovered.
+    // Since the first measurement over the target after which `average_slack` has not recovered.
     std::optional<time_point> average_over_since;
     int pace_target = 100;
     std::optional<time_point> throttled_since; // since when a filler's target pace is close to 0
-    int pace_confirmed = 100;                  // last pace that the worker confirmed; -1: unknown
+    int pace_confirmed = 100;                  // confirmed; -1: unknown, -2: refused
     bool pace_in_flight = false;
 };
 
@@ -150,6 +156,7 @@
     std::optional<worker_id> last_failed_on;
     std::optional<worker_id> reserved_worker; // worker on which room is reserved for it
     bool reservation_expired = false;         // a reservation expired since its last start
+    std::optional<time_point> idle_since;     // since when a long-running task has had no run here
 };
 
 // One step of one occurrence.
@@ -179,8 +186,9 @@
     std::set<std::uint32_t> tasks; // tasks whose results the lender hasn't stored yet
     // Version of the job's record that includes the loan; its tasks start only once that is stored.
     std::uint64_t version = 0;
-    bool withdrawn = false; // the lender withdrew the loan
-    bool in_flight = false; // a report to the lender has no reply yet
+    bool withdrawn = false;              // the lender withdrew the loan
+    std::uint64_t withdrawn_version = 0; // of the job's record that includes the withdrawal
+    bool in_flight = false;              // a report to the lender has no reply yet
     time_point next_report;
     time_point since; // when this owner started to look for room
 };
@@ -196,6 +204,8 @@
     // Version of the job's record that includes the loan; the offer is sent only once that is
     // stored.
     std::uint64_t version = 0;
+    // Version of the job's record that includes the borrower's last results.
+    std::uint64_t results_version = 0;
     bool accepted = false;  // the borrower has stored the loan
     bool withdrawn = false; // the borrower is to stop the tasks and drop the loan
     bool in_flight = false; // a message to the borrower has no reply yet
@@ -226,10 +236,19 @@
 };
 
 struct shard_tables {
+    // Workers refer to rows of runs.
+    shard_tables() = default;
+    shard_tables(const shard_tables&) = delete;
+    shard_tables(shard_tables&&) = default;
+    shard_tables& operator=(const shard_tables&) = delete;
+    shard_tables& operator=(shard_tables&&) = default;
+    ~shard_tables() = default;
+
     std::map<worker_id, worker_row> workers;
     std::map<job_id, job_row> jobs;
     std::map<run_key, run_row> runs;
     std::map<std::uint64_t, loan_row> loans; // loans that this shard made as the lender
+    search_memory searches;
 };
 
 // Returns whether the job belongs to another shard.
