shard_room_requests: list tasks that are being lent first, and few of a stage before others

A message listed the 16 longest waits. Tasks for which no shard has room, such as those of a label that no worker has, filled each message, so that the room for others was never requested. A task that was being lent counted as new and dropped out of the message beside 16 older ones; the shard that held its room released it, and the offer came back. Room held for other shards also counted as moves of serving tasks, of which a shard makes two at a time.

Tasks that are being lent are listed first and outside the limit. Of the others, two of each stage come before a third. As a message replaces the former one, the table of requests is limited by the messages. Reservations for other shards no longer count as moves.

The three new cases of room_requests_test fail on the code before: the young task isn't listed, 16 rows instead of 17 with an older task first, 2 reservations counted instead of 0.

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -124,7 +124,7 @@
 void make_loan(shard_state& shard, job_row& job, stage_row& stage, lending_room& other,
                const std::vector<std::uint32_t>& tasks, time_point now);
 
-// Removes expired reservations and returns how many are left.
+// Removes expired reservations; returns how many are left for this shard's tasks.
 std::size_t expire_reservations(shard_state& shard, time_point now);
 
 // Maximum number of tasks in one loan, so that several shards share a wide step.
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -124,7 +124,11 @@
             shard.placement_needed = true;
             return true;
         });
-        open += worker.reserved.size();
+        // Room that is held for tasks of other shards has nothing to do with moves.
+        open += static_cast<std::size_t>(
+            std::count_if(worker.reserved.begin(), worker.reserved.end(), [&](const auto& row) {
+                return !shard.room_requests.contains(row.first);
+            }));
     }
     return open;
 }
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -20,9 +20,11 @@
 constexpr duration lending_limit{6'000};
 constexpr duration unused_pause{1'000};
 
-// Maximum number of tasks in a message, the longest waits first, and of requests in all.
+// Maximum number of tasks in a message that aren't being lent, the longest waits first, but no more
+// than a few of a stage before others had their turn. A message replaces the former one, so this
+// also limits the requests that are kept for a shard.
 constexpr std::size_t tasks_per_message = 16;
-constexpr std::size_t max_requests = 128;
+constexpr std::size_t first_tasks_per_stage = 2;
 
 constexpr duration service_interval{100};
 
@@ -176,6 +178,31 @@
     return wanted;
 }
 
+// Returns the tasks to list in a message to a shard. Those that are being lent to it come first, as
+// it releases the room of tasks that aren't listed. Room for a stage may exist nowhere, which must
+// not keep others from requesting it.
+std::vector<const wanted_room*> select_tasks(const std::vector<wanted_room>& wanted,
+                                             const shard_id& to) {
+    std::vector<const wanted_room*> listed;
+    std::vector<const wanted_room*> first;
+    std::vector<const wanted_room*> rest;
+    std::map<task_key, std::size_t> tasks_of_stage;
+    for (const auto& row : wanted) {
+        if (!row.lending_to.value.empty()) {
+            if (row.lending_to == to) {
+                listed.push_back(&row);
+            }
+            continue;
+        }
+        const task_key stage{row.key.job, row.key.occurrence, row.key.step, 0};
+        (++tasks_of_stage[stage] <= first_tasks_per_stage ? first : rest).push_back(&row);
+    }
+    first.insert(first.end(), rest.begin(), rest.end());
+    first.resize(std::min(first.size(), tasks_per_message));
+    listed.insert(listed.end(), first.begin(), first.end());
+    return listed;
+}
+
 json encode_request(const wanted_room& row, time_point now) {
     const auto& step = row.job->spec.steps[row.key.step];
     return {{"job", row.key.job},
@@ -201,7 +228,7 @@
     const auto found = shard.room_requests.find(key);
     const bool lending = row.at("lending").get<bool>();
     if (found == shard.room_requests.end()) {
-        if (lending || shard.room_requests.size() >= max_requests) {
+        if (lending) {
             return; // without a grant, the offer is processed like any other
         }
         room_request request;
@@ -340,11 +367,8 @@
             continue;
         }
         json tasks = json::array();
-        for (const auto& row : wanted) {
-            if (tasks.size() < tasks_per_message &&
-                (row.lending_to.value.empty() || row.lending_to == id)) {
-                tasks.push_back(encode_request(row, now));
-            }
+        for (const auto* row : select_tasks(wanted, id)) {
+            tasks.push_back(encode_request(*row, now));
         }
         json body{{"from", shard.id}, {"to", id}, {"number", number}, {"tasks", std::move(tasks)}};
         messages.push_back({id, body.dump()});
@@ -367,7 +391,7 @@
     std::set<task_key> listed;
     for (const auto& row : body.at("tasks")) {
         const auto key = decode_key(row);
-        if (listed.size() < tasks_per_message && !is_held(shard, key)) {
+        if (!is_held(shard, key)) {
             update_request(shard, from, key, row, now);
             listed.insert(key);
         }
--- a/tests/room_requests_test.cpp
+++ b/tests/room_requests_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace fulmar;
 
 namespace {
@@ -75,6 +77,32 @@
         return granted;
     }
 
+    // Adds an own job with long-running tasks that have waited for this long.
+    void add_waiting(const job_id& id, std::uint32_t tasks, const std::string& label,
+                     duration waited) {
+        job_row job;
+        job.id = id;
+        job.queue.service = {"desk"};
+        step_spec step;
+        step.count = tasks;
+        step.need = {{6'000}, {512}, {0}};
+        step.label = label;
+        step.long_running = true;
+        job.spec.steps = {step};
+        job.next_occurrence = 1;
+        job.occurrences.emplace(0, make_occurrence(job.spec, 0));
+        load_shard(shard, {{job_key(shard.id, id), encode_job(job), {1}},
+                           {progress_key(shard.id, id), encode_progress(job), {2}}});
+        shard.takeover_complete = true;
+        shard.tables.jobs.at(id).occurrences.at(0).stages[0].ready_since = now - waited;
+    }
+
+    // Returns the rows of the next message to the peer.
+    json requested() {
+        const auto messages = make_room_requests(shard, now);
+        return messages.empty() ? json::array() : json::parse(messages.at(0).body).at("tasks");
+    }
+
     // Adds a run of another job that uses the worker's processors.
     void occupy(const std::string& id, std::int64_t processors, bool long_running) {
         run_row run;
@@ -265,3 +293,52 @@
     CHECK(find_granter(world.shard, {job.id, 0, 0, 0}, world.now) != nullptr);
     CHECK(find_granter(world.shard, {job.id, 0, 0, 0}, world.now + duration(1'100)) == nullptr);
 }
+
+// Tasks for which no shard has room filled each message, so that the room for others was never
+// requested.
+TEST_CASE("room is requested for a task beside many that have waited longer") {
+    room_world world;
+    const job_id late{"00000000000000dd"};
+    world.add_waiting({"00000000000000aa"}, 40, "nowhere", duration(9'000));
+    world.add_waiting(late, 1, "", duration(1'000));
+    const auto rows = world.requested();
+    CHECK(rows.size() == 16);
+    CHECK(std::any_of(rows.begin(), rows.end(),
+                      [&](const json& row) { return row.at("job").get<job_id>() == late; }));
+}
+
+// The shard that holds the room releases it if a message doesn't list the task. The offer then
+// arrived without room and was returned.
+TEST_CASE("a task that is being lent is listed beside many that have waited longer") {
+    room_world world;
+    const job_id lent{"00000000000000dd"};
+    world.add_waiting({"00000000000000aa"}, 40, "nowhere", duration(9'000));
+    world.add_waiting(lent, 1, "", duration(1'000));
+    auto& job = world.shard.tables.jobs.at(lent);
+    auto& stage = job.occurrences.at(0).stages[0];
+    loan_row loan;
+    loan.number = 7;
+    loan.to = requester;
+    loan.job = lent;
+    loan.tasks = {0};
+    job.loans[loan.number] = requester;
+    stage.tasks[0].loan = loan.number;
+    stage.tasks[0].not_local = true;
+    stage.waiting.clear();
+    stage.ready_since.reset();
+    world.shard.tables.loans.emplace(loan.number, loan);
+    const auto rows = world.requested();
+    CHECK(rows.size() == 17);
+    CHECK(rows.at(0).at("job").get<job_id>() == lent);
+    CHECK(rows.at(0).at("lending").get<bool>());
+}
+
+// Room held for tasks of other shards counted as moves, of which a shard makes two at a time, so
+// that serving tasks weren't regrouped while others requested room.
+TEST_CASE("room that is held for other shards doesn't count as moves of serving tasks") {
+    room_world world;
+    const auto granted = world.request(json::array(
+        {world.make_row(0, 6'000, "", 0, false), world.make_row(1, 6'000, "", 0, false)}));
+    CHECK(granted.size() == 2);
+    CHECK(expire_reservations(world.shard, world.now) == 0);
+}
