shard_pacing: a task under its target beside paused fillers has recovered

Since the time over the target counts from the first measurement that shows it, it ends only when the smoothed slack reaches 1.1. A serving task that is at 1.0 to 1.1 by its own load never gets there, so after one measurement over the target the fillers beside it stood still for as long as it ran.

While all fillers are confirmed as paused, a smoothed slack of 1 is enough: they can't be what keeps it low.

"paused fillers continue beside a task that is just under its target" fails on the code before (pace 0 after six measurements at 1.04).

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -115,6 +115,10 @@
 void learn_from_tails(shard_state& shard, worker_row& worker, const std::vector<run_row*>& serving,
                       const std::vector<run_row*>& fillers, time_point now) {
     const auto uses = sum_uses(worker, fillers);
+    // Beside fillers that stand still, a task that is under its target is so by itself.
+    const bool paused = std::all_of(fillers.begin(), fillers.end(),
+                                    [](const run_row* run) { return run->pace_confirmed == 0; });
+    const double recovered = paused ? 1.0 : recovered_slack;
     for (auto* run : serving) {
         const double slack = slack_of(*run);
         learn_effect(shard.effects, run->image, run->key.task.job.value, slack, uses, now);
@@ -127,7 +131,7 @@
         const bool first = run->average_slack == 0;
         run->average_slack =
             first ? capped : run->average_slack + slack_weight * (capped - run->average_slack);
-        if (run->average_slack >= recovered_slack || (first && slack >= 1.0)) {
+        if (run->average_slack >= recovered || (first && slack >= 1.0)) {
             run->average_over_since.reset();
         } else if (slack < 1.0 && !run->average_over_since) {
             run->average_over_since = now;
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -215,3 +215,20 @@
     }
     CHECK(world.pace() == 0);
 }
+
+// A serving task that is only just under its target by its own load never counted as recovered, so
+// that the fillers beside it stood still for as long as it ran.
+TEST_CASE("paused fillers continue beside a task that is just under its target") {
+    shared_worker world;
+    world.trust_fillers();
+    for (int i = 0; i < 5; ++i) {
+        world.report(duration(105));
+    }
+    REQUIRE(world.pace() == 0);
+    CHECK(world.send() == std::vector<int>{0});
+    world.answer_pace(0, command_outcome::done);
+    for (int i = 0; i < 6; ++i) {
+        world.report(duration(96), 0);
+    }
+    CHECK(world.pace() > 0);
+}
