shard_commit: reserve the lists of jobs to store

The linter rejected two loops that append to a list without reserving its size, in the functions that sort the jobs for a transaction. The order and the contents of transactions are unchanged; no functional change.

--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -153,6 +153,7 @@
     }
     std::sort(found.begin(), found.end());
     std::vector<job_id> sorted;
+    sorted.reserve(found.size());
     for (auto& [accepted, id] : found) {
         sorted.push_back(std::move(id));
     }
@@ -176,6 +177,7 @@
         found.begin() + static_cast<std::ptrdiff_t>(std::min(found.size(), oldest_change_share));
     std::stable_partition(rest, found.end(), [](const auto& row) { return row.second.urgent; });
     std::vector<job_id> sorted;
+    sorted.reserve(found.size());
     for (auto& [id, change] : found) {
         sorted.push_back(std::move(id));
     }
