shard_pacing, shard_reports: clearer names for times over the target

The time for which each measurement is over the target is measured_over_target, as every_over_target could be read as an interval; the unknown pace of an adopted filler is explained. No functional change.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -307,8 +307,8 @@
 void plan_paces(shard_state& shard, worker_row& worker, time_point now) {
     std::vector<const run_row*> serving;
     std::vector<run_row*> fillers;
-    duration every_over_target{0}; // by each of the last measurements
-    duration over_target{0};       // by their average
+    duration measured_over_target{0}; // by each of the last measurements
+    duration over_target{0};          // by their average
     for (const auto& key : worker.runs) {
         auto& run = shard.tables.runs.at(key);
         if (run.phase == run_phase::stopping) {
@@ -316,7 +316,8 @@
         }
         if (run.tail_target.count() > 0) {
             serving.push_back(&run);
-            every_over_target = std::max(every_over_target, time_since(run.over_target_since, now));
+            measured_over_target =
+                std::max(measured_over_target, time_since(run.over_target_since, now));
             over_target = std::max(over_target, time_since(run.average_over_since, now));
         } else if (run.filler) {
             fillers.push_back(&run);
@@ -349,7 +350,7 @@
         }
         auto pace = static_cast<int>(100 * allowed);
         if (over_target >= over_target_limit ||
-            (every_over_target >= blamed_over_target_limit && blamed)) {
+            (measured_over_target >= blamed_over_target_limit && blamed)) {
             pace = 0;
         }
         if (std::abs(pace - run->pace_target) >= min_pace_change || pace == 0 || pace == 100) {
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -34,7 +34,7 @@
 // measurements that follow show whether a serving task is over its target.
 void assume_predecessor_pacing(run_row& run, time_point now) {
     if (run.filler) {
-        run.pace_confirmed = -1;
+        run.pace_confirmed = -1; // unknown, so the pace is sent
     }
     if (run.tail_target.count() > 0 && run.measurement > 0) {
         run.over_target_since = now - takeover_time;
