link_use: count what crosses the links of a host

No metric told the bytes on a link, nor how long a call waited for its first byte: when links were full, callers saw 502 and 504 and nothing on the hosts named the transfers behind them.

The client reports for each labelled call the bytes sent and received, as libcurl counts them, the time until a connection was ready and the time to the first byte, both from submit(), and whether a time limit ended it. Datagrams and answered calls of peers are counted, too.

libcurl 7.88 doesn't tell when a request has left the system's buffers, so that time isn't observed.

Evidence: tests compare the reported bytes with those that a server of the test read and wrote, for bodies of 0, 1,000 and 300,000 bytes and for a response cut off by the time limit.

--- a/include/fulmar/http_client.hpp
+++ b/include/fulmar/http_client.hpp
@@ -5,9 +5,13 @@
 
 #include <asio/io_context.hpp>
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -27,6 +31,19 @@
     bool fresh_connection = false;
     // Maximum size of the response body. It does not apply to streamed bodies, which are not kept.
     std::size_t response_limit_bytes = 4 * 1024 * 1024;
+    // What the call is for, in the figures of its use of the link; the part before the first dot is
+    // the kind of destination. Calls without a label are not reported.
+    std::string label;
+};
+
+// A call's use of the link. Times are from submit() and include waiting for the client's thread.
+struct http_call_use {
+    std::string_view label;
+    std::uint64_t sent_bytes = 0;                   // headers and body, as libcurl reports them
+    std::uint64_t received_bytes = 0;               // likewise; an incomplete response counts, too
+    std::optional<std::chrono::microseconds> ready; // the connection took the request
+    std::optional<std::chrono::microseconds> first_byte; // of the response
+    bool timed_out = false;
 };
 
 // Result of a call. If there is no response, `request_sent` says whether the server may have
@@ -85,6 +102,10 @@
     http_client(http_client&&) = delete;
     http_client& operator=(http_client&&) = delete;
 
+    // Sets a function that receives the use of each labelled call right before its end is reported.
+    // It runs on the client's threads and must be set before the first call.
+    void on_use(std::function<void(const http_call_use&)> observer);
+
     // Starts a call; `done` runs on the client's thread and must not block.
     void submit(http_call call, std::function<void(http_call_result)> done);
 
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -61,6 +61,12 @@
     }
 }
 
+void http_client::on_use(std::function<void(const http_call_use&)> observer) {
+    for (const auto& thread : state_->threads) {
+        thread->on_use(observer);
+    }
+}
+
 void http_client::submit(http_call call, std::function<void(http_call_result)> done) {
     auto next = std::make_shared<transfer>();
     next->call = std::move(call);
--- a/src/http_client_thread.cpp
+++ b/src/http_client_thread.cpp
@@ -52,7 +52,12 @@
     curl_multi_cleanup(multi_); // closes the idle connections
 }
 
+void client_thread::on_use(std::function<void(const http_call_use&)> observer) {
+    observer_ = std::move(observer);
+}
+
 void client_thread::submit(const std::shared_ptr<transfer>& next) {
+    next->submitted = std::chrono::steady_clock::now();
     bool first = false;
     bool finished = false;
     {
@@ -237,6 +242,9 @@
     auto node = running_.extract(easy);
     assert(!node.empty());
     const auto ended = std::move(node.mapped());
+    if (observer_ && !ended->call.label.empty()) {
+        observer_(measure_use(*ended, code));
+    }
     auto outcome = finish_transfer(*ended, code);
     curl_multi_remove_handle(multi_, easy);
     release_transfer(*ended);
--- a/src/http_client_thread.hpp
+++ b/src/http_client_thread.hpp
@@ -26,6 +26,9 @@
     client_thread(client_thread&&) = delete;
     client_thread& operator=(client_thread&&) = delete;
 
+    // Sets the receiver of the figures of labelled calls; must be called before the first transfer.
+    void on_use(std::function<void(const http_call_use&)> observer);
+
     // Starts a transfer; may be called on any thread.
     void submit(const std::shared_ptr<transfer>& next);
 
@@ -66,6 +69,7 @@
     std::unordered_map<curl_socket_t, std::shared_ptr<watched_socket>> sockets_;
     std::unordered_map<CURL*, std::shared_ptr<transfer>> running_;
     std::vector<CURL*> spare_;
+    std::function<void(const http_call_use&)> observer_;
     std::mutex mutex_;
     std::vector<std::shared_ptr<transfer>> submitted_; // guarded by mutex_
     bool stopping_ = false;                            // guarded by mutex_
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -11,6 +11,9 @@
 // Without a limit a server could send headers endlessly.
 constexpr std::size_t response_header_limit = 64 * 1024;
 
+// Largest body that libcurl sends together with the headers.
+constexpr std::size_t largest_inline_body = 64 * 1024;
+
 // Headers that libcurl generates; a second length or encoding would break the message framing.
 constexpr std::array<std::string_view, 6> connection_headers{
     "Connection", "Content-Length", "Transfer-Encoding", "Expect", "Upgrade", "Keep-Alive"};
@@ -126,6 +129,24 @@
     return list;
 }
 
+// Returns the time from submit() to a point in time that libcurl reports, or nullopt if the
+// transfer didn't get there.
+std::optional<std::chrono::microseconds> time_until(const transfer& from, CURLINFO point) {
+    curl_off_t passed = 0;
+    if (curl_easy_getinfo(from.easy, point, &passed) != CURLE_OK || passed == 0) {
+        return std::nullopt;
+    }
+    const auto waited =
+        std::chrono::duration_cast<std::chrono::microseconds>(from.started - from.submitted);
+    return waited + std::chrono::microseconds(passed);
+}
+
+std::uint64_t read_count(const transfer& from, CURLINFO which) {
+    curl_off_t count = 0;
+    curl_easy_getinfo(from.easy, which, &count);
+    return static_cast<std::uint64_t>(count);
+}
+
 // Returns at least 1, because libcurl takes 0 as no limit.
 long milliseconds(duration limit) {
     return static_cast<long>(std::max<std::int64_t>(limit.count(), 1));
@@ -152,6 +173,7 @@
 }
 
 void prepare_transfer(transfer& to, CURL* easy) {
+    to.started = std::chrono::steady_clock::now();
     to.easy = easy;
     to.headers = make_headers(to.call);
     curl_easy_setopt(easy, CURLOPT_URL, to.call.url.c_str());
@@ -190,6 +212,26 @@
     return std::exchange(from.easy, nullptr);
 }
 
+http_call_use measure_use(const transfer& from, CURLcode code) {
+    long request_bytes = 0;
+    long header_bytes = 0;
+    curl_easy_getinfo(from.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
+    curl_easy_getinfo(from.easy, CURLINFO_HEADER_SIZE, &header_bytes);
+    http_call_use use;
+    use.label = from.call.label;
+    use.sent_bytes = static_cast<std::uint64_t>(request_bytes);
+    // libcurl sends a small body with the headers and then counts it as part of the request.
+    if (from.call.body.size() > largest_inline_body) {
+        use.sent_bytes += read_count(from, CURLINFO_SIZE_UPLOAD_T);
+    }
+    use.received_bytes =
+        static_cast<std::uint64_t>(header_bytes) + read_count(from, CURLINFO_SIZE_DOWNLOAD_T);
+    use.ready = time_until(from, CURLINFO_PRETRANSFER_TIME_T);
+    use.first_byte = time_until(from, CURLINFO_STARTTRANSFER_TIME_T);
+    use.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+    return use;
+}
+
 http_call_result finish_transfer(transfer& from, CURLcode code) {
     long sent_bytes = 0;
     curl_easy_getinfo(from.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
--- a/src/http_transfer.hpp
+++ b/src/http_transfer.hpp
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 
+#include <chrono>
 #include <optional>
 
 namespace fulmar {
@@ -14,6 +15,9 @@
     http_stream_events events;
     bool streaming = false;
 
+    std::chrono::steady_clock::time_point submitted;
+    std::chrono::steady_clock::time_point started; // passed to libcurl
+
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
     http_response response;
@@ -32,6 +36,9 @@
 // Frees the resources allocated by prepare_transfer and returns the handle for reuse.
 CURL* release_transfer(transfer& from);
 
+// Returns the use of the link by a transfer that ends with libcurl's result `code`.
+http_call_use measure_use(const transfer& from, CURLcode code);
+
 // Converts libcurl's result to the result of the call.
 http_call_result finish_transfer(transfer& from, CURLcode code);
 
--- a/src/net_peer_link.cpp
+++ b/src/net_peer_link.cpp
@@ -21,6 +21,9 @@
 
 constexpr std::string_view call_prefix = "/peer/";
 
+// Counted instead of the method of a call that failed, which may be any text.
+const std::string failed_calls = "failed";
+
 } // namespace
 
 struct net_peer_link::state {
@@ -54,6 +57,9 @@
                                   if (empty) {
                                       break;
                                   }
+                                  if (handlers.on_received) {
+                                      handlers.on_received(size);
+                                  }
                                   handlers.on_datagram(std::string(buffer.data(), size));
                               }
                               if (*alive) {
@@ -101,17 +107,24 @@
             respond(error_response({error_kind::not_found, "no such method"}));
             return;
         }
-        asio::post(raw->io,
-                   [raw, alive, request = std::move(request), respond = std::move(respond)] {
-                       if (!*alive) {
-                           return;
-                       }
-                       raw->handlers.on_call(request.path.substr(call_prefix.size()), request.body,
-                                             [respond](result<std::string> reply) {
-                                                 respond(reply ? json_response(200, reply.value())
-                                                               : error_response(reply.error()));
-                                             });
-                   });
+        asio::post(raw->io, [raw, alive, request = std::move(request),
+                             respond = std::move(respond)] {
+            if (!*alive) {
+                return;
+            }
+            const auto method = request.path.substr(call_prefix.size());
+            raw->handlers.on_call(method, request.body,
+                                  [raw, alive, method, received = request.body.size(),
+                                   respond](result<std::string> reply) {
+                                      auto response = reply ? json_response(200, reply.value())
+                                                            : error_response(reply.error());
+                                      if (*alive && raw->handlers.on_served) {
+                                          raw->handlers.on_served(reply ? method : failed_calls,
+                                                                  received, response.body.size());
+                                      }
+                                      respond(std::move(response));
+                                  });
+        });
     });
     if (!server) {
         return server.error();
@@ -122,14 +135,18 @@
 }
 
 void net_peer_link::send(const socket_address& to, const std::string& datagram) {
-    asio::error_code ignored; // the next datagram replaces a lost one
-    const auto host = asio::ip::make_address(to.host, ignored);
-    state_->socket.send_to(asio::buffer(datagram), {host, to.port}, 0, ignored);
+    asio::error_code failure; // the next datagram replaces a lost one
+    const auto host = asio::ip::make_address(to.host, failure);
+    state_->socket.send_to(asio::buffer(datagram), {host, to.port}, 0, failure);
+    if (!failure && state_->handlers.on_sent) {
+        state_->handlers.on_sent(datagram.size());
+    }
 }
 
 void net_peer_link::call(const socket_address& to, const std::string& method, std::string body,
                          duration timeout, peer_reply done) {
     http_call call;
+    call.label = "peer." + method;
     call.method = "POST";
     call.url = "http://" + to_string(to) + std::string(call_prefix) + method;
     call.body = std::move(body);
--- a/src/net_peer_link.hpp
+++ b/src/net_peer_link.hpp
@@ -7,6 +7,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,6 +19,13 @@
     std::function<void(const std::string& datagram)> on_datagram;
     std::function<void(const std::string& method, const std::string& body, peer_reply reply)>
         on_call;
+    // Called with the size of each datagram that was received, or passed to the system to be sent.
+    std::function<void(std::size_t bytes)> on_received{};
+    std::function<void(std::size_t bytes)> on_sent{};
+    // Called with the sizes of the bodies of each answered call; the method is "failed" if the
+    // answer is an error.
+    std::function<void(const std::string& method, std::size_t received, std::size_t sent)>
+        on_served{};
 };
 
 class net_peer_link final : public peer_link {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -267,4 +267,87 @@
     ended.set_value();
 }
 
+// Guards against figures of a call that omit its body, the headers or what arrived of a response
+// that was cut off by the time limit.
+TEST_CASE("the use of the link is what the server sent and received", "[http_client]") {
+    const auto body_bytes = GENERATE(std::size_t(0), std::size_t(1'000), std::size_t(300'000));
+    const bool cut_off = GENERATE(false, true);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+                               std::string(cut_off ? 4'000 : 5'000, 'x');
+    std::promise<void> ended;
+    std::string seen;
+    raw_server server([&, end = ended.get_future().share()](raw_peer& peer, raw_server&) {
+        seen = read_head(peer);
+        seen += body_bytes > 0 ? peer.read_until("end") : "";
+        peer.send(answer);
+        if (cut_off) {
+            end.wait();
+        }
+        return false;
+    });
+    std::vector<http_call_use> uses;
+    {
+        http_client client;
+        client.on_use([&](const http_call_use& use) {
+            uses.push_back(use);
+            CHECK(use.label == "store.get");
+        });
+        auto call = make_call(server.url());
+        call.label = "store.get";
+        call.method = "POST";
+        call.body = body_bytes > 0 ? std::string(body_bytes - 3, 'y') + "end" : "";
+        if (cut_off) {
+            call.timeout = duration(3'000);
+        }
+        CHECK(call_and_wait(client, std::move(call)).response.has_value() != cut_off);
+    }
+    ended.set_value();
+    REQUIRE(uses.size() == 1);
+    CHECK(uses[0].sent_bytes == seen.size());
+    CHECK(uses[0].received_bytes == answer.size());
+    CHECK(uses[0].timed_out == cut_off);
+    REQUIRE(uses[0].ready);
+    REQUIRE(uses[0].first_byte);
+    CHECK(*uses[0].first_byte >= *uses[0].ready);
+}
+
+// Guards against a time to the first byte that counts only the transfer, or is reported although
+// nothing arrived.
+TEST_CASE("the time to the first byte includes the wait for it", "[http_client]") {
+    constexpr duration pause{200};
+    const bool answers = GENERATE(true, false);
+    std::promise<void> ended;
+    raw_server server([&, end = ended.get_future().share()](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        if (answers) {
+            std::this_thread::sleep_for(pause);
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            end.wait();
+        }
+        return false;
+    });
+    std::vector<http_call_use> uses;
+    {
+        http_client client;
+        client.on_use([&](const http_call_use& use) { uses.push_back(use); });
+        auto call = make_call(server.url());
+        call.label = "store.get";
+        if (!answers) {
+            call.timeout = duration(500);
+        }
+        call_and_wait(client, call);
+        call.label = ""; // not reported
+        call.timeout = duration(1);
+        call_and_wait(client, std::move(call));
+    }
+    ended.set_value();
+    REQUIRE(uses.size() == 1);
+    CHECK(uses[0].first_byte.has_value() == answers);
+    if (answers) {
+        CHECK(*uses[0].first_byte >= pause);
+    }
+    CHECK(uses[0].timed_out != answers);
+}
+
 } // namespace fulmar
--- a/tests/net_peer_link_test.cpp
+++ b/tests/net_peer_link_test.cpp
@@ -44,3 +44,52 @@
     }
     CHECK(received == count);
 }
+
+// Guards against traffic between hosts that no figure shows: datagrams, and the bodies of calls on
+// the side that answers them. The name of a method that doesn't exist must not become a metric's.
+TEST_CASE("the bytes of datagrams and of answered calls are reported") {
+    asio::io_context io(1);
+    http_client http(io);
+    std::vector<std::string> labels;
+    http.on_use([&](const http_call_use& use) { labels.emplace_back(use.label); });
+    std::size_t received = 0;
+    std::size_t sent = 0;
+    std::vector<std::string> served;
+    peer_handlers handlers;
+    handlers.on_datagram = [](const std::string&) {};
+    handlers.on_call = [](const std::string& method, const std::string& body,
+                          const peer_reply& reply) {
+        if (method == "room") {
+            reply(body + "!");
+        } else {
+            reply(error{error_kind::not_found, ""});
+        }
+    };
+    handlers.on_received = [&](std::size_t bytes) { received += bytes; };
+    handlers.on_sent = [&](std::size_t bytes) { sent += bytes; };
+    handlers.on_served = [&](const std::string& method, std::size_t in, std::size_t out) {
+        served.push_back(method + " " + std::to_string(in) +
+                         (method == "room" ? " " + std::to_string(out) : ""));
+    };
+    asio::ip::udp::socket probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+    const socket_address address{"127.0.0.1", probe.local_endpoint().port()};
+    probe.close();
+    auto link = net_peer_link::open(address, io, http, handlers);
+    REQUIRE(link);
+
+    int replies = 0;
+    link.value()->send(address, std::string(1'200, 'x'));
+    link.value()->call(address, "room", "abc", duration(60'000), [&](result<std::string> reply) {
+        REQUIRE(reply);
+        ++replies;
+        link.value()->call(address, "anything", "abcd", duration(60'000),
+                           [&](const result<std::string>&) { ++replies; });
+    });
+    while (replies < 2 || received == 0) {
+        REQUIRE(io.run_one_for(std::chrono::seconds(60)) == 1);
+    }
+    CHECK(sent == 1'200);
+    CHECK(received == 1'200);
+    CHECK(served == std::vector<std::string>{"room 3 4", "failed 4"});
+    CHECK(labels == std::vector<std::string>{"peer.room", "peer.anything"});
+}
--- a/tests/raw_peer.hpp
+++ b/tests/raw_peer.hpp
@@ -100,6 +100,8 @@
         return "http://127.0.0.1:" + std::to_string(port_) + path;
     }
 
+    std::uint16_t port() const { return port_; }
+
     // Refuses all further connections.
     void close_listener() { shutdown(acceptor_.native_handle(), SHUT_RDWR); }
 
