--- a/include/fulmar/http_client.hpp
+++ b/include/fulmar/http_client.hpp
@@ -104,7 +104,7 @@
 
     // Sets a function that receives the use of each labelled call right before its end is reported.
     // It runs on the client's threads and must be set before the first call.
-    void on_use(std::function<void(const http_call_use&)> observer);
+    void on_use(const std::function<void(const http_call_use&)>& observer);
 
     // Starts a call; `done` runs on the client's thread and must not block.
     void submit(http_call call, std::function<void(http_call_result)> done);
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -61,7 +61,7 @@
     }
 }
 
-void http_client::on_use(std::function<void(const http_call_use&)> observer) {
+void http_client::on_use(const std::function<void(const http_call_use&)>& observer) {
     for (const auto& thread : state_->threads) {
         thread->on_use(observer);
     }
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -299,7 +299,8 @@
         if (cut_off) {
             call.timeout = duration(3'000);
         }
-        CHECK(call_and_wait(client, std::move(call)).response.has_value() != cut_off);
+        const auto outcome = call_and_wait(client, std::move(call));
+        CHECK(outcome.response.has_value() != cut_off);
     }
     ended.set_value();
     REQUIRE(uses.size() == 1);
