http_client, wire_store: limit reads of the store by progress

A list of the store had 1 s for the whole transfer, whatever its size. A page of up to 1 MB takes 0.8 s on a link of 10 Mbit/s and longer beside others, so pages and the replies of watches that were still arriving were thrown away and requested again, over the same full link.

A call may have stall_timeout, after which it fails without progress, and first_byte_timeout, which replaces it until the response begins. A timer of the client checks both: libcurl's check of the speed has whole seconds, and its progress function depends on being called while nothing arrives. The connection of a stalled call is closed. A list fails after 1 s without progress, as before if there is no answer, and after 5 s in any case. A watch may take its wait and 1 s until its first byte, then 1 s without progress, and its wait and 5 s in all. Other calls keep their limits.

Evidence: a list had the limit that a get still has; in the new test a page that arrives in parts over 2 s fails a get with a timeout, while the list and the watch succeed. Responses that stop before the first byte, within the headers or within the body fail after the limit, and the next call gets a new connection.

--- a/include/fulmar/http_client.hpp
+++ b/include/fulmar/http_client.hpp
@@ -26,6 +26,12 @@
     std::string body;
     duration timeout{5'000};
     duration connect_timeout{1'000};
+    // Time without progress after which the call fails with a timeout, so that `timeout` can allow
+    // for the size of the response; 0: no such limit. Progress is a complete header line or a part
+    // of the body. The time until the first byte counts from submit().
+    duration stall_timeout{0};
+    // Replaces stall_timeout until the first progress, unless it is 0.
+    duration first_byte_timeout{0};
     // libcurl sends a request again if its reused connection was closed before a response. A
     // request that must not be sent twice therefore needs a new connection.
     bool fresh_connection = false;
--- a/src/http_client_thread.cpp
+++ b/src/http_client_thread.cpp
@@ -80,6 +80,8 @@
     asio::post(io_, [this, target = std::move(target)] {
         const auto found = target.lock();
         if (found && found->easy != nullptr) {
+            found->paused = false;
+            record_progress(*found);
             curl_easy_pause(found->easy, CURLPAUSE_CONT);
             process_event(CURL_SOCKET_TIMEOUT, 0);
         }
@@ -212,12 +214,12 @@
         const std::lock_guard lock(mutex_);
         batch.swap(submitted_);
     }
-    for (auto& next : batch) {
-        start(std::move(next));
+    for (const auto& next : batch) {
+        start(next);
     }
 }
 
-void client_thread::start(std::shared_ptr<transfer> next) {
+void client_thread::start(const std::shared_ptr<transfer>& next) {
     if (const auto problem = validate_call(next->call)) {
         next->events.on_end({*problem, false});
         return;
@@ -233,10 +235,42 @@
     prepare_transfer(*next, easy);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
-    running_.emplace(easy, std::move(next));
+    running_.emplace(easy, next);
+    watch_progress(next);
     curl_multi_add_handle(multi_, easy);
 }
 
+// Ends the transfer once it has made no progress for its limit. libcurl's own check of the speed
+// has a resolution of a second. After a delay of the thread, data that has arrived counts, as the
+// event loop handles sockets before the timers that have expired.
+void client_thread::watch_progress(const std::shared_ptr<transfer>& target) {
+    const auto limit = progress_limit(*target);
+    if (!limit) {
+        return;
+    }
+    if (!target->progress_timer) {
+        target->progress_timer = std::make_unique<asio::steady_timer>(io_);
+    }
+    target->progress_timer->expires_at(target->last_progress + *limit);
+    // The first progress cancels the timer, as another limit applies from then on.
+    target->progress_timer->async_wait(
+        [this, weak = std::weak_ptr(target)](const asio::error_code& /*cancelled*/) {
+            const auto found = weak.lock();
+            if (!found || found->easy == nullptr) {
+                return;
+            }
+            if (found->paused) {
+                record_progress(*found);
+            }
+            const auto current = progress_limit(*found);
+            if (current && std::chrono::steady_clock::now() >= found->last_progress + *current) {
+                complete(found->easy, CURLE_OPERATION_TIMEDOUT);
+                return;
+            }
+            watch_progress(found);
+        });
+}
+
 // Removes one transfer and reports its result.
 void client_thread::complete(CURL* easy, CURLcode code) {
     auto node = running_.extract(easy);
--- a/src/http_client_thread.hpp
+++ b/src/http_client_thread.hpp
@@ -55,7 +55,8 @@
     void wait_for_events(curl_socket_t socket, const std::shared_ptr<watched_socket>& watched);
     void process_event(curl_socket_t socket, int events);
     void start_submitted();
-    void start(std::shared_ptr<transfer> next);
+    void start(const std::shared_ptr<transfer>& next);
+    void watch_progress(const std::shared_ptr<transfer>& target);
     void complete(CURL* easy, CURLcode code);
     void collect_finished();
     void configure_multi();
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -64,6 +64,10 @@
 
 std::size_t receive_header(char* data, std::size_t size, std::size_t count, void* user) {
     auto& to = *static_cast<transfer*>(user);
+    record_progress(to);
+    if (!std::exchange(to.progressed, true) && to.progress_timer) {
+        to.progress_timer->cancel();
+    }
     const std::string_view line(data, size * count);
     to.header_bytes += line.size();
     if (to.header_bytes > response_header_limit) {
@@ -92,8 +96,10 @@
 std::size_t receive_body(char* data, std::size_t size, std::size_t count, void* user) {
     auto& to = *static_cast<transfer*>(user);
     const std::string_view part(data, size * count);
+    record_progress(to);
     if (to.streaming) {
-        return to.events.on_data(part) ? part.size() : CURL_WRITEFUNC_PAUSE;
+        to.paused = !to.events.on_data(part);
+        return to.paused ? CURL_WRITEFUNC_PAUSE : part.size();
     }
     if (to.response.body.size() + part.size() > to.call.response_limit_bytes) {
         to.abort_reason = "the response body is larger than the limit";
@@ -174,6 +180,7 @@
 
 void prepare_transfer(transfer& to, CURL* easy) {
     to.started = std::chrono::steady_clock::now();
+    to.last_progress = to.submitted;
     to.easy = easy;
     to.headers = make_headers(to.call);
     curl_easy_setopt(easy, CURLOPT_URL, to.call.url.c_str());
@@ -208,10 +215,21 @@
 }
 
 CURL* release_transfer(transfer& from) {
+    from.progress_timer.reset();
     curl_slist_free_all(std::exchange(from.headers, nullptr));
     return std::exchange(from.easy, nullptr);
 }
 
+std::optional<duration> progress_limit(const transfer& of) {
+    const bool first = !of.progressed && of.call.first_byte_timeout.count() > 0;
+    const auto limit = first ? of.call.first_byte_timeout : of.call.stall_timeout;
+    return limit.count() > 0 ? std::optional(limit) : std::nullopt;
+}
+
+void record_progress(transfer& of) {
+    of.last_progress = std::chrono::steady_clock::now();
+}
+
 http_call_use measure_use(const transfer& from, CURLcode code) {
     long request_bytes = 0;
     long header_bytes = 0;
--- a/src/http_transfer.hpp
+++ b/src/http_transfer.hpp
@@ -3,9 +3,11 @@
 
 #include "fulmar/http_client.hpp"
 
+#include <asio/steady_timer.hpp>
 #include <curl/curl.h>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 
 namespace fulmar {
@@ -18,6 +20,11 @@
     std::chrono::steady_clock::time_point submitted;
     std::chrono::steady_clock::time_point started; // passed to libcurl
 
+    std::chrono::steady_clock::time_point last_progress;  // submit() before the first one
+    bool progressed = false;                              // something of the response arrived
+    bool paused = false;                                  // by the receiver of a streamed body
+    std::unique_ptr<asio::steady_timer> progress_timer{}; // null without a limit
+
     CURL* easy = nullptr;
     curl_slist* headers = nullptr;
     http_response response;
@@ -33,9 +40,15 @@
 // Configures a libcurl handle for a transfer.
 void prepare_transfer(transfer& to, CURL* easy);
 
-// Frees the resources allocated by prepare_transfer and returns the handle for reuse.
+// Frees the resources of a transfer that has ended and returns the handle for reuse.
 CURL* release_transfer(transfer& from);
 
+// Returns how long the transfer may go on without progress, or nullopt if there is no limit.
+std::optional<duration> progress_limit(const transfer& of);
+
+// Restarts the time without progress.
+void record_progress(transfer& of);
+
 // Returns the use of the link by a transfer that ends with libcurl's result `code`.
 http_call_use measure_use(const transfer& from, CURLcode code);
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include "raw_peer.hpp"
 
+#include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -351,4 +352,137 @@
     CHECK(uses[0].timed_out != answers);
 }
 
+// Guards against a large response that fails by the time it takes although it keeps arriving.
+TEST_CASE("a response that keeps arriving may take longer than the stall limit", "[http_client]") {
+    constexpr int parts = 30;
+    constexpr duration pause{100};
+    constexpr duration stall_limit{2'000}; // 20 times the pause, and less than all pauses together
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) + "\r\n\r\n");
+        for (int i = 0; i < parts; ++i) {
+            std::this_thread::sleep_for(pause);
+            peer.send("x");
+        }
+        return false;
+    });
+    http_client client;
+    auto call = make_call(server.url());
+    call.stall_timeout = stall_limit;
+    const auto started = std::chrono::steady_clock::now();
+    const auto outcome = call_and_wait(client, std::move(call));
+    CHECK(std::chrono::steady_clock::now() - started > stall_limit);
+    REQUIRE(outcome.response);
+    CHECK(outcome.response.value().body == std::string(parts, 'x'));
+}
+
+// Guards against a response without progress that is waited for until the total limit, and against
+// the rest of it being taken for the response to the next call.
+TEST_CASE("a response without progress fails and closes its connection", "[http_client]") {
+    struct stall_row {
+        std::string sent; // before the server stops
+        duration stall_limit;
+        duration first_byte_limit{0};
+    };
+    constexpr duration limit{1'000};
+    const auto row = GENERATE_REF(
+        values<stall_row>({{"", limit},
+                           {"", test_timeout, limit},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", limit},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", limit, test_timeout},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", limit}}));
+    std::atomic<int> connections{0};
+    std::atomic<bool> closed{false};
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        if (++connections > 1) {
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+            return false;
+        }
+        peer.send(row.sent);
+        const auto waiting = std::chrono::steady_clock::now();
+        peer.read_all();
+        // Otherwise the read ended by its own time limit.
+        closed = std::chrono::steady_clock::now() - waiting < test_timeout / 2;
+        return true;
+    });
+    http_client client;
+    auto call = make_call(server.url());
+    call.stall_timeout = row.stall_limit;
+    call.first_byte_timeout = row.first_byte_limit;
+    const auto started = std::chrono::steady_clock::now();
+    const auto outcome = call_and_wait(client, std::move(call));
+    const auto passed = std::chrono::steady_clock::now() - started;
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.request_sent);
+    CHECK(outcome.response.error().kind == error_kind::timeout);
+    CHECK(passed >= limit);
+    CHECK(passed < test_timeout / 2);
+    const auto next = call_and_wait(client, make_call(server.url()));
+    REQUIRE(next.response);
+    CHECK(next.response.value().body == "next");
+    CHECK(connections == 2);
+    CHECK(closed);
+}
+
+// Guards against a call that may wait for its first byte, and fails by the limit of what follows.
+TEST_CASE("the limit of the first byte replaces the stall limit until then", "[http_client]") {
+    const bool stall_limited = GENERATE(true, false);
+    constexpr duration stall_limit{500};
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        std::this_thread::sleep_for(stall_limit * 3);
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+        return false;
+    });
+    http_client client;
+    auto call = make_call(server.url());
+    call.stall_timeout = stall_limited ? stall_limit : duration(0);
+    call.first_byte_timeout = test_timeout;
+    const auto outcome = call_and_wait(client, std::move(call));
+    CHECK(outcome.response);
+}
+
+// Guards against a caller whose own delay, or pause of the transfer, fails a response that arrives.
+TEST_CASE("a delay of the caller is no stall of the response", "[http_client]") {
+    constexpr duration stall_limit{1'000};
+    const bool pauses = GENERATE(false, true);
+    const std::string body(200'000, 'x');
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        peer.send(body);
+        return false;
+    });
+    asio::io_context io(1);
+    http_client client(io);
+    auto call = make_call(server.url());
+    call.stall_timeout = stall_limit;
+    std::optional<http_call_result> end;
+    std::string received;
+    std::optional<http_transfer> transfer;
+    bool delayed = false;
+    asio::steady_timer continuation(io);
+    http_stream_events events;
+    events.on_data = [&](std::string_view part) {
+        if (!std::exchange(delayed, true)) {
+            if (pauses) {
+                continuation.expires_after(stall_limit * 3);
+                continuation.async_wait([&](const asio::error_code&) { transfer->resume(); });
+                return false;
+            }
+            std::this_thread::sleep_for(stall_limit * 2);
+        }
+        received += part;
+        return true;
+    };
+    events.on_end = [&](http_call_result outcome) { end = std::move(outcome); };
+    transfer = client.stream(std::move(call), std::move(events));
+    while (!end) {
+        REQUIRE(io.run_one_for(test_timeout) == 1);
+    }
+    CHECK(end->response);
+    CHECK(received == body);
+}
+
 } // namespace fulmar
--- a/tests/wire_calls_test.cpp
+++ b/tests/wire_calls_test.cpp
@@ -22,8 +22,91 @@
     });
 }
 
+// A client of the platform's store on its own loop, and the error kind of a call or nullopt.
+struct store_calls {
+    asio::io_context io{1};
+    http_client http{io};
+    wire_store store;
+
+    explicit store_calls(const raw_server& server)
+        : store(http, {"127.0.0.1", server.port()}) {}
+
+    template <class Start>
+    std::optional<error_kind> run(Start start) {
+        std::optional<std::optional<error_kind>> ended;
+        start(store, [&](const auto& reply) {
+            ended = reply ? std::nullopt : std::optional(reply.error().kind);
+        });
+        while (!ended) {
+            REQUIRE(io.run_one_for(std::chrono::seconds(60)) == 1);
+        }
+        return *ended;
+    }
+};
+
+constexpr duration watch_wait{500};
+
+const auto get_key = [](wire_store& store, const auto& done) { store.get("op/a", done); };
+const auto list_keys = [](wire_store& store, const auto& done) {
+    store.list("op/", "", read_mode::linearizable, done);
+};
+const auto watch_keys = [](wire_store& store, const auto& done) {
+    store.watch("op/", revision_number{1}, watch_wait, done);
+};
+
 } // namespace
 
+// A page of 1 MB over a slow link had the same second as a small reply, was thrown away whole and
+// requested again.
+TEST_CASE("pages and watches of the store that keep arriving may take longer than a second") {
+    constexpr int parts = 20;
+    constexpr duration pause{100}; // a tenth of the limit without progress
+    const std::string body = R"({"atRev":9,"items":[],"events":[]})";
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        peer.read_until("\r\n\r\n");
+        peer.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+                  std::to_string(body.size() + parts) + "\r\n\r\n");
+        for (int i = 0; i < parts && peer.send(" "); ++i) {
+            std::this_thread::sleep_for(pause);
+        }
+        peer.send(body);
+        return true;
+    });
+    store_calls calls(server);
+    CHECK(calls.run(list_keys) == std::nullopt);
+    CHECK(calls.run(watch_keys) == std::nullopt);
+    CHECK(calls.run(get_key) == error_kind::timeout);
+}
+
+// Guards against a silent store that is noticed later because responses that arrive may take
+// longer.
+TEST_CASE("a silent store fails reads after a second, and watches a second after their wait") {
+    const bool begins = GENERATE(false, true); // stops within the response
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        peer.read_until("\r\n\r\n");
+        if (begins) {
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{");
+        }
+        peer.read_all();
+        return true;
+    });
+    constexpr duration limit{1'000};
+    constexpr duration latest{4'000}; // below the total limit
+    store_calls calls(server);
+    const auto take_time = [&](const auto& start) {
+        const auto started = std::chrono::steady_clock::now();
+        CHECK(calls.run(start) == error_kind::timeout);
+        return std::chrono::steady_clock::now() - started;
+    };
+    const auto list_time = take_time(list_keys);
+    CHECK(list_time >= limit);
+    CHECK(list_time < latest);
+    const auto watch_time = take_time(watch_keys);
+    CHECK(watch_time >= (begins ? limit : watch_wait + limit));
+    CHECK(watch_time < latest);
+    CHECK(take_time(get_key) < latest);
+}
+
 // Guards against a kind of call whose bytes no figure shows, and against a label for each key.
 TEST_CASE("each kind of call to the store and to workers has its own label") {
     const auto server = make_refusing_server();
