--- a/tests/net_peer_link_test.cpp
+++ b/tests/net_peer_link_test.cpp
@@ -79,12 +79,13 @@
 
     int replies = 0;
     link.value()->send(address, std::string(1'200, 'x'));
-    link.value()->call(address, "room", "abc", duration(60'000), [&](result<std::string> reply) {
-        REQUIRE(reply);
-        ++replies;
-        link.value()->call(address, "anything", "abcd", duration(60'000),
-                           [&](const result<std::string>&) { ++replies; });
-    });
+    link.value()->call(address, "room", "abc", duration(60'000),
+                       [&](const result<std::string>& reply) {
+                           REQUIRE(reply);
+                           ++replies;
+                           link.value()->call(address, "anything", "abcd", duration(60'000),
+                                              [&](const result<std::string>&) { ++replies; });
+                       });
     while (replies < 2 || received == 0) {
         REQUIRE(io.run_one_for(std::chrono::seconds(60)) == 1);
     }
