--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include "raw_peer.hpp"
 
+#include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include <atomic>
@@ -267,4 +268,221 @@
     ended.set_value();
 }
 
+// Guards against figures of a call that omit its body, the headers or what arrived of a response
+// that was cut off by the time limit.
+TEST_CASE("the use of the link is what the server sent and received", "[http_client]") {
+    const auto body_bytes = GENERATE(std::size_t(0), std::size_t(1'000), std::size_t(300'000));
+    const bool cut_off = GENERATE(false, true);
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+                               std::string(cut_off ? 4'000 : 5'000, 'x');
+    std::promise<void> ended;
+    std::string seen;
+    raw_server server([&, end = ended.get_future().share()](raw_peer& peer, raw_server&) {
+        seen = read_head(peer);
+        seen += body_bytes > 0 ? peer.read_until("end") : "";
+        peer.send(answer);
+        if (cut_off) {
+            end.wait();
+        }
+        return false;
+    });
+    std::vector<http_call_use> uses;
+    {
+        http_client client;
+        client.on_use([&](const http_call_use& use) {
+            uses.push_back(use);
+            CHECK(use.label == "store.get");
+        });
+        auto call = make_call(server.url());
+        call.label = "store.get";
+        call.method = "POST";
+        call.body = body_bytes > 0 ? std::string(body_bytes - 3, 'y') + "end" : "";
+        if (cut_off) {
+            call.timeout = duration(3'000);
+        }
+        const auto outcome = call_and_wait(client, std::move(call));
+        CHECK(outcome.response.has_value() != cut_off);
+    }
+    ended.set_value();
+    REQUIRE(uses.size() == 1);
+    CHECK(uses[0].sent_bytes == seen.size());
+    CHECK(uses[0].received_bytes == answer.size());
+    CHECK(uses[0].timed_out == cut_off);
+    REQUIRE(uses[0].ready);
+    REQUIRE(uses[0].first_byte);
+    CHECK(*uses[0].first_byte >= *uses[0].ready);
+}
+
+// Guards against a time to the first byte that counts only the transfer, or is reported although
+// nothing arrived.
+TEST_CASE("the time to the first byte includes the wait for it", "[http_client]") {
+    constexpr duration pause{200};
+    const bool answers = GENERATE(true, false);
+    std::promise<void> ended;
+    raw_server server([&, end = ended.get_future().share()](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        if (answers) {
+            std::this_thread::sleep_for(pause);
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            end.wait();
+        }
+        return false;
+    });
+    std::vector<http_call_use> uses;
+    {
+        http_client client;
+        client.on_use([&](const http_call_use& use) { uses.push_back(use); });
+        auto call = make_call(server.url());
+        call.label = "store.get";
+        if (!answers) {
+            call.timeout = duration(500);
+        }
+        call_and_wait(client, call);
+        call.label = ""; // not reported
+        call.timeout = duration(1);
+        call_and_wait(client, std::move(call));
+    }
+    ended.set_value();
+    REQUIRE(uses.size() == 1);
+    CHECK(uses[0].first_byte.has_value() == answers);
+    if (answers) {
+        CHECK(*uses[0].first_byte >= pause);
+    }
+    CHECK(uses[0].timed_out != answers);
+}
+
+// Guards against a large response that fails by the time it takes although it keeps arriving.
+TEST_CASE("a response that keeps arriving may take longer than the stall limit", "[http_client]") {
+    constexpr int parts = 30;
+    constexpr duration pause{100};
+    constexpr duration stall_limit{2'000}; // 20 times the pause, and less than all pauses together
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(parts) + "\r\n\r\n");
+        for (int i = 0; i < parts; ++i) {
+            std::this_thread::sleep_for(pause);
+            peer.send("x");
+        }
+        return false;
+    });
+    http_client client;
+    auto call = make_call(server.url());
+    call.stall_timeout = stall_limit;
+    const auto started = std::chrono::steady_clock::now();
+    const auto outcome = call_and_wait(client, std::move(call));
+    CHECK(std::chrono::steady_clock::now() - started > stall_limit);
+    REQUIRE(outcome.response);
+    CHECK(outcome.response.value().body == std::string(parts, 'x'));
+}
+
+// Guards against a response without progress that is waited for until the total limit, and against
+// the rest of it being taken for the response to the next call.
+TEST_CASE("a response without progress fails and closes its connection", "[http_client]") {
+    struct stall_row {
+        std::string sent; // before the server stops
+        duration stall_limit;
+        duration first_byte_limit{0};
+    };
+    constexpr duration limit{1'000};
+    const auto row = GENERATE_REF(
+        values<stall_row>({{"", limit},
+                           {"", test_timeout, limit},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n", limit},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", limit, test_timeout},
+                           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", limit}}));
+    std::atomic<int> connections{0};
+    std::atomic<bool> closed{false};
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        if (++connections > 1) {
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnext");
+            return false;
+        }
+        peer.send(row.sent);
+        const auto waiting = std::chrono::steady_clock::now();
+        peer.read_all();
+        // Otherwise the read ended by its own time limit.
+        closed = std::chrono::steady_clock::now() - waiting < test_timeout / 2;
+        return true;
+    });
+    http_client client;
+    auto call = make_call(server.url());
+    call.stall_timeout = row.stall_limit;
+    call.first_byte_timeout = row.first_byte_limit;
+    const auto started = std::chrono::steady_clock::now();
+    const auto outcome = call_and_wait(client, std::move(call));
+    const auto passed = std::chrono::steady_clock::now() - started;
+    REQUIRE_FALSE(outcome.response);
+    CHECK(outcome.request_sent);
+    CHECK(outcome.response.error().kind == error_kind::timeout);
+    CHECK(passed >= limit);
+    CHECK(passed < test_timeout / 2);
+    const auto next = call_and_wait(client, make_call(server.url()));
+    REQUIRE(next.response);
+    CHECK(next.response.value().body == "next");
+    CHECK(connections == 2);
+    CHECK(closed);
+}
+
+// Guards against a call that may wait for its first byte, and fails by the limit of what follows.
+TEST_CASE("the limit of the first byte replaces the stall limit until then", "[http_client]") {
+    const bool stall_limited = GENERATE(true, false);
+    constexpr duration stall_limit{500};
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        std::this_thread::sleep_for(stall_limit * 3);
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na");
+        return false;
+    });
+    http_client client;
+    auto call = make_call(server.url());
+    call.stall_timeout = stall_limited ? stall_limit : duration(0);
+    call.first_byte_timeout = test_timeout;
+    const auto outcome = call_and_wait(client, std::move(call));
+    CHECK(outcome.response);
+}
+
+// Guards against a caller whose own delay, or pause of the transfer, fails a response that arrives.
+TEST_CASE("a delay of the caller is no stall of the response", "[http_client]") {
+    constexpr duration stall_limit{1'000};
+    const bool pauses = GENERATE(false, true);
+    const std::string body(200'000, 'x');
+    raw_server server([&](raw_peer& peer, raw_server&) {
+        read_head(peer);
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n");
+        peer.send(body);
+        return false;
+    });
+    asio::io_context io(1);
+    http_client client(io);
+    auto call = make_call(server.url());
+    call.stall_timeout = stall_limit;
+    std::optional<http_call_result> end;
+    std::string received;
+    std::optional<http_transfer> transfer;
+    bool delayed = false;
+    asio::steady_timer continuation(io);
+    http_stream_events events;
+    events.on_data = [&](std::string_view part) {
+        if (!std::exchange(delayed, true)) {
+            if (pauses) {
+                continuation.expires_after(stall_limit * 3);
+                continuation.async_wait([&](const asio::error_code&) { transfer->resume(); });
+                return false;
+            }
+            std::this_thread::sleep_for(stall_limit * 2);
+        }
+        received += part;
+        return true;
+    };
+    events.on_end = [&](http_call_result outcome) { end = std::move(outcome); };
+    transfer = client.stream(std::move(call), std::move(events));
+    while (!end) {
+        REQUIRE(io.run_one_for(test_timeout) == 1);
+    }
+    CHECK(end->response);
+    CHECK(received == body);
+}
+
 } // namespace fulmar
