Simulation: regions, bytes of the operators' keys, kept logs, hung prefixes

- order_bytes_read() counts the bytes of values below "op/" that the store returned to a host, by get, list and watch.
- hang_watches() leaves all watches of keys that start with the prefix without answers, not only watches of exactly that prefix; the present callers see no difference, as each names the whole prefix of one view.
- The simulated configuration holds each queue's host and prefix, as find_queue() needs them.

Checked: the 13 cases of shard_ownership_test, host_sim_test, host_faults_test, long_running_tasks_test and odd_worker_entries_test pass (linked against the library of the daemon; a full build of fulmar_tests was not run).

--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -30,15 +30,25 @@
         , incarnation_(incarnation) {}
 
     void get(const std::string& key, store_callback<std::optional<store_entry>> done) override {
-        call<std::optional<store_entry>>(std::move(done), false,
-                                         [this, key] { return world_.store_.get(key); });
+        call<std::optional<store_entry>>(std::move(done), false, [this, key] {
+            auto entry = world_.store_.get(key);
+            if (entry) {
+                world_.hosts_[host_]->count_order_bytes(*entry);
+            }
+            return entry;
+        });
     }
 
     void list(const std::string& prefix, const std::string& after, read_mode /*mode*/,
               store_callback<store_page> done) override {
         constexpr std::size_t page = 100;
-        call<store_page>(std::move(done), false,
-                         [this, prefix, after] { return world_.store_.list(prefix, after, page); });
+        call<store_page>(std::move(done), false, [this, prefix, after] {
+            auto received = world_.store_.list(prefix, after, page);
+            for (const auto& entry : received.entries) {
+                world_.hosts_[host_]->count_order_bytes(entry);
+            }
+            return received;
+        });
     }
 
     void watch(const std::string& prefix, revision_number after, duration wait,
--- a/tests/sim_parts.hpp
+++ b/tests/sim_parts.hpp
@@ -3,6 +3,8 @@
 
 #include "sim_world.hpp"
 
+#include <algorithm>
+
 namespace fulmar {
 
 struct sim_world::sim_host {
@@ -13,7 +15,20 @@
     bool leaving = false;
     time_point frozen_until;
     store_mode mode = store_mode::up;
-    std::set<std::string> hung_prefixes; // of watches that get no answer
+    std::set<std::string> hung_prefixes; // of keys whose watches get no answer
+    std::uint64_t order_bytes = 0;       // of values of the operators' keys that it received
+    bool log_kept = false;
+    std::shared_ptr<std::string> log_lines = std::make_shared<std::string>();
+
+    bool hangs(const std::string& prefix) const {
+        return std::any_of(hung_prefixes.begin(), hung_prefixes.end(),
+                           [&](const std::string& hung) { return prefix.starts_with(hung); });
+    }
+    void count_order_bytes(const store_entry& entry) {
+        if (entry.key.starts_with("op/")) {
+            order_bytes += entry.value.size();
+        }
+    }
     std::unique_ptr<event_loop> loop;
     std::unique_ptr<async_store> store;
     std::unique_ptr<worker_link> workers;
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -21,7 +21,10 @@
     site_config config;
     config.generation = in.at("generation").get<generation_number>();
     for (const auto& row : in.at("queues")) {
-        config.queues.push_back(decode_queue(row));
+        auto queue = decode_queue(row);
+        queue.host = row.at("host").get<std::string>();
+        queue.prefix = row.at("prefix").get<std::string>();
+        config.queues.push_back(std::move(queue));
     }
     return config;
 }
@@ -200,7 +203,7 @@
 void sim_world::answer_watches() {
     for (std::size_t i = 0; i < watches_.size();) {
         auto& watch = watches_[i];
-        if (hosts_[watch.host]->hung_prefixes.contains(watch.prefix)) {
+        if (hosts_[watch.host]->hangs(watch.prefix)) {
             if (answer_hung_watch(watch)) {
                 watches_.erase(watches_.begin() + static_cast<std::ptrdiff_t>(i));
             } else {
@@ -216,6 +219,9 @@
         }
         const auto mode = hosts_[watch.host]->mode;
         if (mode == store_mode::up) {
+            for (const auto& row : events ? events.value().events : std::vector<store_event>()) {
+                hosts_[watch.host]->count_order_bytes(row.entry);
+            }
             on_host(watch.host, watch.incarnation, latency(),
                     [done = watch.done, events = std::move(events)] { done(events); });
         } else {
@@ -257,6 +263,9 @@
     if (std::getenv("SIM_LOG") != nullptr) {
         sink = [](const std::string& lines) { std::fputs(lines.c_str(), stdout); };
     }
+    if (host.log_kept) {
+        sink = [kept = host.log_lines](const std::string& lines) { *kept += lines; };
+    }
     const decision_log_limits unlimited{.lines_per_second = 1'000'000,
                                         .burst = 1'000'000,
                                         .rare_lines_per_second = 1'000'000,
@@ -310,6 +319,29 @@
     hosts_[index]->options.weight = share;
 }
 
+void sim_world::set_region(const std::string& data_centre, const std::string& region) {
+    for (auto& host : hosts_) {
+        host->options.regions[{data_centre}] = {region};
+    }
+}
+
+void sim_world::keep_log(std::size_t index) {
+    hosts_[index]->log_kept = true;
+}
+
+std::string sim_world::log_of(std::size_t index) {
+    hosts_[index]->log->flush();
+    return *hosts_[index]->log_lines;
+}
+
+std::uint64_t sim_world::order_bytes_read(std::size_t index) const {
+    return hosts_[index]->order_bytes;
+}
+
+const data_centre_id& sim_world::data_centre_of(std::size_t index) const {
+    return hosts_[index]->options.data_centre;
+}
+
 double sim_world::counter(std::size_t index, const std::string& name, const std::string& reason) {
     return hosts_[index]->counters->value(name, reason);
 }
@@ -437,7 +469,10 @@
 void sim_world::configure(const std::vector<queue_spec>& queues) {
     json rows = json::array();
     for (const auto& queue : queues) {
-        rows.push_back(encode_queue(queue));
+        auto row = encode_queue(queue);
+        row["host"] = queue.host;
+        row["prefix"] = queue.prefix;
+        rows.push_back(std::move(row));
     }
     store_.put("op/config", json{{"generation", ++generation_}, {"queues", rows}}.dump());
     answer_watches();
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -75,10 +75,19 @@
     void stop_host(std::size_t index); // planned stop: drains, then ends the process
     void freeze_host(std::size_t index, duration time);
     void set_store_mode(std::size_t index, store_mode mode);
-    // Leaves a host's watches of a prefix without answers, while the store answers other calls.
+    // Leaves a host's watches of keys that start with a prefix without answers, while the store
+    // answers other calls.
     void hang_watches(std::size_t index, const std::string& prefix, bool hang);
     // Sets a host's processors, in thousandths of a core; takes effect at the host's next start.
     void set_processor_share(std::size_t index, std::int64_t share);
+    // Sets the region of a data centre; takes effect at the hosts' next start.
+    void set_region(const std::string& data_centre, const std::string& region);
+    // Keeps the log lines of a host; takes effect at its next start.
+    void keep_log(std::size_t index);
+    std::string log_of(std::size_t index);
+    // Returns how many bytes of values the store has returned to a host for the operators' keys.
+    std::uint64_t order_bytes_read(std::size_t index) const;
+    const data_centre_id& data_centre_of(std::size_t index) const;
     double counter(std::size_t index, const std::string& name, const std::string& reason);
     void set_store_mode_for_all(store_mode mode);
     void set_partition(std::size_t a, std::size_t b, bool partitioned);
