Log which configuration answered: 404s, rejections, submissions, copies from peers

What callers saw: a confirmed change of the configuration was not in force in time ("handled by version N or older"). Neither a 404 nor a submission's line named the configuration that decided it, so CONFIG could not be traced from a request's id, and a copy of the configuration that a peer didn't return in time left no line at all.

Cause: hand_in and request_unserved had no generation, answers that callers.cpp gives itself had no line, and fetch_orders() logged successful calls only.

Change, no decision differs: - hand_in and request_unserved end with generation=, that of the configuration which routed the request. - queue_unknown (404): caller_host and path, 80 bytes each and printable, generation, age_ms since it came into force, confirmed_ms since the store or a peer confirmed it. - request_rejected (400, 405, 413 and 503 before the first configuration): status, reason and the same. Counter requests_rejected by status. Both use the existing limit of routine lines. - configuration_applied ends with revision= and bytes=; orders_from_peer with peer=, ms= and bytes=; orders_call_failed (peer, reason, ms) is new.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -234,10 +234,12 @@
             return; // a configuration in force is never replaced by an older one
         }
         config_ = std::move(config).value();
+        config_applied_ = loop_.now();
         counters_.count("configurations", "applied");
         counters_.set("configuration_generation", static_cast<double>(config_.generation.value));
-        log_.write_rare("event=configuration_applied generation={} queues={}",
-                        config_.generation.value, config_.queues.size());
+        log_.write_rare("event=configuration_applied generation={} queues={} revision={} bytes={}",
+                        config_.generation.value, config_.queues.size(), entry->revision.value,
+                        entry->value.size());
         return;
     }
     if (key.starts_with(layout.evacuations_prefix)) {
@@ -428,31 +430,35 @@
     }
     fetching_orders_ = true;
     const auto sent = loop_.now();
-    peers_link_.call(best->record.address, "orders", "", options_.timing.peer_timeout,
-                     [this, alive = alive_, sent](result<std::string> reply) {
-                         if (!*alive) {
-                             return;
-                         }
-                         fetching_orders_ = false;
-                         if (!reply) {
-                             return;
-                         }
-                         try {
-                             const auto in = json::parse(reply.value());
-                             std::map<std::string, store_entry> entries;
-                             for (const auto& row : in.at("entries")) {
-                                 const auto key = row.at(0).get<std::string>();
-                                 entries[key] = {key, row.at(1).get<std::string>(),
-                                                 row.at(2).get<revision_number>()};
-                             }
-                             log_.write_rare("event=orders_from_peer revision={}",
-                                             in.at("revision").get<std::uint64_t>());
-                             orders_.merge(entries, in.at("revision").get<revision_number>(), sent);
-                         } catch (const std::exception& failure) {
-                             log_.write_rare("event=orders_unreadable detail=\"{}\"",
-                                             failure.what());
-                         }
-                     });
+    peers_link_.call(
+        best->record.address, "orders", "", options_.timing.peer_timeout,
+        [this, alive = alive_, sent, peer = best->record.name](result<std::string> reply) {
+            if (!*alive) {
+                return;
+            }
+            fetching_orders_ = false;
+            const auto passed = (loop_.now() - sent).count();
+            if (!reply) {
+                log_.write_rare("event=orders_call_failed peer={} reason={} ms={}", peer.value,
+                                to_string(reply.error().kind), passed);
+                return;
+            }
+            try {
+                const auto in = json::parse(reply.value());
+                std::map<std::string, store_entry> entries;
+                for (const auto& row : in.at("entries")) {
+                    const auto key = row.at(0).get<std::string>();
+                    entries[key] = {key, row.at(1).get<std::string>(),
+                                    row.at(2).get<revision_number>()};
+                }
+                log_.write_rare("event=orders_from_peer revision={} peer={} ms={} bytes={}",
+                                in.at("revision").get<std::uint64_t>(), peer.value, passed,
+                                reply.value().size());
+                orders_.merge(entries, in.at("revision").get<revision_number>(), sent);
+            } catch (const std::exception& failure) {
+                log_.write_rare("event=orders_unreadable detail=\"{}\"", failure.what());
+            }
+        });
 }
 
 // Measures how late the control thread runs, and logs delays that other hosts may take for a
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -116,6 +116,10 @@
     // Returns the number of accepted jobs of a queue that have not started.
     std::uint64_t pending(const queue_id& queue) const;
 
+    // Records an answer that was given to a caller without submitting, querying or cancelling.
+    void record_rejection(int status, std::string_view reason, std::string_view host,
+                          std::string_view path);
+
     // Describes the owned shards in human-readable form: workers, unfinished jobs and runs, one per
     // line.
     std::string describe() const;
@@ -296,6 +300,7 @@
     std::map<shard_id, time_point> next_claim_; // earliest time of the next attempt
     std::map<shard_id, owner_progress> owner_progress_;
     site_config config_;
+    std::optional<time_point> config_applied_;
     std::set<data_centre_id> evacuated_;
     std::optional<lease_id> lease_;
     time_point started_;
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -1,5 +1,6 @@
 // Requests from callers: each is forwarded to the owner of the shard that has, or will have, the
 // job.
+#include "bounded_json.hpp"
 #include "host_control.hpp"
 
 #include <xxhash.h>
@@ -20,6 +21,9 @@
 // short outages are over by then.
 constexpr duration unavailable_retry_after{1'000};
 
+// Of a caller's host or path in a log line, in bytes.
+constexpr std::size_t logged_text_limit = 80;
+
 enum class request_kind : std::uint8_t { submit, query, cancel };
 
 std::string_view to_string(request_kind kind) {
@@ -82,10 +86,11 @@
     job_spec spec;
     time_point began;
     time_point deadline;
-    bool unconfirmed = false; // an earlier attempt may have stored the job
-    bool ignore_full = false; // every shard has answered that it is full
-    std::set<shard_id> full;  // shards that have answered that they are full
-    bool from_index = false;  // look the shard up in the store, not in the cache
+    generation_number generation; // of the configuration that routed the request
+    bool unconfirmed = false;     // an earlier attempt may have stored the job
+    bool ignore_full = false;     // every shard has answered that it is full
+    std::set<shard_id> full;      // shards that have answered that they are full
+    bool from_index = false;      // look the shard up in the store, not in the cache
     std::string last_reason = "no_shard";
     submit_callback on_submit;
     phase_callback on_phase;
@@ -97,6 +102,7 @@
     next->id = id;
     next->began = loop_.now();
     next->deadline = next->began + timeout;
+    next->generation = config_.generation;
     return next;
 }
 
@@ -156,6 +162,28 @@
     return total;
 }
 
+void host_control::record_rejection(int status, std::string_view reason, std::string_view host,
+                                    std::string_view path) {
+    constexpr int not_found = 404;
+    counters_.count("requests_rejected", std::to_string(status));
+    const auto age = [&](const std::optional<time_point>& since) {
+        return since ? (loop_.now() - *since).count() : -1;
+    };
+    const auto caller_host = make_printable(host.substr(0, logged_text_limit));
+    const auto caller_path = make_printable(path.substr(0, logged_text_limit));
+    if (status == not_found) {
+        log_.write(R"(event=queue_unknown caller_host="{}" path="{}" generation={} age_ms={} )"
+                   "confirmed_ms={}",
+                   caller_host, caller_path, config_.generation.value, age(config_applied_),
+                   age(orders_.confirmed()));
+        return;
+    }
+    log_.write(R"(event=request_rejected status={} reason="{}" caller_host="{}" path="{}" )"
+               "generation={} age_ms={}",
+               status, make_printable(reason), caller_host, caller_path, config_.generation.value,
+               age(config_applied_));
+}
+
 // Calls `retry` after a pause, or answers that the request can't be served now if the deadline is
 // too close.
 void host_control::retry_request(const request_pointer& request, std::function<void()> retry) {
@@ -169,9 +197,9 @@
         return;
     }
     counters_.count("requests_unserved", request->last_reason);
-    log_.write("event=request_unserved kind={} job={} reason={} waited_ms={}",
+    log_.write("event=request_unserved kind={} job={} reason={} waited_ms={} generation={}",
                to_string(request->kind), request->id.value, request->last_reason,
-               (loop_.now() - request->began).count());
+               (loop_.now() - request->began).count(), request->generation.value);
     if (request->kind == request_kind::submit) {
         const auto outcome =
             request->unconfirmed ? submit_outcome::unknown : submit_outcome::unavailable;
@@ -297,9 +325,10 @@
         if (answer.outcome == submit_outcome::accepted && answer.reason.empty()) {
             cache_location(request->id, shard);
         }
-        log_.write("event=hand_in job={} queue={} shard={} outcome={} reason={} ms={}",
-                   request->id.value, request->queue.id.value, shard.value,
-                   to_string(final.outcome), final.reason, (loop_.now() - request->began).count());
+        log_.write(
+            "event=hand_in job={} queue={} shard={} outcome={} reason={} ms={} generation={}",
+            request->id.value, request->queue.id.value, shard.value, to_string(final.outcome),
+            final.reason, (loop_.now() - request->began).count(), request->generation.value);
         counters_.observe("hand_in_ms",
                           static_cast<double>((loop_.now() - request->began).count()));
         request->on_submit(final);
