store_view: log each load that failed before the first one succeeded

The log was silent meanwhile, as store_view_stale is written only when a view that was healthy fails.

--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -170,6 +170,10 @@
                              self->options.prefix, self->revision.value, to_string(failure.kind),
                              reload);
     }
+    if (!self->loaded) {
+        self->log.write_rare("event=store_view_load_failed prefix={} reason={}",
+                             self->options.prefix, to_string(failure.kind));
+    }
     self->backoff = std::clamp(self->backoff * 2, self->options.retry, self->options.retry_limit);
     self->loop.call_after(self->backoff, [self, reload] {
         if (self->stopped) {
