Test: a host goes on asking a restarted peer for the configuration (CONFIG)

Cause, from the log of sur-a-5: it applied version 27 at 19.91 s, its next watch had no answer for 2.5 s (the links are suspected, they aren't measured), and op/ became stale at 22.6 s. Then it asked the nearest peer 27 times in 1.3 s for its copy and got "orders_from_peer revision=0" each time: sur-a-1 had restarted and knew nothing, but its status from before the kill counted as alive for 2 s. At 25.4 s a peer's copy arrived, version 41 came into force at 25.77 s. Four hosts of sur-a got 77 such answers.

The case builds this: a host's watch hangs, a peer publishes a newer revision, restarts without the store and answers the call with an empty copy; nobody else is asked until its old status has expired. On the present code:

a host that a restarted peer answers without a configuration asks another 2900ms <= 2500ms test cases: 1 | 1 failed assertions: 2 | 1 passed | 1 failed

9 of the host's calls were answered with revision=0, the next, to the other peer, took 5 ms.

--- a/tests/config_distribution_test.cpp
+++ b/tests/config_distribution_test.cpp
@@ -252,6 +252,31 @@
     }
 }
 
+// Guards against a host that goes on asking a restarted peer: the peer has nothing yet, but what it
+// reported before its restart counts for 2 s more.
+TEST_CASE("a host that a restarted peer answers without a configuration asks another") {
+    constexpr std::size_t asking = 0;
+    constexpr std::size_t restarted = 1; // the one that is asked first
+    constexpr duration until_write{1'500};
+    constexpr duration until_restart{800};
+    sim_world world(79, {"east"}, 3);
+    world.run_for(startup_time);
+    auto queues = make_queues(world, 2);
+    auto generation = configure(world, queues);
+    REQUIRE(time_to_apply(world, all_hosts(world), generation) <= apply_limit);
+    world.hang_watches(asking, "op/", true);
+    world.run_for(until_write);
+    queues.back().max_attempts += 1;
+    generation = configure(world, queues);
+    const auto written = world.now();
+    world.run_for(until_restart);
+    world.kill_host(restarted);
+    world.set_store_mode(restarted, store_mode::silent);
+    world.start_host(restarted);
+    time_to_apply(world, {asking}, generation);
+    CHECK(world.now() - written <= apply_limit);
+}
+
 // Guards against a host that comes back with an old configuration, or waits for the next one.
 TEST_CASE("a restarted host gets the newest configuration") {
     sim_world world(75, data_centres, hosts_each);
