--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -146,7 +146,7 @@
 
     void send(const socket_address& to, const std::string& datagram) override {
         const auto peer = find(to);
-        if (!is_connected(peer)) {
+        if (!is_connected(peer) || is_cut(host_, peer)) {
             return;
         }
         const auto incarnation = world_.hosts_[peer]->incarnation;
@@ -167,7 +167,7 @@
         world_.on_host(host_, incarnation_, timeout, [finish] {
             finish(error{error_kind::timeout, "no answer"});
         });
-        if (!is_connected(peer)) {
+        if (!is_connected(peer) || is_cut(host_, peer)) {
             return;
         }
         const auto incarnation = world_.hosts_[peer]->incarnation;
@@ -176,7 +176,7 @@
                            world_.hosts_[peer]->control->on_peer_call(
                                method, body,
                                [this, peer, finish](const result<std::string>& reply) {
-                                   if (is_connected(peer)) {
+                                   if (is_connected(peer) && !is_cut(peer, host_)) {
                                        world_.on_host(host_, incarnation_, world_.latency(),
                                                       [finish, reply] { finish(reply); });
                                    }
@@ -192,6 +192,10 @@
         return peer < world_.hosts_.size() && world_.hosts_[peer]->alive &&
                !world_.partitions_.contains(std::minmax(host_, peer));
     }
+    bool is_cut(std::size_t from, std::size_t to) const {
+        return world_.is_cut(world_.hosts_[from]->options.data_centre,
+                             world_.hosts_[to]->options.data_centre);
+    }
 
     sim_world& world_;
     std::size_t host_;
@@ -235,7 +239,9 @@
         const auto found = world_.workers_.find(worker.id.value);
         const bool reached = found != world_.workers_.end() && found->second.model &&
                              !found->second.disconnected &&
-                             !found->second.disconnected_hosts.contains(host_);
+                             !found->second.disconnected_hosts.contains(host_) &&
+                             !world_.is_cut(world_.hosts_[host_]->options.data_centre,
+                                            found->second.entry.data_centre);
         return reached ? &found->second : nullptr;
     }
 
@@ -269,6 +275,11 @@
                 return;
             }
             const auto reply = action(*current->model, world_.now_);
+            if (world_.is_cut(current->entry.data_centre,
+                              world_.hosts_[host_]->options.data_centre)) {
+                fail(timeout);
+                return;
+            }
             world_.on_host(host_, incarnation_, world_.latency(), [done, reply] { done(reply); });
         });
     }
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -52,9 +52,14 @@
 
 } // namespace
 sim_world::sim_world(std::uint64_t seed, const std::vector<std::string>& data_centres,
-                     std::size_t hosts_each, std::size_t workers_each)
+                     std::size_t hosts_each, std::size_t workers_each,
+                     const std::map<std::string, std::string>& regions)
     : random_(seed)
     , now_(time_point(duration(10'000))) {
+    for (const auto& name : data_centres) {
+        const auto found = regions.find(name);
+        regions_[{name}] = {found == regions.end() ? "region" : found->second};
+    }
     constexpr std::size_t workers_per_rack = 3;
     std::uint16_t worker_port = 1;
     for (const auto& data_centre : data_centres) {
@@ -64,9 +69,7 @@
             next->options.name.value = data_centre + "-" + std::to_string(i + 1);
             next->options.data_centre.value = data_centre;
             next->options.workers_per_shard = 12;
-            for (const auto& name : data_centres) {
-                next->options.regions[{name}] = {"region"};
-            }
+            next->options.regions = regions_;
             next->options.peer_address = {"10.0.0.1",
                                           static_cast<std::uint16_t>(hosts_.size() + 1)};
             next->options.layout = {.orders_prefix = "op/",
@@ -328,6 +331,22 @@
     }
 }
 
+void sim_world::cut_region(const std::string& from, const std::string& to, bool cut) {
+    if (cut) {
+        cut_regions_.emplace(from, to);
+    } else {
+        cut_regions_.erase({from, to});
+    }
+}
+
+const std::string& sim_world::region_of_host(std::size_t index) const {
+    return regions_.at(hosts_[index]->options.data_centre).value;
+}
+
+bool sim_world::is_cut(const data_centre_id& from, const data_centre_id& to) const {
+    return cut_regions_.contains({regions_.at(from).value, regions_.at(to).value});
+}
+
 std::vector<std::string> sim_world::shards() {
     std::vector<std::string> names;
     const auto entry = store_.get(std::string(shard_list_key));
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -50,9 +50,11 @@
 
 class sim_world {
   public:
+    // `regions` names the region of each data centre; without it, all are in one.
     explicit sim_world(std::uint64_t seed,
                        const std::vector<std::string>& data_centres = {"east", "west"},
-                       std::size_t hosts_each = 2, std::size_t workers_each = 6);
+                       std::size_t hosts_each = 2, std::size_t workers_each = 6,
+                       const std::map<std::string, std::string>& regions = {});
     ~sim_world();
     sim_world(const sim_world&) = delete;
     sim_world& operator=(const sim_world&) = delete;
@@ -82,6 +84,10 @@
     double counter(std::size_t index, const std::string& name, const std::string& reason);
     void set_store_mode_for_all(store_mode mode);
     void set_partition(std::size_t a, std::size_t b, bool partitioned);
+    // Cuts the way from one region to another: no datagram, call or answer that hosts and workers
+    // of `from` send arrives in `to`. The store answers all hosts.
+    void cut_region(const std::string& from, const std::string& to, bool cut);
+    const std::string& region_of_host(std::size_t index) const;
     // Returns the live host that owns a shard according to the stored claim.
     std::optional<std::size_t> owner_of(const std::string& shard);
     std::vector<std::string> shards();
@@ -150,6 +156,7 @@
     bool chance(double probability);
     void answer_watches();
     bool answer_hung_watch(waiting_watch& watch);
+    bool is_cut(const data_centre_id& from, const data_centre_id& to) const;
     void tick();
     void record_ends(sim_worker& worker, const worker_model& model);
     void check_starts(sim_worker& worker, const worker_model& model);
@@ -168,6 +175,8 @@
     std::map<std::string, sim_worker> workers_;
     std::map<std::string, sim_job> jobs_;
     std::set<std::pair<std::size_t, std::size_t>> partitions_;
+    std::map<data_centre_id, region_id> regions_;
+    std::set<std::pair<std::string, std::string>> cut_regions_; // sender's and receiver's
     std::vector<queue_spec> queues_;
     std::uint64_t generation_ = 0;
     std::uint64_t next_job_ = 1;
