host_claims: log which owners a host hears when it claims a shard

Callers saw long-running tasks that didn't run: hosts of one region claimed the shards of the other, whose owners worked. claim_attempt didn't tell that the claiming host heard all owners of its own region and none of the other one, which is a cut between regions and not the failure of three owners at once.

Nothing else. In region_cut_test, "regions that are cut off from each other keep their owners" now shows owners_heard=3/3 owners_heard_elsewhere=0/3 at each claim.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -507,13 +507,33 @@
     const auto owner = claim == nullptr ? host_id{} : claim->record.owner;
     const auto peer = peers_.find(host_name_of(owner));
     const bool received = peer != peers_.end() && peer->second.last_received;
+    // Which owners this host hears tells a cut between regions from the failure of one owner.
+    struct count {
+        std::size_t heard = 0;
+        std::size_t total = 0;
+    };
+    count own_region;
+    count other_regions;
+    for (const auto& [name, row] : peers_) {
+        if (count_owned(name) == 0) {
+            continue; // sends no datagrams to other data centres
+        }
+        auto& owners = distance_to(row.record.data_centre) == 2 ? other_regions : own_region;
+        ++owners.total;
+        owners.heard +=
+            row.last_received && now - *row.last_received <= options_.timing.remote_owner_timeout
+                ? 1
+                : 0;
+    }
     log_.write_rare("event=claim_attempt shard={} epoch={} previous_owner={} reason={} "
-                    "owner_silent_ms={} claim_age_ms={} view_age_ms={} delay_ms={} owned={}",
+                    "owner_silent_ms={} claim_age_ms={} view_age_ms={} delay_ms={} owned={} "
+                    "owners_heard={}/{} owners_heard_elsewhere={}/{}",
                     shard.id.value, next.epoch.value, owner.value, describe(reason),
                     received ? (now - *peer->second.last_received).count() : -1,
                     claim == nullptr ? -1 : (now - claim->first_seen).count(),
                     meta_.confirmed() ? (now - *meta_.confirmed()).count() : -1,
-                    worst_delay_.count(), owned_.size());
+                    worst_delay_.count(), owned_.size(), own_region.heard, own_region.total,
+                    other_regions.heard, other_regions.total);
     store_transaction put;
     put.conditions.push_back({claim_key(shard.id), revision});
     if (needs_stalled_owner(reason)) {
