shard_passed_ends: pass unstored run ends on to the next owner of a shard

Change: the former owner passes ends as done and as failed on to the next owner, from answers to its last holds and those that it hadn't stored when it dropped the shard. It repeats the call every 0.4 s for up to 60 s. The next owner applies them like ends that a worker lists, but acknowledges nothing, and passes those on that it can't store itself. What an end changes depends on its run only, so a repeated or late message changes nothing. on_run_ended is split for this; what it does is unchanged. worker_model tells when an end was first listed, for the test.

Evidence: tests/takeover_ends_test.cpp moves a claim while 20 tasks end and the new owner doesn't reach two of six workers.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -505,6 +505,7 @@
     if (loop_.now() >= next_room_update_) {
         update_rooms();
     }
+    send_passed_ends();
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
             schedule_shard(shard);
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -160,6 +160,14 @@
     };
     using shard_pointer = std::shared_ptr<owned_shard>;
 
+    // Run ends of a shard that this host lost, until the next owner has received them.
+    struct passing_row {
+        std::vector<listed_run_end> ends;
+        time_point until;
+        time_point next_attempt;
+        bool in_flight = false;
+    };
+
     // What peers that this host receives datagrams from report about the store.
     struct peer_reports {
         bool store_reached = false;   // the store answers one of them
@@ -242,6 +250,12 @@
     void process_loan_message(const shard_pointer& shard, const json& body,
                               const peer_reply& reply);
 
+    void pass_on(const shard_id& id, const std::vector<listed_run_end>& ends);
+    void pass_on_reply(const shard_pointer& shard, const worker_id& worker,
+                       const result<hold_reply>& reply);
+    void send_passed_ends();
+    void answer_ends_call(const std::string& body, const peer_reply& reply);
+
     // Requests.
     struct request;
     using request_pointer = std::shared_ptr<request>;
@@ -285,6 +299,7 @@
     std::map<worker_id, worker_entry> worker_entries_;
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
+    std::map<shard_id, passing_row> passing_;
     struct shard_size {
         std::int64_t workers = 0;
         time_point seen; // when the shard last had that many
--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -64,7 +64,12 @@
         const auto sent = loop_.now();
         workers_.hold(action.target, action.command,
                       [this, alive = alive_, shard, id, sent](const result<hold_reply>& reply) {
-                          if (*alive) {
+                          if (!*alive) {
+                              return;
+                          }
+                          if (shard->state.ownership_lost) {
+                              pass_on_reply(shard, id, reply);
+                          } else {
                               on_hold_reply(shard->state, id, reply, sent, loop_.now(),
                                             loop_.unix_now());
                               schedule_shard(shard);
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -202,6 +202,7 @@
     for (const auto& waiting : std::exchange(shard->waiting, {})) {
         waiting();
     }
+    pass_on(id, find_unstored_ends(shard->state));
     next_claim_check_ = loop_.now();
 }
 
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -24,12 +24,12 @@
 void acknowledge_ends(shard_state& shard, worker_row& worker, time_point now) {
     const auto before = worker.acknowledged_end;
     while (!worker.unacknowledged_ends.empty()) {
-        const auto& end = worker.unacknowledged_ends.front();
-        const auto job = shard.tables.jobs.find(end.job);
-        if (job != shard.tables.jobs.end() && job->second.stored_version < end.version) {
+        const auto& row = worker.unacknowledged_ends.front();
+        const auto job = shard.tables.jobs.find(row.end.run.task.job);
+        if (job != shard.tables.jobs.end() && job->second.stored_version < row.version) {
             break;
         }
-        worker.acknowledged_end = std::max(worker.acknowledged_end, end.number);
+        worker.acknowledged_end = std::max(worker.acknowledged_end, row.end.number);
         worker.unacknowledged_ends.pop_front();
     }
     if (worker.acknowledged_end != before && worker.reachability == reachability_state::reachable) {
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -33,7 +33,11 @@
 // Ends a job, stops its runs, withdraws its loans and marks its record for storing.
 void end_job(shard_state& shard, job_row& job, job_phase phase, time_point now, unix_time unix_now);
 
-// Handles the end of a task's run.
+// Applies the end of a run to its task and its job.
+void apply_run_end(shard_state& shard, const worker_id& worker, const run_end& row, time_point now,
+                   unix_time unix_now);
+
+// Handles the end of a task's run that a worker listed to this owner.
 void on_run_ended(shard_state& shard, worker_row& worker, const run_end& row, time_point now,
                   unix_time unix_now);
 
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -207,7 +207,7 @@
 void record_run_end(const shard_state& shard, worker_row& worker, const run_end& row) {
     const auto job = shard.tables.jobs.find(row.run.task.job);
     const auto version = job == shard.tables.jobs.end() ? 0 : job->second.version;
-    worker.unacknowledged_ends.push_back({row.number, row.run.task.job, version});
+    worker.unacknowledged_ends.push_back({row, version});
 }
 
 } // namespace
@@ -244,32 +244,17 @@
     return true;
 }
 
-void on_run_ended(shard_state& shard, worker_row& worker, const run_end& row, time_point now,
-                  unix_time unix_now) {
+void apply_run_end(shard_state& shard, const worker_id& worker, const run_end& row, time_point now,
+                   unix_time unix_now) {
     const auto& key = row.run;
     if (const auto run = shard.tables.runs.find(key);
-        run != shard.tables.runs.end() && run->second.worker == worker.entry.target.id) {
+        run != shard.tables.runs.end() && run->second.worker == worker) {
         remove_run(shard.tables, key);
     }
     shard.placement_needed = true;
-    shard.counters->count("runs_ended", to_string(row.kind));
     auto* stage = find_stage(shard.tables, key.task);
     auto* task = find_task(shard.tables, key.task);
-    if (row.kind == run_end_kind::failed) {
-        ++worker.failures;
-        if (worker.failures > 1) {
-            pause_starts(shard, worker, now);
-        }
-    } else if (row.kind == run_end_kind::done) {
-        worker.failures = 0;
-    }
-    if (row.kind != run_end_kind::done) {
-        shard.log->write("event=run_ended task={}.{}.{}.{} run={} worker={} end={}",
-                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
-                         key.number.value, worker.entry.target.id.value, to_string(row.kind));
-    }
     if (task == nullptr || task->done) {
-        record_run_end(shard, worker, row);
         return;
     }
     if (task->loan != 0 && !is_borrowed(shard.tables.jobs.at(key.task.job))) {
@@ -277,8 +262,7 @@
         // The borrower may already run it, so the borrower's result counts.
         shard.log->write("event=late_end_ignored task={}.{}.{}.{} run={} worker={} end={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
-                         key.number.value, worker.entry.target.id.value, to_string(row.kind));
-        record_run_end(shard, worker, row);
+                         key.number.value, worker.value, to_string(row.kind));
         return;
     }
     auto& job = shard.tables.jobs.at(key.task.job);
@@ -295,7 +279,7 @@
     } else if (row.kind == run_end_kind::done && !step.long_running) {
         urgent = complete_task(shard, job, key.task, now, unix_now);
     } else if (row.kind == run_end_kind::failed) {
-        task->last_failed_on = worker.entry.target.id;
+        task->last_failed_on = worker;
         const bool attempts_exhausted =
             !step.long_running && record_failed_run(*task, key.number) >= job.queue.max_attempts;
         if (attempts_exhausted && is_borrowed(job)) {
@@ -311,6 +295,26 @@
         assert(task->done || task->not_local || stage->waiting.contains(key.task.index));
     }
     record_change(shard, job, urgent, now);
+}
+
+void on_run_ended(shard_state& shard, worker_row& worker, const run_end& row, time_point now,
+                  unix_time unix_now) {
+    const auto& key = row.run;
+    shard.counters->count("runs_ended", to_string(row.kind));
+    if (row.kind == run_end_kind::failed) {
+        ++worker.failures;
+        if (worker.failures > 1) {
+            pause_starts(shard, worker, now);
+        }
+    } else if (row.kind == run_end_kind::done) {
+        worker.failures = 0;
+    }
+    if (row.kind != run_end_kind::done) {
+        shard.log->write("event=run_ended task={}.{}.{}.{} run={} worker={} end={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, worker.entry.target.id.value, to_string(row.kind));
+    }
+    apply_run_end(shard, worker.entry.target.id, row, now, unix_now);
     record_run_end(shard, worker, row);
 }
 
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -35,11 +35,16 @@
 
 // A run end that was processed and may be acknowledged once its job's record is stored.
 struct unacknowledged_run_end {
-    std::uint64_t number = 0;
-    job_id job;
+    run_end end;
     std::uint64_t version = 0; // of the job's record that includes the run end
 };
 
+// A run end, and the worker that listed it.
+struct listed_run_end {
+    worker_id worker;
+    run_end end;
+};
+
 enum class reachability_state : std::uint8_t {
     unknown,     // no reply since this owner took over
     reachable,   // the worker replied to the last call
--- a/src/worker_model.cpp
+++ b/src/worker_model.cpp
@@ -141,6 +141,10 @@
     }
     answer.ended.assign(ended_.begin(), ended_.begin() + static_cast<std::ptrdiff_t>(std::min(
                                                              ended_.size(), max_run_ends)));
+    for (const auto& row : answer.ended) {
+        auto& seen = observed_[observed_ends_.at(row.number)];
+        seen.listed = seen.listed.value_or(now);
+    }
     return answer;
 }
 
--- a/src/worker_model.hpp
+++ b/src/worker_model.hpp
@@ -63,6 +63,7 @@
         std::optional<run_end_kind> end{};
         std::string resumed_from{};
         bool acknowledged = false;
+        std::optional<time_point> listed{}; // when a reply first listed the end
         bool lapsed = false; // the lease expired between the run end and its acknowledgement
     };
     const std::vector<observed_run>& observed() const { return observed_; }
