host_config, config_change: one host of each region reads the configuration, the others get differences

Cause: each host watched op/ itself. A watch returns every version since the last one, so a late host got several in one reply, threw a late reply away whole and asked again; a restarted peer was asked 27 times in 1.3 s for a copy that it didn't have. Owners' datagrams, holds and commits waited on the same link.

Change: one host of each region reads the key, at 0.5 MB/s at most while it changes, and announces a generation at once. The others call it, or a host of their data centre, for the changes since their generation. A region without a reader gets one after 1.2 to 1.5 s, one host after another. Evacuations are watched by each host as before. A host that knows of a newer configuration of its region answers 503 and not 404 for a queue that it lacks, and refuses submissions after 1.5 s.

Evidence: five cases of config_distribution_test failed before (1637670 <= 818835 bytes a region and change; <= 1000000 bytes a second; 3275351 <= 818841; 2600 ms and 2900 ms <= 2500 ms); its nine cases pass now. The host that asks a restarted peer again waits 0.5 s. config_change_test is of functions that are new.

--- a/include/fulmar/job.hpp
+++ b/include/fulmar/job.hpp
@@ -71,6 +71,8 @@
     duration call_time{0};       // fixed duration of one call
     duration time_per_worker{0}; // additional duration for each selected worker
     duration ticket_validity{0}; // of the issued tickets
+
+    bool operator==(const advice_spec&) const = default;
 };
 
 // A queue accepts jobs of one kind, whose tasks run on the workers of one service.
@@ -86,6 +88,8 @@
     duration timeout{0};   // of the callers' requests
     bool needs_advice = false;
     advice_spec advice;
+
+    bool operator==(const queue_spec&) const = default;
 };
 
 enum class job_phase : std::uint8_t { queued, running, completed, failed, cancelled };
--- a/include/fulmar/site_config.hpp
+++ b/include/fulmar/site_config.hpp
@@ -16,6 +16,8 @@
     bool standby = false;          // its workers aren't used until they are moved to another pool
     std::string health_path;
     std::uint32_t max_connections = 0; // to one worker; 0: no limit
+
+    bool operator==(const service_spec&) const = default;
 };
 
 struct request_limits {
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -14,6 +14,13 @@
 
 // Each watch reply confirms the orders, so the wait bounds the age of the confirmation.
 constexpr duration orders_watch_wait{1'500};
+constexpr duration config_watch_wait{500};
+
+// Between two calls of one peer for newer orders.
+constexpr duration orders_call_interval{500};
+
+// Of a region's reader: an eighth of the narrowest link between regions.
+constexpr std::int64_t config_bytes_per_second = 500'000;
 constexpr duration meta_watch_wait{10'000};
 // Twice the wait, or the wait and the interval below, is the age that a quiet view reaches; it must
 // be below host_timing::workers_freshness.
@@ -46,20 +53,35 @@
           store_, loop, log, {.prefix = std::string(meta_prefix), .wait = meta_watch_wait},
           [this](const auto& key, const auto* entry) { on_meta_change(key, entry); },
           [this] { maintain_claims(); })
+    , config_view_(
+          store_, loop, log,
+          {.prefix = options_.layout.config_key,
+           .wait = config_watch_wait,
+           .bytes_per_second = config_bytes_per_second},
+          [this](const auto& key, const auto* entry) {
+              if (entry != nullptr && key == options_.layout.config_key) {
+                  on_config_entry(*entry);
+              }
+          },
+          [] {})
     , orders_(
-          store_, loop, log, {.prefix = options_.layout.orders_prefix, .wait = orders_watch_wait},
-          [this](const auto& key, const auto* entry) { on_orders_change(key, entry); }, [] {})
+          store_, loop, log,
+          {.prefix = options_.layout.evacuations_prefix, .wait = orders_watch_wait},
+          [this](const auto& key, const auto* entry) { on_evacuation_change(key, entry); }, [] {})
     , worker_view_(
           store_, loop, log,
           {.prefix = options_.layout.workers_prefix,
            .wait = workers_watch_wait,
            .min_watch_interval = workers_watch_interval},
           [this](const auto& key, const auto* entry) { on_workers_change(key, entry); },
-          [this] { maintain_shard_list(); }) {}
+          [this] { maintain_shard_list(); }) {
+    config_view_.pause();
+}
 
 host_control::~host_control() {
     *alive_ = false;
     meta_.stop();
+    config_view_.stop();
     orders_.stop();
     worker_view_.stop();
 }
@@ -68,6 +90,7 @@
     log_.write_rare("event=host_started incarnation={} data_centre={}", options_.incarnation,
                     options_.data_centre.value);
     orders_.start();
+    config_view_.start();
     meta_.start();
     worker_view_.start();
     register_host();
@@ -168,6 +191,7 @@
         auto& peer = peers_[name];
         if (peer.record.incarnation != record.value().incarnation) {
             peer.last_received.reset();
+            peer.registered_at = loop_.now();
             log_.write("event=peer_registered peer={} incarnation={}", name.value,
                        record.value().incarnation);
         }
@@ -221,39 +245,17 @@
     }
 }
 
-void host_control::on_orders_change(const std::string& key, const store_entry* entry) {
-    const auto& layout = options_.layout;
-    if (key == layout.config_key && entry != nullptr) {
-        auto config = layout.parse_config(entry->value);
-        if (!config) {
-            counters_.count("configurations", "unreadable");
-            log_.write_rare("event=configuration_unreadable detail=\"{}\"", config.error().detail);
-            return;
-        }
-        if (config.value().generation <= config_.generation) {
-            return; // a configuration in force is never replaced by an older one
-        }
-        config_ = std::move(config).value();
-        config_applied_ = loop_.now();
-        counters_.count("configurations", "applied");
-        counters_.set("configuration_generation", static_cast<double>(config_.generation.value));
-        log_.write_rare("event=configuration_applied generation={} queues={} revision={} bytes={}",
-                        config_.generation.value, config_.queues.size(), entry->revision.value,
-                        entry->value.size());
-        return;
-    }
-    if (key.starts_with(layout.evacuations_prefix)) {
-        const data_centre_id data_centre{key.substr(layout.evacuations_prefix.size())};
-        if (entry != nullptr) {
-            evacuated_.insert(data_centre);
-        } else {
-            evacuated_.erase(data_centre);
-        }
-        log_.write_rare("event=data_centre_{} data_centre={}",
-                        entry != nullptr ? "taken_out" : "taken_back",
-                        make_printable(data_centre.value));
-        update_start_permissions();
+void host_control::on_evacuation_change(const std::string& key, const store_entry* entry) {
+    const data_centre_id data_centre{key.substr(options_.layout.evacuations_prefix.size())};
+    if (entry != nullptr) {
+        evacuated_.insert(data_centre);
+    } else {
+        evacuated_.erase(data_centre);
     }
+    log_.write_rare("event=data_centre_{} data_centre={}",
+                    entry != nullptr ? "taken_out" : "taken_back",
+                    make_printable(data_centre.value));
+    update_start_permissions();
 }
 
 // Membership.
@@ -300,6 +302,8 @@
     if (peer.status.orders_revision > orders_.revision() && !orders_.healthy()) {
         fetch_orders();
     }
+    note_peer_config(peer);
+    fetch_config();
 }
 
 host_status host_control::make_status() const {
@@ -321,6 +325,8 @@
         }
     }
     status.generation = config_.generation;
+    status.config_age = config_age();
+    status.reads_config = reads_config();
     status.orders_revision = orders_.revision();
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
@@ -330,12 +336,13 @@
     return status;
 }
 
-// Sends this host's status to the hosts in its data centre and, while it owns shards or leaves, to
-// all hosts.
+// Sends this host's status to the hosts in its data centre, while it reads the configuration also
+// to those in its region, and while it owns shards or leaves to all hosts.
 void host_control::gossip() {
     const auto now = loop_.now();
     const bool local_due = now >= next_local_gossip_;
-    const bool global_due = now >= next_global_gossip_ && (!owned_.empty() || leaving_);
+    const int reach = !owned_.empty() || leaving_ ? 2 : config_view_.paused() ? 0 : 1;
+    const bool global_due = now >= next_global_gossip_ && reach > 0;
     if (!local_due && !global_due) {
         return;
     }
@@ -350,8 +357,9 @@
     }
     const auto datagram = encode(status);
     for (const auto& [name, peer] : peers_) {
-        const bool local = peer.record.data_centre == options_.data_centre;
-        if (peer.record.address.port != 0 && ((local && local_due) || (!local && global_due))) {
+        const auto distance = distance_to(peer.record.data_centre);
+        const bool due = distance == 0 ? local_due : global_due && distance <= reach;
+        if (peer.record.address.port != 0 && due) {
             peers_link_.send(peer.record.address, datagram);
         }
     }
@@ -416,10 +424,11 @@
     if (fetching_orders_) {
         return;
     }
-    const peer_row* best = nullptr;
-    for (const auto& [name, peer] : peers_) {
+    peer_row* best = nullptr;
+    for (auto& [name, peer] : peers_) {
         const bool usable = is_alive(peer) && peer.status.store_reachable &&
-                            peer.status.orders_revision > orders_.revision();
+                            peer.status.orders_revision > orders_.revision() &&
+                            loop_.now() >= peer.next_orders_call;
         if (usable && (best == nullptr || distance_to(peer.record.data_centre) <
                                               distance_to(best->record.data_centre))) {
             best = &peer;
@@ -430,6 +439,8 @@
     }
     fetching_orders_ = true;
     const auto sent = loop_.now();
+    // A peer that has restarted since its last datagram may answer without any.
+    best->next_orders_call = sent + orders_call_interval;
     peers_link_.call(
         best->record.address, "orders", "", options_.timing.peer_timeout,
         [this, alive = alive_, sent, peer = best->record.name](result<std::string> reply) {
@@ -503,6 +514,9 @@
 
 void host_control::tick() {
     measure_delay();
+    confirm_config();
+    choose_config_reader();
+    fetch_config();
     gossip();
     if (loop_.now() >= next_claim_check_) {
         maintain_claims();
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -2,6 +2,7 @@
 // answers requests from callers and peers.
 #pragma once
 
+#include "config_change.hpp"
 #include "fulmar/async_store.hpp"
 #include "fulmar/event_loop.hpp"
 #include "fulmar/peer_link.hpp"
@@ -25,7 +26,6 @@
 
 // Store keys of operator orders and worker entries on the platform, and their parsers.
 struct site_layout {
-    std::string orders_prefix;      // of all keys that operators write
     std::string config_key;         // of the newest configuration
     std::string evacuations_prefix; // followed by the name of an evacuated data centre
     std::string workers_prefix;     // followed by a worker's id
@@ -103,6 +103,12 @@
     // Returns whether callers can be served: a configuration is in force and no stop has begun.
     bool ready() const;
     const site_config& config() const { return config_; }
+
+    // Returns whether another host has announced a newer configuration than the one in force here.
+    bool knows_newer_config() const;
+    // Returns whether that has lasted so long that the one in force may no longer be applied.
+    bool config_outdated() const;
+
     duration answer_margin() const { return options_.timing.answer_margin; }
 
     // Submits a job. `timeout` limits the retries and the calls to other hosts. A shard that this
@@ -135,8 +141,12 @@
     struct peer_row {
         host_record record;
         revision_number registered_revision; // of the record in the store
+        time_point registered_at;            // when this incarnation's record was received
         std::optional<time_point> last_received;
         host_status status;
+        // Earliest times of the next calls for its configuration and its copy of the evacuations.
+        time_point next_config_call{};
+        time_point next_orders_call{};
     };
     struct claim_row {
         claim_record record;
@@ -150,7 +160,7 @@
         time_point read_at{};                  // when the first read that returned it was answered
         time_point next_read{};
         duration window{700}; // until the next read
-        bool stalled = false; // a second read returned the same head
+        bool stalled = false;   // a second read returned the same head
     };
     struct owned_shard {
         shard_state state;
@@ -159,11 +169,22 @@
         time_point next_transfer;         // earliest time of the next attempt to hand it over
         bool claim_check_pending = false; // a read of the claim is in flight
         host_id successor;                // host that requested the shard; empty: none
-        std::vector<store_entry> loading; // entries received by a load in progress
+        host_id requested_by;             // host that requested it in the store, and when
+        time_point requested_at{};
+        std::vector<store_entry> loading;           // entries received by a load in progress
         std::vector<std::function<void()>> waiting; // called after loading or on drop
     };
     using shard_pointer = std::shared_ptr<owned_shard>;
 
+    // Whether this host reaches the workers of a shard that it may claim.
+    struct worker_reach {
+        std::optional<time_point> answered;     // when a worker last answered
+        std::optional<time_point> wanted_since; // when this host first wanted to claim the shard
+        time_point last_wanted{};
+        time_point next_probe{};
+        std::size_t next_worker = 0; // first one of the next probe
+    };
+
     // Run ends of a shard that this host lost, until the next owner has received them.
     struct passing_row {
         std::vector<listed_run_end> ends;
@@ -181,7 +202,7 @@
 
     // Membership and store views.
     void on_meta_change(const std::string& key, const store_entry* entry);
-    void on_orders_change(const std::string& key, const store_entry* entry);
+    void on_evacuation_change(const std::string& key, const store_entry* entry);
     void on_workers_change(const std::string& key, const store_entry* entry);
     void register_host();
     void put_host_record(lease_id lease);
@@ -198,6 +219,26 @@
     void fetch_orders();
     void update_start_permissions();
 
+    // Distribution of the configuration.
+    void on_config_entry(const store_entry& entry);
+    bool precedes(const peer_row& peer) const;
+    bool is_in_region(const peer_row& peer) const;
+    std::optional<duration> config_age() const;
+    bool has_other_reader(bool preceding_only) const;
+    bool reads_config() const;
+    std::size_t count_preceding_readers() const;
+    void choose_config_reader();
+    void confirm_config();
+    void note_peer_config(const peer_row& peer);
+    duration config_outdated_for() const;
+    bool is_first_in_data_centre() const;
+    void fetch_config();
+    void apply_changes(const host_id& source, const std::string& text);
+    void answer_config_call(const std::string& body, const peer_reply& reply);
+    void set_config(site_config next, const config_change& change, std::string_view source,
+                    std::size_t bytes);
+    void announce_config(bool reader);
+
     // Ownership of shards.
     enum class claim_reason : std::uint8_t {
         none, // the shard isn't to be claimed
@@ -206,7 +247,7 @@
         owner_restart,       // the owner runs as another incarnation now
         owner_without_store, // the owner can't write to the store
         owner_silent,        // no datagram from the owner arrives here or at its other peers
-        owner_cut_off,       // the same for longer, while datagrams from most hosts arrive here
+        owner_cut_off,       // no datagram from it, but it stores; it is asked in the store
         lost_epoch,          // this host owns it in an epoch that the workers reject
     };
     static std::string_view describe(claim_reason reason);
@@ -226,6 +267,7 @@
     static bool needs_stalled_owner(claim_reason reason);
     static bool replaces_owner(claim_reason reason);
     bool has_stalled(const shard_id& shard) const;
+    bool may_claim_since(const shard_record& shard, time_point due) const;
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
     void request_shards();
     void answer_yield_call(const std::string& body, const peer_reply& reply);
@@ -234,6 +276,13 @@
                          const host_id& candidate = {}) const;
     std::size_t count_owned(const host_id& owner) const;
     void claim_shard(const shard_record& shard, const claim_row* claim, claim_reason reason);
+    std::vector<worker_target> list_workers(const shard_record& shard) const;
+    void probe_workers(const shard_record& shard);
+    bool reaches_workers(const shard_record& shard);
+    bool is_isolated() const;
+    void request_in_store(const shard_record& shard);
+    void on_request_entry(const shard_id& id, const store_entry& entry);
+    void answer_store_requests();
     void activate_shard(const shard_record& shard, epoch_number epoch, revision_number revision);
     void load_shard_page(const shard_pointer& shard, const std::string& after);
     void attach_workers(owned_shard& shard);
@@ -314,8 +363,20 @@
     std::set<shard_id> claiming_;
     std::map<shard_id, time_point> next_claim_; // earliest time of the next attempt
     std::map<shard_id, owner_progress> owner_progress_;
+    std::map<shard_id, worker_reach> shard_reach_;
     site_config config_;
-    std::optional<time_point> config_applied_;
+    std::optional<time_point> config_applied_; // when it came into force
+    config_history config_history_;
+    std::optional<time_point> config_confirmed_; // when the store had no newer one
+    struct encoded_config {
+        generation_number generation;
+        std::string text;
+    };
+    encoded_config encoded_config_; // the whole configuration, for peers
+    // Generations above the one in force, and when a peer first announced them.
+    std::map<generation_number, time_point> newer_generations_;
+    bool fetching_config_ = false;
+    std::optional<time_point> reader_missing_since_; // in this region
     std::set<data_centre_id> evacuated_;
     std::optional<lease_id> lease_;
     time_point started_;
@@ -347,6 +408,7 @@
     std::size_t location_cache_next_ = 0;
 
     store_view meta_;
+    store_view config_view_; // paused unless this host reads for its region
     store_view orders_;
     store_view worker_view_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -170,7 +170,9 @@
                    status.orders_revision,
                    std::move(shards),
                    status.store_unreachable_ms,
-                   status.reachable_owners};
+                   status.reachable_owners,
+                   status.config_age ? status.config_age->count() : -1,
+                   status.reads_config};
     std::string text;
     json::to_msgpack(out, text);
     return text;
@@ -189,6 +191,11 @@
         status.orders_revision = in.at(6).get<revision_number>();
         status.store_unreachable_ms = in.at(8).get<std::int64_t>();
         status.reachable_owners = in.at(9).get<std::vector<host_id>>();
+        // Earlier versions send neither of these.
+        if (in.size() > 11 && in.at(10).get<std::int64_t>() >= 0) {
+            status.config_age = duration(in.at(10).get<std::int64_t>());
+        }
+        status.reads_config = in.size() > 11 && in.at(11).get<bool>();
         for (const auto& row : in.at(7)) {
             shard_status shard;
             shard.id = row.at(0).get<shard_id>();
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -5,6 +5,7 @@
 #include "shard_control.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,7 +53,10 @@
     std::int64_t store_unreachable_ms = 0; // time since the store's last answer; 0 while it answers
     std::vector<host_id> reachable_owners; // shard owners that the sender receives datagrams from
     generation_number generation;          // of the configuration in force
-    revision_number orders_revision;       // of the newest operator order received
+    // Time since the store was known to have no newer configuration.
+    std::optional<duration> config_age;
+    bool reads_config = false;       // the sender reads the configuration from the store
+    revision_number orders_revision; // of the newest operator order received
     std::vector<shard_status> shards;
 };
 
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -175,7 +175,7 @@
         log_.write(R"(event=queue_unknown caller_host="{}" path="{}" generation={} age_ms={} )"
                    "confirmed_ms={}",
                    caller_host, caller_path, config_.generation.value, age(config_applied_),
-                   age(orders_.confirmed()));
+                   age(config_confirmed_));
         return;
     }
     log_.write(R"(event=request_rejected status={} reason="{}" caller_host="{}" path="{}" )"
@@ -567,6 +567,8 @@
         next_claim_check_ = loop_.now();
         read_claim(body);
         reply(std::string());
+    } else if (method == "config") {
+        answer_config_call(body, reply);
     } else if (method == "orders") {
         json entries = json::array();
         for (const auto& [key, entry] : orders_.entries()) {
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -15,6 +15,8 @@
 inline constexpr std::string_view hosts_prefix = "meta/hosts/";
 inline constexpr std::string_view claims_prefix = "meta/claims/";
 inline constexpr std::string_view shard_list_key = "meta/shards";
+// Requests for a shard that the owner gets by the store, as datagrams and calls don't reach it.
+inline constexpr std::string_view requests_prefix = "meta/requests/";
 
 // Key of the entry that names the shard of a job. If a job id is submitted twice, the first
 // creation of this entry decides which submission counts.
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -4,6 +4,20 @@
 
 namespace fulmar {
 
+namespace {
+
+// A shorter pause isn't worth a list, which repeats the last version if nothing has changed.
+constexpr duration shortest_paced_pause{100};
+
+// Bounds the age of the content, whatever its size.
+constexpr duration longest_paced_pause{800};
+
+std::int64_t size_of(const store_entry& entry) {
+    return static_cast<std::int64_t>(entry.key.size() + entry.value.size());
+}
+
+} // namespace
+
 store_view::store_view(async_store& store, event_loop& loop, decision_log& log,
                        store_view_options options, change_handler on_change, load_handler on_load)
     : state_(std::make_shared<state>(state{.store = store,
@@ -14,13 +28,37 @@
                                            .on_load = std::move(on_load)})) {}
 
 void store_view::start() {
-    load_page(state_, "", state_->loop.now());
+    call_next(state_, true);
 }
 
 void store_view::stop() {
     state_->stopped = true;
 }
 
+void store_view::pause() {
+    state_->paused = true;
+}
+
+void store_view::resume() {
+    const bool was_paused = std::exchange(state_->paused, false);
+    if (was_paused && !state_->active) {
+        call_next(state_, true);
+    }
+}
+
+// Makes the next call unless the view is stopped or paused.
+void store_view::call_next(const std::shared_ptr<state>& self, bool reload) {
+    self->active = !self->stopped && !self->paused;
+    if (!self->active) {
+        return;
+    }
+    if (reload) {
+        load_page(self, "", self->loop.now());
+    } else {
+        watch(self);
+    }
+}
+
 void store_view::merge(const std::map<std::string, store_entry>& entries, revision_number revision,
                        time_point confirmed) {
     auto& self = *state_;
@@ -38,21 +76,25 @@
 }
 
 // Replaces the content and calls the change handler for each difference.
-void store_view::replace(state& self, std::map<std::string, store_entry> content) {
+bool store_view::replace(state& self, std::map<std::string, store_entry> content) {
     std::map<std::string, store_entry> old;
     old.swap(self.entries);
     self.entries = std::move(content);
+    bool changed = false;
     for (const auto& [key, entry] : old) {
         if (!self.entries.contains(key)) {
+            changed = true;
             self.on_change(key, nullptr);
         }
     }
     for (const auto& [key, entry] : self.entries) {
         const auto known = old.find(key);
         if (known == old.end() || known->second.revision != entry.revision) {
+            changed = true;
             self.on_change(key, &entry);
         }
     }
+    return changed;
 }
 
 void store_view::load_page(const std::shared_ptr<state>& self, const std::string& after,
@@ -60,6 +102,7 @@
     if (after.empty()) {
         self->listing.clear();
         self->listing_revision = {};
+        self->received_bytes = 0;
     }
     self->store.list(self->options.prefix, after, read_mode::linearizable,
                      [self, load_started, after](result<store_page> page) {
@@ -79,6 +122,7 @@
                          std::string last;
                          for (auto& entry : received.entries) {
                              last = entry.key;
+                             self->received_bytes += size_of(entry);
                              self->listing.insert_or_assign(last, std::move(entry));
                          }
                          if (received.more && !last.empty()) {
@@ -86,30 +130,36 @@
                              return;
                          }
                          record_success(*self);
+                         bool changed = false;
                          if (self->listing_revision >= self->revision) {
-                             replace(*self, std::move(self->listing));
+                             changed = replace(*self, std::move(self->listing));
                              self->revision = self->listing_revision;
                              self->confirmed =
                                  std::max(self->confirmed.value_or(load_started), load_started);
                              self->loaded = true;
                              self->on_load();
                          }
-                         watch(self);
+                         self->pacing = self->pacing && changed;
+                         schedule_next(self);
                      });
 }
 
-// Starts the next watch call, at once or when the minimum interval has passed.
-void store_view::schedule_watch(const std::shared_ptr<state>& self) {
-    const auto pause = self->last_watch + self->options.min_watch_interval - self->loop.now();
+// Returns the time in which as much may be read as the last call returned.
+duration store_view::paced_pause(const state& self) {
+    const auto rate = self.options.bytes_per_second;
+    return std::min(duration(rate == 0 ? 0 : self.received_bytes * 1'000 / rate),
+                    longest_paced_pause);
+}
+
+// Makes the next call, at once or after the pause between calls.
+void store_view::schedule_next(const std::shared_ptr<state>& self) {
+    const auto watch_pause = self->last_watch + self->options.min_watch_interval - self->loop.now();
+    const auto pause = self->pacing ? paced_pause(*self) : watch_pause;
     if (pause.count() <= 0) {
-        watch(self);
+        call_next(self, self->pacing);
         return;
     }
-    self->loop.call_after(pause, [self] {
-        if (!self->stopped) {
-            watch(self);
-        }
-    });
+    self->loop.call_after(pause, [self] { call_next(self, self->pacing); });
 }
 
 void store_view::watch(const std::shared_ptr<state>& self) {
@@ -132,7 +182,9 @@
                           }
                           record_success(*self);
                           auto& received = reply.value();
+                          self->received_bytes = 0;
                           for (auto& event : received.events) {
+                              self->received_bytes += size_of(event.entry);
                               const auto key = event.entry.key;
                               const auto known = self->entries.find(key);
                               if (known != self->entries.end() &&
@@ -151,7 +203,8 @@
                           }
                           self->revision = std::max(self->revision, received.revision);
                           self->confirmed = std::max(self->confirmed.value_or(sent), sent);
-                          schedule_watch(self);
+                          self->pacing = paced_pause(*self) >= shortest_paced_pause;
+                          schedule_next(self);
                       });
 }
 
@@ -175,16 +228,8 @@
                              self->options.prefix, to_string(failure.kind));
     }
     self->backoff = std::clamp(self->backoff * 2, self->options.retry, self->options.retry_limit);
-    self->loop.call_after(self->backoff, [self, reload] {
-        if (self->stopped) {
-            return;
-        }
-        if (reload || !self->loaded) {
-            load_page(self, "", self->loop.now());
-        } else {
-            watch(self);
-        }
-    });
+    self->loop.call_after(self->backoff,
+                          [self, reload] { call_next(self, reload || !self->loaded); });
 }
 
 } // namespace fulmar
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -16,8 +16,11 @@
     std::string prefix;
     duration wait{10'000};          // of one watch call
     duration min_watch_interval{0}; // between two watch calls, to batch frequent changes
-    duration retry{300};            // after a failed call; doubled up to retry_limit
-    duration retry_limit{1'500};    // bounds the time to detect that the store answers again
+    // Bytes of entries that may be read in a second while they change; 0: no limit. Large entries
+    // that change are then listed after a pause, as a watch returns each of their versions.
+    std::int64_t bytes_per_second = 0;
+    duration retry{300};         // after a failed call; doubled up to retry_limit
+    duration retry_limit{1'500}; // bounds the time to detect that the store answers again
 };
 
 class store_view {
@@ -33,6 +36,11 @@
     void start();
     void stop();
 
+    // Makes no calls until resume(), which lists the prefix again once a call in flight has ended.
+    void pause();
+    void resume();
+    bool paused() const { return state_->paused; }
+
     bool loaded() const { return state_->loaded; }
     const std::map<std::string, store_entry>& entries() const { return state_->entries; }
 
@@ -66,17 +74,24 @@
         bool loaded = false;
         bool healthy = false;
         bool stopped = false;
+        bool paused = false;
+        bool active = false; // a call is in flight, or scheduled
         duration backoff{0};
         time_point last_watch{};
+        std::int64_t received_bytes = 0; // by the last call, or by the pages of a list
+        bool pacing = false; // large changes arrive, so the next call is a list after a pause
     };
 
     static void load_page(const std::shared_ptr<state>& self, const std::string& after,
                           time_point load_started);
-    static void schedule_watch(const std::shared_ptr<state>& self);
+    static duration paced_pause(const state& self);
+    static void schedule_next(const std::shared_ptr<state>& self);
+    static void call_next(const std::shared_ptr<state>& self, bool reload);
     static void watch(const std::shared_ptr<state>& self);
     static void retry(const std::shared_ptr<state>& self, const error& failure, bool reload);
     static void record_success(state& self);
-    static void replace(state& self, std::map<std::string, store_entry> content);
+    // Returns whether the content differs.
+    static bool replace(state& self, std::map<std::string, store_entry> content);
 
     std::shared_ptr<state> state_;
 };
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -75,8 +75,7 @@
             next->options.regions = regions_;
             next->options.peer_address = {"10.0.0.1",
                                           static_cast<std::uint16_t>(hosts_.size() + 1)};
-            next->options.layout = {.orders_prefix = "op/",
-                                    .config_key = "op/config",
+            next->options.layout = {.config_key = "op/config",
                                     .evacuations_prefix = "op/evacuate/",
                                     .workers_prefix = "servers/",
                                     .parse_config = parse_sim_config,
