host_claims, host_reach: nothing is taken from an owner that stores, and only by a host that reaches its workers

Cause: after 5 s without datagrams a host claimed the shard of an owner that worked and stored (owner_cut_off), if it heard most others; beyond a busy link these are the hosts of its own region. It reached none of 58 or 59 workers and kept the shard for up to 20 s, as an incomplete takeover isn't handed over. Claims of restarted owners' and of unowned shards and requests for handovers had the same gap: a host counts only the hosts that it hears and takes itself for the nearest.

Change: an owner whose head in the store moves keeps its shard. If no host hears it, it is asked by the store, and hands over if it hears nobody itself. A restarted owner's shard goes to near hosts first. A shard that nobody claims for 1.5 s may be claimed by any host that reaches its workers. Hosts of another region want the head unchanged for 1.2 s.

sim_checks: a query that was sent before the acceptance of its job may be answered 410 after it. "unreadable entries are ignored" showed that (sent at 13.000 s, accepted 13.004 s, answered 13.006 s), so the acceptance counts at the sending.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -38,11 +38,19 @@
 // or can't write to the store. More than twice shard_timing::progress_interval.
 constexpr duration stalled_after{700};
 
+// The same for a host of another region: a call of the owner may wait for the link between regions
+// for as long as its timeout.
+constexpr duration remote_stalled_after{1'200};
+
+// A shard that nobody has claimed for this long may be claimed by any host that reaches its
+// workers.
+constexpr duration unclaimed_limit{1'500};
+
 // Longest time between two checks of an owner that turned out to work.
 constexpr duration longest_progress_window{4'000};
 
-// An owner that works but that no host receives datagrams from is replaced after this, in addition
-// to its failure timeout: callers at other hosts can't reach its jobs.
+// An owner that works but that no host receives datagrams from is asked for its shard after this,
+// in addition to its failure timeout: callers at other hosts can't reach its jobs.
 constexpr duration cut_off_timeout{2'000};
 
 // Returns the name in "name/incarnation".
@@ -241,7 +249,12 @@
     const bool candidate =
         silence > owner_timeout(shard.data_centre) || choose_owner(shard, owner) == options_.name;
     const auto now = loop_.now();
-    auto& progress = owner_progress_.try_emplace(shard.id, owner_progress{now}).first->second;
+    const auto window = distance_to(shard.data_centre) == 2 ? remote_stalled_after : stalled_after;
+    auto& progress = owner_progress_
+                         .try_emplace(shard.id, owner_progress{.suspected_at = now,
+                                                               .stalled_after = window,
+                                                               .window = window})
+                         .first->second;
     if (!candidate || progress.stalled || now < progress.next_read) {
         return;
     }
@@ -265,7 +278,7 @@
     if (sent < progress.suspected_at) {
         return; // of an earlier suspicion
     }
-    if (progress.head == head && sent >= progress.read_at + stalled_after) {
+    if (progress.head == head && sent >= progress.read_at + progress.stalled_after) {
         progress.stalled = true;
         next_claim_check_ = loop_.now();
         return;
@@ -281,11 +294,17 @@
     }
 }
 
+// Returns whether this host may claim a shard that nobody owns since `due`: the one that should own
+// it, and after a while any other, as the former may reach no worker of the shard.
+bool host_control::may_claim_since(const shard_record& shard, time_point due) const {
+    const auto now = loop_.now();
+    return now >= due && (now >= due + unclaimed_limit || choose_owner(shard, {}) == options_.name);
+}
+
 // Returns whether this host should claim a shard now. Nearer hosts act first.
 host_control::claim_reason host_control::should_claim(const shard_record& shard,
                                                       const claim_row* claim) const {
     using enum claim_reason;
-    const auto now = loop_.now();
     const auto& timing = options_.timing;
     const auto timeout = owner_timeout(shard.data_centre);
     const auto startup_grace_end = started_ + timing.local_gossip_interval * 2;
@@ -293,8 +312,8 @@
         const auto first_seen =
             claim != nullptr ? claim->first_seen : shard_first_seen_.at(shard.id);
         const auto wait = distance_to(shard.data_centre) == 0 ? duration(0) : timeout;
-        const bool due = now >= std::max(startup_grace_end, first_seen + wait);
-        return due && choose_owner(shard, {}) == options_.name ? unowned : none;
+        const auto due = std::max(startup_grace_end, first_seen + wait);
+        return may_claim_since(shard, due) ? unowned : none;
     }
     const auto owner = host_name_of(claim->record.owner);
     if (owner == options_.name) {
@@ -307,8 +326,10 @@
         peer != peers_.end() && peer->second.registered_revision > claim->revision &&
         claim->record.owner.value != owner.value + "/" + peer->second.record.incarnation;
     if (restarted) {
-        const bool due = now >= startup_grace_end;
-        return due && choose_owner(shard, {}) == options_.name ? owner_restart : none;
+        // The hosts of the data centre first, as a distant host may not hear them.
+        const auto wait = distance_to(shard.data_centre) == 0 ? duration(0) : timeout;
+        const auto due = std::max(startup_grace_end, peer->second.registered_at + wait);
+        return may_claim_since(shard, due) ? owner_restart : none;
     }
     // An owner that can't write to the store is replaced by a host that can. After an outage that
     // affects all hosts, each detects the store's return at a different time, so the first one
@@ -348,11 +369,6 @@
     return reason == claim_reason::owner_silent || reason == claim_reason::owner_without_store;
 }
 
-// Returns whether a claim for this reason takes a shard from a host that may still work.
-bool host_control::replaces_owner(claim_reason reason) {
-    return needs_stalled_owner(reason) || reason == claim_reason::owner_cut_off;
-}
-
 // Returns whether the owner of a shard had stored nothing for a while when it was last checked. The
 // claim then requires that this hasn't changed.
 bool host_control::has_stalled(const shard_id& shard) const {
@@ -377,7 +393,7 @@
         const auto owner = host_name_of(claim->second.record.owner);
         const auto peer = peers_.find(owner);
         if (peer == peers_.end() || !is_alive(peer->second) || now < next_request_[shard.id] ||
-            choose_owner(shard, {}) != options_.name) {
+            choose_owner(shard, {}) != options_.name || !reaches_workers(shard)) {
             continue;
         }
         next_request_[shard.id] = now + request_retry_interval;
@@ -432,6 +448,7 @@
     if (!worker_view_.loaded()) {
         return; // the sizes of the shards aren't known
     }
+    answer_store_requests();
     for (const auto& [id, shard] : std::map(owned_)) {
         if (!shard->successor.value.empty()) {
             transfer_shard(shard);
@@ -460,9 +477,18 @@
         if (claim != nullptr && !claim->record.owner.value.empty()) {
             track_progress(shard, *claim);
         }
-        if (const auto reason = should_claim(shard, claim);
-            reason != claim_reason::none && (store_answers || !replaces_owner(reason)) &&
-            (!needs_stalled_owner(reason) || has_stalled(shard.id))) {
+        auto reason = should_claim(shard, claim);
+        if (reason == claim_reason::none || !reaches_workers(shard)) {
+            continue;
+        }
+        if (reason == claim_reason::owner_cut_off && has_stalled(shard.id)) {
+            reason = claim_reason::owner_silent;
+        }
+        if (reason == claim_reason::owner_cut_off) {
+            request_in_store(shard);
+            continue;
+        }
+        if (!needs_stalled_owner(reason) || (store_answers && has_stalled(shard.id))) {
             claim_shard(shard, claim, reason);
         }
     }
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -199,6 +199,10 @@
         peer.registered_revision = entry->revision;
         return;
     }
+    if (key.starts_with(requests_prefix) && entry != nullptr) {
+        on_request_entry({key.substr(requests_prefix.size())}, *entry);
+        return;
+    }
     if (key == shard_list_key) {
         shard_list_revision_ = entry == nullptr ? revision_number{} : entry->revision;
         if (entry == nullptr) {
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -159,7 +159,8 @@
         std::optional<revision_number> head{}; // 0: no commit yet
         time_point read_at{};                  // when the first read that returned it was answered
         time_point next_read{};
-        duration window{700}; // until the next read
+        duration stalled_after; // without a new head, the owner has stopped storing
+        duration window;        // until the next read
         bool stalled = false;   // a second read returned the same head
     };
     struct owned_shard {
@@ -265,7 +266,6 @@
     void apply_rejection(const shard_id& shard, const std::vector<store_entry>& present,
                          time_point sent);
     static bool needs_stalled_owner(claim_reason reason);
-    static bool replaces_owner(claim_reason reason);
     bool has_stalled(const shard_id& shard) const;
     bool may_claim_since(const shard_record& shard, time_point due) const;
     claim_reason should_claim(const shard_record& shard, const claim_row* claim) const;
--- a/tests/sim_checks.cpp
+++ b/tests/sim_checks.cpp
@@ -135,12 +135,14 @@
     }
     const auto reported_phase = std::make_shared<std::optional<job_phase>>();
     const auto answered = std::make_shared<bool>(false);
+    // A query that was sent before the acceptance may be answered after it.
+    const bool accepted = jobs_.at(id).ever_accepted;
     hosts_[index]->control->query(
         {id}, duration(2'800),
-        [this, id, reported_phase, answered](const result<job_phase>& phase) {
+        [this, id, accepted, reported_phase, answered](const result<job_phase>& phase) {
             *answered = true;
             if (!phase) {
-                if (phase.error().kind == error_kind::not_found && jobs_.at(id).ever_accepted) {
+                if (phase.error().kind == error_kind::not_found && accepted) {
                     record_violation("LOST accepted job unknown: " + id);
                 }
                 return;
