net_peer_link_test: open the link at a port that is free for UDP and TCP

Both cases took a port that the system had chosen for UDP and opened UDP and TCP there. A TCP connection may use the same number: bound by hand, UDP succeeds at the port of an established connection and a listening TCP socket gets "Address already in use". Which connection it was isn't known, as the message wasn't printed. Now up to 20 ports are tried and the reasons are printed if none can be opened; what the cases check is unchanged. no functional change

--- a/tests/net_peer_link_test.cpp
+++ b/tests/net_peer_link_test.cpp
@@ -6,6 +6,30 @@
 
 using namespace fulmar;
 
+namespace {
+
+// Opens a link at a port that is free for UDP and TCP: one that the system chose for UDP may be in
+// use by a TCP connection.
+std::unique_ptr<net_peer_link> open_link(asio::io_context& io, http_client& http,
+                                         const peer_handlers& handlers, socket_address& address) {
+    constexpr int attempts = 20;
+    std::string reasons;
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        asio::ip::udp::socket probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+        address = {"127.0.0.1", probe.local_endpoint().port()};
+        probe.close();
+        auto link = net_peer_link::open(address, io, http, handlers);
+        if (link) {
+            return std::move(link).value();
+        }
+        reasons += link.error().detail + "\n";
+    }
+    FAIL(reasons);
+    return nullptr;
+}
+
+} // namespace
+
 // A busy host read one datagram in each pass over its pending events, so that those of most peers
 // waited for seconds or were lost, and the peers looked failed.
 TEST_CASE("all datagrams that have arrived are processed before other pending events") {
@@ -17,11 +41,9 @@
     handlers.on_datagram = [&](const std::string&) { ++received; };
     handlers.on_call = [](const std::string&, const std::string&, const peer_reply&) {};
 
-    asio::ip::udp::socket probe(io, {asio::ip::make_address("127.0.0.1"), 0});
-    const auto port = probe.local_endpoint().port();
-    probe.close();
-    auto link = net_peer_link::open({"127.0.0.1", port}, io, http, handlers);
-    REQUIRE(link);
+    socket_address address;
+    const auto link = open_link(io, http, handlers, address);
+    const auto port = address.port;
 
     asio::ip::udp::socket sender(io, asio::ip::udp::v4());
     const std::string text(200, 'x');
@@ -71,21 +93,17 @@
         served.push_back(method + " " + std::to_string(in) +
                          (method == "room" ? " " + std::to_string(out) : ""));
     };
-    asio::ip::udp::socket probe(io, {asio::ip::make_address("127.0.0.1"), 0});
-    const socket_address address{"127.0.0.1", probe.local_endpoint().port()};
-    probe.close();
-    auto link = net_peer_link::open(address, io, http, handlers);
-    REQUIRE(link);
+    socket_address address;
+    const auto link = open_link(io, http, handlers, address);
 
     int replies = 0;
-    link.value()->send(address, std::string(1'200, 'x'));
-    link.value()->call(address, "room", "abc", duration(60'000),
-                       [&](const result<std::string>& reply) {
-                           REQUIRE(reply);
-                           ++replies;
-                           link.value()->call(address, "anything", "abcd", duration(60'000),
-                                              [&](const result<std::string>&) { ++replies; });
-                       });
+    link->send(address, std::string(1'200, 'x'));
+    link->call(address, "room", "abc", duration(60'000), [&](const result<std::string>& reply) {
+        REQUIRE(reply);
+        ++replies;
+        link->call(address, "anything", "abcd", duration(60'000),
+                   [&](const result<std::string>&) { ++replies; });
+    });
     while (replies < 2 || received == 0) {
         REQUIRE(io.run_one_for(std::chrono::seconds(60)) == 1);
     }
