--- a/tests/region_cut_test.cpp
+++ b/tests/region_cut_test.cpp
@@ -123,6 +123,11 @@
     });
 }
 
+void check_none(const std::vector<std::string>& claims) {
+    CAPTURE(claims);
+    CHECK(claims.empty());
+}
+
 void cut_both_ways(sim_world& world, bool cut) {
     world.cut_region("east", "west", cut);
     world.cut_region("west", "east", cut);
@@ -148,7 +153,7 @@
         const auto world = make_two_regions(seed);
         const auto claims = list_claims(*world);
         cut_both_ways(*world, true);
-        CHECK(find_remote_claims(*world, duration(12'000)) == std::vector<std::string>());
+        check_none(find_remote_claims(*world, duration(12'000)));
         CHECK(list_claims(*world) == claims);
         cut_both_ways(*world, false);
         world->run_for(after_cut);
@@ -166,7 +171,7 @@
         const auto world = make_two_regions(seed);
         const auto claims = list_claims(*world);
         world->cut_region("east", "west", true);
-        CHECK(find_remote_claims(*world, duration(12'000)) == std::vector<std::string>());
+        check_none(find_remote_claims(*world, duration(12'000)));
         CHECK(list_claims(*world) == claims);
         world->cut_region("east", "west", false);
         world->run_for(after_cut);
@@ -183,7 +188,7 @@
         const auto world = make_two_regions(seed);
         const auto claims = list_claims(*world);
         separate_hosts(*world, true);
-        CHECK(find_remote_claims(*world, duration(12'000)) == std::vector<std::string>());
+        check_none(find_remote_claims(*world, duration(12'000)));
         CHECK(list_claims(*world) == claims);
         separate_hosts(*world, false);
         world->run_for(after_cut);
@@ -224,7 +229,7 @@
         const auto owner = world->owner_of("east-b.0");
         REQUIRE(owner);
         world->kill_host(*owner);
-        CHECK(find_remote_claims(*world, region_takeover) == std::vector<std::string>());
+        check_none(find_remote_claims(*world, region_takeover));
         CHECK(is_served_from_its_region(*world, "east-b.0"));
         world->run_for(after_cut);
         CHECK(count_ended(*world) == 0);
@@ -250,10 +255,10 @@
             world->run_for(duration(30)); // it has registered
             world->set_store_mode(*owner, late ? store_mode::silent : store_mode::up);
             auto claims = find_remote_claims(*world, duration(800));
-            CHECK(claims == std::vector<std::string>());
+            check_none(claims);
             world->set_store_mode(*owner, store_mode::up);
             claims = find_remote_claims(*world, restart_takeover - duration(800));
-            CHECK(claims == std::vector<std::string>());
+            check_none(claims);
             CHECK(is_served_from_its_region(*world, "east-b.0"));
             cut_both_ways(*world, false);
             world->run_for(after_cut);
@@ -278,7 +283,7 @@
                 world->kill_host(host);
             }
         }
-        CHECK(find_remote_claims(*world, region_takeover) == std::vector<std::string>());
+        check_none(find_remote_claims(*world, region_takeover));
         CHECK(is_served_from_its_region(*world, "east-b.0"));
         world->run_for(after_cut);
         CHECK(count_ended(*world) == 0);
@@ -308,7 +313,7 @@
             find_claims(*world, region_takeover, [&](const std::string& shard, std::size_t host) {
                 return shard == "east-b.0" && host != *owner && is_local(host, *owner);
             });
-        CHECK(claims == std::vector<std::string>());
+        check_none(claims);
         CHECK(world->owner_of("east-b.0"));
         world->run_for(after_cut);
         CHECK(count_ended(*world) == 0);
@@ -328,7 +333,7 @@
         cut_both_ways(*world, true);
         world->kill_host(*east);
         world->kill_host(*west);
-        CHECK(find_remote_claims(*world, region_takeover) == std::vector<std::string>());
+        check_none(find_remote_claims(*world, region_takeover));
         CHECK(is_served_from_its_region(*world, "east-b.0"));
         CHECK(is_served_from_its_region(*world, "west-c.0"));
         world->run_for(duration(2'000));
