shard_reports: use no row after the end of a run may have freed it

Cause: apply_run_end kept pointers to the rows of a task and its stage while complete_task erased their occurrence, or end_job all occurrences, and then read task->runs from freed memory, on each last end of an occurrence, on any deployment.

Change: the part that may free rows is a function that returns whether the change is urgent; the assertion looks the task up again.

--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -210,6 +210,52 @@
     worker.unacknowledged_ends.push_back({row, version});
 }
 
+// Returns whether a task that is still needed here has a run, or waits for one.
+bool is_accounted_for(shard_tables& tables, const task_key& key) {
+    const auto* task = find_task(tables, key);
+    return task == nullptr || task->done || task->not_local || !task->runs.empty() ||
+           find_stage(tables, key)->waiting.contains(key.index);
+}
+
+// Applies the end of a run to its task and job. Returns whether a caller or another shard waits for
+// the change. Completing a task may free the rows of its whole occurrence, and ending a job frees
+// those of all its occurrences, so the rows are not used after either.
+bool settle_run_end(shard_state& shard, job_row& job, const worker_id& worker, const run_end& row,
+                    time_point now, unix_time unix_now) {
+    const auto& key = row.run;
+    const auto& step = job.spec.steps[key.task.step];
+    auto& stage = *find_stage(shard.tables, key.task);
+    auto& task = stage.tasks[key.task.index];
+    task.last_run = std::max(task.last_run, key.number);
+    if (!row.checkpoint.empty()) {
+        task.checkpoint = row.checkpoint;
+    }
+    if (row.kind == run_end_kind::done && !step.long_running) {
+        if (!is_borrowed(job)) {
+            return complete_task(shard, job, key.task, now, unix_now);
+        }
+        finish_task(shard, stage, key.task, now);
+        report_task(shard, job, task, loan_result::done, now);
+        return true;
+    }
+    if (row.kind != run_end_kind::failed) {
+        return false;
+    }
+    task.last_failed_on = worker;
+    const bool attempts_exhausted =
+        !step.long_running && record_failed_run(task, key.number) >= job.queue.max_attempts;
+    if (!attempts_exhausted) {
+        return false;
+    }
+    if (!is_borrowed(job)) {
+        end_job(shard, job, job_phase::failed, now, unix_now);
+        return true;
+    }
+    report_task(shard, job, task, loan_result::failed, now);
+    stage.waiting.erase(key.task.index);
+    return true;
+}
+
 } // namespace
 
 bool complete_task(shard_state& shard, job_row& job, const task_key& key, time_point now,
@@ -252,12 +298,12 @@
         remove_run(shard.tables, key);
     }
     shard.placement_needed = true;
-    auto* stage = find_stage(shard.tables, key.task);
-    auto* task = find_task(shard.tables, key.task);
+    const auto* task = find_task(shard.tables, key.task);
     if (task == nullptr || task->done) {
         return;
     }
-    if (task->loan != 0 && !is_borrowed(shard.tables.jobs.at(key.task.job))) {
+    auto& job = shard.tables.jobs.at(key.task.job);
+    if (task->loan != 0 && !is_borrowed(job)) {
         // The worker was unreachable for longer than its lease, and the task was lent meanwhile.
         // The borrower may already run it, so the borrower's result counts.
         shard.log->write("event=late_end_ignored task={}.{}.{}.{} run={} worker={} end={}",
@@ -265,35 +311,8 @@
                          key.number.value, worker.value, to_string(row.kind));
         return;
     }
-    auto& job = shard.tables.jobs.at(key.task.job);
-    const auto& step = job.spec.steps[key.task.step];
-    task->last_run = std::max(task->last_run, key.number);
-    if (!row.checkpoint.empty()) {
-        task->checkpoint = row.checkpoint;
-    }
-    bool urgent = false;
-    if (row.kind == run_end_kind::done && !step.long_running && is_borrowed(job)) {
-        finish_task(shard, *stage, key.task, now);
-        report_task(shard, job, *task, loan_result::done, now);
-        urgent = true;
-    } else if (row.kind == run_end_kind::done && !step.long_running) {
-        urgent = complete_task(shard, job, key.task, now, unix_now);
-    } else if (row.kind == run_end_kind::failed) {
-        task->last_failed_on = worker;
-        const bool attempts_exhausted =
-            !step.long_running && record_failed_run(*task, key.number) >= job.queue.max_attempts;
-        if (attempts_exhausted && is_borrowed(job)) {
-            report_task(shard, job, *task, loan_result::failed, now);
-            stage->waiting.erase(key.task.index);
-            urgent = true;
-        } else if (attempts_exhausted) {
-            end_job(shard, job, job_phase::failed, now, unix_now);
-            urgent = true;
-        }
-    }
-    if (task->runs.empty() && !has_ended(job.phase) && !urgent) {
-        assert(task->done || task->not_local || stage->waiting.contains(key.task.index));
-    }
+    const bool urgent = settle_run_end(shard, job, worker, row, now, unix_now);
+    assert(is_accounted_for(shard.tables, key.task));
     record_change(shard, job, urgent, now);
 }
 
