shard control: a takeover passes workers at whose address another one answers

Cause: a takeover waits for each worker of the stored list to list its runs. Ruled out: the store's entries (they named the new workers), the claim (made after 4.9 s).

Change: such an answer at the listed address ends the wait for the worker, as the process and its runs have ended. The stored list names a worker's address as well as its id, and is written again when the address changes; rows with an unreadable address are waited for.

--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -52,7 +52,7 @@
     room.fillers += std::max<std::int64_t>(0, filler_room(shard, worker));
     room.long_running.push_back(long_running_room(shard.tables, worker));
     const bool may_start = shard.starts_allowed && shard.takeover_complete && !shard.releasing &&
-                           worker.inventoried && is_stored(shard, worker.entry.target.id);
+                           worker.inventoried && is_stored(shard, worker.entry.target);
     if (may_start) {
         room.free_now.push_back(free);
     }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -96,7 +96,8 @@
         if (!is_used(shard, worker, now)) {
             continue;
         }
-        if (stored == shard.stored_workers.end() || *stored != id) {
+        if (stored == shard.stored_workers.end() || stored->first != id ||
+            stored->second != worker.entry.target.address) {
             return true;
         }
         ++stored;
@@ -104,21 +105,21 @@
     return stored != shard.stored_workers.end();
 }
 
-std::set<worker_id> find_used_workers(const shard_state& shard, time_point now) {
-    std::set<worker_id> used;
+worker_list find_used_workers(const shard_state& shard, time_point now) {
+    worker_list used;
     for (const auto& [id, worker] : shard.tables.workers) {
         if (is_used(shard, worker, now)) {
-            used.insert(used.end(), id);
+            used.emplace_hint(used.end(), id, worker.entry.target.address);
         }
     }
     return used;
 }
 
-std::string make_worker_list(const shard_state& shard, const std::set<worker_id>& listed) {
+std::string encode_worker_list(const worker_list& listed) {
     std::vector<known_worker> rows;
     rows.reserve(listed.size());
-    for (const auto& id : listed) {
-        rows.push_back({shard.tables.workers.at(id).entry.target});
+    for (const auto& [id, address] : listed) {
+        rows.push_back({{id, address}});
     }
     return encode(rows);
 }
@@ -261,9 +262,9 @@
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
     commit.has_worker_list = has_new_worker_list(shard, now);
     if (commit.has_worker_list) {
-        commit.worker_list = find_used_workers(shard, now);
+        commit.listed_workers = find_used_workers(shard, now);
         next.puts.push_back(
-            {worker_list_key(shard.id), make_worker_list(shard, commit.worker_list), {}});
+            {worker_list_key(shard.id), encode_worker_list(commit.listed_workers), {}});
         ++builder.entries;
     }
     const auto submitted = find_submissions(shard);
@@ -332,7 +333,7 @@
         std::erase(shard.to_purge, id);
     }
     if (commit.has_worker_list) {
-        shard.stored_workers = commit.worker_list;
+        shard.stored_workers = commit.listed_workers;
     }
     commit.pending.reset();
     commit.unconfirmed = false;
@@ -422,14 +423,17 @@
     }
 }
 
-const std::set<worker_id>* find_pending_list(const commit_state& commit) {
-    return commit.pending && commit.has_worker_list ? &commit.worker_list : nullptr;
+const worker_list* find_pending_list(const commit_state& commit) {
+    return commit.pending && commit.has_worker_list ? &commit.listed_workers : nullptr;
 }
 
-bool is_stored(const shard_state& shard, const worker_id& worker) {
+bool is_stored(const shard_state& shard, const worker_target& worker) {
+    const auto names = [&](const worker_list& listed) {
+        const auto row = listed.find(worker.id);
+        return row != listed.end() && row->second == worker.address;
+    };
     const auto* pending = find_pending_list(shard.commit);
-    return shard.stored_workers.contains(worker) &&
-           (pending == nullptr || pending->contains(worker));
+    return names(shard.stored_workers) && (pending == nullptr || names(*pending));
 }
 
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -86,7 +86,7 @@
     }
     std::size_t unanswered = 0;
     std::string example;
-    for (const auto& id : shard.unreached_workers) {
+    for (const auto& [id, address] : shard.unreached_workers) {
         const auto worker = shard.tables.workers.find(id);
         if (worker != shard.tables.workers.end() &&
             worker->second.reachability == reachability_state::unreachable) {
@@ -102,22 +102,31 @@
         shard.majority_since ? (now - *shard.majority_since).count() : -1, waiting);
 }
 
-// Completes the takeover when no run of a predecessor can be unknown to this owner: either every
-// worker that the predecessors used was reached, or none of the remaining ones can still hold a
-// lease. A superseded owner stops renewing leases once a majority of the workers refuses its epoch
-// and its confirmation window has passed.
+// Completes the takeover when no run of a predecessor can be unknown to this owner. The wait for a
+// worker of the stored list ends as soon as
+// - the worker lists its runs in reply to this owner's epoch, which it then enforces;
+// - another worker answers at its address, so the process and its runs have ended.
+// The wait for all others ends when their leases have: no predecessor renews one
+// - a confirmation window after a majority of the list was reached as above, because it needs that
+//   majority or the store, and the store has this owner's claim; a worker that refuses this owner's
+//   epoch ends the ownership instead;
+// - at the latest after the limit for owners that the store doesn't confirm.
 void complete_takeover(shard_state& shard, time_point now) {
     if (shard.takeover_complete) {
         return;
     }
+    const auto& timing = shard.timing;
+    const auto with_drift = [&](duration time) {
+        return time * (100 + timing.clock_drift_percent) / 100;
+    };
     const auto reached = shard.predecessor_worker_count - shard.unreached_workers.size();
     if (!shard.majority_since && reached * 2 > shard.predecessor_worker_count) {
         shard.majority_since = now;
     }
-    const auto longest = shard.timing.confirmation_window +
-                         shard.timing.lease * (100 + shard.timing.clock_drift_percent) / 100 +
-                         shard.timing.lease_margin * 2;
-    const bool waited = shard.majority_since && now >= *shard.majority_since + longest;
+    const auto longest =
+        timing.confirmation_window + with_drift(timing.lease) + timing.lease_margin * 2;
+    const bool waited = (shard.majority_since && now >= *shard.majority_since + longest) ||
+                        now >= shard.loaded_at + with_drift(timing.unconfirmed_limit) + longest;
     if (shard.unreached_workers.empty() || waited) {
         shard.log->write_rare("event=takeover_settled shard={} epoch={} unreached={} age_ms={}",
                               shard.id.value, shard.epoch.value, shard.unreached_workers.size(),
@@ -244,8 +253,8 @@
                 auto& row = shard.tables.workers[worker.target.id];
                 row.entry.target = worker.target;
                 row.entry.data_centre = shard.data_centre;
-                shard.unreached_workers.insert(worker.target.id);
-                shard.stored_workers.insert(worker.target.id);
+                shard.unreached_workers.insert_or_assign(worker.target.id, worker.target.address);
+                shard.stored_workers.insert_or_assign(worker.target.id, worker.target.address);
             }
         } else if (entry.key.starts_with(progress)) {
             const auto job = shard.tables.jobs.find(job_id{entry.key.substr(progress.size())});
@@ -283,6 +292,10 @@
                          shard.id.value, entry.target.id.value, entry.draining,
                          entry.capacity.processors.value, entry.capacity.memory.value);
     }
+    if (worker.entry.target.address != entry.target.address) {
+        worker.replaced = false;
+        worker.next_hold = now;
+    }
     worker.entry = entry;
     worker.listed = true;
     shard.placement_needed = true;
@@ -445,6 +458,9 @@
 }
 
 bool has_lapsed(const shard_state& shard, const worker_row& worker, time_point now) {
+    if (worker.replaced) {
+        return true;
+    }
     const auto clock = earliest_clock(shard, worker, now);
     if (!clock) {
         return shard.takeover_complete;
@@ -460,11 +476,14 @@
     if (shard.claim_confirmed && *shard.claim_confirmed >= since) {
         return true;
     }
+    if (shard.claim_confirmed.value_or(shard.loaded_at) < now - shard.timing.unconfirmed_limit) {
+        return false;
+    }
     // The majority is counted among the workers in the stored list, because a successor reads the
     // same list: its majority and this one then overlap.
-    const auto is_majority = [&](const std::set<worker_id>& listed) {
-        const auto accepted = std::count_if(listed.begin(), listed.end(), [&](const auto& id) {
-            const auto worker = shard.tables.workers.find(id);
+    const auto is_majority = [&](const worker_list& listed) {
+        const auto accepted = std::count_if(listed.begin(), listed.end(), [&](const auto& row) {
+            const auto worker = shard.tables.workers.find(row.first);
             return worker != shard.tables.workers.end() && worker->second.clock &&
                    worker->second.clock_at >= since;
         });
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -61,6 +61,10 @@
     // If the store doesn't confirm the claim, ownership depends on a majority of the workers having
     // accepted this owner's epoch within this time. Must be at least twice hold_wait.
     duration confirmation_window{2'500};
+    // For how long the workers alone may confirm an owner, since the store did last. Bounds each
+    // takeover: a predecessor that is cut off from the store together with its workers ends by
+    // itself. Longer than any outage of the store in which running tasks should go on.
+    duration unconfirmed_limit{600'000};
     // Run ends that complete no job are collected for this long, so that one transaction stores
     // many.
     duration commit_delay{50};
@@ -189,6 +193,10 @@
     std::vector<loan_answer> loan_answers;
 };
 
+// Workers that may have runs of a shard, with their addresses. A worker may come back under its id
+// at another address; the list then has to name that one before a run starts there.
+using worker_list = std::map<worker_id, socket_address>;
+
 // State of group commit. Only one transaction is pending at a time. While its outcome is unknown,
 // the same transaction is sent again; its condition on the head's revision makes sure that it takes
 // effect at most once.
@@ -214,7 +222,7 @@
     std::vector<job_id> purged;         // jobs whose records the transaction removes
     std::vector<job_id> borrowed_jobs;  // borrowed jobs first stored in the transaction
     bool has_worker_list = false;       // the transaction includes the worker list
-    std::set<worker_id> worker_list;    // the worker list in the transaction
+    worker_list listed_workers;         // the worker list in the transaction
     time_point next_attempt;            // earliest time of the next attempt
     time_point last_applied;            // send time of the last transaction that was applied
     std::optional<time_point> dirty_since;
@@ -238,8 +246,9 @@
     bool ownership_lost = false; // another owner has a higher epoch; no further commands are sent
     // Send time of the last call that confirmed this owner's claim.
     std::optional<time_point> claim_confirmed;
-    // Workers that a predecessor used and that haven't replied with a complete list of runs yet.
-    std::set<worker_id> unreached_workers;
+    // Workers that a predecessor used and whose runs aren't known yet, at the addresses where it
+    // used them. What ends the wait for each is described at complete_takeover().
+    worker_list unreached_workers;
     // Number of workers that the predecessors used, reached or not.
     std::size_t predecessor_worker_count = 0;
     // When a majority of the predecessors' workers had been reached.
@@ -257,7 +266,7 @@
     commit_state commit;
     std::map<job_id, std::vector<request_token>> submissions;   // not yet answered
     std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
-    std::set<worker_id> stored_workers;                         // in the worker list in the store
+    worker_list stored_workers;                                 // in the worker list in the store
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
     std::vector<std::pair<worker_id, unacknowledged_run_end>> passed_ends;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -162,11 +162,11 @@
                         room_kind kind, time_point now);
 
 // Returns the worker list in the pending transaction, or nullptr if there is none.
-const std::set<worker_id>* find_pending_list(const commit_state& commit);
+const worker_list* find_pending_list(const commit_state& commit);
 
-// Returns whether the worker is in the stored worker list, whether or not the pending transaction
-// takes effect. A successor then expects runs of this owner on it.
-bool is_stored(const shard_state& shard, const worker_id& worker);
+// Returns whether the worker is in the stored worker list at this address, whether or not the
+// pending transaction takes effect. A successor then expects runs of this owner on it.
+bool is_stored(const shard_state& shard, const worker_target& worker);
 
 // Returns whether any task may start on the worker now.
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -295,7 +295,7 @@
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
            worker.listed && !worker.entry.draining && worker.no_starts_before <= now &&
-           is_stored(shard, worker.entry.target.id);
+           is_stored(shard, worker.entry.target);
 }
 
 bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -191,10 +191,11 @@
     return parse_record(text, [](const json& in) {
         std::vector<known_worker> workers;
         for (const auto& row : in) {
+            // A successor waits for each worker of the list, also for one whose address it can't
+            // read here.
             const auto address = parse_address(row.at(1).get<std::string>());
-            if (address) {
-                workers.push_back({{row.at(0).get<worker_id>(), address.value()}});
-            }
+            workers.push_back(
+                {{row.at(0).get<worker_id>(), address ? address.value() : socket_address{}}});
         }
         return workers;
     });
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -12,6 +12,10 @@
 // After a worker refused a start for lack of room, it gets no further starts for this long.
 constexpr duration no_room_pause{300};
 
+// Between probes of a worker at whose address another one answers. It may come back there under its
+// id.
+constexpr duration replaced_probe_interval{2'000};
+
 // How long a predecessor may have known that a serving task is over its target before the first
 // report to this owner shows it.
 constexpr duration takeover_time{3'000};
@@ -183,6 +187,28 @@
                      shard.id.value, worker.entry.target.id.value, reason, worker.runs.size());
 }
 
+// Handles the answer that another worker listens at a worker's address. An address is free for
+// another process only once the worker's own has ended, and its runs with it.
+void on_worker_replaced(shard_state& shard, worker_row& worker, time_point sent, time_point now) {
+    const auto& target = worker.entry.target;
+    mark_unreachable(shard, worker, "other_life", sent, now);
+    worker.next_hold = now + replaced_probe_interval;
+    const auto unreached = shard.unreached_workers.find(target.id);
+    if (unreached != shard.unreached_workers.end() && unreached->second != target.address) {
+        // The predecessors knew the worker at another address, where it may still run.
+        worker.entry.target.address = unreached->second;
+        worker.next_hold = now;
+        return;
+    }
+    if (worker.replaced) {
+        return;
+    }
+    worker.replaced = true;
+    reset_worker_state(shard, worker);
+    end_worker_runs(shard, worker, "other_life");
+    shard.unreached_workers.erase(target.id);
+}
+
 // Pauses starts on a worker that refused one, didn't reply to one, or had failed runs. The pause
 // doubles with each consecutive failure.
 void pause_starts(const shard_state& shard, worker_row& worker, time_point now) {
@@ -357,9 +383,7 @@
         return;
     }
     if (report.outcome == command_outcome::other_incarnation) {
-        mark_unreachable(shard, worker, "other_life", sent, now);
-        reset_worker_state(shard, worker);
-        end_worker_runs(shard, worker, "other_life");
+        on_worker_replaced(shard, worker, sent, now);
         return;
     }
     if (report.outcome != command_outcome::done) {
@@ -383,6 +407,7 @@
                          id.value, (now - worker.unanswered_since).count());
     }
     worker.reachability = reachability_state::reachable;
+    worker.replaced = false;
     worker.clock = report.clock;
     worker.clock_at = now;
     if (!worker.inventoried) {
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -67,6 +67,8 @@
     time_point clock_at;
     worker_clock lease_until; // no lease granted by this owner or a predecessor ends later
     time_point unanswered_since;
+    // Another worker answers at its address, so this one and all its runs have ended.
+    bool replaced = false;
 
     // Hold loop.
     bool hold_in_flight = false;
--- a/tests/room_requests_test.cpp
+++ b/tests/room_requests_test.cpp
@@ -38,7 +38,7 @@
             auto& worker = shard.tables.workers.at(entry.target.id);
             worker.reachability = reachability_state::reachable;
             worker.inventoried = true;
-            shard.stored_workers.insert(entry.target.id);
+            shard.stored_workers[entry.target.id] = entry.target.address;
         }
         shard.claim_confirmed = now;
     }
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -255,6 +255,18 @@
         return reached ? &found->second : nullptr;
     }
 
+    // Returns whether the worker has ended and another one that this host reaches has its address.
+    bool is_replaced(const worker_target& worker) const {
+        const auto own = world_.workers_.find(worker.id.value);
+        if (own != world_.workers_.end() && own->second.model) {
+            return false;
+        }
+        return std::any_of(world_.workers_.begin(), world_.workers_.end(), [&](const auto& row) {
+            return row.second.entry.target.address == worker.address &&
+                   find(row.second.entry.target) != nullptr;
+        });
+    }
+
     template <class Reply, class Action>
     void call(const worker_target& worker, std::function<void(result<Reply>)> done, Action action) {
         static constexpr duration timeout{1'200};
@@ -264,6 +276,14 @@
             });
         };
         const auto* target = find(worker);
+        if (target == nullptr && is_replaced(worker)) {
+            world_.on_host(host_, incarnation_, world_.latency(), [done] {
+                Reply reply;
+                reply.outcome = command_outcome::other_incarnation;
+                done(reply);
+            });
+            return;
+        }
         if (target == nullptr) {
             fail(timeout);
             return;
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -463,6 +463,19 @@
     write_entry(id);
 }
 
+void sim_world::replace_worker(const std::string& id) {
+    crash_worker(id);
+    const auto& old = workers_.at(id);
+    const auto next_id = id + "x";
+    sim_worker next;
+    next.entry = old.entry;
+    next.entry.target.id.value = next_id;
+    next.options = old.options;
+    next.options.id.value = next_id;
+    workers_.emplace(next_id, std::move(next));
+    start_worker(next_id);
+}
+
 void sim_world::drain_worker(const std::string& id) {
     workers_.at(id).entry.draining = true;
     store_.put("servers/" + id, encode_sim_worker(workers_.at(id).entry, next_order_));
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -106,6 +106,8 @@
     void crash_worker(const std::string& id);
     void start_worker(const std::string& id);
     void drain_worker(const std::string& id);
+    // Ends a worker; another one, with a new id, starts at its address.
+    void replace_worker(const std::string& id);
 
     // Operators.
     store_model& store() { return store_; }
