shard_loans: read an offer whole before anything changes; results of a gang close its loan

Cause: process_offer added the job's row and then read the rest of the body, so a malformed offer left a row without a loan behind. apply_result took the occurrence with at(), which throws once an earlier result of the same gang has completed it; the borrower repeated the message for ever. process_loan_message kept the reply of a message that threw.

Change: parse_offer fills a plain struct and checks it against the job's steps; results for a completed occurrence are settled without effect. Two tests in loan_messages_test.

--- a/src/host_loans.cpp
+++ b/src/host_loans.cpp
@@ -175,12 +175,13 @@
         reply(error{error_kind::unavailable, "not the shard's owner"});
         return;
     }
+    const auto token = next_token_++;
+    loan_waiting_[token] = reply;
     try {
-        const auto token = next_token_++;
-        loan_waiting_[token] = reply;
         on_loan_message(shard->state, body, token, loop_.now(), loop_.unix_now());
         schedule_shard(shard);
     } catch (const std::exception& failure) {
+        loan_waiting_.erase(token);
         reply(error{error_kind::protocol_error, failure.what()});
     }
 }
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -136,6 +136,42 @@
     return true;
 }
 
+// An offer as it was received; nothing in it has been compared with the job yet.
+struct loan_offer {
+    borrowed_tasks loan;
+    std::vector<std::pair<std::uint32_t, task_row>> tasks;
+    std::optional<job_row> job; // only if the job isn't known here
+};
+
+// Throws a std::exception if the body is malformed or doesn't match the job's steps.
+loan_offer parse_offer(const json& body, const job_id& id, const job_row* known) {
+    loan_offer offer;
+    if (known == nullptr) {
+        auto& row = offer.job.emplace();
+        row.id = id;
+        row.lender = body.at("from").get<shard_id>();
+        row.queue = decode_queue(body.at("queue"));
+        row.spec = decode_spec(body.at("spec"));
+        row.accepted = body.at("accepted").get<unix_time>();
+        row.phase = job_phase::running;
+        row.spec_stored = true;
+    }
+    auto& loan = offer.loan;
+    loan.loan = body.at("loan").get<std::uint64_t>();
+    loan.occurrence = body.at("occurrence").get<std::uint32_t>();
+    loan.step = body.at("step").get<std::uint32_t>();
+    const auto& step = (known == nullptr ? *offer.job : *known).spec.steps.at(loan.step);
+    for (const auto& entry : body.at("tasks")) {
+        const auto index = entry.at(0).get<std::uint32_t>();
+        if (index >= step.count) {
+            throw std::out_of_range("the step has no task " + std::to_string(index));
+        }
+        decode_task(entry, offer.tasks.emplace_back(index, task_row{}).second);
+        loan.tasks.insert(index);
+    }
+    return offer;
+}
+
 void process_offer(shard_state& shard, const json& body, request_token token, time_point now) {
     const auto id = body.at("job").get<job_id>();
     const auto number = body.at("loan").get<std::uint64_t>();
@@ -149,35 +185,28 @@
             answer_when_stored(shard, id, number, loan->version, token, state_taken);
             return;
         }
-    } else {
-        auto& row = shard.tables.jobs[id];
-        row.id = id;
-        row.lender = body.at("from").get<shard_id>();
-        row.queue = decode_queue(body.at("queue"));
-        row.spec = decode_spec(body.at("spec"));
-        row.accepted = body.at("accepted").get<unix_time>();
-        row.phase = job_phase::running;
-        row.spec_stored = true;
+    }
+    // All of the body is read before anything changes.
+    auto offer = parse_offer(body, id, known == shard.tables.jobs.end() ? nullptr : &known->second);
+    if (offer.job) {
+        shard.tables.jobs.insert_or_assign(id, std::move(*offer.job));
         shard.unstored_borrowed_jobs.insert(id);
         shard.active.insert(id);
     }
     auto& job = shard.tables.jobs.at(id);
-    borrowed_tasks loan;
-    loan.loan = number;
-    loan.occurrence = body.at("occurrence").get<std::uint32_t>();
-    loan.step = body.at("step").get<std::uint32_t>();
+    auto& loan = offer.loan;
     loan.since = now;
     auto& stage = find_borrowed_stage(job, loan.occurrence, loan.step);
-    for (const auto& entry : body.at("tasks")) {
-        const auto index = entry.at(0).get<std::uint32_t>();
+    for (const auto& [index, received] : offer.tasks) {
         auto& task = stage.tasks.at(index);
-        decode_task(entry, task);
+        task.failed_runs = received.failed_runs;
+        task.last_run = received.last_run;
+        task.checkpoint = received.checkpoint;
         task.loan = number;
         task.not_local = false;
         task.done = false;
         task.result = loan_result::pending;
         stage.waiting.insert(index);
-        loan.tasks.insert(index);
     }
     stage.ready_since.reset();
     record_change(shard, job, true, now);
@@ -223,10 +252,13 @@
     const auto index = entry.at(0).get<std::uint32_t>();
     const auto result = static_cast<loan_result>(entry.at(1).get<int>());
     const task_key key{job.id, loan.occurrence, loan.step, index};
-    auto& stage = job.occurrences.at(loan.occurrence).stages.at(loan.step);
-    auto& task = stage.tasks.at(index);
-    decode_task(entry, task);
-    task.loan = 0;
+    auto* row = find_task(shard.tables, key);
+    if (row == nullptr) {
+        return; // an earlier result completed the whole occurrence, as one of a gang's member does
+    }
+    decode_task(entry, *row);
+    row->loan = 0;
+    // The rows of the occurrence may be gone after either of the first two.
     if (result == loan_result::done) {
         complete_task(shard, job, key, now, unix_now);
     } else if (result == loan_result::failed) {
--- a/tests/loan_messages_test.cpp
+++ b/tests/loan_messages_test.cpp
@@ -264,3 +264,59 @@
     }
     CHECK(world.shard.tables.jobs.at(lent_job).borrowed.size() == 1);
 }
+
+// The row of the job stayed behind, without a loan and never stored, and later offers of the job
+// were added to it.
+TEST_CASE("a malformed offer changes nothing") {
+    loan_world world;
+    auto no_task = world.offer(7, 0);
+    no_task["tasks"].push_back({99, 0, json::array(), 0, ""});
+    auto no_step = world.offer(7, 0);
+    no_step["step"] = 5;
+    auto no_list = world.offer(7, 0);
+    no_list["tasks"] = "all";
+    for (const auto& body : {no_task, no_step, no_list}) {
+        CHECK_THROWS(world.receive(body));
+        CHECK(world.shard.tables.jobs.empty());
+        CHECK(world.shard.active.empty());
+        CHECK(world.shard.unstored_borrowed_jobs.empty());
+    }
+    // The same offer in good order is taken.
+    world.receive(world.offer(7, 0));
+    CHECK(world.shard.tables.jobs.at(lent_job).borrowed.size() == 1);
+}
+
+// The result of one member completes a gang's occurrence; the next member's result threw, was
+// repeated for ever, and the loan was never closed.
+TEST_CASE("results of a gang close its loan although the first one completes the occurrence") {
+    loan_world world;
+    job_row job;
+    job.id = lent_job;
+    job.queue.service = {"desk"};
+    job.spec = make_spec();
+    job.spec.steps.front().long_running = false;
+    job.spec.steps.front().gang = true;
+    job.spec.steps.front().count = 2;
+    job.spec.occurrences = 2;
+    job.next_occurrence = 2;
+    job.phase = job_phase::running;
+    for (const auto number : {0U, 1U}) {
+        job.occurrences.emplace(number, make_occurrence(job.spec, number));
+    }
+    for (const auto index : {0U, 1U}) {
+        auto& task = job.occurrences.at(0).stages.front().tasks[index];
+        task.loan = 7;
+        task.not_local = true;
+    }
+    job.loans[7] = {"west.0"};
+    load_shard(world.shard, {{job_key(world.record.id, job.id), encode_job(job), {1}},
+                             {progress_key(world.record.id, job.id), encode_progress(job), {2}}});
+    auto body = world.envelope("result", 7);
+    body["tasks"] = json::array();
+    for (const auto index : {0U, 1U}) {
+        body["tasks"].push_back({index, static_cast<int>(loan_result::done), json::array(), 1, ""});
+    }
+    CHECK_NOTHROW(world.receive(body));
+    CHECK(world.shard.tables.loans.empty());
+    CHECK(world.shard.tables.jobs.at(lent_job).occurrences_done == 1);
+}
