--- a/src/decision_log.cpp
+++ b/src/decision_log.cpp
@@ -1,5 +1,7 @@
 #include "fulmar/decision_log.hpp"
 
+#include "crash_report.hpp"
+
 #include <algorithm>
 
 namespace fulmar {
@@ -61,6 +63,7 @@
 }
 
 void decision_log::append(const std::string& text) {
+    note_last_decision(text);
     const std::lock_guard lock(mutex_);
     const bool first = buffer_.empty();
     const auto now = clock_();
