host_execution: an unexpected error drops one shard, not the process

Cause: an exception in a handler left the event loop and ended the process, and one within a tick would have ended all further ticks. Counted as unexpected_errors and logged. No test of its own yet: no known input reaches it.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -517,6 +517,12 @@
 }
 
 void host_control::tick() {
+    // Scheduled first, so that an unexpected error below ends this tick only.
+    loop_.call_after(options_.timing.tick, [this, alive = alive_] {
+        if (*alive) {
+            tick();
+        }
+    });
     measure_delay();
     confirm_config();
     choose_config_reader();
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -292,6 +292,8 @@
 
     // Actions of the owned shards.
     void schedule_shard(const shard_pointer& shard);
+    void handle_event(const shard_pointer& shard, std::string_view event,
+                      const std::function<void()>& handler);
     void advance_shard(const shard_pointer& shard);
     void execute(const shard_pointer& shard, shard_actions& actions);
     void check_claim(const shard_pointer& shard);
--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -1,4 +1,5 @@
 // Advances the owned shards and sends the resulting actions to workers, store and peers.
+#include "bounded_json.hpp"
 #include "host_control.hpp"
 
 namespace fulmar {
@@ -10,11 +11,29 @@
     loop_.call_after(duration(0), [this, alive = alive_, shard] {
         if (*alive) {
             shard->advance_pending = false;
-            advance_shard(shard);
+            handle_event(shard, "advance", [&] { advance_shard(shard); });
         }
     });
 }
 
+// Handles an event of a shard. After an unexpected error, the shard's state may be half changed: it
+// is dropped and loaded again from the store, by this host or another one, under a new epoch. The
+// process and its other shards go on.
+void host_control::handle_event(const shard_pointer& shard, std::string_view event,
+                                const std::function<void()>& handler) {
+    try {
+        handler();
+    } catch (const std::exception& failure) {
+        counters_.count("unexpected_errors", event);
+        log_.write_rare("event=unexpected_error shard={} epoch={} at={} detail=\"{}\"",
+                        shard->state.id.value, shard->state.epoch.value, event,
+                        make_printable(failure.what()));
+        if (find_owned(shard->state.id) == shard) {
+            drop_shard(shard->state.id, "unexpected_error");
+        }
+    }
+}
+
 void host_control::advance_shard(const shard_pointer& shard) {
     if (!shard->loaded || shard->state.ownership_lost) {
         if (shard->state.ownership_lost && find_owned(shard->state.id) == shard) {
@@ -69,31 +88,39 @@
                           }
                           if (shard->state.ownership_lost) {
                               pass_on_reply(shard, id, reply);
-                          } else {
+                              return;
+                          }
+                          handle_event(shard, "hold_reply", [&] {
                               on_hold_reply(shard->state, id, reply, sent, loop_.now(),
                                             loop_.unix_now());
                               schedule_shard(shard);
-                          }
+                          });
                       });
     }
     for (auto& action : actions.starts) {
         const auto run = action.command.run;
         workers_.start(action.target, action.command,
                        [this, alive = alive_, shard, run](const result<command_reply>& reply) {
-                           if (*alive) {
+                           if (!*alive) {
+                               return;
+                           }
+                           handle_event(shard, "start_reply", [&] {
                                on_start_reply(shard->state, run, reply, loop_.now());
                                schedule_shard(shard);
-                           }
+                           });
                        });
     }
     for (auto& action : actions.stops) {
         const auto run = action.command.run;
         workers_.stop(action.target, action.command,
                       [this, alive = alive_, shard, run](const result<command_reply>& reply) {
-                          if (*alive) {
+                          if (!*alive) {
+                              return;
+                          }
+                          handle_event(shard, "stop_reply", [&] {
                               on_stop_reply(shard->state, run, reply, loop_.now());
                               schedule_shard(shard);
-                          }
+                          });
                       });
     }
     for (auto& action : actions.paces) {
@@ -102,20 +129,26 @@
         workers_.pace(
             action.target, action.command,
             [this, alive = alive_, shard, run, percent](const result<command_reply>& reply) {
-                if (*alive) {
+                if (!*alive) {
+                    return;
+                }
+                handle_event(shard, "pace_reply", [&] {
                     on_pace_reply(shard->state, run, percent, reply);
                     schedule_shard(shard);
-                }
+                });
             });
     }
     if (actions.commit) {
         const auto sent = loop_.now();
         store_.commit(std::move(*actions.commit),
                       [this, alive = alive_, shard, sent](const result<transaction_reply>& reply) {
-                          if (*alive) {
+                          if (!*alive) {
+                              return;
+                          }
+                          handle_event(shard, "commit_reply", [&] {
                               on_commit_reply(shard->state, reply, sent, loop_.now());
                               schedule_shard(shard);
-                          }
+                          });
                       });
     }
     for (const auto& message : actions.loan_messages) {
