--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -146,6 +146,9 @@
     // If two hosts report a shard, the one with the higher epoch owns it.
     std::map<shard_id, const shard_status*> newest;
     for (const auto& [name, peer] : peers_) {
+        if (!is_alive(peer)) {
+            continue; // the jobs of its shards have started elsewhere or are counted there
+        }
         for (const auto& shard : peer.status.shards) {
             auto& known = newest[shard.id];
             if (known == nullptr || known->epoch < shard.epoch) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -331,7 +331,7 @@
         }
     }
     for (const auto& [id, job] : shard.tables.jobs) {
-        if (has_ended(job.phase) || is_borrowed(job)) {
+        if (has_ended(job.phase) || is_borrowed(job) || job.queue.service != queue.service) {
             continue;
         }
         if (!job.spec_stored) {
