host_workers_reader: only owners of shards and standbys read the workers' entries

Change: owners read, two hosts of each data centre that take a shard next, and whoever is about to claim one. Others drop their copy; they know the sizes of the shards from the owners' datagrams. The room of single workers and the effects of fillers, most of a datagram, go to owners only.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -94,12 +94,35 @@
         }));
 }
 
+std::set<host_id> host_control::list_owners() const {
+    std::set<host_id> owners;
+    for (const auto& [id, row] : claims_) {
+        owners.insert(host_name_of(row.record.owner));
+    }
+    return owners;
+}
+
 // Counts the workers of each shard.
 void host_control::update_shard_sizes() {
     if (loop_.now() < next_size_update_) {
         return;
     }
     next_size_update_ = loop_.now() + size_update_interval;
+    if (!worker_view_.loaded()) {
+        // Owners publish the sizes of their shards; others have the usual size.
+        const auto usual = static_cast<std::int64_t>(options_.workers_per_shard);
+        for (const auto& shard : shard_list_) {
+            shard_sizes_.try_emplace(shard.id, shard_size{usual, loop_.now()});
+        }
+        for (const auto& [name, peer] : peers_) {
+            for (const auto& status : peer.status.shards) {
+                if (status.workers > 0) {
+                    shard_sizes_[status.id] = {status.workers, loop_.now()};
+                }
+            }
+        }
+        return;
+    }
     std::map<std::pair<data_centre_id, rack_id>, std::int64_t> racks;
     for (const auto& [id, worker] : worker_entries_) {
         ++racks[{worker.data_centre, worker.rack}];
@@ -393,7 +416,11 @@
         const auto owner = host_name_of(claim->second.record.owner);
         const auto peer = peers_.find(owner);
         if (peer == peers_.end() || !is_alive(peer->second) || now < next_request_[shard.id] ||
-            choose_owner(shard, {}) != options_.name || !reaches_workers(shard)) {
+            choose_owner(shard, {}) != options_.name) {
+            continue;
+        }
+        want_workers();
+        if (!worker_view_.loaded() || !reaches_workers(shard)) {
             continue;
         }
         next_request_[shard.id] = now + request_retry_interval;
@@ -445,9 +472,6 @@
         }
         return;
     }
-    if (!worker_view_.loaded()) {
-        return; // the sizes of the shards aren't known
-    }
     answer_store_requests();
     for (const auto& [id, shard] : std::map(owned_)) {
         if (!shard->successor.value.empty()) {
@@ -466,6 +490,10 @@
             // The shard was handed over to this host, unless this host already lost it in that
             // epoch because workers rejected the epoch: then a newer claim exists that the view
             // doesn't show yet.
+            want_workers();
+            if (!worker_view_.loaded()) {
+                continue;
+            }
             if (claim->record.epoch > fenced_epochs_[shard.id]) {
                 activate_shard(shard, claim->record.epoch, claim->revision);
             } else if (store_answers &&
@@ -478,7 +506,11 @@
             track_progress(shard, *claim);
         }
         auto reason = should_claim(shard, claim);
-        if (reason == claim_reason::none || !reaches_workers(shard)) {
+        if (reason == claim_reason::none) {
+            continue;
+        }
+        want_workers();
+        if (!worker_view_.loaded() || !reaches_workers(shard)) {
             continue;
         }
         if (reason == claim_reason::owner_cut_off && has_stalled(shard.id)) {
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -74,8 +74,12 @@
            .wait = workers_watch_wait,
            .min_watch_interval = workers_watch_interval},
           [this](const auto& key, const auto* entry) { on_workers_change(key, entry); },
-          [this] { maintain_shard_list(); }) {
+          [this] {
+              maintain_shard_list();
+              next_claim_check_ = loop_.now();
+          }) {
     config_view_.pause();
+    worker_view_.pause();
 }
 
 host_control::~host_control() {
@@ -331,6 +335,7 @@
     status.generation = config_.generation;
     status.config_age = config_age();
     status.reads_config = reads_config();
+    status.reads_workers = reads_workers();
     status.orders_revision = orders_.revision();
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
@@ -360,11 +365,14 @@
         limit_effects(status);
     }
     const auto datagram = encode(status);
+    drop_owner_details(status);
+    const auto brief = status.shards.empty() ? datagram : encode(status);
+    const auto owners = list_owners();
     for (const auto& [name, peer] : peers_) {
         const auto distance = distance_to(peer.record.data_centre);
         const bool due = distance == 0 ? local_due : global_due && distance <= reach;
         if (peer.record.address.port != 0 && due) {
-            peers_link_.send(peer.record.address, datagram);
+            peers_link_.send(peer.record.address, owners.contains(name) ? datagram : brief);
         }
     }
     if (local_due) {
@@ -526,6 +534,7 @@
     measure_delay();
     confirm_config();
     choose_config_reader();
+    choose_workers_reader();
     fetch_config();
     gossip();
     if (loop_.now() >= next_claim_check_) {
@@ -541,11 +550,6 @@
             schedule_shard(shard);
         }
     }
-    loop_.call_after(options_.timing.tick, [this, alive = alive_] {
-        if (*alive) {
-            tick();
-        }
-    });
 }
 
 // Updates whether the tasks of each owned shard may start.
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -205,6 +205,12 @@
     void on_meta_change(const std::string& key, const store_entry* entry);
     void on_evacuation_change(const std::string& key, const store_entry* entry);
     void on_workers_change(const std::string& key, const store_entry* entry);
+
+    // Which hosts read the workers' entries.
+    bool is_standby() const;
+    bool reads_workers() const;
+    void choose_workers_reader();
+    void want_workers();
     void register_host();
     void put_host_record(lease_id lease);
     void renew_registration();
@@ -275,6 +281,7 @@
     host_id choose_owner(const shard_record& shard, const host_id& except,
                          const host_id& candidate = {}) const;
     std::size_t count_owned(const host_id& owner) const;
+    std::set<host_id> list_owners() const;
     void claim_shard(const shard_record& shard, const claim_row* claim, claim_reason reason);
     std::vector<worker_target> list_workers(const shard_record& shard) const;
     void probe_workers(const shard_record& shard);
@@ -351,7 +358,10 @@
     std::map<shard_id, epoch_number> fenced_epochs_;  // highest epoch lost or released
     std::map<shard_id, time_point> shard_first_seen_; // when the shard was first seen in the list
     time_point next_shard_request_;
-    std::map<worker_id, worker_entry> worker_entries_;
+    std::map<worker_id, worker_entry> worker_entries_; // empty while this host doesn't read them
+    std::optional<time_point> workers_wanted_;         // when they were last needed for a claim
+    bool standby_ = false;
+    time_point next_standby_check_;
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
     std::map<shard_id, passing_row> passing_;
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -159,7 +159,7 @@
                              encode_rooms(room.long_running), encode_rooms(room.free_now)});
         }
         shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending),
-                          std::move(rooms), std::move(effects)});
+                          std::move(rooms), std::move(effects), shard.workers});
     }
     const json out{status.name,
                    status.incarnation,
@@ -172,7 +172,8 @@
                    status.store_unreachable_ms,
                    status.reachable_owners,
                    status.config_age ? status.config_age->count() : -1,
-                   status.reads_config};
+                   status.reads_config,
+                   status.reads_workers};
     std::string text;
     json::to_msgpack(out, text);
     return text;
@@ -196,6 +197,7 @@
             status.config_age = duration(in.at(10).get<std::int64_t>());
         }
         status.reads_config = in.size() > 11 && in.at(11).get<bool>();
+        status.reads_workers = in.size() <= 12 || in.at(12).get<bool>();
         for (const auto& row : in.at(7)) {
             shard_status shard;
             shard.id = row.at(0).get<shard_id>();
@@ -223,6 +225,7 @@
                                          pair.at(2).get<double>() / effect_scale,
                                          pair.at(3).get<double>() / effect_scale});
             }
+            shard.workers = row.size() > 6 ? row.at(6).get<std::int64_t>() : 0;
             status.shards.push_back(std::move(shard));
         }
         return status;
@@ -231,6 +234,16 @@
     }
 }
 
+void drop_owner_details(host_status& status) {
+    for (auto& shard : status.shards) {
+        shard.effects.clear();
+        for (auto& room : shard.rooms) {
+            room.long_running.clear();
+            room.free_now.clear();
+        }
+    }
+}
+
 void limit_effects(host_status& status) {
     const auto limit_per_shard =
         published_effects_limit / std::max<std::size_t>(1, status.shards.size());
@@ -244,6 +257,7 @@
     status.id = shard.id;
     status.epoch = shard.epoch;
     for (const auto& [id, worker] : shard.tables.workers) {
+        status.workers += worker.listed ? 1 : 0;
         if (!worker.listed || worker.entry.draining ||
             worker.reachability != reachability_state::reachable) {
             continue;
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -38,6 +38,7 @@
 struct shard_status {
     shard_id id;
     epoch_number epoch;
+    std::int64_t workers = 0; // that its owner knows; 0: the owner runs an earlier version
     std::vector<service_load> loads;
     std::vector<service_room> rooms;
     std::vector<published_effect> effects;     // only in some datagrams; empty in the others
@@ -56,6 +57,7 @@
     // Time since the store was known to have no newer configuration.
     std::optional<duration> config_age;
     bool reads_config = false;       // the sender reads the configuration from the store
+    bool reads_workers = true;       // the sender reads the workers' entries from the store
     revision_number orders_revision; // of the newest operator order received
     std::vector<shard_status> shards;
 };
@@ -67,6 +69,10 @@
 std::string encode(const host_status& status);
 result<host_status> parse_host_status(std::string_view datagram);
 
+// Drops what only owners of shards need from the status of each shard: the rooms of its workers
+// but for what rates a shard for a new job, and the effects. That is most of a datagram.
+void drop_owner_details(host_status& status);
+
 // Limits the effects of each shard to what fits into a datagram; the most certain ones, which come
 // first, are kept.
 void limit_effects(host_status& status);
--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -41,11 +41,19 @@
 
 void store_view::resume() {
     const bool was_paused = std::exchange(state_->paused, false);
+    state_->forgotten = false;
     if (was_paused && !state_->active) {
         call_next(state_, true);
     }
 }
 
+void store_view::forget() {
+    state_->entries.clear();
+    state_->revision = {};
+    state_->loaded = false;
+    state_->forgotten = true;
+}
+
 // Makes the next call unless the view is stopped or paused.
 void store_view::call_next(const std::shared_ptr<state>& self, bool reload) {
     self->active = !self->stopped && !self->paused;
@@ -109,6 +117,10 @@
                          if (self->stopped) {
                              return;
                          }
+                         if (self->forgotten) {
+                             self->active = false;
+                             return;
+                         }
                          if (!page) {
                              retry(self, page.error(), true);
                              return;
@@ -170,6 +182,10 @@
                           if (self->stopped) {
                               return;
                           }
+                          if (!self->loaded) {
+                              call_next(self, true); // the content was dropped meanwhile
+                              return;
+                          }
                           if (!reply) {
                               // A revision that the store has compacted, or a reply that can't
                               // be parsed, fails again at the same revision, so the view is
--- a/src/store_view.hpp
+++ b/src/store_view.hpp
@@ -41,6 +41,10 @@
     void resume();
     bool paused() const { return state_->paused; }
 
+    // Drops the content of a paused view without calling the change handler; loaded() is false
+    // until the list after the next resume().
+    void forget();
+
     bool loaded() const { return state_->loaded; }
     const std::map<std::string, store_entry>& entries() const { return state_->entries; }
 
@@ -75,7 +79,8 @@
         bool healthy = false;
         bool stopped = false;
         bool paused = false;
-        bool active = false; // a call is in flight, or scheduled
+        bool forgotten = false; // the content was dropped while paused
+        bool active = false;    // a call is in flight, or scheduled
         duration backoff{0};
         time_point last_watch{};
         std::int64_t received_bytes = 0; // by the last call, or by the pages of a list
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -33,7 +33,7 @@
         call<std::optional<store_entry>>(std::move(done), false, [this, key] {
             auto entry = world_.store_.get(key);
             if (entry) {
-                world_.hosts_[host_]->count_order_bytes(*entry);
+                world_.hosts_[host_]->count_bytes(*entry);
             }
             return entry;
         });
@@ -45,7 +45,7 @@
         call<store_page>(std::move(done), false, [this, prefix, after] {
             auto received = world_.store_.list(prefix, after, page);
             for (const auto& entry : received.entries) {
-                world_.hosts_[host_]->count_order_bytes(entry);
+                world_.hosts_[host_]->count_bytes(entry);
             }
             return received;
         });
--- a/tests/sim_parts.hpp
+++ b/tests/sim_parts.hpp
@@ -17,6 +17,7 @@
     store_mode mode = store_mode::up;
     std::set<std::string> hung_prefixes; // of keys whose watches get no answer
     std::uint64_t order_bytes = 0;       // of values of the operators' keys that it received
+    std::uint64_t worker_bytes = 0;      // the same of the workers' entries
     bool log_kept = false;
     std::shared_ptr<std::string> log_lines = std::make_shared<std::string>();
 
@@ -24,9 +25,11 @@
         return std::any_of(hung_prefixes.begin(), hung_prefixes.end(),
                            [&](const std::string& hung) { return prefix.starts_with(hung); });
     }
-    void count_order_bytes(const store_entry& entry) {
+    void count_bytes(const store_entry& entry) {
         if (entry.key.starts_with("op/")) {
             order_bytes += entry.value.size();
+        } else if (entry.key.starts_with("servers/")) {
+            worker_bytes += entry.value.size();
         }
     }
     std::unique_ptr<event_loop> loop;
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -222,7 +222,7 @@
         const auto mode = hosts_[watch.host]->mode;
         if (mode == store_mode::up) {
             for (const auto& row : events ? events.value().events : std::vector<store_event>()) {
-                hosts_[watch.host]->count_order_bytes(row.entry);
+                hosts_[watch.host]->count_bytes(row.entry);
             }
             on_host(watch.host, watch.incarnation, latency(),
                     [done = watch.done, events = std::move(events)] { done(events); });
@@ -340,6 +340,14 @@
     return hosts_[index]->order_bytes;
 }
 
+std::uint64_t sim_world::worker_bytes_read(std::size_t index) const {
+    return hosts_[index]->worker_bytes;
+}
+
+void sim_world::reset_worker_bytes(std::size_t index) {
+    hosts_[index]->worker_bytes = 0;
+}
+
 const data_centre_id& sim_world::data_centre_of(std::size_t index) const {
     return hosts_[index]->options.data_centre;
 }
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -89,6 +89,9 @@
     std::string log_of(std::size_t index);
     // Returns how many bytes of values the store has returned to a host for the operators' keys.
     std::uint64_t order_bytes_read(std::size_t index) const;
+    // The same for the workers' entries, since the last reset.
+    std::uint64_t worker_bytes_read(std::size_t index) const;
+    void reset_worker_bytes(std::size_t index);
     const data_centre_id& data_centre_of(std::size_t index) const;
     double counter(std::size_t index, const std::string& name, const std::string& reason);
     void set_store_mode_for_all(store_mode mode);
