host_workers_reader: small hosts are standbys only where no large host can be

Change: a host whose processors don't suffice for a shard is a standby only if no live host of its data centre has enough.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -11,11 +11,6 @@
 
 constexpr duration claim_check_interval{200};
 
-// Processors that the owner of a shard needs for each worker, in thousandths of a core, at 1.3
-// starts per second and worker, and the share of a host's processors that may be used for this.
-constexpr std::int64_t processors_per_worker = 3;
-constexpr double usable_share = 0.8;
-
 constexpr duration size_update_interval{500};
 
 // A shard counts with the most workers that it had within this time.
@@ -183,7 +178,7 @@
         const bool store_unreachable =
             store_unreachable_ms > options_.timing.store_outage_limit.count();
         return option{store_unreachable,
-                      load > usable_share,
+                      load > usable_processor_share,
                       distance,
                       load,
                       rendezvous_hash(shard.id, name),
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -105,6 +105,18 @@
     return config_.generation.value != 0 && !leaving_;
 }
 
+std::size_t host_control::overdue_takeovers() const {
+    // The confirmation window and the lease with its margins; a takeover that takes longer waits
+    // for a majority of the workers.
+    constexpr duration usual_limit{8'000};
+    return static_cast<std::size_t>(
+        std::count_if(owned_.begin(), owned_.end(), [&](const auto& row) {
+            const auto& shard = *row.second;
+            return shard.loaded && !shard.state.takeover_complete &&
+                   loop_.now() - shard.state.loaded_at > usual_limit;
+        }));
+}
+
 // Registration.
 
 void host_control::register_host() {
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -104,6 +104,10 @@
     bool ready() const;
     const site_config& config() const { return config_; }
 
+    // Returns how many shards of this host wait for their predecessors' workers for longer than any
+    // lease lasts: their inherited tasks don't run meanwhile.
+    std::size_t overdue_takeovers() const;
+
     // Returns whether another host has announced a newer configuration than the one in force here.
     bool knows_newer_config() const;
     // Returns whether that has lasted so long that the one in force may no longer be applied.
@@ -138,6 +142,11 @@
     void on_peer_call(const std::string& method, const std::string& body, const peer_reply& reply);
 
   private:
+    // Processors that the owner of a shard needs for each worker, in thousandths of a core, at 1.3
+    // starts per second and worker, and the share of a host's processors that may be used for this.
+    static constexpr std::int64_t processors_per_worker = 3;
+    static constexpr double usable_processor_share = 0.8;
+
     struct peer_row {
         host_record record;
         revision_number registered_revision; // of the record in the store
@@ -208,6 +217,7 @@
 
     // Which hosts read the workers' entries.
     bool is_standby() const;
+    bool suffices_for_shard(std::int64_t weight) const;
     bool reads_workers() const;
     void choose_workers_reader();
     void want_workers();
--- a/src/host_workers_reader.cpp
+++ b/src/host_workers_reader.cpp
@@ -30,20 +30,32 @@
 } // namespace
 
 // Returns whether this host is one of the hosts of its data centre that take a shard next: those
-// with the most processors that own none.
+// with the most processors that own none. A host whose processors don't suffice for a shard is one
+// only if no other host of the data centre has enough: reading alone would keep it late.
 bool host_control::is_standby() const {
     const auto now = loop_.now();
     const auto owners = list_owners();
-    const auto preceding = std::count_if(peers_.begin(), peers_.end(), [&](const auto& row) {
-        const auto& [name, peer] = row;
-        if (peer.record.data_centre != options_.data_centre || precedes(peer) ||
-            peer.status.leaving || owners.contains(name)) {
+    const bool suffices = suffices_for_shard(options_.weight);
+    std::size_t preceding = 0;
+    for (const auto& [name, peer] : peers_) {
+        const bool live = peer.last_received ? now - *peer.last_received <= standby_silence_limit
+                                             : now < started_ + startup_grace;
+        if (!live || peer.status.leaving || peer.record.data_centre != options_.data_centre) {
+            continue;
+        }
+        if (!suffices && suffices_for_shard(peer.record.weight)) {
             return false;
         }
-        return peer.last_received ? now - *peer.last_received <= standby_silence_limit
-                                  : now < started_ + startup_grace;
-    });
-    return static_cast<std::size_t>(preceding) < standby_hosts;
+        preceding += !precedes(peer) && !owners.contains(name) ? 1 : 0;
+    }
+    return preceding < standby_hosts;
+}
+
+// Returns whether a processor share, in thousandths of a core, suffices for a shard of usual size.
+bool host_control::suffices_for_shard(std::int64_t weight) const {
+    const auto needed =
+        static_cast<std::int64_t>(options_.workers_per_shard) * processors_per_worker;
+    return static_cast<double>(needed) <= usable_processor_share * static_cast<double>(weight);
 }
 
 bool host_control::reads_workers() const {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -70,6 +70,8 @@
     if (now < shard.next_takeover_log) {
         return;
     }
+    shard.counters->set("takeover_waiting_ms", static_cast<double>((now - shard.loaded_at).count()),
+                        shard.id.value);
     const bool first = shard.next_takeover_log == time_point{};
     shard.next_takeover_log = now + takeover_log_interval;
     if (first) {
@@ -131,6 +133,7 @@
         shard.log->write_rare("event=takeover_settled shard={} epoch={} unreached={} age_ms={}",
                               shard.id.value, shard.epoch.value, shard.unreached_workers.size(),
                               (now - shard.loaded_at).count());
+        shard.counters->set("takeover_waiting_ms", 0, shard.id.value);
         shard.unreached_workers.clear();
         shard.takeover_complete = true;
         shard.placement_needed = true;
