fault_harness: say that the reply of a late sync request is dropped

Cause: the full tests didn't compile, as a result that must be used was ignored; only the simulation tests had been built before. Change: the reply is dropped explicitly; the owner has given up waiting by then.

--- a/tests/fault_harness.cpp
+++ b/tests/fault_harness.cpp
@@ -126,7 +126,7 @@
     }
     if (link == link_state::request_late) {
         self.events.emplace(self.now + late_request, [&self, &worker, request = action.request] {
-            execute_sync(self, worker, request);
+            (void)execute_sync(self, worker, request); // the owner has given up waiting
         });
         return answer(timed_out, error{error_kind::timeout, "request delayed"});
     }
