--- a/include/fulmar/worker.hpp
+++ b/include/fulmar/worker.hpp
@@ -5,7 +5,6 @@
 #include "fulmar/types.hpp"
 
 #include <functional>
-#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -72,9 +71,6 @@
     host_id holder;
     epoch_number epoch;
     std::int64_t lease_ms = 0;
-    // The worker refuses the request after this, so that a delayed one can't lengthen a lease that
-    // its owner takes for ended. Unlimited until the owner knows the worker's clock.
-    worker_clock expires_at{std::numeric_limits<std::int64_t>::max()};
     bool full_inventory = false;
     std::vector<worker_command> commands;
     std::vector<task_ack> acks;
--- a/src/cell_control.cpp
+++ b/src/cell_control.cpp
@@ -223,9 +223,6 @@
         request.holder = cell.host;
         request.epoch = cell.epoch;
         request.lease_ms = cell.timing.worker_lease.count();
-        if (worker.renewal_confirmed) {
-            request.expires_at = to_worker_clock(worker, now + cell.timing.lease_margin);
-        }
         request.full_inventory = worker.need_inventory && cell.progress_owned;
         request.commands = std::move(commands[i]);
         request.commands.insert(request.commands.end(), worker.commands.begin(),
--- a/src/worker_http.cpp
+++ b/src/worker_http.cpp
@@ -82,8 +82,8 @@
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(task_ack, task, attempt)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(sync_request, holder, epoch, lease_ms, expires_at,
-                                                full_inventory, commands, acks)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(sync_request, holder, epoch, lease_ms, full_inventory, commands,
+                                   acks)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(sync_reply, now, incarnation, capacity, tasks, usage, results)
 
 std::string serialize_sync_request(const sync_request& request) {
--- a/src/worker_memory.cpp
+++ b/src/worker_memory.cpp
@@ -162,9 +162,6 @@
     advance_worker(worker, now);
 
     // Step 1: grant or refuse the lease.
-    if (worker_now(now) > request.expires_at) {
-        return error{error_kind::expired, "the request was delayed"};
-    }
     if (!worker.first_boot && now < worker.started + worker.lease_grant_delay) {
         return error{error_kind::lease_held, "no lease is granted shortly after a restart"};
     }
