host_shards, host_reach, shard_reports: move four functions to keep files readable

Change: update_shard_sizes and overdue_takeovers move to host_shards, distance_to to host_reach, report_task to shard_reports, with their constants. Nothing else changes.

no functional change

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -11,11 +11,6 @@
 
 constexpr duration claim_check_interval{200};
 
-constexpr duration size_update_interval{500};
-
-// A shard counts with the most workers that it had within this time.
-constexpr duration size_memory{10'000};
-
 // Part of its load with which the present owner of a shard is compared with others: a shard moves
 // for a clear gain only.
 constexpr double owner_advantage = 0.8;
@@ -97,45 +92,6 @@
     return owners;
 }
 
-// Counts the workers of each shard.
-void host_control::update_shard_sizes() {
-    if (loop_.now() < next_size_update_) {
-        return;
-    }
-    next_size_update_ = loop_.now() + size_update_interval;
-    if (!worker_view_.loaded()) {
-        // Owners publish the sizes of their shards; others have the usual size.
-        const auto usual = static_cast<std::int64_t>(options_.workers_per_shard);
-        for (const auto& shard : shard_list_) {
-            shard_sizes_.try_emplace(shard.id, shard_size{usual, loop_.now()});
-        }
-        for (const auto& [name, peer] : peers_) {
-            for (const auto& status : peer.status.shards) {
-                if (status.workers > 0) {
-                    shard_sizes_[status.id] = {status.workers, loop_.now()};
-                }
-            }
-        }
-        return;
-    }
-    std::map<std::pair<data_centre_id, rack_id>, std::int64_t> racks;
-    for (const auto& [id, worker] : worker_entries_) {
-        ++racks[{worker.data_centre, worker.rack}];
-    }
-    for (const auto& shard : shard_list_) {
-        std::int64_t workers = 0;
-        for (const auto& rack : shard.racks) {
-            const auto found = racks.find({shard.data_centre, rack});
-            workers += found == racks.end() ? 0 : found->second;
-        }
-        // Entries that have expired are mostly back soon.
-        auto& size = shard_sizes_[shard.id];
-        if (workers >= size.workers || loop_.now() > size.seen + size_memory) {
-            size = {workers, loop_.now()};
-        }
-    }
-}
-
 // Returns the host that should own a shard, excluding `except`; empty if there is none. Live hosts
 // that reach the store come first, then those whose processors suffice for the shard and those that
 // they own already, then the nearest ones, then those with the fewest workers relative to their
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -105,18 +105,6 @@
     return config_.generation.value != 0 && !leaving_;
 }
 
-std::size_t host_control::overdue_takeovers() const {
-    // The confirmation window and the lease with its margins; a takeover that takes longer waits
-    // for a majority of the workers.
-    constexpr duration usual_limit{8'000};
-    return static_cast<std::size_t>(
-        std::count_if(owned_.begin(), owned_.end(), [&](const auto& row) {
-            const auto& shard = *row.second;
-            return shard.loaded && !shard.state.takeover_complete &&
-                   loop_.now() - shard.state.loaded_at > usual_limit;
-        }));
-}
-
 // Registration.
 
 void host_control::register_host() {
@@ -286,18 +274,6 @@
            !peer.status.leaving;
 }
 
-// Returns 0 for the same data centre, 1 for the same region, 2 otherwise.
-int host_control::distance_to(const data_centre_id& data_centre) const {
-    if (data_centre == options_.data_centre) {
-        return 0;
-    }
-    const auto here = options_.regions.find(options_.data_centre);
-    const auto there = options_.regions.find(data_centre);
-    const bool same = here != options_.regions.end() && there != options_.regions.end() &&
-                      here->second == there->second;
-    return same ? 1 : 2;
-}
-
 void host_control::on_datagram(const std::string& datagram) {
     auto parsed = parse_host_status(datagram);
     if (!parsed) {
--- a/src/host_reach.cpp
+++ b/src/host_reach.cpp
@@ -29,6 +29,18 @@
 
 } // namespace
 
+// Returns 0 for the same data centre, 1 for the same region, 2 otherwise.
+int host_control::distance_to(const data_centre_id& data_centre) const {
+    if (data_centre == options_.data_centre) {
+        return 0;
+    }
+    const auto here = options_.regions.find(options_.data_centre);
+    const auto there = options_.regions.find(data_centre);
+    const bool same = here != options_.regions.end() && there != options_.regions.end() &&
+                      here->second == there->second;
+    return same ? 1 : 2;
+}
+
 std::vector<worker_target> host_control::list_workers(const shard_record& shard) const {
     std::vector<worker_target> workers;
     for (const auto& [id, worker] : worker_entries_) {
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -19,8 +19,52 @@
 // A rack whose data centre doesn't settle gets a shard of its own after this.
 constexpr duration rack_settling_limit{12'000};
 
+constexpr duration size_update_interval{500};
+
+// A shard counts with the most workers that it had within this time.
+constexpr duration size_memory{10'000};
+
 } // namespace
 
+// Counts the workers of each shard.
+void host_control::update_shard_sizes() {
+    if (loop_.now() < next_size_update_) {
+        return;
+    }
+    next_size_update_ = loop_.now() + size_update_interval;
+    if (!worker_view_.loaded()) {
+        // Owners publish the sizes of their shards; others have the usual size.
+        const auto usual = static_cast<std::int64_t>(options_.workers_per_shard);
+        for (const auto& shard : shard_list_) {
+            shard_sizes_.try_emplace(shard.id, shard_size{usual, loop_.now()});
+        }
+        for (const auto& [name, peer] : peers_) {
+            for (const auto& status : peer.status.shards) {
+                if (status.workers > 0) {
+                    shard_sizes_[status.id] = {status.workers, loop_.now()};
+                }
+            }
+        }
+        return;
+    }
+    std::map<std::pair<data_centre_id, rack_id>, std::int64_t> racks;
+    for (const auto& [id, worker] : worker_entries_) {
+        ++racks[{worker.data_centre, worker.rack}];
+    }
+    for (const auto& shard : shard_list_) {
+        std::int64_t workers = 0;
+        for (const auto& rack : shard.racks) {
+            const auto found = racks.find({shard.data_centre, rack});
+            workers += found == racks.end() ? 0 : found->second;
+        }
+        // Entries that have expired are mostly back soon.
+        auto& size = shard_sizes_[shard.id];
+        if (workers >= size.workers || loop_.now() > size.seen + size_memory) {
+            size = {workers, loop_.now()};
+        }
+    }
+}
+
 // Extends the shard list, after a delay, while a worker's rack belongs to no shard.
 void host_control::maintain_shard_list() {
     if (shard_list_update_pending_ || !worker_view_.loaded() || !meta_.loaded() || leaving_) {
@@ -264,4 +308,16 @@
     });
 }
 
+std::size_t host_control::overdue_takeovers() const {
+    // The confirmation window and the lease with its margins; a takeover that takes longer waits
+    // for a majority of the workers.
+    constexpr duration usual_limit{8'000};
+    return static_cast<std::size_t>(
+        std::count_if(owned_.begin(), owned_.end(), [&](const auto& row) {
+            const auto& shard = *row.second;
+            return shard.loaded && !shard.state.takeover_complete &&
+                   loop_.now() - shard.state.loaded_at > usual_limit;
+        }));
+}
+
 } // namespace fulmar
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -500,14 +500,6 @@
     shard.tables.loans.emplace(loan.number, std::move(loan));
 }
 
-void report_task(shard_state& shard, job_row& job, task_row& task, loan_result result,
-                 time_point now) {
-    task.result = result;
-    task.not_local = true;
-    record_change(shard, job, true, now);
-    task.result_version = job.version;
-}
-
 void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
     const auto& step = job.spec.steps[stage.step];
     const auto timeout = !shard.data_centre_open ? duration(0)
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -316,6 +316,14 @@
     return true;
 }
 
+void report_task(shard_state& shard, job_row& job, task_row& task, loan_result result,
+                 time_point now) {
+    task.result = result;
+    task.not_local = true;
+    record_change(shard, job, true, now);
+    task.result_version = job.version;
+}
+
 void apply_run_end(shard_state& shard, const worker_id& worker, const run_end& row, time_point now,
                    unix_time unix_now) {
     const auto& key = row.run;
