--- a/src/crash_report.cpp
+++ b/src/crash_report.cpp
@@ -12,8 +12,8 @@
 #include <unistd.h>
 
 // Start of the executable in memory, set by the linker.
-extern "C" const char
-    __executable_start; // NOLINT(bugprone-reserved-identifier,readability-identifier-naming)
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming)
+extern "C" const char __executable_start;
 
 namespace fulmar {
 
