--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -126,7 +126,7 @@
     std::optional<time_point> stop_answered; // time of the first reply that confirmed the stop
     time_point next_stop;                    // earliest time of the next stop command
     std::string checkpoint;
-    int progress_percent = 0;     // of its work, as the worker reported it last
+    int progress_percent = 100;   // 100 until the worker's first report of the run
     std::int64_t measurement = 0; // see run_status
 
     // Sharing of a worker.
