review/2: a task that failed on the only worker that may run it never starts again

One worker of twelve has the label that the job requires; it fails one run, and works again three seconds later. The accepted job is shown as running for ever, with one attempt of four used.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 CUT_S = 0.93
 JOB = "5c0e7a21d94b36f8"
 WORK_MS = 40000
-ZONES = {"jepara-a": "jateng", "kudus-b": "jateng"}
+ZONES = {"centro-a": "centro", "centro-b": "centro"}
 
 
 def case(deployment):
@@ -42,7 +42,7 @@
         return None
     time.sleep(6)  # the hosts settle and the starts are long past
     hosts = list(deployment.hosts)
-    spec = {"taskSpec": f"pola {WORK_MS} 4000",
+    spec = {"taskSpec": f"titulos {WORK_MS} 4000 0",
             "steps": [{"count": 4, "cpu": 4000, "memMb": 1024, "estRuntimeMs": WORK_MS}]}
     status, _ = deployment.call(hosts[0], "POST", JOB, spec)
     if status != 200 or not offered.wait(5):
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -21,11 +21,11 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-# The bounds of the site sekar-jepara, from SYSTEM.md.
+# The bounds of the site aglaa-despeje, from SYSTEM.md.
 BOUNDS = {
     "contactMs": 4000, "ackMs": 5000, "drainMs": 2500, "graceS": 6, "configApplyMs": 2500,
-    "maxHoldMs": 6000, "stopMs": 400, "gangWaitMs": 3000, "cancel_ms": 3000, "visible_ms": 3000,
-    "finish_s": 14, "status_s": 120, "checkpointS": 1, "restoreMs": 250, "recoveryS": 12,
+    "maxHoldMs": 10000, "stopMs": 900, "gangWaitMs": 3000, "cancel_ms": 3000, "visible_ms": 3000,
+    "finish_s": 14, "status_s": 120, "checkpointS": 2, "restoreMs": 600, "recoveryS": 12,
 }
 HEARTBEAT_S = 1.5  # heartbeatMs of the settings
 
@@ -74,12 +74,18 @@
         pass
 
     def answer(self):
+        if getattr(self.server.owner, "crashed", False):
+            self.close_connection = True
+            return
         length = int(self.headers.get("Content-Length") or 0)
         raw = self.rfile.read(length) if length else b""
         body = json.loads(raw) if raw else {}
         parts = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
-        reply = self.server.owner.handle(self, self.command, parts.path, query, body)
+        if self.server.turned_away_until > time.monotonic():
+            reply = 503, {}
+        else:
+            reply = self.server.owner.handle(self, self.command, parts.path, query, body)
         if reply is None:
             self.close_connection = True  # no answer
             return
@@ -105,9 +111,25 @@
 
     def __init__(self, owner, port):
         self.owner = owner
+        self.connections = []
+        self.turned_away_until = 0.0  # all calls on this port get 503 until then
         super().__init__(("127.0.0.1", port), JsonHandler)
         threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
 
+    def process_request(self, request, client_address):
+        self.connections.append(request)
+        super().process_request(request, client_address)
+
+    def end(self):
+        """Ends the server like the end of its process: its connections are reset."""
+        self.shutdown()
+        self.server_close()
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def handle_error(self, request, client_address):
         pass  # a peer that closes its connection isn't an error
 
@@ -122,8 +144,6 @@
         self.history = []
         self.leases = {}
         self.next_lease = 1
-        self.server = Server(self, 0)
-        self.port = self.server.server_address[1]
         threading.Thread(target=self.expire, daemon=True).start()
 
     def expire(self):
@@ -247,7 +267,7 @@
 class Worker:
     """A worker that guards its capacity. A task's payload tells how long it works, in milliseconds."""
 
-    def __init__(self, store, record, name, service, zone, rack, cpu=4000, mem=16000):
+    def __init__(self, store, record, name, service, zone, rack, cpu=4000, gpu=0, kind="kind-a"):
         self.store, self.record, self.name = store, record, name
         self.lock = threading.Condition()
         self.born_at = time.monotonic()
@@ -258,20 +278,32 @@
         self.ended = []
         self.last_end = 0
         self.refused_below = {}
-        self.capacity = {"cpu": cpu, "memMb": mem, "gpu": 0}
+        self.failing = False  # all runs that start meanwhile end `failed`
+        self.crashed = False
+        self.capacity = {"cpu": cpu, "memMb": 16000, "gpu": gpu}
         self.server = Server(self, 0)
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         self.entry = {"service": service, "address": self.address, "zone": zone, "version": "1",
                       "slots": 8, "state": "ready", "coldRemainingMs": 0, "seqNo": 0,
-                      "capacity": self.capacity, "labels": ["kind-a", rack], "born": self.born}
+                      "capacity": self.capacity, "labels": [kind, rack], "born": self.born}
         threading.Thread(target=self.beat, daemon=True).start()
         threading.Thread(target=self.work, daemon=True).start()
 
     def clock(self):
         return int((time.monotonic() - self.born_at) * 1000) + 1000
 
+    def crash(self):
+        """The process ends for good. The platform removes its entry after three heartbeats."""
+        with self.lock:
+            self.crashed = True
+            self.record.write(f"worker {self.name}: crashes with "
+                              f"{sorted(key[0] for key in self.running)}")
+            self.running.clear()
+        threading.Thread(target=self.server.end, daemon=True).start()
+        threading.Timer(3 * HEARTBEAT_S, self.store.delete, ("servers/" + self.name,)).start()
+
     def beat(self):
-        while True:
+        while not self.crashed:
             self.entry["seqNo"] += 1
             self.store.put("servers/" + self.name, json.dumps(self.entry))
             time.sleep(HEARTBEAT_S)
@@ -297,7 +329,7 @@
                     elif row["stop_at"] and now >= row["stop_at"]:
                         self.end(key, "stopped")
                     elif not row["stop_at"] and now >= row["done_at"]:
-                        self.end(key, "done")
+                        self.end(key, "failed" if row["fails"] else "done")
 
     def extend(self, deadline):
         if deadline:
@@ -332,14 +364,14 @@
         self.extend(body.get("deadlineMs"))
         if body["runId"] <= self.refused_below.get(body["task"], 0):
             return 409, dict(common, reason="old")
-        # A client's payload is "NAME WORK_MS CPU".
-        _, work_ms, cpu = body["taskSpec"].split()
-        used = sum(row["cpu"] for row in self.running.values())
-        if used + int(cpu) > self.capacity["cpu"]:
+        # A client's payload is "NAME WORK_MS CPU GPU".
+        work_ms, cpu, gpu = (int(word) for word in body["taskSpec"].split()[1:])
+        if any(sum(row[name] for row in self.running.values()) + need > self.capacity[name]
+               for name, need in (("cpu", cpu), ("gpu", gpu))):
             return 409, dict(common, reason="room")
         began = time.monotonic()
-        self.running[key] = {"began": began, "done_at": began + int(work_ms) / 1000, "stop_at": None,
-                             "cpu": int(cpu)}
+        self.running[key] = {"began": began, "done_at": began + work_ms / 1000, "stop_at": None,
+                             "cpu": cpu, "gpu": gpu, "fails": self.failing}
         self.record.write(f"worker {self.name}: task {key[0]} run {key[1]} started, token "
                           f"{body.get('fencingToken', 0)}")
         return 200, common
@@ -456,7 +488,7 @@
             "internalPorts": [free_port_for_both(), free_port()],
             "bindAddrs": {"frontendAddr": f"127.0.0.1:{self.frontend}",
                           "ready": f"127.0.0.1:{self.ready_port}"},
-            "limits": {"cpuShare": 0.25}, "bounds": BOUNDS,
+            "limits": {"cpuShare": 0.1}, "bounds": BOUNDS,
             "platform": {"address": f"127.0.0.1:{store_port}"},
         }
         self.settings = os.path.join(folder, name + ".ini")
@@ -493,13 +525,13 @@
 class Deployment:
     """A small deployment. Ends all processes that it started when it is left."""
 
-    ROUTE, SERVICE, DOMAIN = "/pola/", "meja", "pesanan.example"
+    ROUTE, SERVICE, DOMAIN = "/titulos/", "mesa", "despeje.example"
 
     def __init__(self, case_folder):
         self.record = Record(os.path.join(case_folder, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
-        self.hosts, self.links, self.workers = {}, {}, {}
+        self.hosts, self.links, self.ports, self.workers = {}, {}, {}, {}
         self.version = 0
 
     def __enter__(self):
@@ -521,19 +553,22 @@
         self.version += 7
         self.store.put("op/config", json.dumps({
             "version": self.version,
-            "routes": [{"name": "pola", "host": self.DOMAIN, "prefix": self.ROUTE,
+            "routes": [{"name": "titulos", "host": self.DOMAIN, "prefix": self.ROUTE,
                         "service": self.SERVICE, "priority": 0, "maxAttempts": 4,
                         "stretchFactor": 2.0, "latencySloMs": 1000, "timeoutMs": 3000}],
             "services": [{"name": self.SERVICE, "enforcesCapacity": True}],
             "limits": {"maxBodyBytes": 262144}}))
 
     def add_host(self, name, zone, zones, on_request=None):
-        link = self.links[name] = Link(self.store.port, on_request)
+        # Each host has a port of its own at the store, so that the store can turn one host away.
+        port = self.ports[name] = Server(self.store, 0)
+        link = self.links[name] = Link(port.server_address[1], on_request)
         self.hosts[name] = Host(self.folder, self.record, name, zone, zones, link.port)
         self.hosts[name].start()
 
-    def add_worker(self, name, zone, rack, cpu=4000):
-        self.workers[name] = Worker(self.store, self.record, name, self.SERVICE, zone, rack, cpu)
+    def add_worker(self, name, zone, rack, **options):
+        self.workers[name] = Worker(self.store, self.record, name, self.SERVICE, zone, rack,
+                                    **options)
 
     def call(self, host, method, job="", body=None, timeout=3.0):
         """One request of a client. Returns the status, or None without an answer, and the body."""
