review: end the processes of a case also when its time is over

The case was ended by a signal then, which left the hosts that it had started running. The signal now ends the case like an error, with exit code 2.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -6,7 +6,6 @@
 import json
 import os
 import re
-import select
 import shutil
 import signal
 import socket
@@ -617,6 +616,11 @@
 def run_case(case):
     """Runs a case: 1 if it returns False (the rule was broken), 0 if True, 2 if it couldn't run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
+
+    def stop(*_):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, stop)  # of run.sh, when the time is over
     try:
         with Deployment(folder) as deployment:
             kept = case(deployment)
