--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,71 +1,67 @@
-"""The store turns a starting host away for a few seconds; the host never registers afterwards."""
+"""A worker with accelerators is lost; its tasks never run on the other one that is free."""
 
 import os
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import standins
 from standins import BOUNDS
 
-AWAY_S = 4.5
-WORK_MS = 60000
-WAITING = 6
+JOB = "d94b36f85c0e7a21"
+WORK_MS = 3000
 ZONES = {"centro-a": "centro", "centro-b": "centro"}
-LAST = "h-centro-a-3"
+WORKERS_PER_ZONE = 7
 
 
 def case(deployment):
     record = deployment.record
-    away = threading.Event()
-
-    # A starting host takes a lease for its record before it writes the record.
-    def on_request(link, data):
-        if away.is_set() or link is not deployment.links.get(LAST) or b"/api/kv-keep" in data:
-            return
-        if b"PUT" in data or b"/api/kv-txn" not in data:
-            return
-        if standins.trouble():
-            deployment.ports[LAST].turned_away_until = time.monotonic() + AWAY_S
-            record.write(f"platform_down nodes busy: the store turns {LAST} away for {AWAY_S} s")
-        away.set()
-
     deployment.write_config()
     for zone in ZONES:
-        for number in range(1, 4):
-            deployment.add_worker(f"w-{zone}-{number}", zone, f"r-{zone}")
-    for zone, count in (("centro-a", 3), ("centro-b", 2)):
-        for number in range(1, count + 1):
-            deployment.add_host(f"h-{zone}-{number}", zone, ZONES, on_request)
-    if not deployment.wait_until_up(shards=2) or not away.is_set():
+        for number in range(1, WORKERS_PER_ZONE + 1):
+            # The first worker of each zone has accelerators, the others more processors.
+            options = {"cpu": 4000, "gpu": 2} if number == 1 else {"cpu": 8000}
+            deployment.add_worker(f"w-{zone}-{number}", zone, f"r-{zone}", **options)
+        deployment.add_host(f"h-{zone}", zone, ZONES)
+    if not deployment.wait_until_up(shards=2):
         return None
-    time.sleep(AWAY_S + BOUNDS["contactMs"] / 1000 + 2)
-    record.write(f"all hosts are in touch; {LAST} is ready: {deployment.hosts[LAST].is_ready()}")
-    # One job fills all workers, the others wait.
-    first = "h-centro-a-1"
-    spec = {"taskSpec": f"titulos {WORK_MS} 4000 0",
-            "steps": [{"count": 6, "cpu": 4000, "memMb": 1024, "estRuntimeMs": WORK_MS}]}
-    status, _ = deployment.call(first, "POST", f"{1:016x}", spec)
-    if status != 200:
+    time.sleep(6)
+    hosts = list(deployment.hosts)
+    spec = {"taskSpec": f"titulos {WORK_MS} 1000 1",
+            "steps": [{"count": 1, "cpu": 1000, "memMb": 512, "gpu": 1, "estRuntimeMs": WORK_MS}]}
+    status, _ = deployment.call(hosts[0], "POST", JOB, spec)
+    workers = deployment.workers
+    if status != 200 or not deployment.wait_for(
+            lambda: any(worker.tasks_of(JOB) for worker in workers.values()), 3):
         return None
-    time.sleep(2)
-    spec["steps"][0]["count"] = 1
-    for number in range(WAITING):
-        status, _ = deployment.call(first, "POST", f"{2 + number:016x}", spec)
-        if status != 200:
-            return None
-    time.sleep(BOUNDS["visible_ms"] / 1000 + 2 + 1)
-    counts = {}
-    for name in deployment.hosts:
-        status, answer = deployment.call(name, "GET")
-        if status != 200:
-            return None
-        counts[name] = answer.get("pending", 0)
-    status, _ = deployment.call(LAST, "POST", f"{100:016x}", spec)
-    record.write(f"{LAST} answers {status} to a submission")
-    record.write(f"{WAITING} accepted jobs haven't begun; the hosts give as pending: {counts}")
-    return all(count * 2 >= WAITING for count in counts.values())
+    time.sleep(0.5)
+    home = next(name for name, worker in workers.items() if worker.tasks_of(JOB))
+    other = next(name for name, worker in workers.items()
+                 if worker.capacity["gpu"] and name != home)
+    if standins.trouble():
+        record.write(f"srv_crash gone: {home} is lost for good")
+        workers[home].crash()
+    # The lease of the lost worker ends, and contactMs pass after the disruption.
+    lost = time.monotonic()
+    calm_from = lost + (BOUNDS["maxHoldMs"] + BOUNDS["contactMs"]) / 1000
+    until = lost + BOUNDS["maxHoldMs"] / 1000 + BOUNDS["finish_s"]
+    idle_since, longest, state = None, 0.0, ""
+    while time.monotonic() < until:
+        _, answer = deployment.call(hosts[0], "GET", JOB)
+        state = answer.get("state", "")
+        if state in ("completed", "failed"):
+            break
+        now = time.monotonic()
+        busy = any(worker.tasks_of(JOB) for worker in workers.values())
+        idle_since = None if busy or now < calm_from else idle_since or now
+        longest = max(longest, now - idle_since if idle_since else 0.0)
+        time.sleep(0.5)
+    record.write(f"the job is shown as {state}; for {longest:.1f} s nothing of it ran while {other} "
+                 "was idle and had room for it twice over")
+    control, _ = deployment.call(hosts[1], "POST", JOB[::-1], spec)
+    ran = deployment.wait_for(lambda: workers[other].tasks_of(JOB[::-1]), 3)
+    record.write(f"control: an equal job handed in to the other host: {control}, runs there: {ran}")
+    return state == "completed" or longest <= 3.0
 
 
 standins.run_case(case)
