review: each case reads TROUBLE itself

The switch was read by the shared stand-ins, so that a case's folder didn't show it. Nothing else changes.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,6 +9,9 @@
 import standins
 from standins import BOUNDS
 
+# TROUBLE=0 runs the case without its disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 CUT_S = 0.93
 JOB = "5c0e7a21d94b36f8"
 WORK_MS = 40000
@@ -25,7 +28,7 @@
         if offered.is_set() or b"%2Fprogress%2F" + JOB.encode() not in data:
             return
         name = next(name for name, other in deployment.links.items() if other is link)
-        if standins.trouble():
+        if TROUBLE:
             link.cut(CUT_S)
             cut_ended[0] = time.monotonic() + CUT_S
             record.write(f"core_cut: host {name} is partitioned from the store for {CUT_S} s")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,6 +8,9 @@
 import standins
 from standins import BOUNDS
 
+# TROUBLE=0 runs the case without its disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 JOB = "0c5e7a21d94b36f8"
 WORK_MS = 3000
 ZONES = {"centro-a": "centro", "centro-b": "centro", "sur-a": "sur"}
@@ -41,7 +44,7 @@
             lambda: any(worker.tasks_of(JOB) for worker in workers.values()), 3):
         return None
     time.sleep(0.5)
-    if standins.trouble():
+    if TROUBLE:
         record.write(f"srv_crash rack gone: all workers of rack r-{zone}-1 are lost for good")
         for name, worker in workers.items():
             if name.startswith(f"w-{zone}-1-"):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,6 +8,9 @@
 import standins
 from standins import BOUNDS
 
+# TROUBLE=0 runs the case without its disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 GREY_S = 3.0
 JOB = "7a21d94b36f85c0e"
 WORK_MS = 600
@@ -28,7 +31,7 @@
         return None
     time.sleep(6)
     special = deployment.workers[SPECIAL]
-    if standins.trouble():
+    if TROUBLE:
         special.failing = True
         record.write(f"srv_grey errors: {SPECIAL} fails what it starts for {GREY_S} s")
     hosts = list(deployment.hosts)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,6 +8,9 @@
 import standins
 from standins import BOUNDS
 
+# TROUBLE=0 runs the case without its disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 JOB = "d94b36f85c0e7a21"
 WORK_MS = 3000
 ZONES = {"centro-a": "centro", "centro-b": "centro"}
@@ -38,7 +41,7 @@
     home = next(name for name, worker in workers.items() if worker.tasks_of(JOB))
     other = next(name for name, worker in workers.items()
                  if worker.capacity["gpu"] and name != home)
-    if standins.trouble():
+    if TROUBLE:
         record.write(f"srv_crash gone: {home} is lost for good")
         workers[home].crash()
     # The lease of the lost worker ends, and contactMs pass after the disruption.
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -609,10 +609,6 @@
                              len(self.owners()) >= shards, seconds)
 
 
-def trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(case):
     """Runs a case: 1 if it returns False (the rule was broken), 0 if True, 2 if it couldn't run."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
