shard_offers: what arrives while an offer is verified outweighs the record

Cause: the borrowing host verifies an offer by a read of the lender's record and applies it when the read is answered. A withdrawal that arrived in between found no row, was answered "gone", and nothing remembered it. Any read that takes longer than the lender waits for its call (0.8 s) and less than the read's own timeout (1 s) does.

Ruled out: a loss of the withdrawal (its answer is what the acknowledgement waits for) and a second offer (one loan number throughout).

Change: a check of an offer is a row of the shard from its read to the reply. A withdrawal, a refusal or an acceptance of the loan cancels its other checks, so a record that was read before can't revive it. No time limit is involved.

No existing test changed.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -319,6 +319,8 @@
     void answer_room_call(const std::string& body, const peer_reply& reply);
     void send_loan_message(const shard_pointer& shard, const loan_message& message);
     void answer_loan_call(const std::string& body, const peer_reply& reply);
+    void answer_verified_offer(const shard_pointer& shard, const json& offer, offer_verdict verdict,
+                               const peer_reply& reply);
     void process_loan_message(const shard_pointer& shard, const json& body,
                               const peer_reply& reply);
 
--- a/src/host_loans.cpp
+++ b/src/host_loans.cpp
@@ -149,19 +149,12 @@
             return;
         }
         const auto key = progress_key(in.at("from").get<shard_id>(), in.at("job").get<job_id>());
-        store_.get(key, [this, alive = alive_, shard, in,
-                         reply](result<std::optional<store_entry>> entry) {
-            if (!*alive) {
-                return;
-            }
-            if (!entry) {
-                reply(error{error_kind::unavailable, "the store can't be reached"});
-            } else if (!entry.value() || !record_includes_loan(in, entry.value()->value)) {
-                log_.write("event=offer_outdated job={} loan={}", in.at("job").get<std::string>(),
-                           in.at("loan").get<std::uint64_t>());
-                reply(std::string("refused"));
-            } else {
-                process_loan_message(shard, in, reply);
+        const auto check = begin_offer_check(shard->state, in);
+        store_.get(key, [this, alive = alive_, shard, in, check,
+                         reply](const result<std::optional<store_entry>>& record) {
+            if (*alive) {
+                answer_verified_offer(shard, in,
+                                      finish_offer_check(shard->state, check, in, record), reply);
             }
         });
     } catch (const std::exception& failure) {
@@ -169,6 +162,22 @@
     }
 }
 
+void host_control::answer_verified_offer(const shard_pointer& shard, const json& offer,
+                                         offer_verdict verdict, const peer_reply& reply) {
+    if (verdict == offer_verdict::valid) {
+        process_loan_message(shard, offer, reply);
+        return;
+    }
+    if (verdict == offer_verdict::unknown) {
+        reply(error{error_kind::unavailable, "the store can't be reached"});
+        return;
+    }
+    log_.write("event=offer_outdated job={} loan={} withdrawn={}",
+               offer.at("job").get<std::string>(), offer.at("loan").get<std::uint64_t>(),
+               verdict == offer_verdict::withdrawn);
+    reply(std::string("refused"));
+}
+
 void host_control::process_loan_message(const shard_pointer& shard, const json& body,
                                         const peer_reply& reply) {
     if (shard->state.ownership_lost) {
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -303,6 +303,13 @@
     if (!shard.to_purge.empty() || has_new_worker_list(shard, now)) {
         mark(now, false);
     }
+    const bool unconfirmed_answers =
+        std::any_of(shard.loan_answers.begin(), shard.loan_answers.end(), [&](const auto& waiting) {
+            return waiting.confirmed_by > commit.confirmed_attempt;
+        });
+    if (unconfirmed_answers) {
+        mark(now, true);
+    }
 }
 
 // Updates the tables after a transaction was applied.
@@ -310,6 +317,7 @@
     auto& commit = shard.commit;
     shard.head_revision = head;
     shard.claim_confirmed = std::max(shard.claim_confirmed.value_or(sent), sent);
+    commit.confirmed_attempt = commit.attempts;
     for (const auto& id : commit.submissions) {
         auto& job = shard.tables.jobs.at(id);
         job.spec_stored = true;
@@ -490,6 +498,7 @@
         commit.pending = build_transaction(shard, now);
     }
     commit.in_flight = true;
+    ++commit.attempts;
     actions.commit = commit.pending;
 }
 
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -10,10 +10,12 @@
 #include "shard_tables.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace fulmar {
@@ -149,6 +151,12 @@
     std::string body;
 };
 
+using offer_check_id = strong_type<struct offer_check_tag, std::uint64_t>;
+
+// Whether an offer may be accepted: the lender's record includes the loan, it doesn't, the loan was
+// withdrawn, refused or ended while the record was read, or the record couldn't be read.
+enum class offer_verdict : std::uint8_t { valid, outdated, withdrawn, unknown };
+
 // Answer to a loan message of another shard's owner.
 struct loan_answer {
     request_token token = 0;
@@ -224,7 +232,10 @@
     bool has_worker_list = false;       // the transaction includes the worker list
     worker_list listed_workers;         // the worker list in the transaction
     time_point next_attempt;            // earliest time of the next attempt
-    time_point last_applied;            // send time of the last transaction that was applied
+    std::uint64_t attempts = 0;         // number of attempts that were sent
+    // Number of the last attempt whose reply proved that this was still the shard's owner.
+    std::uint64_t confirmed_attempt = 0;
+    time_point last_applied; // send time of the last transaction that was applied
     std::optional<time_point> dirty_since;
     // A caller or another shard waits for the change, so it skips the commit delay.
     bool urgent = false;
@@ -279,8 +290,21 @@
         std::uint64_t version = 0;
         std::string state;
         std::uint64_t loan = 0;
+        std::uint64_t confirmed_by = 0; // attempt at a commit that must have been confirmed before
     };
     std::vector<waiting_loan_answer> loan_answers;
+    // An offer of another shard while the lender's record is being read.
+    struct offer_check {
+        offer_check_id id;
+        job_id job;
+        std::uint64_t loan = 0;
+        bool cancelled = false; // the offer must not be accepted, whatever the record says
+    };
+    std::vector<offer_check> offer_checks;
+    // The loans that were dropped last after their withdrawal was stored; a repeated withdrawal is
+    // answered at once.
+    std::deque<std::pair<job_id, std::uint64_t>> dropped_loans;
+    std::uint64_t last_offer_check = 0;
     struct closed_loan {
         job_id job;
         std::uint64_t version = 0; // of the job's record without the loan
@@ -382,10 +406,15 @@
 void on_loan_message(shard_state& shard, const json& body, request_token token, time_point now,
                      unix_time unix_now);
 
-// Return whether a message is an offer that must be verified against the lender's record before it
-// is processed, and whether that record, as stored, includes the loan.
+// Returns whether a message is an offer that must be verified against the lender's record before it
+// is processed. Throws a std::exception if the body is malformed.
 bool is_new_offer(const shard_state& shard, const json& body);
-bool record_includes_loan(const json& body, std::string_view lender_progress);
+
+// Begins and ends the verification of an offer. Between the two the lender's record is read; a
+// withdrawal that arrives meanwhile counts more than the record.
+offer_check_id begin_offer_check(shard_state& shard, const json& body);
+offer_verdict finish_offer_check(shard_state& shard, offer_check_id id, const json& body,
+                                 const result<std::optional<store_entry>>& record);
 
 // Processes the answer to a loan_message.
 void on_loan_reply(shard_state& shard, const loan_message& message,
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -2,7 +2,7 @@
 // stores the loan with the borrower's id before it sends the offer, the borrower stores the tasks
 // before it answers, and the lender stores a result before the borrower deletes it. So each task
 // belongs to one shard at any time, even if the owner of either shard changes.
-#include "shard_internal.hpp"
+#include "shard_loan_messages.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -22,23 +22,15 @@
 // twice in this time.
 constexpr duration long_running_refusal_pause{1'000};
 
-constexpr std::string_view state_taken = "taken";
-constexpr std::string_view state_refused = "refused";
-constexpr std::string_view state_gone = "gone";
-constexpr std::string_view state_settled = "settled";
-constexpr std::string_view state_retry = "retry";
+// Dropped loans that are remembered. Beyond these, a repeated withdrawal is answered after one more
+// transaction.
+constexpr std::size_t dropped_loans_limit = 64;
 
 json encode_task(std::uint32_t index, const task_row& task) {
     return {index, static_cast<int>(task.result), task.failed_runs, task.last_run.value,
             task.checkpoint};
 }
 
-void decode_task(const json& from, task_row& task) {
-    task.failed_runs = from.at(2).get<std::vector<run_number>>();
-    task.last_run = std::max(task.last_run, from.at(3).get<run_number>());
-    task.checkpoint = from.at(4).get<std::string>();
-}
-
 json make_envelope(std::string_view kind, const shard_id& from, const shard_id& to,
                    std::uint64_t loan, const job_id& job) {
     return {{"kind", kind}, {"from", from}, {"to", to}, {"loan", loan}, {"job", job}};
@@ -101,132 +93,24 @@
     }
 }
 
-borrowed_tasks* find_borrowed(job_row& job, std::uint64_t loan) {
-    const auto found = std::find_if(job.borrowed.begin(), job.borrowed.end(),
-                                    [&](const borrowed_tasks& row) { return row.loan == loan; });
-    return found == job.borrowed.end() ? nullptr : &*found;
-}
-
-// Answers once this version of the job's record is stored: the one that holds what the message
-// asked for, as the record may keep changing. The answer to a repeated message replaces the one to
-// its predecessor, whose sender no longer waits.
-void answer_when_stored(shard_state& shard, const job_id& job, std::uint64_t loan,
-                        std::uint64_t version, request_token token, std::string_view state) {
-    for (auto& waiting : shard.loan_answers) {
-        if (waiting.loan == loan && waiting.job == job && waiting.state == state) {
-            waiting.version = 0;
-            waiting.state = state_retry;
-        }
-    }
-    shard.loan_answers.push_back({token, job, version, std::string(state), loan});
-}
-
-void answer_now(shard_state& shard, request_token token, std::string_view state) {
-    shard.loan_answers.push_back({token, {}, 0, std::string(state), 0});
-}
-
-// Keeps the records of a borrowed job that were to be removed. Returns false if a transaction that
-// removes them may take effect.
-bool keep_borrowed_job(shard_state& shard, const job_id& id) {
-    const auto& removed = shard.commit.purged;
-    if (shard.commit.pending && std::find(removed.begin(), removed.end(), id) != removed.end()) {
-        return false;
-    }
-    std::erase(shard.to_purge, id);
-    return true;
-}
-
-// An offer as it was received; nothing in it has been compared with the job yet.
-struct loan_offer {
-    borrowed_tasks loan;
-    std::vector<std::pair<std::uint32_t, task_row>> tasks;
-    std::optional<job_row> job; // only if the job isn't known here
-};
-
-// Throws a std::exception if the body is malformed or doesn't match the job's steps.
-loan_offer parse_offer(const json& body, const job_id& id, const job_row* known) {
-    loan_offer offer;
-    if (known == nullptr) {
-        auto& row = offer.job.emplace();
-        row.id = id;
-        row.lender = body.at("from").get<shard_id>();
-        row.queue = decode_queue(body.at("queue"));
-        row.spec = decode_spec(body.at("spec"));
-        row.accepted = body.at("accepted").get<unix_time>();
-        row.phase = job_phase::running;
-        row.spec_stored = true;
-    }
-    auto& loan = offer.loan;
-    loan.loan = body.at("loan").get<std::uint64_t>();
-    loan.occurrence = body.at("occurrence").get<std::uint32_t>();
-    loan.step = body.at("step").get<std::uint32_t>();
-    const auto& step = (known == nullptr ? *offer.job : *known).spec.steps.at(loan.step);
-    for (const auto& entry : body.at("tasks")) {
-        const auto index = entry.at(0).get<std::uint32_t>();
-        if (index >= step.count) {
-            throw std::out_of_range("the step has no task " + std::to_string(index));
-        }
-        decode_task(entry, offer.tasks.emplace_back(index, task_row{}).second);
-        loan.tasks.insert(index);
-    }
-    return offer;
-}
-
-void process_offer(shard_state& shard, const json& body, request_token token, time_point now) {
-    const auto id = body.at("job").get<job_id>();
-    const auto number = body.at("loan").get<std::uint64_t>();
-    const auto known = shard.tables.jobs.find(id);
-    if (known != shard.tables.jobs.end()) {
-        if (!is_borrowed(known->second) || !keep_borrowed_job(shard, id)) {
-            answer_now(shard, token, state_retry);
-            return;
-        }
-        if (const auto* loan = find_borrowed(known->second, number)) {
-            answer_when_stored(shard, id, number, loan->version, token, state_taken);
-            return;
-        }
-    }
-    // All of the body is read before anything changes.
-    auto offer = parse_offer(body, id, known == shard.tables.jobs.end() ? nullptr : &known->second);
-    if (offer.job) {
-        shard.tables.jobs.insert_or_assign(id, std::move(*offer.job));
-        shard.unstored_borrowed_jobs.insert(id);
-        shard.active.insert(id);
-    }
-    auto& job = shard.tables.jobs.at(id);
-    auto& loan = offer.loan;
-    loan.since = now;
-    auto& stage = find_borrowed_stage(job, loan.occurrence, loan.step);
-    for (const auto& [index, received] : offer.tasks) {
-        auto& task = stage.tasks.at(index);
-        task.failed_runs = received.failed_runs;
-        task.last_run = received.last_run;
-        task.checkpoint = received.checkpoint;
-        task.loan = number;
-        task.not_local = false;
-        task.done = false;
-        task.result = loan_result::pending;
-        stage.waiting.insert(index);
-    }
-    stage.ready_since.reset();
-    record_change(shard, job, true, now);
-    loan.version = job.version;
-    job.borrowed.push_back(std::move(loan));
-    answer_when_stored(shard, id, number, job.version, token, state_taken);
-    shard.counters->count("loans", "taken");
-    shard.log->write("event=tasks_borrowed job={} shard={} from={} loan={} tasks={}", id.value,
-                     shard.id.value, job.lender.value, number, job.borrowed.back().tasks.size());
-}
-
 void process_withdrawal(shard_state& shard, const json& body, request_token token, time_point now) {
+    const auto id = body.at("job").get<job_id>();
     const auto number = body.at("loan").get<std::uint64_t>();
-    const auto found = shard.tables.jobs.find(body.at("job").get<job_id>());
+    const auto found = shard.tables.jobs.find(id);
     auto* loan = found == shard.tables.jobs.end() ? nullptr : find_borrowed(found->second, number);
-    if (loan == nullptr) {
-        // The loan is only removed after its withdrawal is stored or its results are settled.
+    cancel_offer_checks(shard, id, number);
+    const auto& dropped = shard.dropped_loans;
+    if (std::find(dropped.begin(), dropped.end(), std::pair(id, number)) != dropped.end()) {
         answer_now(shard, token, state_gone);
         return;
     }
+    if (loan == nullptr) {
+        // Its offer may still be being verified, or was never received, or its results were
+        // settled.
+        cancel_offer_checks(shard, id, number);
+        answer_when_confirmed(shard, id, number, token, state_gone, now);
+        return;
+    }
     auto& job = found->second;
     if (!loan->withdrawn) {
         loan->withdrawn = true;
@@ -284,7 +168,9 @@
     if (found == shard.tables.loans.end()) {
         // An earlier report closed the loan; its answer was lost or still waits for the commit.
         const auto closed = shard.closed_loans.find(number);
-        if (closed == shard.closed_loans.end()) {
+        if (number >> loan_counter_bits > shard.epoch.value) {
+            answer_now(shard, token, state_retry); // a later owner of this shard made the loan
+        } else if (closed == shard.closed_loans.end()) {
             answer_now(shard, token, state_settled);
         } else {
             answer_when_stored(shard, closed->second.job, number, closed->second.version, token,
@@ -378,14 +264,21 @@
 
 // Removes withdrawn loans once none of their tasks run any more.
 void drop_withdrawn(shard_state& shard, job_row& job, time_point now) {
-    const auto before = job.borrowed.size();
-    std::erase_if(job.borrowed, [&](const borrowed_tasks& loan) {
+    const auto dropped = std::erase_if(job.borrowed, [&](const borrowed_tasks& loan) {
         const auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
-        return loan.withdrawn && job.stored_version >= loan.withdrawn_version &&
-               std::all_of(loan.tasks.begin(), loan.tasks.end(),
-                           [&](std::uint32_t index) { return stage.tasks[index].runs.empty(); });
+        const bool ended =
+            loan.withdrawn && job.stored_version >= loan.withdrawn_version &&
+            std::all_of(loan.tasks.begin(), loan.tasks.end(),
+                        [&](std::uint32_t index) { return stage.tasks[index].runs.empty(); });
+        if (ended) {
+            shard.dropped_loans.emplace_back(job.id, loan.loan);
+        }
+        return ended;
     });
-    if (job.borrowed.size() != before) {
+    while (shard.dropped_loans.size() > dropped_loans_limit) {
+        shard.dropped_loans.pop_front();
+    }
+    if (dropped > 0) {
         record_change(shard, job, false, now);
     }
 }
@@ -428,8 +321,9 @@
 void collect_due_answers(shard_state& shard, shard_actions& actions) {
     std::erase_if(shard.loan_answers, [&](const auto& waiting) {
         const auto job = shard.tables.jobs.find(waiting.job);
-        const bool due =
+        const bool stored =
             job == shard.tables.jobs.end() || job->second.stored_version >= waiting.version;
+        const bool due = stored && shard.commit.confirmed_attempt >= waiting.confirmed_by;
         if (due) {
             actions.loan_answers.push_back({waiting.token, waiting.state});
         }
@@ -474,6 +368,53 @@
 
 } // namespace
 
+void decode_task(const json& from, task_row& task) {
+    task.failed_runs = from.at(2).get<std::vector<run_number>>();
+    task.last_run = std::max(task.last_run, from.at(3).get<run_number>());
+    task.checkpoint = from.at(4).get<std::string>();
+}
+
+borrowed_tasks* find_borrowed(job_row& job, std::uint64_t loan) {
+    const auto found = std::find_if(job.borrowed.begin(), job.borrowed.end(),
+                                    [&](const borrowed_tasks& row) { return row.loan == loan; });
+    return found == job.borrowed.end() ? nullptr : &*found;
+}
+
+namespace {
+
+// Drops the answer that waits for the same message. Its sender no longer waits.
+void replace_answer(shard_state& shard, const job_id& job, std::uint64_t loan,
+                    std::string_view state) {
+    for (auto& waiting : shard.loan_answers) {
+        if (waiting.loan == loan && waiting.job == job && waiting.state == state) {
+            waiting.version = 0;
+            waiting.confirmed_by = 0;
+            waiting.state = state_retry;
+        }
+    }
+}
+
+} // namespace
+
+void answer_when_stored(shard_state& shard, const job_id& job, std::uint64_t loan,
+                        std::uint64_t version, request_token token, std::string_view state) {
+    replace_answer(shard, job, loan, state);
+    shard.loan_answers.push_back({token, job, version, std::string(state), loan});
+}
+
+void answer_when_confirmed(shard_state& shard, const job_id& job, std::uint64_t loan,
+                           request_token token, std::string_view state, time_point now) {
+    replace_answer(shard, job, loan, state);
+    shard.loan_answers.push_back(
+        {token, job, 0, std::string(state), loan, shard.commit.attempts + 1});
+    shard.commit.dirty_since = shard.commit.dirty_since.value_or(now);
+    shard.commit.urgent = true;
+}
+
+void answer_now(shard_state& shard, request_token token, std::string_view state) {
+    shard.loan_answers.push_back({token, {}, 0, std::string(state), 0});
+}
+
 void make_loan(shard_state& shard, job_row& job, stage_row& stage, lending_room& other,
                const std::vector<std::uint32_t>& tasks, time_point now) {
     loan_row loan;
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -30,13 +30,18 @@
         , incarnation_(incarnation) {}
 
     void get(const std::string& key, store_callback<std::optional<store_entry>> done) override {
-        call<std::optional<store_entry>>(std::move(done), false, [this, key] {
-            auto entry = world_.store_.get(key);
-            if (entry) {
-                world_.hosts_[host_]->count_bytes(*entry);
-            }
-            return entry;
-        });
+        const auto delay =
+            key.starts_with("data/") ? world_.hosts_[host_]->data_read_delay : duration(0);
+        call<std::optional<store_entry>>(
+            std::move(done), false,
+            [this, key] {
+                auto entry = world_.store_.get(key);
+                if (entry) {
+                    world_.hosts_[host_]->count_bytes(*entry);
+                }
+                return entry;
+            },
+            delay);
     }
 
     void list(const std::string& prefix, const std::string& after, read_mode /*mode*/,
@@ -119,7 +124,8 @@
     }
 
     template <class T, class Action>
-    void call(store_callback<T> done, bool writes, Action action) {
+    void call(store_callback<T> done, bool writes, Action action,
+              duration reply_delay = duration(0)) {
         static constexpr duration timeout{1'000};
         if (refuse<T>(done)) {
             return;
@@ -131,13 +137,13 @@
             return;
         }
         const bool lost = writes && world_.chance(world_.lost_replies);
-        world_.at(world_.latency(), [this, done, action, lost] {
+        world_.at(world_.latency(), [this, done, action, lost, reply_delay] {
             result<T> reply = action();
             if (lost) {
                 fail<T>(done, timeout, error_kind::timeout);
                 return;
             }
-            world_.on_host(host_, incarnation_, world_.latency(),
+            world_.on_host(host_, incarnation_, world_.latency() + reply_delay,
                            [done, reply = std::move(reply)] { done(reply); });
         });
     }
--- a/tests/sim_parts.hpp
+++ b/tests/sim_parts.hpp
@@ -16,6 +16,7 @@
     time_point frozen_until;
     store_mode mode = store_mode::up;
     std::set<std::string> hung_prefixes; // of keys whose watches get no answer
+    duration data_read_delay{0};         // of replies to reads of shards' records
     std::uint64_t order_bytes = 0;       // of values of the operators' keys that it received
     std::uint64_t worker_bytes = 0;      // the same of the workers' entries
     bool log_kept = false;
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -317,6 +317,10 @@
     }
 }
 
+void sim_world::delay_data_reads(std::size_t index, duration delay) {
+    hosts_[index]->data_read_delay = delay;
+}
+
 void sim_world::set_processor_share(std::size_t index, std::int64_t share) {
     hosts_[index]->options.weight = share;
 }
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -80,6 +80,8 @@
     // Leaves a host's watches of keys that start with a prefix without answers, while the store
     // answers other calls.
     void hang_watches(std::size_t index, const std::string& prefix, bool hang);
+    // Delays the replies to a host's reads of single records of shards.
+    void delay_data_reads(std::size_t index, duration delay);
     // Sets a host's processors, in thousandths of a core; takes effect at the host's next start.
     void set_processor_share(std::size_t index, std::int64_t share);
     // Sets the region of a data centre; takes effect at the hosts' next start.
