shard_room_requests: ask for room for each step that nothing stands for

Cause: messages that ask other shards for room name 16 tasks, two of each step first. 15 steps waited, all for the same time, so the eight with the lowest ids filled every message. There was no room for those, and none was requested for the smallest one.

Ruled out: a spread limit (nine tasks of the step had run on one worker), a label (none), and the takeover (the shard kept its owner).

Change: a step that needs at least as much as one that has waited longer is listed after all others, since whatever suits it goes to the other one first. If more than 16 steps remain, four places go round among them.

--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -20,10 +20,11 @@
 constexpr duration lending_limit{6'000};
 constexpr duration unused_pause{1'000};
 
-// Maximum number of tasks in a message that aren't being lent, the longest waits first, but no more
-// than a few of a stage before others had their turn. A message replaces the former one, so this
-// also limits the requests that are kept for a shard.
+// Maximum number of tasks in a message that aren't being lent. A message replaces the former one,
+// so this also limits the requests that are kept for a shard. If too many stages wait, some of the
+// places go round among them.
 constexpr std::size_t tasks_per_message = 16;
+constexpr std::size_t rotating_tasks = 4;
 constexpr std::size_t first_tasks_per_stage = 2;
 
 constexpr duration service_interval{100};
@@ -178,28 +179,74 @@
     return wanted;
 }
 
-// Returns the tasks to list in a message to a shard. Those that are being lent to it come first, as
-// it releases the room of tasks that aren't listed. Room for a stage may exist nowhere, which must
-// not keep others from requesting it.
-std::vector<const wanted_room*> select_tasks(const std::vector<wanted_room>& wanted,
-                                             const shard_id& to) {
-    std::vector<const wanted_room*> listed;
-    std::vector<const wanted_room*> first;
+// Returns whether any room that suits a task of the second step suits one of the first as well.
+bool stands_for(const wanted_room& a, const wanted_room& b) {
+    const auto& first = a.job->spec.steps[a.key.step];
+    const auto& second = b.job->spec.steps[b.key.step];
+    return a.job->queue.service == b.job->queue.service && first.spread_limit == 0 &&
+           (first.label.empty() || first.label == second.label) && fits(first.need, second.need);
+}
+
+// Waiting tasks in the order in which they are listed. The first ones belong to different stages.
+struct listing_order {
+    std::vector<const wanted_room*> rows;
+    std::size_t leading = 0;
+};
+
+// Orders the tasks that aren't being lent, given the longest waits first. A few tasks of each stage
+// come before all others, but not of stages for which one that has waited longer stands: that one
+// gets any room first.
+listing_order order_wanted(const std::vector<wanted_room>& wanted) {
+    std::vector<const wanted_room*> leading;
+    std::vector<const wanted_room*> following;
     std::vector<const wanted_room*> rest;
     std::map<task_key, std::size_t> tasks_of_stage;
+    std::set<task_key> represented;
     for (const auto& row : wanted) {
         if (!row.lending_to.value.empty()) {
-            if (row.lending_to == to) {
-                listed.push_back(&row);
-            }
             continue;
         }
         const task_key stage{row.key.job, row.key.occurrence, row.key.step, 0};
-        (++tasks_of_stage[stage] <= first_tasks_per_stage ? first : rest).push_back(&row);
+        const auto number = ++tasks_of_stage[stage];
+        if (number == 1 &&
+            std::any_of(leading.begin(), leading.end(),
+                        [&](const wanted_room* other) { return stands_for(*other, row); })) {
+            represented.insert(stage);
+        }
+        if (represented.contains(stage) || number > first_tasks_per_stage) {
+            rest.push_back(&row);
+        } else {
+            (number == 1 ? leading : following).push_back(&row);
+        }
+    }
+    listing_order order{std::move(leading), 0};
+    order.leading = order.rows.size();
+    order.rows.insert(order.rows.end(), following.begin(), following.end());
+    order.rows.insert(order.rows.end(), rest.begin(), rest.end());
+    return order;
+}
+
+// Returns the tasks to list in a message to a shard. Those that are being lent to it come first, as
+// it releases the room of tasks that aren't listed. Room for some stages may exist nowhere, which
+// must not keep others from requesting it.
+std::vector<const wanted_room*> select_tasks(const std::vector<wanted_room>& wanted,
+                                             const listing_order& order, const shard_id& to,
+                                             std::size_t message) {
+    std::vector<const wanted_room*> listed;
+    for (const auto& row : wanted) {
+        if (row.lending_to == to) {
+            listed.push_back(&row);
+        }
+    }
+    const auto count = std::min(order.rows.size(), tasks_per_message);
+    const bool rotates = order.leading > tasks_per_message;
+    const auto fixed = rotates ? tasks_per_message - rotating_tasks : count;
+    listed.insert(listed.end(), order.rows.begin(),
+                  order.rows.begin() + static_cast<std::ptrdiff_t>(fixed));
+    for (std::size_t i = 0; i < count - fixed; ++i) {
+        const auto place = (message * rotating_tasks + i) % (order.leading - fixed);
+        listed.push_back(order.rows[fixed + place]);
     }
-    first.insert(first.end(), rest.begin(), rest.end());
-    first.resize(std::min(first.size(), tasks_per_message));
-    listed.insert(listed.end(), first.begin(), first.end());
     return listed;
 }
 
@@ -362,12 +409,13 @@
     }
     shard.room_requested = !wanted.empty();
     const auto number = (shard.epoch.value << 24U) + ++shard.room_messages;
+    const auto order = order_wanted(wanted);
     for (const auto& [id, other] : shard.other_shards) {
         if (!other.available || now < other.unasked_until) {
             continue;
         }
         json tasks = json::array();
-        for (const auto* row : select_tasks(wanted, id)) {
+        for (const auto* row : select_tasks(wanted, order, id, shard.room_messages)) {
             tasks.push_back(encode_request(*row, now));
         }
         json body{{"from", shard.id}, {"to", id}, {"number", number}, {"tasks", std::move(tasks)}};
--- a/tests/room_requests_test.cpp
+++ b/tests/room_requests_test.cpp
@@ -2,6 +2,7 @@
 #include "shard_internal.hpp"
 
 #include <catch2/catch.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -79,13 +80,13 @@
 
     // Adds an own job with long-running tasks that have waited for this long.
     void add_waiting(const job_id& id, std::uint32_t tasks, const std::string& label,
-                     duration waited) {
+                     duration waited, resources need = {{6'000}, {512}, {0}}) {
         job_row job;
         job.id = id;
         job.queue.service = {"desk"};
         step_spec step;
         step.count = tasks;
-        step.need = {{6'000}, {512}, {0}};
+        step.need = need;
         step.label = label;
         step.long_running = true;
         job.spec.steps = {step};
@@ -307,6 +308,54 @@
                       [&](const json& row) { return row.at("job").get<job_id>() == late; }));
 }
 
+// LOST: the tasks of some steps filled each message. Room that was too small for them, and large
+// enough for a step that had waited a little less, stayed free.
+TEST_CASE("room is requested for the smallest of many steps that wait") {
+    room_world world;
+    const job_id smallest{"00000000000000ff"};
+    for (std::int64_t i = 0; i < 40; ++i) {
+        world.add_waiting({fmt::format("{:016x}", i + 1)}, 9, "", duration(9'000 - i),
+                          {{9'000 - i % 7 * 100}, {512 + i % 5}, {0}});
+    }
+    world.add_waiting(smallest, 9, "", duration(1'000), {{3'500}, {512}, {0}});
+    const auto is_listed = [&](const job_id& id) {
+        const auto rows = world.requested();
+        CHECK(rows.size() == 16);
+        return std::any_of(rows.begin(), rows.end(),
+                           [&](const json& row) { return row.at("job").get<job_id>() == id; });
+    };
+    CHECK(is_listed(smallest));
+    // Needs that are smaller than all others in one respect.
+    const std::vector<std::pair<std::string, resources>> others{
+        {"fast", {{3'400}, {999}, {0}}}, {"", {{9'000}, {100}, {0}}}, {"", {{100}, {9'000}, {0}}}};
+    for (std::size_t i = 0; i < others.size(); ++i) {
+        const job_id id{fmt::format("{:016x}", 0x1000 + i)};
+        const auto& [label, need] = others[i];
+        world.add_waiting(id, 9, label, duration(900), need);
+        // Messages are sent every 0.3 s.
+        bool listed = false;
+        for (int message = 0; message < 4; ++message) {
+            listed = is_listed(id) || listed;
+        }
+        CHECK(listed);
+    }
+}
+
+// A step that may not use all room doesn't stand for others.
+TEST_CASE("room is requested for a step beside a smaller one that runs on all workers already") {
+    room_world world;
+    const job_id large{"00000000000000ff"};
+    for (std::int64_t i = 0; i < 20; ++i) {
+        const job_id id{fmt::format("{:016x}", i + 1)};
+        world.add_waiting(id, 9, "", duration(9'000 - i), {{3'000 - i}, {512}, {0}});
+        world.shard.tables.jobs.at(id).spec.steps.front().spread_limit = 1;
+    }
+    world.add_waiting(large, 1, "", duration(8'990), {{8'000}, {512}, {0}});
+    const auto rows = world.requested();
+    CHECK(std::any_of(rows.begin(), rows.end(),
+                      [&](const json& row) { return row.at("job").get<job_id>() == large; }));
+}
+
 // The shard that holds the room releases it if a message doesn't list the task. The offer then
 // arrived without room and was returned.
 TEST_CASE("a task that is being lent is listed beside many that have waited longer") {
