shard_placement: a mark that excludes a worker ends before the task is lost

Cause: the next attempt avoids the worker of the last failure, without a limit in time. The other marks were looked at for the same question: pauses after refused starts and failed runs grew to 8 s, which is too long where one worker is left.

Ruled out: no room (idle), the label (it had run there).

Change: a failed task avoids the worker for 1.5 s. Pauses end after 2.5 s; a worker with several failures in a row then gets one task as a trial, and more once that has succeeded, so a worker that fails everything costs one task for each pause instead of all that fit.

--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -267,7 +267,7 @@
         load.committed += worker.committed.processors.value;
         load.fillers += worker.filler_demand;
         auto& room = find_room(status.rooms, worker.entry.service);
-        if (worker.no_starts_before <= now) {
+        if (!is_paused(worker, now)) {
             add_room(room, shard, worker);
         }
     }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -79,9 +79,10 @@
     duration stop_retry{700};
     duration stop_repeat{3'000}; // when the worker confirmed a stop but still lists the run
     // An unhealthy worker gets no starts for this long; the pause doubles with each consecutive
-    // failure up to the limit.
+    // failure up to the limit. It may be the only one that can run a task, which has to run again
+    // within 3 s after the worker has recovered.
     duration unhealthy_pause{500};
-    duration unhealthy_pause_limit{8'000};
+    duration unhealthy_pause_limit{2'500};
 };
 
 using request_token = std::uint64_t;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -175,6 +175,13 @@
 // pending transaction takes effect. A successor then expects runs of this owner on it.
 bool is_stored(const shard_state& shard, const worker_target& worker);
 
+// Returns whether starts on the worker pause because it refused some or its runs failed. After a
+// pause it gets one task, and further ones once that has succeeded.
+bool is_paused(const worker_row& worker, time_point now);
+
+// Returns whether a task that failed on the worker looks for another one first.
+bool is_avoided(const task_row& task, const worker_id& worker, time_point now);
+
 // Returns whether any task may start on the worker now.
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now);
 
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -183,7 +183,7 @@
         ++shard.placement_checks;
         if (reserved != shard.tables.workers.end() &&
             accepts_starts(shard, reserved->second, now) &&
-            task.last_failed_on != reserved->first &&
+            !is_avoided(task, reserved->first, now) &&
             can_run_on(*next.job, *next.stage, reserved->second) &&
             fits_worker(shard, reserved->second, step, key)) {
             return &reserved->second;
@@ -211,7 +211,7 @@
             failed.best_pace = std::max(failed.best_pace, pace);
             continue;
         }
-        if (task.last_failed_on == id || !can_run_on(*next.job, *next.stage, worker)) {
+        if (is_avoided(task, id, now) || !can_run_on(*next.job, *next.stage, worker)) {
             excluded = true;
             continue;
         }
@@ -292,9 +292,23 @@
 
 } // namespace
 
+bool is_paused(const worker_row& worker, time_point now) {
+    if (worker.no_starts_before > now) {
+        return true;
+    }
+    return worker.failures > 1 &&
+           std::any_of(worker.run_rows.begin(), worker.run_rows.end(), [&](const run_row* run) {
+               return run->start_sent >= worker.no_starts_before;
+           });
+}
+
+bool is_avoided(const task_row& task, const worker_id& worker, time_point now) {
+    return task.last_failed_on == worker && now < task.avoided_until;
+}
+
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
-           worker.listed && !worker.entry.draining && worker.no_starts_before <= now &&
+           worker.listed && !worker.entry.draining && !is_paused(worker, now) &&
            is_stored(shard, worker.entry.target);
 }
 
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -12,6 +12,13 @@
 // After a worker refused a start for lack of room, it gets no further starts for this long.
 constexpr duration no_room_pause{300};
 
+// A task that failed looks for another worker for this long. Afterwards running at all counts more:
+// no other one may be able to run it.
+constexpr duration avoidance_time{1'500};
+
+// A run that doesn't end by itself counts as a success of its worker once it has lasted this long.
+constexpr duration success_time{2'000};
+
 // Between probes of a worker at whose address another one answers. It may come back there under its
 // id.
 constexpr duration replaced_probe_interval{2'000};
@@ -159,6 +166,10 @@
             adopt_run(shard, worker, row, now);
         } else if (found->second.worker == worker.entry.target.id) {
             update_run(found->second, row, now);
+            if (found->second.long_running && found->second.start_sent >= worker.no_starts_before &&
+                now >= found->second.start_sent + success_time) {
+                worker.failures = 0;
+            }
         }
     }
     if (reply.ended.size() >= max_run_ends) {
@@ -268,6 +279,7 @@
         return false;
     }
     task.last_failed_on = worker;
+    task.avoided_until = now + avoidance_time;
     const bool attempts_exhausted =
         !step.long_running && record_failed_run(task, key.number) >= job.queue.max_attempts;
     if (!attempts_exhausted) {
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -59,7 +59,7 @@
     worker_row* best = nullptr;
     std::optional<std::pair<double, millicores>> best_rank;
     for (auto& [id, worker] : shard.tables.workers) {
-        if (!accepts_starts(shard, worker, now) || task.last_failed_on == id ||
+        if (!accepts_starts(shard, worker, now) || is_avoided(task, id, now) ||
             !can_run_on(job, stage, worker) ||
             is_spread_full(step.spread_limit, &stage, worker, key)) {
             continue;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -161,9 +161,10 @@
     std::string checkpoint;
     std::vector<run_number> runs; // active runs
     std::optional<worker_id> last_failed_on;
-    std::optional<worker_id> reserved_worker; // worker on which room is reserved for it
-    bool reservation_expired = false;         // a reservation expired since its last start
-    std::optional<time_point> idle_since;     // since when a long-running task has had no run here
+    time_point avoided_until = time_point::max(); // until when it doesn't start there again
+    std::optional<worker_id> reserved_worker;     // worker on which room is reserved for it
+    bool reservation_expired = false;             // a reservation expired since its last start
+    std::optional<time_point> idle_since; // since when a long-running task has had no run here
 };
 
 // One step of one occurrence.
--- a/src/worker_model.cpp
+++ b/src/worker_model.cpp
@@ -60,6 +60,9 @@
     if (closed != highest_closed_run_.end() && command.run.number <= closed->second) {
         return reply(command_outcome::superseded, now);
     }
+    if (refusing) {
+        return reply(command_outcome::unhealthy, now);
+    }
     const auto behaviour = options_.behaviour(command.run, command.payload);
     if (!behaviour) {
         return reply(command_outcome::invalid, now);
--- a/src/worker_model.hpp
+++ b/src/worker_model.hpp
@@ -52,8 +52,9 @@
     // Returns whether a run end is not yet acknowledged; a hold then returns at once.
     bool has_unacknowledged_ends() const { return !ended_.empty(); }
 
-    bool failing = false; // every run fails immediately
-    bool stalled = false; // no run makes progress
+    bool failing = false;  // every run fails immediately
+    bool refusing = false; // every start is refused as unhealthy
+    bool stalled = false;  // no run makes progress
 
     // Each executed run and its end, in the order of starts, for the checks of the tests.
     struct observed_run {
