shard_lending_room: no_room names accelerators, label and spreading

The line now also has the needed accelerators, the required label and the limit for each worker, and the accelerators that are free here and published by the other shards. The same case then shows

event=no_room ... need_cpu=1000 need_mem=512 need_acc=1 label="" spread=0 free_cpu=8000 free_mem=16000 free_acc=0 others=" centro-b.0:open=true:paused_ms=0:cpu=8000:mem=16000:acc=0"

no functional change but for the log line

--- a/src/shard_lending_room.cpp
+++ b/src/shard_lending_room.cpp
@@ -1,5 +1,6 @@
 // Room in other shards for waiting tasks: which shards have room, how much of it is left, and the
 // log lines when no shard has any.
+#include "bounded_json.hpp"
 #include "shard_internal.hpp"
 
 #include <fmt/format.h>
@@ -143,16 +144,19 @@
                               std::max<std::int64_t>(0, (other.no_loans_before - now).count()));
         for (const auto& room : other.rooms) {
             if (room.service == job.queue.service) {
-                others += fmt::format(":cpu={}:mem={}", room.largest.processors.value,
-                                      room.largest.memory.value);
+                others += fmt::format(":cpu={}:mem={}:acc={}", room.largest.processors.value,
+                                      room.largest.memory.value, room.largest.accelerators.value);
             }
         }
     }
     shard.log->write("event=no_room job={} step={} shard={} tasks={} lasting={} need_cpu={} "
-                     "need_mem={} free_cpu={} free_mem={} others=\"{}\"",
+                     "need_mem={} need_acc={} label=\"{}\" spread={} free_cpu={} free_mem={} "
+                     "free_acc={} others=\"{}\"",
                      job.id.value, stage.step, shard.id.value, stage.waiting.size(),
                      step.long_running, step.need.processors.value, step.need.memory.value,
-                     largest.processors.value, largest.memory.value, others);
+                     step.need.accelerators.value, make_printable(step.label), step.spread_limit,
+                     largest.processors.value, largest.memory.value, largest.accelerators.value,
+                     others);
 }
 
 } // namespace fulmar
