shard_lending_room, worker_class: publish what a shard's workers can run

Cause: an owner published the free resources of its worker with the most free processors, which stood for all of its workers. The lender asked whether the task fits there. So a shard whose fitting worker has fewer processors counted as full, labels weren't compared, and neither spread limits nor gangs. Ruled out: a pause of loans (paused_ms=0), a data centre out of service (open=true), a worker that gets no starts (the control job of the case runs on it).

Change: owners publish classes of workers: by labels, how many there are, and the largest capacities and free resources. A task that no worker of its shard could ever run is lent without delay, and requests room from the shards that could run it like a long-running one. A borrower refuses what none of its workers could run, which concerns only tasks that need as much, and returns at once what became so. A new job goes to a shard that could run all of its steps. Gang members start only where all of them could run.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -353,8 +353,8 @@
             shard.effects = effects_to_publish(owned_.at(shard.id)->state.effects);
             published_effects_[shard.id] = shard.effects;
         }
-        limit_effects(status);
     }
+    limit_details(status);
     const auto datagram = encode(status);
     drop_owner_details(status);
     const auto brief = status.shards.empty() ? datagram : encode(status);
--- a/src/host_gossip.cpp
+++ b/src/host_gossip.cpp
@@ -19,6 +19,11 @@
 // Effect estimates in one datagram, summed over its shards; about 30 bytes each.
 constexpr std::size_t published_effects_limit = 400;
 
+// Classes of workers in one datagram, summed over its shards, and of one shard. A class takes some
+// 100 bytes of a datagram to another owner, and 30 of one to any other host.
+constexpr std::size_t published_classes_limit = 120;
+constexpr std::size_t classes_per_shard_limit = 16;
+
 std::int64_t to_hundredths(double value) {
     return static_cast<std::int64_t>(value * effect_scale);
 }
@@ -43,8 +48,10 @@
     return rooms.emplace_back(std::move(next));
 }
 
-void add_room(service_room& room, const shard_state& shard, const worker_row& worker) {
+void add_room(service_room& room, const shard_state& shard, const worker_row& worker,
+              worker_class& workers) {
     const auto free = free_resources(worker);
+    add_free(workers, free);
     room.free = room.free + free;
     if (free.processors > room.largest.processors) {
         room.largest = free;
@@ -101,11 +108,39 @@
     return rooms;
 }
 
-// Keeps the workers with the most room for long-running tasks.
+json encode_classes(const std::vector<worker_class>& classes) {
+    json rows = json::array();
+    for (const auto& workers : classes) {
+        rows.push_back({workers.labels, workers.other_labels, workers.workers,
+                        encode_rooms(workers.capacity), encode_rooms(workers.free),
+                        encode_resources(workers.total_free)});
+    }
+    return rows;
+}
+
+std::vector<worker_class> decode_classes(const json& rows) {
+    std::vector<worker_class> classes;
+    for (const auto& row : rows) {
+        classes.push_back({row.at(0).get<std::vector<std::string>>(), row.at(1).get<bool>(),
+                           row.at(2).get<std::int64_t>(), decode_rooms(row.at(3)),
+                           decode_rooms(row.at(4)), decode_resources(row.at(5))});
+    }
+    return classes;
+}
+
+// Keeps the workers with the most room for long-running tasks, among them the one with the most
+// accelerators.
 void keep_largest(std::vector<resources>& rooms) {
     std::sort(rooms.begin(), rooms.end(), [](const resources& a, const resources& b) {
         return a.processors.value > b.processors.value;
     });
+    const auto most_accelerators =
+        std::max_element(rooms.begin(), rooms.end(), [](const resources& a, const resources& b) {
+            return a.accelerators < b.accelerators;
+        });
+    if (most_accelerators != rooms.end() && most_accelerators->accelerators.value > 0) {
+        std::rotate(rooms.begin(), most_accelerators, std::next(most_accelerators));
+    }
     rooms.resize(std::min(rooms.size(), published_rooms_limit));
 }
 
@@ -156,7 +191,8 @@
         for (const auto& room : shard.rooms) {
             rooms.push_back({room.service, encode_resources(room.free),
                              encode_resources(room.largest), room.fillers, room.undisturbing_rooms,
-                             encode_rooms(room.long_running), encode_rooms(room.free_now)});
+                             encode_rooms(room.long_running), encode_rooms(room.free_now),
+                             encode_classes(room.classes)});
         }
         shards.push_back({shard.id, shard.epoch, std::move(loads), std::move(pending),
                           std::move(rooms), std::move(effects), shard.workers});
@@ -217,7 +253,8 @@
                      decode_resources(room.at(2)), decode_rooms(room.at(5)),
                      room.size() > 6 ? decode_rooms(room.at(6)) : std::vector<resources>(),
                      room.at(3).get<std::int64_t>(),
-                     room.at(4).get<std::map<std::string, std::int64_t>>()});
+                     room.at(4).get<std::map<std::string, std::int64_t>>(),
+                     room.size() > 7 ? decode_classes(room.at(7)) : std::vector<worker_class>()});
             }
             for (const auto& pair : row.at(5)) {
                 shard.effects.push_back({pair.at(0).get<std::string>(),
@@ -240,15 +277,21 @@
         for (auto& room : shard.rooms) {
             room.long_running.clear();
             room.free_now.clear();
+            for (auto& workers : room.classes) {
+                workers.free.clear();
+            }
         }
     }
 }
 
-void limit_effects(host_status& status) {
-    const auto limit_per_shard =
-        published_effects_limit / std::max<std::size_t>(1, status.shards.size());
+void limit_details(host_status& status) {
+    const auto shards = std::max<std::size_t>(1, status.shards.size());
     for (auto& shard : status.shards) {
-        shard.effects.resize(std::min(shard.effects.size(), limit_per_shard));
+        shard.effects.resize(std::min(shard.effects.size(), published_effects_limit / shards));
+        for (auto& room : shard.rooms) {
+            const auto rooms = shards * shard.rooms.size();
+            limit_classes(room.classes, published_classes_limit / rooms);
+        }
     }
 }
 
@@ -258,22 +301,27 @@
     status.epoch = shard.epoch;
     for (const auto& [id, worker] : shard.tables.workers) {
         status.workers += worker.listed ? 1 : 0;
-        if (!worker.listed || worker.entry.draining ||
-            worker.reachability != reachability_state::reachable) {
+        if (!worker.listed || worker.entry.draining) {
             continue;
         }
         auto& load = find_load(status.loads, worker.entry.service);
+        auto& room = find_room(status.rooms, worker.entry.service);
+        auto& workers =
+            add_worker(room.classes, worker.entry.labels, worker.entry.rack, worker.entry.capacity);
+        if (worker.reachability != reachability_state::reachable) {
+            continue;
+        }
         load.capacity += worker.entry.capacity.processors.value;
         load.committed += worker.committed.processors.value;
         load.fillers += worker.filler_demand;
-        auto& room = find_room(status.rooms, worker.entry.service);
         if (!is_paused(worker, now)) {
-            add_room(room, shard, worker);
+            add_room(room, shard, worker, workers);
         }
     }
     for (auto& room : status.rooms) {
         keep_largest(room.long_running);
         keep_freest(room.free_now);
+        limit_classes(room.classes, classes_per_shard_limit);
         for (const auto& [image, open] : shard.undisturbing_rooms) {
             room.undisturbing_rooms[image] = static_cast<std::int64_t>(open);
         }
--- a/src/host_gossip.hpp
+++ b/src/host_gossip.hpp
@@ -73,13 +73,13 @@
 // but for what rates a shard for a new job, and the effects. That is most of a datagram.
 void drop_owner_details(host_status& status);
 
-// Limits the effects of each shard to what fits into a datagram; the most certain ones, which come
-// first, are kept.
-void limit_effects(host_status& status);
+// Limits the effects and the classes of workers of each shard to what fits into a datagram. The
+// most certain effects, which come first, are kept.
+void limit_details(host_status& status);
 
-// Returns a shard's load, free resources and pending jobs. Only workers that are listed, reachable
-// and not draining count, and for the free resources only those that get starts now; the effects
-// are left empty.
+// Returns a shard's load, free resources and pending jobs. Of the workers that are listed and not
+// draining, all count for the classes of workers, those that are reachable for the load, and those
+// that get starts now for the free resources; the effects are left empty.
 shard_status summarize(const shard_state& shard, time_point now);
 
 } // namespace fulmar
--- a/src/host_ranking.cpp
+++ b/src/host_ranking.cpp
@@ -32,17 +32,32 @@
     return wanted <= 0 ? 1.0 : std::clamp(left / wanted, 0.0, 1.0);
 }
 
+// Returns the number of steps that no worker of the shard could run.
+std::int64_t count_unrunnable(const shard_status& status, const std::vector<rack_id>& racks,
+                              const service_id& service, const job_spec& spec) {
+    const auto room = std::find_if(status.rooms.begin(), status.rooms.end(),
+                                   [&](const service_room& row) { return row.service == service; });
+    if (room == status.rooms.end() || room->classes.empty()) {
+        return 0; // unknown, as the owner runs an earlier version
+    }
+    return std::count_if(spec.steps.begin(), spec.steps.end(), [&](const step_spec& step) {
+        return !could_run(room->classes, racks, step);
+    });
+}
+
 } // namespace
 
-// Returns the shards that can run a job, best first. Long-running serving tasks of one image prefer
-// the same shards, so that the workers that run them can be left to the fillers that don't disturb
-// that image. Other jobs prefer shards with the least load relative to capacity, and near ones over
-// distant ones.
+// Returns the shards that can run a job, best first: those with a worker for each of its steps
+// before others, as the tasks of a step without one have to be lent. Long-running serving tasks of
+// one image prefer the same shards, so that the workers that run them can be left to the fillers
+// that don't disturb that image. Other jobs prefer shards with the least load relative to capacity,
+// and near ones over distant ones.
 std::vector<shard_id> host_control::rank_shards(const queue_spec& queue,
                                                 const job_spec& spec) const {
     const auto& first = spec.steps.front();
     const bool serving = first.long_running && !first.image.empty();
     struct option {
+        std::int64_t unrunnable; // steps
         double cost;
         shard_id id;
     };
@@ -71,7 +86,8 @@
                     cost -= undisturbing_room_weight * undisturbing_share(status.rooms[i], first);
                 }
             }
-            options.push_back({cost, status.id});
+            const auto unrunnable = count_unrunnable(status, record->racks, queue.service, spec);
+            options.push_back({unrunnable, cost, status.id});
         }
     };
     for (const auto& [id, shard] : owned_) {
@@ -90,7 +106,7 @@
         }
     }
     std::sort(options.begin(), options.end(), [](const option& a, const option& b) {
-        return std::tie(a.cost, a.id) < std::tie(b.cost, b.id);
+        return std::tie(a.unrunnable, a.cost, a.id) < std::tie(b.unrunnable, b.cost, b.id);
     });
     std::vector<shard_id> ranked;
     ranked.reserve(options.size());
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -8,6 +8,7 @@
 #include "fulmar/metrics.hpp"
 #include "shard_records.hpp"
 #include "shard_tables.hpp"
+#include "worker_class.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -101,6 +102,7 @@
     // The same by image of the fillers: processors that they may use without disturbing serving
     // tasks.
     std::map<std::string, std::int64_t> undisturbing_rooms;
+    std::vector<worker_class> classes; // empty: the owner runs an earlier version
 };
 
 // Free resources of another shard as its owner reports them, and whether tasks may be lent to it
@@ -110,7 +112,17 @@
     bool available = false; // its data centre is in service and its owner is reachable
     std::vector<rack_id> racks;
     std::vector<service_room> rooms;
-    time_point no_loans_before; // set when it returned or refused tasks
+    time_point no_loans_before; // set when it returned tasks
+    // What it refused lately: its owner knows its workers better than what it published tells.
+    struct refused_need {
+        service_id service;
+        std::string label;
+        resources need;
+        bool gang = false;
+        time_point until;
+    };
+    std::vector<refused_need> refused;
+    bool room_requested = false; // the last message with room requests listed tasks
     // Until then long-running tasks are lent to it for the room that it publishes: its owner
     // doesn't know room requests.
     time_point unasked_until;
@@ -343,7 +355,6 @@
     std::map<task_key, granted_room> granted_rooms;       // by other shards
     std::map<task_key, time_point> leaving_tasks; // run on a draining worker; when last seen
     std::uint32_t room_messages = 0;              // number of messages with room requests
-    bool room_requested = false;                  // the last message listed tasks
     time_point next_room_service;
     // From measurements of this shard's workers and estimates of other shards.
     filler_effects effects;
--- a/src/shard_drain.cpp
+++ b/src/shard_drain.cpp
@@ -40,14 +40,13 @@
     task.reservation_expired = false; // retry in this shard, unless another shard has room
     const auto leaves = leaving.draining_at + std::max(shard.timing.drain_patience,
                                                        leaving.entry.remaining - stop_margin);
-    const auto& step = job.spec.steps[key.step];
     if (now >= leaves) {
-        return has_room_elsewhere(shard, job, step, room_kind::after_short_tasks, now);
+        return has_room_elsewhere(shard, job, stage, room_kind::after_short_tasks, now);
     }
     const auto kind = now >= leaving.draining_at + shard.timing.drain_patience
                           ? room_kind::after_short_tasks
                           : room_kind::free_now;
-    return !is_borrowed(job) && find_borrower(shard, job, step, kind, now).first != nullptr;
+    return !is_borrowed(job) && find_borrower(shard, job, stage, kind, now).first != nullptr;
 }
 
 void move_runs(shard_state& shard, worker_row& leaving, time_point now) {
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -148,13 +148,27 @@
 // step's tasks, which start there once the short tasks have ended.
 bool uses_long_running_room(const step_spec& step);
 
-// Returns the shard with the most room for a step and the number of tasks that fit there, or
+// Returns the shard with the most room for a stage and the number of tasks that fit there, or
 // nullptr and 0. Long-running tasks are lent so only to shards whose owners don't know room
 // requests.
 std::pair<lending_room*, std::size_t> find_borrower(shard_state& shard, const job_row& job,
-                                                    const step_spec& step, room_kind kind,
+                                                    const stage_row& stage, room_kind kind,
                                                     time_point now);
 
+// Returns whether the workers of this shard that don't leave could run tasks of a step if they ran
+// nothing else: one task, or all members of a gang. True while the workers aren't known.
+bool could_run_here(const shard_state& shard, const service_id& service, const step_spec& step);
+
+// Returns whether no further task of a stage can start here, whatever ends on the workers: none of
+// them could run it, those that could have reached the step's spread limit, or they are too few for
+// a gang. Such tasks are lent without delay.
+bool is_stranded(const shard_state& shard, const job_row& job, const stage_row& stage);
+
+// Returns whether a worker of another shard could run a task of the step, whatever it runs now, as
+// far as is known.
+bool could_run_there(const lending_room& other, const service_id& service, const step_spec& step,
+                     time_point now);
+
 // Subtracts the tasks that were just lent to a shard from its reported room, until its owner's next
 // report.
 void deduct_room(lending_room& other, const service_id& service, const step_spec& step,
@@ -163,9 +177,9 @@
 // Logs the needs of the waiting tasks of a stage, and the room in this and the other shards.
 void log_no_room(const shard_state& shard, const job_row& job, stage_row& stage, time_point now);
 
-// Returns whether another shard has room for a task of the step now. Always false for borrowed
+// Returns whether another shard has room for a task of the stage now. Always false for borrowed
 // jobs.
-bool has_room_elsewhere(const shard_state& shard, const job_row& job, const step_spec& step,
+bool has_room_elsewhere(const shard_state& shard, const job_row& job, const stage_row& stage,
                         room_kind kind, time_point now);
 
 // Returns the worker list in the pending transaction, or nullptr if there is none.
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -204,7 +204,7 @@
 }
 
 // Returns tasks to the lender that found no room here within `return_after`, or within
-// `return_unreserved_after` if they could reserve none.
+// `return_unreserved_after` if they could reserve none or are stranded.
 void return_unplaced(shard_state& shard, job_row& job, borrowed_tasks& loan, time_point now) {
     if (!shard.takeover_complete && job.inherited) {
         return; // a run of a task, started by an earlier owner of this shard, may still be unknown
@@ -217,10 +217,14 @@
         return;
     }
     auto& stage = job.occurrences.at(loan.occurrence).stages[loan.step];
+    if (stage.waiting.empty()) {
+        return;
+    }
     const bool reservable = uses_long_running_room(job.spec.steps[loan.step]);
+    const bool stranded = is_stranded(shard, job, stage);
     for (const auto index : loan.tasks) {
         auto& task = stage.tasks[index];
-        const auto limit = reservable && !task.reserved_worker
+        const auto limit = stranded || (reservable && !task.reserved_worker)
                                ? shard.timing.return_unreserved_after
                                : shard.timing.return_after;
         if (stage.waiting.contains(index) && task.loan == loan.loan && now >= loan.since + limit) {
@@ -356,7 +360,7 @@
                             time_point now) {
     const auto& step = job.spec.steps[stage.step];
     auto tasks = find_lendable(shard, stage, kind);
-    const auto [best, most] = find_borrower(shard, job, step, kind, now);
+    const auto [best, most] = find_borrower(shard, job, stage, kind, now);
     if (tasks.empty() || best == nullptr || (step.gang && most < step.count)) {
         return false;
     }
@@ -443,17 +447,18 @@
 
 void lend_tasks(shard_state& shard, job_row& job, stage_row& stage, time_point now) {
     const auto& step = job.spec.steps[stage.step];
-    const auto timeout = !shard.data_centre_open ? duration(0)
-                         : step.filler           ? shard.timing.lend_filler_after
-                                                 : shard.timing.lend_after;
+    const bool at_once = !shard.data_centre_open || is_stranded(shard, job, stage);
+    const auto timeout = at_once       ? duration(0)
+                         : step.filler ? shard.timing.lend_filler_after
+                                       : shard.timing.lend_after;
     if (is_borrowed(job) || now - *stage.ready_since < timeout) {
         return;
     }
     if (step.gang && stage.waiting.size() < step.count) {
         return; // the members of a gang must run together
     }
+    lend_to_granted_room(shard, job, stage, now);
     if (uses_long_running_room(step)) {
-        lend_to_granted_room(shard, job, stage, now);
         while (lend_to_published_room(shard, job, stage, room_kind::free_now, now)) {
         }
     }
@@ -504,7 +509,11 @@
             for (const auto index : loan.tasks) {
                 reclaim_task(shard, job, {job.id, loan.occurrence, loan.step, index}, now);
             }
-            shard.other_shards[loan.to].no_loans_before = now + refusal_pause;
+            const auto& step = job.spec.steps[loan.step];
+            auto& refused = shard.other_shards[loan.to].refused;
+            std::erase_if(refused, [&](const auto& row) { return row.until <= now; });
+            refused.push_back(
+                {job.queue.service, step.label, step.need, step.gang, now + refusal_pause});
             close_loan(shard, message.loan, now);
         }
         return;
--- a/src/shard_offers.cpp
+++ b/src/shard_offers.cpp
@@ -126,6 +126,16 @@
     }
     // All of the body is read before anything changes.
     auto offer = parse_offer(body, id, known == shard.tables.jobs.end() ? nullptr : &known->second);
+    const auto& offered = offer.job ? *offer.job : known->second;
+    const auto& step = offered.spec.steps[offer.loan.step];
+    if (!could_run_here(shard, offered.queue.service, step)) {
+        cancel_offer_checks(shard, id, number);
+        answer_now(shard, token, state_refused);
+        shard.log->write("event=offer_refused job={} shard={} from={} loan={} step={}", id.value,
+                         shard.id.value, body.at("from").get<std::string>(), number,
+                         offer.loan.step);
+        return;
+    }
     if (offer.job) {
         shard.tables.jobs.insert_or_assign(id, std::move(*offer.job));
         shard.unstored_borrowed_jobs.insert(id);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -263,12 +263,23 @@
     actions.starts.push_back({worker.entry.target, std::move(command)});
 }
 
+// Returns the waiting tasks of a stage, those with reserved room first.
+std::vector<std::uint32_t> order_waiting(const stage_row& stage) {
+    std::vector<std::uint32_t> order(stage.waiting.begin(), stage.waiting.end());
+    std::stable_partition(order.begin(), order.end(), [&](std::uint32_t index) {
+        return stage.tasks[index].reserved_worker.has_value();
+    });
+    return order;
+}
+
 // Starts as many waiting tasks of a stage as fit, and reserves room for long-running ones.
 void place_stage(shard_state& shard, const candidate& next, time_point now,
                  shard_actions& actions) {
     const auto& step = next.job->spec.steps[next.stage->step];
-    const auto waiting = next.stage->waiting;
-    for (const auto index : waiting) {
+    if (step.gang && is_stranded(shard, *next.job, *next.stage)) {
+        return; // its members can't be present together here
+    }
+    for (const auto index : order_waiting(*next.stage)) {
         auto& task = next.stage->tasks[index];
         auto* worker = choose_worker(shard, next, step, index, now);
         const task_key key{next.job->id, next.stage->occurrence, next.stage->step, index};
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -1,5 +1,6 @@
 // Room requests: a long-running task is lent only for room that another shard's owner has reserved
-// for it, and until then it waits for room in all shards at the same time. Requests and grants are
+// for it, and until then it waits for room in all shards at the same time. A task that can't start
+// in its own shard does so beside being lent for published room. Requests and grants are
 // kept in memory only and expire; a grant is never a right to run a task.
 #include "shard_internal.hpp"
 
@@ -159,6 +160,17 @@
     }
 }
 
+// Returns whether the tasks of a stage wait for room in all shards at the same time: long-running
+// ones, and those that can't start here.
+bool requests_room(const shard_state& shard, const job_row& job, const stage_row& stage) {
+    const auto& step = job.spec.steps[stage.step];
+    if (!stage.open || step.gang) {
+        return false;
+    }
+    return step.long_running ||
+           ((!stage.waiting.empty() || !job.loans.empty()) && is_stranded(shard, job, stage));
+}
+
 std::vector<wanted_room> find_wanted(const shard_state& shard, time_point now) {
     std::vector<wanted_room> wanted;
     for (const auto& id : shard.active) {
@@ -168,7 +180,7 @@
         }
         for (const auto& [number, occurrence] : job.occurrences) {
             for (const auto& stage : occurrence.stages) {
-                if (stage.open && uses_long_running_room(job.spec.steps[stage.step])) {
+                if (requests_room(shard, job, stage)) {
                     collect_wanted(shard, job, stage, now, wanted);
                 }
             }
@@ -226,6 +238,26 @@
     return order;
 }
 
+// Leaves out the tasks that no worker of a shard could run.
+listing_order keep_runnable(const listing_order& order, const lending_room& other, time_point now) {
+    std::map<task_key, bool> runnable; // by stage
+    listing_order kept;
+    for (std::size_t i = 0; i < order.rows.size(); ++i) {
+        const auto& row = *order.rows[i];
+        const auto [known, added] =
+            runnable.try_emplace({row.key.job, row.key.occurrence, row.key.step, 0}, false);
+        if (added) {
+            known->second = could_run_there(other, row.job->queue.service,
+                                            row.job->spec.steps[row.key.step], now);
+        }
+        if (known->second) {
+            kept.rows.push_back(&row);
+            kept.leading += i < order.leading ? 1 : 0;
+        }
+    }
+    return kept;
+}
+
 // Returns the tasks to list in a message to a shard. Those that are being lent to it come first, as
 // it releases the room of tasks that aren't listed. Room for some stages may exist nowhere, which
 // must not keep others from requesting it.
@@ -259,7 +291,7 @@
             {"service", row.job->queue.service},
             {"label", step.label},
             {"spread_limit", step.spread_limit},
-            {"need", step.need},
+            {"need", counted_need(step)},
             {"waited_ms", (now - row.since).count()},
             {"lending", !row.lending_to.value.empty()}};
 }
@@ -404,20 +436,21 @@
         return messages;
     }
     const auto wanted = find_wanted(shard, now);
-    if (wanted.empty() && !std::exchange(shard.room_requested, false)) {
-        return messages;
-    }
-    shard.room_requested = !wanted.empty();
     const auto number = (shard.epoch.value << 24U) + ++shard.room_messages;
     const auto order = order_wanted(wanted);
-    for (const auto& [id, other] : shard.other_shards) {
+    for (auto& [id, other] : shard.other_shards) {
         if (!other.available || now < other.unasked_until) {
             continue;
         }
         json tasks = json::array();
-        for (const auto* row : select_tasks(wanted, order, id, shard.room_messages)) {
+        const auto runnable = keep_runnable(order, other, now);
+        for (const auto* row : select_tasks(wanted, runnable, id, shard.room_messages)) {
             tasks.push_back(encode_request(*row, now));
         }
+        const bool listed_before = std::exchange(other.room_requested, !tasks.empty());
+        if (tasks.empty() && !listed_before) {
+            continue;
+        }
         json body{{"from", shard.id}, {"to", id}, {"number", number}, {"tasks", std::move(tasks)}};
         messages.push_back({id, body.dump()});
     }
--- a/tests/host_gossip_test.cpp
+++ b/tests/host_gossip_test.cpp
@@ -27,11 +27,21 @@
         for (int image = 0; image < 9; ++image) {
             room.undisturbing_rooms["2e437" + std::to_string(image)] = 100'000;
         }
+        // More kinds of workers and more unlike ones than are published.
+        for (std::int64_t kind = 0; kind < 20; ++kind) {
+            worker_class workers{{"kind-" + std::to_string(kind)}, false, 24, {}, {}, room.free};
+            for (std::int64_t size = 0; size < 20; ++size) {
+                const resources unlike{{100'000 + size}, {400'000 - size}, {kind}};
+                workers.capacity.push_back(unlike);
+                workers.free.push_back(unlike);
+            }
+            room.classes.push_back(workers);
+        }
         shard.rooms = {room};
         shard.effects.assign(80, {"d8ccdd", "2e437d", 12.34, 0.56});
         status.shards.push_back(shard);
     }
-    limit_effects(status);
+    limit_details(status);
     const auto datagram = encode(status);
     CHECK(datagram.size() <= datagram_limit_bytes);
     const auto read = parse_host_status(datagram);
@@ -39,6 +49,22 @@
     REQUIRE(read.value().shards.size() == shards);
     CHECK(read.value().shards.back().rooms.front().long_running.size() == 8);
     CHECK(read.value().shards.back().rooms.front().long_running.back().memory.value == 120'000);
+    const auto& classes = read.value().shards.back().rooms.front().classes;
+    step_spec step;
+    step.need = {{100'019}, {399'981}, {19}};
+    for (const auto* label : {"kind-0", "kind-1", "kind-19"}) {
+        step.label = label;
+        step.need.accelerators = {label == std::string("kind-0") ? 0 : 1};
+        INFO(label);
+        CHECK(could_run(classes, {}, step));
+    }
+    CHECK(classes.back().total_free.memory.value >= 400'000);
+    // Hosts that own no shard get the capacities as well, to hand jobs in where they can run.
+    auto brief = status;
+    drop_owner_details(brief);
+    const auto received = parse_host_status(encode(brief));
+    REQUIRE(received);
+    CHECK(could_run(received.value().shards.back().rooms.front().classes, {}, step));
 }
 
 // Other shards lent tasks for the room of a worker that got no starts after failed runs. Its room
--- a/tests/loan_messages_test.cpp
+++ b/tests/loan_messages_test.cpp
@@ -320,3 +320,64 @@
     CHECK(world.shard.tables.loans.empty());
     CHECK(world.shard.tables.jobs.at(lent_job).occurrences_done == 1);
 }
+
+// Tasks that no worker here could run were taken, and returned after 2.5 s. All other loans to the
+// shard paused then.
+TEST_CASE("an offer that no worker here could run is refused, and others go on") {
+    loan_world world;
+    worker_entry entry;
+    entry.target = {{"w1"}, {"10.0.0.1", 1}};
+    entry.service = {"desk"};
+    entry.capacity = {{8'000}, {32'000}, {1}};
+    on_worker_entry(world.shard, entry, world.now);
+    const auto offer = [&](std::uint64_t loan, std::int64_t wanted, bool gang) {
+        auto spec = make_spec();
+        spec.steps.front().need.accelerators = {wanted};
+        spec.steps.front().gang = gang;
+        auto body = world.offer(loan, 0);
+        body["job"] = "00000000000000a" + std::to_string(loan);
+        body["spec"] = encode_spec(spec);
+        return world.receive(body);
+    };
+    const auto too_large = offer(1, 2, false);
+    const auto gang = offer(2, 1, true);
+    const auto actions = world.step();
+    CHECK(find_answer(actions, too_large) == "refused");
+    CHECK(find_answer(actions, gang) == "refused");
+    CHECK(world.shard.tables.jobs.empty());
+    const auto fitting = offer(3, 1, false);
+    world.step();
+    world.apply();
+    CHECK(find_answer(world.step(), fitting) == "taken");
+}
+
+// The lender offers nothing to that shard for a while that needs as much.
+TEST_CASE("a refusal concerns tasks that need as much") {
+    loan_world world;
+    auto& other = world.shard.other_shards[{"west.0"}];
+    other.shard = {"west.0"};
+    other.available = true;
+    service_room room;
+    room.service = {"desk"};
+    room.free = room.largest = {{8'000}, {32'000}, {4}};
+    other.rooms = {room};
+    world.lend(7);
+    auto& job = world.shard.tables.jobs.at(lent_job);
+    const auto find = [&](std::int64_t wanted, const std::string& label) {
+        auto& step = job.spec.steps.front();
+        step.long_running = false;
+        step.need.accelerators = {wanted};
+        step.label = label;
+        const auto& stage = job.occurrences.at(0).stages.front();
+        return find_borrower(world.shard, job, stage, room_kind::free_now, world.now).first;
+    };
+    CHECK(find(2, "") != nullptr);
+    on_loan_reply(world.shard, {{"west.0"}, 7, lent_job, ""}, std::string("refused"), world.now);
+    CHECK(world.shard.tables.loans.empty());
+    CHECK(find(2, "") == nullptr);
+    CHECK(find(3, "") == nullptr);
+    CHECK(find(1, "") != nullptr);
+    CHECK(find(2, "kind-a") != nullptr);
+    world.now += duration(3'000);
+    CHECK(find(2, "") != nullptr);
+}
--- a/tests/room_requests_test.cpp
+++ b/tests/room_requests_test.cpp
@@ -274,7 +274,8 @@
     room.free_now = {{{8'000}, {32'000}, {0}}};
     world.shard.other_shards.at(requester).rooms = {room};
     const auto find = [&] {
-        return find_borrower(world.shard, job, step, room_kind::free_now, world.now).first;
+        const auto& stage = job.occurrences.at(0).stages[0];
+        return find_borrower(world.shard, job, stage, room_kind::free_now, world.now).first;
     };
     CHECK(make_room_requests(world.shard, world.now).size() == 1);
     CHECK(find() == nullptr);
