shard_control: a replaced worker is remembered until the takeover is complete

What callers saw: nothing yet.

Cause: a former owner is ruled out while half of its workers refuse it. A worker that was replaced does so for good, but its row was forgotten when its entry went from the store, 4.5 s after its end, and a worker without a row counts as one that may accept the former owner. So the wait of 7.8 s began anew and only the limit of 10 minutes ended it. Until now the witnesses of other data centres hid it: half of them refused the former owner as well. Ruled out: the other answers of the replaced workers, which arrive every second and all say the same.

Change: the row of a replaced worker stays until the takeover is complete.

Test: former_owner_test, "a replaced worker rules a former owner out until the takeover is complete", for an owner without witnesses: fails before (not complete after 8 s), passes after.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -47,8 +47,10 @@
             has_lapsed(shard, worker, now)) {
             end_worker_runs(shard, worker, "lease_lapsed");
         }
+        // A replaced worker rules former owners out.
+        const bool needed = worker.replaced && !shard.takeover_complete;
         const bool removable =
-            !worker.listed && worker.reachability != reachability_state::reachable &&
+            !needed && !worker.listed && worker.reachability != reachability_state::reachable &&
             worker.runs.empty() && !worker.hold_in_flight && worker.unacknowledged_ends.empty() &&
             has_lapsed(shard, worker, now) && !shard.unreached_workers.contains(it->first);
         if (removable) {
