--- a/include/fulmar/metrics.hpp
+++ b/include/fulmar/metrics.hpp
@@ -30,7 +30,7 @@
     // is empty.
     void observe(std::string_view name, double milliseconds, std::string_view reason = {});
 
-    // Returns the current value of a counter; 0 if it was never incremented.
+    // Returns the current value of a counter or a gauge; 0 if it was never incremented or set.
     double value(std::string_view name, std::string_view reason = {}) const;
 
     // Returns all metrics in the Prometheus text format.
--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -206,6 +206,10 @@
         peer.unregistered_since.reset();
         return;
     }
+    if (key.starts_with(gone_prefix)) {
+        on_gone_statement({key.substr(gone_prefix.size())}, entry);
+        return;
+    }
     if (key.starts_with(requests_prefix) && entry != nullptr) {
         on_request_entry({key.substr(requests_prefix.size())}, *entry);
         return;
@@ -256,19 +260,6 @@
     }
 }
 
-void host_control::on_evacuation_change(const std::string& key, const store_entry* entry) {
-    const data_centre_id data_centre{key.substr(options_.layout.evacuations_prefix.size())};
-    if (entry != nullptr) {
-        evacuated_.insert(data_centre);
-    } else {
-        evacuated_.erase(data_centre);
-    }
-    log_.write_rare("event=data_centre_{} data_centre={}",
-                    entry != nullptr ? "taken_out" : "taken_back",
-                    make_printable(data_centre.value));
-    update_start_permissions();
-}
-
 // Membership.
 
 bool host_control::is_alive(const peer_row& peer) const {
@@ -538,6 +529,7 @@
     send_passed_ends();
     update_witnesses();
     call_witnesses();
+    apply_gone_statements();
     for (const auto& [id, shard] : owned_) {
         if (shard->loaded) {
             schedule_shard(shard);
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -214,6 +214,9 @@
     // Membership and store views.
     void on_meta_change(const std::string& key, const store_entry* entry);
     void on_evacuation_change(const std::string& key, const store_entry* entry);
+    void on_gone_statement(const data_centre_id& data_centre, const store_entry* entry);
+    bool shows_life(const data_centre_id& data_centre) const;
+    void apply_gone_statements();
     void on_workers_change(const std::string& key, const store_entry* entry);
 
     // Which hosts read the workers' entries.
@@ -309,7 +312,7 @@
     bool owns_worker(const owned_shard& shard, const worker_entry& worker) const;
 
     // Witnesses of the owned shards.
-    std::set<host_id> choose_witnesses() const;
+    witness_sets choose_witnesses() const;
     void update_witnesses();
     void call_witnesses();
     void call_witness(const host_id& witness, const std::string& body,
@@ -416,6 +419,8 @@
     bool fetching_config_ = false;
     std::optional<time_point> reader_missing_since_; // in this region
     std::set<data_centre_id> evacuated_;
+    std::map<data_centre_id, revision_number> gone_statements_;
+    time_point next_gone_check_;
     std::optional<lease_id> lease_;
     time_point started_;
     // How late the control thread runs its ticks.
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -225,6 +225,9 @@
     log_.write_rare("event=shard_dropped shard={} epoch={} reason={}", id.value,
                     shard->state.epoch.value, reason);
     counters_.count("shards_dropped", reason);
+    if (!shard->state.takeover_complete) {
+        clear_takeover_gauges(shard->state); // its next owner reports the wait
+    }
     // The outcome of unanswered submissions and cancellations is unknown here; only the next owner
     // can determine whether they were stored.
     for (const auto& [job, tokens] : shard->state.submissions) {
--- a/src/host_witness.cpp
+++ b/src/host_witness.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-// A loss of three witnesses, or of a data centre with less than half of them, leaves a majority.
+// Of each set. A loss of three leaves a majority, and so does one of a data centre with less than
+// half of them.
 constexpr std::size_t witness_limit = 7;
 
 constexpr duration witness_choice_interval{2'000};
@@ -24,8 +25,9 @@
 
 } // namespace
 
-// Returns this host and others, spread over the data centres, those with the most processors first.
-std::set<host_id> host_control::choose_witnesses() const {
+// Returns this host and others, those with the most processors first: some spread over the data
+// centres, and some of this one.
+witness_sets host_control::choose_witnesses() const {
     std::map<data_centre_id, std::vector<std::pair<std::int64_t, host_id>>> hosts;
     for (const auto& [name, peer] : peers_) {
         if (peer.record.address.port != 0 && !peer.unregistered_since && !peer.status.leaving) {
@@ -35,23 +37,29 @@
     for (auto& [data_centre, candidates] : hosts) {
         std::sort(candidates.begin(), candidates.end());
     }
-    std::set<host_id> chosen{options_.name};
-    const auto add = [&](const data_centre_id& data_centre, std::size_t rank) {
+    witness_sets chosen{{options_.name}, {options_.name}};
+    const auto add = [&](std::set<host_id>& witnesses, const data_centre_id& data_centre,
+                         std::size_t rank) {
         const auto& candidates = hosts[data_centre];
-        if (rank < candidates.size() && chosen.size() < witness_limit) {
-            chosen.insert(candidates[rank].second);
+        if (rank < candidates.size() && witnesses.size() < witness_limit) {
+            witnesses.insert(candidates[rank].second);
         }
     };
     for (std::size_t rank = 0; rank < witness_limit; ++rank) {
         for (const auto& [data_centre, candidates] : hosts) {
             // This host is the first one of its own data centre.
             if (data_centre != options_.data_centre) {
-                add(data_centre, rank);
+                add(chosen.spread, data_centre, rank);
             } else if (rank > 0) {
-                add(data_centre, rank - 1);
+                add(chosen.spread, data_centre, rank - 1);
             }
         }
     }
+    // With one data centre, there is no other one to which its tasks could move: an owner that is
+    // cut off from all other hosts goes on like a data centre with one host.
+    for (std::size_t rank = 0; rank < witness_limit && options_.regions.size() > 1; ++rank) {
+        add(chosen.local, options_.data_centre, rank);
+    }
     return chosen;
 }
 
@@ -70,11 +78,15 @@
     const auto best = choose_witnesses();
     for (const auto& [id, shard] : owned_) {
         auto& witnesses = shard->state.witnesses;
-        const bool changes = best.size() > witnesses.size() ||
-                             std::any_of(witnesses.begin(), witnesses.end(), is_gone);
+        const auto all = all_witnesses(witnesses);
+        const bool changes = best.spread.size() > witnesses.spread.size() ||
+                             best.local.size() > witnesses.local.size() ||
+                             std::any_of(all.begin(), all.end(), is_gone);
         if (changes && witnesses != best) {
-            log_.write_rare("event=witnesses_chosen shard={} epoch={} witnesses={} before={}",
-                            id.value, shard->state.epoch.value, best.size(), witnesses.size());
+            log_.write_rare("event=witnesses_chosen shard={} epoch={} witnesses={} local={} "
+                            "before={}",
+                            id.value, shard->state.epoch.value, best.spread.size(),
+                            best.local.size(), witnesses.spread.size());
             witnesses = best;
         }
     }
@@ -94,7 +106,7 @@
             continue;
         }
         if (needs_witnesses(shard->state, now)) {
-            for (const auto& witness : shard->state.witnesses) {
+            for (const auto& witness : all_witnesses(shard->state.witnesses)) {
                 requests[witness].confirm.push_back(shard);
             }
         }
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -56,8 +56,11 @@
 
 double metrics::value(std::string_view name, std::string_view reason) const {
     const std::lock_guard lock(mutex_);
-    const auto found = counters_.find(series_view{name, reason});
-    return found == counters_.end() ? 0 : found->second->Value();
+    if (const auto found = counters_.find(series_view{name, reason}); found != counters_.end()) {
+        return found->second->Value();
+    }
+    const auto found = gauges_.find(series_view{name, reason});
+    return found == gauges_.end() ? 0 : found->second->Value();
 }
 
 std::string metrics::serialize() const {
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -142,7 +142,7 @@
 
 bool is_ownership_stored(const shard_state& shard) {
     const auto& stored = shard.stored_ownership;
-    if (shard.witnesses.empty() && stored.current.epoch.value == 0) {
+    if (shard.witnesses.spread.empty() && stored.current.epoch.value == 0) {
         return true; // without witnesses there is nothing to record
     }
     return stored.current.epoch == shard.epoch && stored.current.witnesses == shard.witnesses &&
@@ -154,6 +154,7 @@
 
 ownership_record make_ownership_record(const shard_state& shard) {
     ownership_record record{{shard.epoch, shard.self, shard.witnesses}, {}};
+    record.current.limit = shard.timing.unconfirmed_limit;
     for (const auto& former : shard.former_owners) {
         record.earlier.push_back(former.term);
     }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -61,14 +61,12 @@
     // it also covers timers that fire late.
     std::int64_t clock_drift_percent = 2;
     duration lease_margin{100};
-    // If the store doesn't confirm the claim, ownership depends on a majority of the workers and a
-    // majority of the witnesses having accepted this owner's epoch within this time. Must be at
-    // least twice hold_wait.
+    // If the store doesn't confirm the claim, ownership depends on workers and witnesses having
+    // accepted this owner's epoch within this time. Must be at least twice hold_wait.
     duration confirmation_window{2'500};
-    // For how long witnesses and workers may confirm an owner, since the store did last. The last
-    // resort of a takeover whose owner reaches neither half of the witnesses nor half of the
-    // workers. Longer than any outage of the store in which running tasks should go on.
-    duration unconfirmed_limit{600'000};
+    // For how long they may do so, since the store did last. A data centre that is cut off goes on
+    // for so long, and one that is gone with all its hosts and workers is waited for as long.
+    duration unconfirmed_limit = default_unconfirmed_limit;
     // Run ends that complete no job are collected for this long, so that one transaction stores
     // many.
     duration commit_delay{50};
@@ -292,7 +290,7 @@
     time_point next_takeover_log; // earliest time of the next log line about the takeover
 
     // Authority while the store doesn't confirm the claim.
-    std::set<host_id> witnesses; // to be stored, chosen by the host; empty: none are used
+    witness_sets witnesses; // to be stored, chosen by the host; empty: none are used
     std::map<host_id, time_point>
         witness_confirmed; // send time of the last call that each confirmed
     // Hosts that have promised to confirm no former owner, and not to act as one, and since when.
@@ -478,9 +476,22 @@
 // Returns whether the witnesses have to confirm this owner, as the store may not do so in time.
 bool needs_witnesses(const shard_state& shard, time_point now);
 
+// Returns the witnesses of this owner.
+std::set<host_id> all_witnesses(const witness_sets& witnesses);
+
 // Returns the hosts that have yet to promise that they confirm no former owner.
 std::set<host_id> find_unfenced_witnesses(const shard_state& shard);
 
+// Sets the gauges of a shard's takeover to 0: it is complete, or this owner has lost the shard.
+void clear_takeover_gauges(const shard_state& shard);
+
+// Returns the time until which a takeover may have to wait; nothing if it is complete.
+std::optional<time_point> find_takeover_limit(const shard_state& shard);
+
+// Processes an operator's statement, written after this owner's claim, that the shard's data centre
+// is gone with all its hosts and workers.
+void on_data_centre_gone(shard_state& shard, time_point now);
+
 // Process the replies of a witness: that it confirmed this owner in a call sent at `sent`, and that
 // since `since` it doesn't confirm any former owner nor act as one.
 void on_witness_confirmed(shard_state& shard, const host_id& witness, time_point sent);
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -18,7 +18,7 @@
 bool has_lapsed(const shard_state& shard, const worker_row& worker, time_point now);
 
 // Returns whether this owner may still renew leases and start tasks: the store confirmed its claim,
-// or a majority of the workers and a majority of the witnesses accepted its epoch, within the
+// or most of the workers and of either kind of witnesses accepted its epoch, within the
 // confirmation window.
 bool has_authority(const shard_state& shard, time_point now);
 
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -105,14 +105,20 @@
 json encode_term(const owner_term& term) {
     return {{"epoch", term.epoch},
             {"owner", term.owner},
-            {"witnesses", term.witnesses},
-            {"rests_on", static_cast<int>(term.rests_on)}};
+            {"witnesses", term.witnesses.spread},
+            {"local", term.witnesses.local},
+            {"rests_on", static_cast<int>(term.rests_on)},
+            {"limit_ms", term.limit.count()}};
 }
 
 owner_term decode_term(const json& from) {
-    return {from.at("epoch").get<epoch_number>(), from.at("owner").get<host_id>(),
-            from.at("witnesses").get<std::set<host_id>>(),
-            static_cast<owner_term::support>(from.at("rests_on").get<int>())};
+    // Earlier versions store neither local witnesses nor a limit.
+    return {
+        from.at("epoch").get<epoch_number>(),
+        from.at("owner").get<host_id>(),
+        {from.at("witnesses").get<std::set<host_id>>(), from.value("local", std::set<host_id>())},
+        static_cast<owner_term::support>(from.at("rests_on").get<int>()),
+        duration(from.value("limit_ms", default_unconfirmed_limit.count()))};
 }
 
 // Runs a parser that may throw, and returns a failure as an error value.
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -18,6 +18,9 @@
 inline constexpr std::string_view shard_list_key = "meta/shards";
 // Requests for a shard that the owner gets by the store, as datagrams and calls don't reach it.
 inline constexpr std::string_view requests_prefix = "meta/requests/";
+// Followed by a data centre: an operator's statement that it is gone with all its hosts and
+// workers.
+inline constexpr std::string_view gone_prefix = "meta/gone/";
 
 // Key of the entry that names the shard of a job. If a job id is submitted twice, the first
 // creation of this entry decides which submission counts.
@@ -48,24 +51,40 @@
     std::uint64_t number = 0;
 };
 
+// For how long owners go on without the store unless the settings say otherwise. The same for
+// owners of earlier versions.
+inline constexpr duration default_unconfirmed_limit{600'000};
+
 // A worker that may run tasks of the shard. A successor must reach it or wait for its lease to end.
 struct known_worker {
     worker_target target;
     epoch_number since{}; // of the owner that listed it first; 0: listed by an earlier version
 };
 
-// What an owner's authority rests on while the store doesn't confirm it.
+// Hosts that confirm an owner while the store doesn't, by name. Its own host is one of each.
+struct witness_sets {
+    std::set<host_id> spread; // over the data centres
+    std::set<host_id> local;  // of the owner's data centre
+
+    bool operator==(const witness_sets&) const = default;
+};
+
+// What an owner's authority rests on while the store doesn't confirm it. Most of its workers have
+// to accept its epoch in any case but the last.
 struct owner_term {
     enum class support : std::uint8_t {
-        witnesses,    // most of its witnesses and most of its workers must accept its epoch
-        workers,      // the owner runs an earlier version: most of its workers must
-        nothing_else, // the owner stored no record yet
+        spread_witnesses, // most of these as well; the owner runs an earlier version
+        workers,          // nothing else; the owner runs a version before that
+        nothing,          // the owner stored no record yet
+        either_witnesses, // most of the spread witnesses or most of the local ones as well
     };
 
     epoch_number epoch;
-    host_id owner{};               // an incarnation of a host; empty if unknown
-    std::set<host_id> witnesses{}; // hosts, by name; the owner's own host is one of them
-    support rests_on = support::witnesses;
+    host_id owner{}; // an incarnation of a host; empty if unknown
+    witness_sets witnesses{};
+    support rests_on = support::either_witnesses;
+    // For how long the owner goes on after the store has confirmed it last.
+    duration limit = default_unconfirmed_limit;
 
     bool operator==(const owner_term&) const = default;
 };
--- a/src/shard_takeover.cpp
+++ b/src/shard_takeover.cpp
@@ -1,9 +1,12 @@
 // Authority of a shard's owner, and its end for former owners.
 //
 // An owner acts while the store confirms its claim. While it doesn't, the owner acts as long as
-// most of its workers and most of its witnesses accept its epoch. Workers refuse an epoch once they
-// have accepted a higher one, and so do witnesses, also after a restart: they confirm nobody before
-// they have read the claims. So a successor that reaches half of either has ended the former
+// most of its workers accept its epoch, and most of its spread witnesses or most of its local ones.
+// A data centre that is cut off has most of its own workers and hosts, and so goes on; in an outage
+// of the store, the hosts of other data centres stand in for those of the own one that have failed.
+// Workers refuse an epoch once they have accepted a higher one, and so do witnesses, also after a
+// restart: they confirm nobody before they have read the claims. So a successor that reaches half
+// of the workers, or half of the spread and half of the local witnesses, has ended the former
 // owner's authority, whatever has become of the rest.
 #include "shard_internal.hpp"
 
@@ -19,20 +22,27 @@
     return part * 2 > whole;
 }
 
-// Returns whether most of the witnesses of a term of this owner have confirmed it since then. The
-// owner's own host always does.
+// Returns whether most of a set of witnesses meet a condition.
+template <class Condition>
+bool is_most_of(const std::set<host_id>& witnesses, Condition condition) {
+    const auto part = std::count_if(witnesses.begin(), witnesses.end(), condition);
+    return is_most(static_cast<std::size_t>(part), witnesses.size());
+}
+
+// Returns whether the witnesses of a term of this owner have confirmed it since then. The owner's
+// own host always does.
 bool is_confirmed(const shard_state& shard, const owner_term& term, time_point since) {
-    const auto confirmed =
-        std::count_if(term.witnesses.begin(), term.witnesses.end(), [&](const host_id& witness) {
-            const auto row = shard.witness_confirmed.find(witness);
-            return witness == host_name_of(shard.self) ||
-                   (row != shard.witness_confirmed.end() && row->second >= since);
-        });
-    return is_most(static_cast<std::size_t>(confirmed), term.witnesses.size());
+    const auto confirms = [&](const host_id& witness) {
+        const auto row = shard.witness_confirmed.find(witness);
+        return witness == host_name_of(shard.self) ||
+               (row != shard.witness_confirmed.end() && row->second >= since);
+    };
+    return is_most_of(term.witnesses.spread, confirms) ||
+           is_most_of(term.witnesses.local, confirms);
 }
 
 bool is_confirmed_by_witnesses(const shard_state& shard, time_point since) {
-    if (shard.witnesses.empty()) {
+    if (shard.witnesses.spread.empty()) {
         return true;
     }
     // A successor may read the stored record or the one that is being written.
@@ -62,13 +72,13 @@
             worker->second.reachability == reachability_state::reachable);
 }
 
-// Returns whether most of a former owner's witnesses may still confirm it.
+// Returns whether a former owner's witnesses may still confirm it.
 bool may_be_confirmed(const shard_state& shard, const owner_term& term) {
-    const auto open =
-        std::count_if(term.witnesses.begin(), term.witnesses.end(), [&](const host_id& witness) {
-            return !shard.fenced_witnesses.contains(witness);
-        });
-    return is_most(static_cast<std::size_t>(open), term.witnesses.size());
+    const auto may_confirm = [&](const host_id& witness) {
+        return !shard.fenced_witnesses.contains(witness);
+    };
+    return is_most_of(term.witnesses.spread, may_confirm) ||
+           is_most_of(term.witnesses.local, may_confirm);
 }
 
 // Returns whether most of the workers that a former owner may have counted may still accept it.
@@ -87,11 +97,12 @@
 // Returns whether a former owner can't have authority any more, but by the store.
 bool is_refused(const shard_state& shard, const owner_term& term) {
     switch (term.rests_on) {
-    case owner_term::support::witnesses:
+    case owner_term::support::spread_witnesses:
+    case owner_term::support::either_witnesses:
         return !may_be_confirmed(shard, term) || !may_be_accepted(shard, term);
     case owner_term::support::workers:
         return !may_be_accepted(shard, term);
-    case owner_term::support::nothing_else:
+    case owner_term::support::nothing:
         return true;
     }
     return false;
@@ -120,8 +131,11 @@
     if (now < shard.next_takeover_log) {
         return;
     }
+    const auto ends_in = *find_takeover_limit(shard) - now;
     shard.counters->set("takeover_waiting_ms", static_cast<double>((now - shard.loaded_at).count()),
                         shard.id.value);
+    shard.counters->set("takeover_ends_in_ms", static_cast<double>(ends_in.count()),
+                        shard.id.value);
     const bool first = shard.next_takeover_log == time_point{};
     shard.next_takeover_log = now + takeover_log_interval;
     if (first) {
@@ -147,14 +161,15 @@
         }
     }
     shard.log->write_rare(
-        "event=takeover_waiting shard={} epoch={} age_ms={} workers={} unreached={} unanswered={} "
-        "example={} former_owners={} refused={} fenced_witnesses={} waiting_tasks={}",
-        shard.id.value, shard.epoch.value, (now - shard.loaded_at).count(),
+        "event=takeover_waiting shard={} epoch={} age_ms={} ends_in_ms={} workers={} unreached={} "
+        "unanswered={} example={} former_owners={} refused={} fenced_witnesses={} unfenced={} "
+        "waiting_tasks={}",
+        shard.id.value, shard.epoch.value, (now - shard.loaded_at).count(), ends_in.count(),
         shard.predecessor_workers.size(), shard.unreached_workers.size(), unanswered, example,
         shard.former_owners.size(),
         std::count_if(shard.former_owners.begin(), shard.former_owners.end(),
                       [&](const former_owner& row) { return is_refused(shard, row.term); }),
-        shard.fenced_witnesses.size(), waiting);
+        shard.fenced_witnesses.size(), find_unfenced_witnesses(shard).size(), waiting);
 }
 
 } // namespace
@@ -182,23 +197,57 @@
 }
 
 bool needs_witnesses(const shard_state& shard, time_point now) {
-    return !shard.ownership_lost && !shard.witnesses.empty() &&
+    return !shard.ownership_lost && !shard.witnesses.spread.empty() &&
            shard.claim_confirmed.value_or(shard.loaded_at) <
                now - shard.timing.confirmation_window / 2;
 }
 
+std::set<host_id> all_witnesses(const witness_sets& witnesses) {
+    auto all = witnesses.spread;
+    all.insert(witnesses.local.begin(), witnesses.local.end());
+    return all;
+}
+
 std::set<host_id> find_unfenced_witnesses(const shard_state& shard) {
     std::set<host_id> found;
     for (const auto& former : shard.former_owners) {
-        for (const auto& witness : former.term.witnesses) {
-            if (!shard.fenced_witnesses.contains(witness)) {
-                found.insert(witness);
-            }
-        }
+        found.merge(all_witnesses(former.term.witnesses));
     }
+    std::erase_if(found,
+                  [&](const host_id& witness) { return shard.fenced_witnesses.contains(witness); });
     return found;
 }
 
+void clear_takeover_gauges(const shard_state& shard) {
+    shard.counters->set("takeover_waiting_ms", 0, shard.id.value);
+    shard.counters->set("takeover_ends_in_ms", 0, shard.id.value);
+}
+
+std::optional<time_point> find_takeover_limit(const shard_state& shard) {
+    if (shard.takeover_complete) {
+        return std::nullopt;
+    }
+    const auto& timing = shard.timing;
+    auto limit = timing.unconfirmed_limit;
+    for (const auto& former : shard.former_owners) {
+        limit = std::max(limit, former.term.limit);
+    }
+    return shard.loaded_at + (limit + timing.lease) * (100 + timing.clock_drift_percent) / 100 +
+           timing.confirmation_window + timing.lease_margin * 2;
+}
+
+void on_data_centre_gone(shard_state& shard, time_point now) {
+    if (shard.takeover_complete || shard.ownership_lost) {
+        return;
+    }
+    shard.log->write_rare("event=data_centre_gone shard={} data_centre={} epoch={} unreached={} "
+                          "age_ms={}",
+                          shard.id.value, shard.data_centre.value, shard.epoch.value,
+                          shard.unreached_workers.size(), (now - shard.loaded_at).count());
+    shard.unreached_workers.clear();
+    complete_takeover(shard, now);
+}
+
 void on_witness_confirmed(shard_state& shard, const host_id& witness, time_point sent) {
     auto& confirmed = shard.witness_confirmed[witness];
     confirmed = std::max(confirmed, sent);
@@ -225,7 +274,7 @@
         last.rests_on = owner_term::support::workers;
         shard.former_owners.push_back({last});
     } else if (record.current.epoch < last.epoch) {
-        last.rests_on = owner_term::support::nothing_else;
+        last.rests_on = owner_term::support::nothing;
         shard.former_owners.push_back({last});
     }
 }
@@ -235,9 +284,12 @@
 // - another worker answers at its address, so the process and its runs have ended.
 // The wait for all others ends when their leases have. No former owner renews one
 // - after its own host has told that it doesn't act any more;
-// - a confirmation window after half of its witnesses or of its workers refuse it, as the store has
-//   this owner's claim; a worker that refuses this owner's epoch ends the ownership instead;
-// - at the latest after the limit for owners that the store doesn't confirm.
+// - a confirmation window after half of its workers refuse it, or half of its spread and half of
+// its
+//   local witnesses, as the store has this owner's claim; a worker that refuses this owner's epoch
+//   ends the ownership instead;
+// - at the latest after the limit for owners that the store doesn't confirm. That is what ends the
+//   wait for a data centre of which neither is left, unless an operator says that it is gone.
 void complete_takeover(shard_state& shard, time_point now) {
     if (shard.takeover_complete) {
         return;
@@ -252,15 +304,11 @@
         const auto end = find_last_lease_end(shard, former);
         waited = waited && end && now >= *end;
     }
-    const auto& timing = shard.timing;
-    const auto limit =
-        (timing.unconfirmed_limit + timing.lease) * (100 + timing.clock_drift_percent) / 100 +
-        timing.confirmation_window + timing.lease_margin * 2;
-    if (shard.unreached_workers.empty() || waited || now >= shard.loaded_at + limit) {
+    if (shard.unreached_workers.empty() || waited || now >= *find_takeover_limit(shard)) {
         shard.log->write_rare("event=takeover_settled shard={} epoch={} unreached={} age_ms={}",
                               shard.id.value, shard.epoch.value, shard.unreached_workers.size(),
                               (now - shard.loaded_at).count());
-        shard.counters->set("takeover_waiting_ms", 0, shard.id.value);
+        clear_takeover_gauges(shard);
         shard.unreached_workers.clear();
         shard.former_owners.clear();
         shard.fenced_witnesses.clear();
--- a/src/takeover_model.cpp
+++ b/src/takeover_model.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t max_workers = 3;
+constexpr std::size_t max_peers = 2;
 
 enum class process : std::uint8_t { alive, ended, replaced };
 
@@ -27,19 +28,24 @@
     std::int8_t late_hold = 0; // a delayed hold of the former owner: ticks left of its lease
 };
 
+// A witness beside the hosts of the former owner and of the successor.
+struct model_peer {
+    bool alive = true;
+    bool fenced = false;      // has promised to refuse the former owner
+    std::int8_t accepted = 0; // ticks since it confirmed the former owner, as that knows
+};
+
 struct model_state {
     std::array<model_worker, max_workers> workers;
-    std::int8_t age = 0;            // ticks since the claim
-    std::int8_t refused_age = -1;   // ticks since the former owner was refused; -1: it isn't
-    std::int8_t given_up_age = -1;  // ticks since its host promised not to act; -1: not yet
-    std::uint8_t reached = 0;       // bits of the workers that the takeover has passed
-    bool owner_active = true;       // the former owner lives and hasn't been refused or asked
-    bool owner_host_back = false;   // its host has ended and runs again
-    bool third_alive = true;        // the third witness
-    bool third_fenced = false;      // it has promised to refuse the former owner
-    std::int8_t third_accepted = 0; // ticks since it confirmed the former owner, as that knows
-    bool task_runs = true;          // on the first worker, for the former owner
-    bool task_known = false;        // the successor has found it running
+    std::array<model_peer, max_peers> peers;
+    std::int8_t age = 0;           // ticks since the claim
+    std::int8_t refused_age = -1;  // ticks since the former owner was refused; -1: it isn't
+    std::int8_t given_up_age = -1; // ticks since its host promised not to act; -1: not yet
+    std::uint8_t reached = 0;      // bits of the workers that the takeover has passed
+    bool owner_active = true;      // the former owner lives and hasn't been refused or asked
+    bool owner_host_back = false;  // its host has ended and runs again
+    bool task_runs = true;         // on the first worker, for the former owner
+    bool task_known = false;       // the successor has found it running
     bool complete = false;
     bool restarted = false; // the successor has started the task elsewhere
 };
@@ -50,14 +56,14 @@
 struct tick_events {
     std::array<owner_link, max_workers> owner{}; // from the former owner
     std::array<bool, max_workers> successor{};   // whether the successor's hold is answered
-    bool owner_to_third = false;
-    bool successor_to_third = false;
+    std::array<bool, max_peers> owner_to_peer{};
+    std::array<bool, max_peers> successor_to_peer{};
     bool successor_to_owner_host = false;
     bool successor_first = false;
     bool owner_dies = false;
     bool owner_host_returns = false;
-    bool third_ends = false;
     bool late_hold_arrives = false;        // at the first worker
+    std::optional<std::size_t> peer_ends;  // peer that is gone for good
     std::optional<std::size_t> ending;     // worker that ends
     std::optional<std::size_t> replacing;  // ended worker whose address another one gets
     std::optional<std::size_t> restarting; // ended worker that comes back and knows no epoch
@@ -81,13 +87,16 @@
     add_age(state.age);
     add_age(state.refused_age);
     add_age(state.given_up_age);
-    add_age(state.third_accepted);
     add(state.reached, max_workers);
-    for (const bool flag :
-         {state.owner_active, state.task_runs, state.task_known, state.complete, state.restarted,
-          state.owner_host_back, state.third_alive, state.third_fenced}) {
+    for (const bool flag : {state.owner_active, state.task_runs, state.task_known, state.complete,
+                            state.restarted, state.owner_host_back}) {
         add(flag ? 1 : 0, 1);
     }
+    for (const auto& peer : state.peers) {
+        add_age(peer.accepted);
+        add(peer.alive ? 1 : 0, 1);
+        add(peer.fenced ? 1 : 0, 1);
+    }
     place = 64;
     for (const auto& worker : state.workers) {
         add(static_cast<unsigned>(worker.state), 2);
@@ -115,13 +124,15 @@
     const auto add = [&](bool happens, std::string_view what) {
         text += happens ? fmt::format("; {}", what) : "";
     };
-    add(events.owner_to_third, "the third witness confirms the owner");
-    add(events.successor_to_third, "the successor asks the third witness");
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        add(events.owner_to_peer[i], fmt::format("peer {} confirms the owner", i));
+        add(events.successor_to_peer[i], fmt::format("the successor asks peer {}", i));
+    }
     add(events.successor_to_owner_host, "the successor asks the owner's host");
     add(events.owner_dies, "the owner dies");
     add(events.owner_host_returns, "the owner's host runs again");
-    add(events.third_ends, "the third witness is gone");
     add(events.late_hold_arrives, "a late hold arrives at worker 0");
+    text += events.peer_ends ? fmt::format("; peer {} is gone", *events.peer_ends) : "";
     text += events.ending ? fmt::format("; worker {} ends", *events.ending) : "";
     text += events.replacing ? fmt::format("; worker {} is replaced", *events.replacing) : "";
     text += events.restarting ? fmt::format("; worker {} restarts", *events.restarting) : "";
@@ -132,6 +143,24 @@
     return part * 2 > whole;
 }
 
+// Returns whether most of the spread witnesses, or most of the local ones, meet a condition: of the
+// hosts of the former owner and of the successor, and of the others.
+template <class Condition>
+bool any_majority(const takeover_rules& rules, bool owner_host, bool successor_host,
+                  Condition condition) {
+    std::size_t spread = (owner_host ? 1 : 0) + (successor_host ? 1 : 0);
+    std::size_t local = owner_host ? 1 : 0;
+    std::size_t local_size = 1;
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        const bool meets = condition(i);
+        spread += meets ? 1 : 0;
+        local += meets && rules.local_peers[i] ? 1 : 0;
+        local_size += rules.local_peers[i] ? 1 : 0;
+    }
+    return is_most(spread, 2 + rules.local_peers.size()) ||
+           (rules.local_suffice && is_most(local, local_size));
+}
+
 bool has_authority(const takeover_rules& rules, const model_state& state) {
     if (rules.limit_unconfirmed_owner && state.age >= rules.owner_limit) {
         return false;
@@ -141,8 +170,10 @@
         accepted += state.workers[i].accepted <= rules.confirmation_window ? 1 : 0;
     }
     // Its own host always confirms the owner, the successor's never does.
-    const std::size_t confirmed = state.third_accepted <= rules.confirmation_window ? 2 : 1;
-    return is_most(accepted, rules.workers) && (!rules.need_witnesses || is_most(confirmed, 3));
+    const bool confirmed = any_majority(rules, true, false, [&](std::size_t i) {
+        return state.peers[i].accepted <= rules.confirmation_window;
+    });
+    return is_most(accepted, rules.workers) && (!rules.need_witnesses || confirmed);
 }
 
 void extend_lease(model_worker& worker, int lease) {
@@ -151,10 +182,11 @@
 
 // Delivers the former owner's calls. It renews leases while it has authority.
 void send_owner_calls(const takeover_rules& rules, model_state& state, const tick_events& events) {
-    const bool confirms = events.owner_to_third && state.owner_active && state.third_alive &&
-                          !(state.third_fenced && rules.keep_promises);
-    if (confirms) {
-        state.third_accepted = 0;
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        auto& peer = state.peers[i];
+        const bool confirms = events.owner_to_peer[i] && state.owner_active && peer.alive &&
+                              !(peer.fenced && rules.keep_promises);
+        peer.accepted = confirms ? std::int8_t{0} : peer.accepted;
     }
     const bool authority = has_authority(rules, state);
     for (std::size_t i = 0; i < rules.workers && state.owner_active; ++i) {
@@ -200,7 +232,10 @@
     if (!rules.ask_witnesses) {
         return;
     }
-    state.third_fenced = state.third_fenced || (events.successor_to_third && state.third_alive);
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        auto& peer = state.peers[i];
+        peer.fenced = peer.fenced || (events.successor_to_peer[i] && peer.alive);
+    }
     if (events.successor_to_owner_host && (state.owner_active || state.owner_host_back) &&
         state.given_up_age < 0) {
         state.given_up_age = 0;
@@ -211,7 +246,9 @@
 void apply_faults(const takeover_rules& rules, model_state& state, const tick_events& events) {
     state.owner_active = state.owner_active && !events.owner_dies;
     state.owner_host_back = state.owner_host_back || events.owner_host_returns;
-    state.third_alive = state.third_alive && !events.third_ends;
+    if (events.peer_ends) {
+        state.peers[*events.peer_ends].alive = false;
+    }
     if (events.ending) {
         auto& worker = state.workers[*events.ending];
         worker.state = process::ended;
@@ -233,17 +270,21 @@
     }
 }
 
-// Returns whether half of the workers or of the witnesses refuse the former owner.
+// Returns whether the former owner's witnesses may still confirm it.
+bool may_be_confirmed(const takeover_rules& rules, const model_state& state) {
+    // The successor's own host refuses it from the claim on.
+    return any_majority(rules, state.given_up_age < 0, false,
+                        [&](std::size_t i) { return !state.peers[i].fenced; });
+}
+
+// Returns whether half of the workers, or of each set of witnesses, refuse the former owner.
 bool is_refused(const takeover_rules& rules, const model_state& state) {
     std::size_t held = 0;
     for (std::size_t i = 0; i < rules.workers; ++i) {
         held += state.workers[i].held && (state.reached >> i & 1U) != 0 ? 1 : 0;
     }
-    // The successor's own host refuses it from the claim on.
-    const std::size_t promised =
-        1 + (state.third_fenced ? 1 : 0) + (state.given_up_age >= 0 ? 1 : 0);
     return !is_most(rules.workers - held, rules.workers) ||
-           (rules.ask_witnesses && rules.need_witnesses && !is_most(3 - promised, 3));
+           (rules.ask_witnesses && rules.need_witnesses && !may_be_confirmed(rules, state));
 }
 
 // Completes the takeover as complete_takeover does, and starts the task if it isn't known to run.
@@ -277,7 +318,9 @@
             increase(*age, longest);
         }
     }
-    increase(state.third_accepted, rules.confirmation_window + 1);
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        increase(state.peers[i].accepted, rules.confirmation_window + 1);
+    }
     for (std::size_t i = 0; i < rules.workers; ++i) {
         auto& worker = state.workers[i];
         increase(worker.accepted, rules.confirmation_window + 1);
@@ -308,8 +351,10 @@
     } else if (!state.owner_host_back) {
         faults.emplace_back().owner_host_returns = true;
     }
-    if (state.third_alive) {
-        faults.emplace_back().third_ends = true;
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        if (state.peers[i].alive) {
+            faults.emplace_back().peer_ends = i;
+        }
     }
     if (state.workers[0].late_hold > 0) {
         faults.emplace_back().late_hold_arrives = true;
@@ -351,10 +396,13 @@
             found.back().owner[0] = owner_link::late;
         }
     }
-    vary(rules.need_witnesses && state.owner_active && state.third_alive,
-         [](tick_events& next) { next.owner_to_third = true; });
-    vary(rules.ask_witnesses && state.third_alive && !state.third_fenced,
-         [](tick_events& next) { next.successor_to_third = true; });
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        const auto& peer = state.peers[i];
+        vary(rules.need_witnesses && state.owner_active && peer.alive,
+             [&](tick_events& next) { next.owner_to_peer[i] = true; });
+        vary(rules.ask_witnesses && peer.alive && !peer.fenced,
+             [&](tick_events& next) { next.successor_to_peer[i] = true; });
+    }
     vary(rules.ask_witnesses && state.given_up_age < 0 &&
              (state.owner_active || state.owner_host_back),
          [](tick_events& next) { next.successor_to_owner_host = true; });
@@ -370,7 +418,7 @@
         for (auto next : links) {
             next.owner_dies = fault.owner_dies;
             next.owner_host_returns = fault.owner_host_returns;
-            next.third_ends = fault.third_ends;
+            next.peer_ends = fault.peer_ends;
             next.late_hold_arrives = fault.late_hold_arrives;
             next.ending = fault.ending;
             next.replacing = fault.replacing;
@@ -381,21 +429,58 @@
     return found;
 }
 
+// Returns whether half of the workers, or half of each set of witnesses, can still be reached.
+bool can_be_refused(const takeover_rules& rules, const model_state& state) {
+    std::size_t gone = 0;
+    for (std::size_t i = 0; i < rules.workers; ++i) {
+        gone += state.workers[i].state == process::ended ? 1 : 0;
+    }
+    const bool witnesses_left =
+        !any_majority(rules, state.given_up_age < 0, false, [&](std::size_t i) {
+            return !state.peers[i].alive && !state.peers[i].fenced;
+        });
+    return !is_most(gone, rules.workers) || witnesses_left;
+}
+
 // Returns whether the takeover ends in time if no fault comes any more and all calls of the
 // successor are answered that can be.
 bool ends(const takeover_rules& rules, model_state state) {
     tick_events quiet;
     quiet.owner.fill(owner_link::down);
     quiet.successor.fill(true);
-    quiet.successor_to_third = true;
+    quiet.successor_to_peer.fill(true);
     const int longest = rules.confirmation_window + rules.lease + 2;
-    const int ticks = state.third_alive ? longest : rules.owner_limit + 2 * longest;
+    const int ticks = can_be_refused(rules, state) ? longest : rules.owner_limit + 2 * longest;
     for (int tick = 0; tick < ticks && !state.complete; ++tick) {
         state = next_state(rules, state, quiet);
     }
     return state.complete;
 }
 
+// Returns whether the task goes on until the owner's limit if the owner's data centre is cut off
+// from now on. Asked only while all of it is well and has heard nothing of the successor.
+bool goes_on(const takeover_rules& rules, model_state state) {
+    bool well = state.owner_active && state.task_runs && has_authority(rules, state);
+    for (std::size_t i = 0; i < rules.workers; ++i) {
+        const auto& worker = state.workers[i];
+        well = well && worker.state == process::alive && !worker.fenced;
+    }
+    tick_events cut;
+    cut.owner.fill(owner_link::up);
+    for (std::size_t i = 0; i < rules.local_peers.size(); ++i) {
+        const bool local = rules.local_peers[i];
+        cut.owner_to_peer[i] = local;
+        well = well && (!local || (state.peers[i].alive && !state.peers[i].fenced));
+    }
+    while (well && state.age + 1 < rules.owner_limit) {
+        state = next_state(rules, state, cut);
+        if (!state.task_runs) {
+            return false;
+        }
+    }
+    return true;
+}
+
 } // namespace
 
 takeover_report check_takeover(const takeover_rules& rules) {
@@ -429,6 +514,8 @@
             fail("the task runs in two places", key);
         } else if (!ends(rules, state)) {
             fail("the takeover doesn't end", key);
+        } else if (!goes_on(rules, state)) {
+            fail("a data centre that is cut off doesn't go on", key);
         }
         if (state.restarted) {
             // What follows can only end the former owner's run.
--- a/src/takeover_model.hpp
+++ b/src/takeover_model.hpp
@@ -1,7 +1,7 @@
 // A model of the takeover of a shard, small enough to enumerate every order of events: a former
-// owner, its successor, which has just written its claim, the workers of the stored list, and three
-// witnesses: the hosts of both, and a third one. One task runs on the first worker. The rules are
-// those of shard_takeover.cpp and has_lapsed; time is counted in ticks.
+// owner, its successor in another data centre, which has just written its claim, the workers of the
+// stored list, and up to two hosts that are witnesses beside these two. One task runs on the first
+// worker. The rules are those of shard_takeover.cpp and has_lapsed; time is counted in ticks.
 #pragma once
 
 #include <cstddef>
@@ -18,10 +18,14 @@
     bool wait_for_leases = true;         // after the former owner was refused
     bool fence_epochs = true;            // workers refuse the former owner's epoch
     bool need_witnesses = true;          // an owner without the store needs most of them
+    bool local_suffice = true;           // or most of those in its own data centre
     bool ask_witnesses = true;           // the successor asks them to refuse the former owner
     bool keep_promises = true;           // and they do, also after a restart
     bool give_up_when_asked = true;      // the former owner stops acting before its host promises
-    std::size_t workers = 2;             // 2 or 3
+    std::size_t workers = 2;             // 1 to 3
+    // Up to two witnesses beside the former owner's and the successor's hosts, and whether each is
+    // in the former owner's data centre.
+    std::vector<bool> local_peers = {true};
     int lease = 2;
     int confirmation_window = 1;
     int owner_limit = 5;
@@ -34,9 +38,11 @@
     std::vector<std::string> trace;
 };
 
-// Enumerates all reachable states and checks that the task never runs in two places, and that from
-// each state the takeover ends once faults end, whichever workers are gone by then: as soon as the
-// leases have if the third witness is left, and within the owner's limit if it isn't.
+// Enumerates all reachable states and checks that the task never runs in two places; that a data
+// centre that is cut off goes on with it until the owner's limit; and that from each state the
+// takeover ends once faults end, whichever workers are gone by then: as soon as the leases have if
+// half of the workers, or half of the spread and of the local witnesses, can be reached, and within
+// the owner's limit if neither can.
 takeover_report check_takeover(const takeover_rules& rules);
 
 } // namespace fulmar
--- /dev/null
+++ b/tests/data_centre_cut_test.cpp
@@ -0,0 +1,333 @@
+// A data centre that is cut off from the store and from all others goes on with what runs there,
+// and nothing of it starts elsewhere meanwhile or again afterwards.
+#include "sim_test_support.hpp"
+
+namespace fulmar {
+
+namespace {
+
+const std::vector<std::string> data_centres = {"a", "b", "c"};
+constexpr std::uint32_t tasks_each = 4;
+
+// "Regions lose each other for minutes."
+constexpr duration cut_time{60'000};
+
+// After the cut, hosts and workers register again within 2 s, and a takeover is complete once all
+// workers have answered.
+constexpr duration heal_time{12'000};
+
+struct cut_world {
+    std::size_t hosts_each;
+    std::unique_ptr<sim_world> world;
+
+    cut_world(std::uint64_t seed, std::size_t hosts)
+        : hosts_each(hosts) {
+        std::map<std::string, std::string> regions;
+        for (const auto& name : data_centres) {
+            regions[name] = name;
+        }
+        world = std::make_unique<sim_world>(seed, data_centres, hosts_each, 6, regions);
+        world->run_for(startup_time);
+        auto spec = sim_world::simple_job(tasks_each);
+        spec.steps.front().long_running = true;
+        for (std::size_t host = 0; host < world->host_count(); ++host) {
+            world->submit(host, spec, duration(0));
+        }
+        world->run_for(duration(3'000));
+        REQUIRE(world->shards().size() == data_centres.size());
+        REQUIRE(list_runs().size() == world->host_count() * tasks_each);
+        // Until the owners have stored who confirms them.
+        world->run_for(duration(3'000));
+    }
+
+    // Returns the runs in progress with their workers, of one data centre or of all.
+    std::set<std::string> list_runs(const std::string& data_centre = "") const {
+        std::set<std::string> runs;
+        for (const auto& [id, worker] : world->workers()) {
+            if (!worker.model ||
+                !(data_centre.empty() || worker.entry.data_centre.value == data_centre)) {
+                continue;
+            }
+            for (const auto& [run, need] : worker.model->occupied()) {
+                runs.insert(id + " " + run.task.job.value + "." + std::to_string(run.task.index) +
+                            " run " + std::to_string(run.number.value));
+            }
+        }
+        return runs;
+    }
+
+    std::vector<std::size_t> hosts_of(const std::string& data_centre) const {
+        std::vector<std::size_t> found;
+        for (std::size_t host = 0; host < world->host_count(); ++host) {
+            if (world->data_centre_of(host).value == data_centre) {
+                found.push_back(host);
+            }
+        }
+        return found;
+    }
+
+    std::size_t owner_in(const std::string& data_centre) const {
+        const auto owner = world->owner_of(data_centre + ".0");
+        REQUIRE(owner);
+        REQUIRE(world->data_centre_of(*owner).value == data_centre);
+        return *owner;
+    }
+
+    void cut(const std::vector<std::string>& names, bool off) const {
+        for (const auto& name : names) {
+            world->cut_data_centre(name, off);
+        }
+    }
+
+    // Advances time; returns for how many of the seconds all of these runs went on.
+    int count_seconds(const std::set<std::string>& runs, duration time) const {
+        constexpr duration second{1'000};
+        int kept = 0;
+        for (duration passed{0}; passed < time; passed += second) {
+            world->run_for(second);
+            const auto present = list_runs();
+            kept += std::includes(present.begin(), present.end(), runs.begin(), runs.end()) ? 1 : 0;
+        }
+        return kept;
+    }
+};
+
+// The data centres to cut off: each of them alone, and all at once.
+std::vector<std::vector<std::string>> list_cuts() {
+    std::vector<std::vector<std::string>> cuts{data_centres};
+    for (const auto& name : data_centres) {
+        cuts.push_back({name});
+    }
+    return cuts;
+}
+
+} // namespace
+
+// All tasks of the data centre ended after 7.5 s, and if each was cut off, nothing ran anywhere.
+TEST_CASE("a data centre that is cut off goes on, and its runs are the same afterwards") {
+    for (const std::size_t hosts : {1U, 2U, 3U}) {
+        for (const auto& names : list_cuts()) {
+            INFO(hosts << " hosts each, " << names.size() << " cut off, first " << names.front());
+            const cut_world test(71 + hosts, hosts);
+            const auto runs = test.list_runs();
+            const auto starts = test.world->starts();
+            test.cut(names, true);
+            CHECK(test.count_seconds(runs, cut_time) == 60);
+            test.cut(names, false);
+            CHECK(test.count_seconds(runs, heal_time) == 12);
+            CHECK(test.world->starts() == starts);
+            check_guarantees(*test.world);
+        }
+    }
+}
+
+// What can't be stored is refused at once, so that the caller can go elsewhere.
+TEST_CASE("a data centre that is cut off refuses submissions at once as not run") {
+    for (const std::size_t hosts : {1U, 2U, 3U}) {
+        const cut_world test(81 + hosts, hosts);
+        test.cut({"a"}, true);
+        // Hosts that are out of reach are known as such.
+        test.world->run_for(duration(5'000));
+        for (const auto host : test.hosts_of("a")) {
+            INFO(hosts << " hosts each, host " << host);
+            std::optional<submit_answer> answer;
+            test.world->host(host)->submit({"00000000000000f" + std::to_string(host)},
+                                           test.world->queue("renders"), sim_world::simple_job(1),
+                                           duration(2'500),
+                                           [&](const submit_answer& given) { answer = given; });
+            CHECK(test.world->run_until([&] { return answer.has_value(); }, duration(300)));
+            REQUIRE(answer);
+            CHECK(answer->outcome == submit_outcome::unavailable);
+            CHECK(answer->retry_after > duration(0));
+        }
+        test.cut({"a"}, false);
+        test.world->run_for(heal_time);
+        check_guarantees(*test.world);
+    }
+}
+
+// What happens in the part that is cut off must not let a task run in two places, whatever the
+// hosts outside conclude from its silence.
+TEST_CASE("nothing runs twice when the owner in a cut-off data centre fails meanwhile") {
+    enum class fault : std::uint8_t { freeze, kill, restart, replace, lose_peer, restart_peer };
+    for (const auto what : {fault::freeze, fault::kill, fault::restart, fault::replace,
+                            fault::lose_peer, fault::restart_peer}) {
+        for (const std::size_t hosts : {1U, 2U, 3U}) {
+            INFO("fault " << static_cast<int>(what) << ", " << hosts << " hosts each");
+            const cut_world test(91 + hosts, hosts);
+            auto& world = *test.world;
+            const auto owner = test.owner_in("a");
+            const auto local = test.hosts_of("a");
+            const auto peer = *std::find_if(local.begin(), local.end(), [&](std::size_t host) {
+                return host != owner || local.size() == 1;
+            });
+            const auto all = world.host_count() * tasks_each;
+            test.cut({"a"}, true);
+            world.run_for(duration(7'000));
+            switch (what) {
+            case fault::freeze:
+                world.freeze_host(owner, duration(9'000));
+                break;
+            case fault::kill:
+                world.kill_host(owner);
+                break;
+            case fault::restart:
+                world.kill_host(owner);
+                world.run_for(duration(500));
+                world.start_host(owner);
+                break;
+            case fault::replace:
+                world.stop_host(owner);
+                world.run_for(duration(2'000));
+                world.kill_host(owner);
+                world.start_host(owner);
+                break;
+            case fault::lose_peer:
+                world.kill_host(peer);
+                break;
+            case fault::restart_peer:
+                world.kill_host(peer);
+                world.run_for(duration(500));
+                world.start_host(peer);
+                break;
+            }
+            for (int second = 0; second < 40; ++second) {
+                world.run_for(duration(1'000));
+                CHECK(test.list_runs().size() <= all);
+            }
+            test.cut({"a"}, false);
+            for (const auto host : local) {
+                world.start_host(host);
+            }
+            CHECK(world.run_until([&] { return test.list_runs().size() == all; },
+                                  heal_time + duration(8'000)));
+            world.run_for(duration(5'000));
+            CHECK(test.list_runs().size() == all);
+            check_guarantees(world);
+        }
+    }
+}
+
+// Each host outside that claims the shard fails in turn. The last one has to wait as well.
+TEST_CASE("nothing runs twice over a chain of takeovers outside of a cut-off data centre") {
+    for (const std::size_t hosts : {2U, 3U}) {
+        INFO(hosts << " hosts each");
+        const cut_world test(101 + hosts, hosts);
+        auto& world = *test.world;
+        const auto runs = test.list_runs("a");
+        const auto all = world.host_count() * tasks_each;
+        test.cut({"a"}, true);
+        std::set<std::size_t> owners;
+        for (int round = 0; round < 3; ++round) {
+            const auto outside = [&] {
+                const auto owner = world.owner_of("a.0");
+                return owner && world.data_centre_of(*owner).value != "a";
+            };
+            REQUIRE(world.run_until(outside, duration(12'000)));
+            const auto owner = *world.owner_of("a.0");
+            owners.insert(owner);
+            world.run_for(duration(1'500));
+            world.kill_host(owner);
+            world.run_for(duration(1'000));
+            world.start_host(owner);
+        }
+        CHECK(test.count_seconds(runs, duration(20'000)) == 20);
+        test.cut({"a"}, false);
+        CHECK(test.count_seconds(runs, heal_time) == 12);
+        CHECK(test.list_runs().size() == all);
+        check_guarantees(world);
+    }
+}
+
+// The cut heals in parts: hosts hear each other before the workers are back, or the other way.
+TEST_CASE("nothing runs twice when a cut heals on one side first") {
+    for (const std::size_t hosts : {1U, 2U, 3U}) {
+        for (const bool from_inside : {true, false}) {
+            INFO(hosts << " hosts each, from inside " << from_inside);
+            const cut_world test(111 + hosts, hosts);
+            auto& world = *test.world;
+            const auto all = world.host_count() * tasks_each;
+            test.cut({"a"}, true);
+            world.run_for(duration(15'000));
+            for (const auto* other : {"b", "c"}) {
+                world.cut_region(from_inside ? "a" : other, from_inside ? other : "a", false);
+            }
+            world.run_for(duration(15'000));
+            test.cut({"a"}, false);
+            world.run_for(heal_time + duration(8'000));
+            CHECK(test.list_runs().size() == all);
+            check_guarantees(world);
+        }
+    }
+}
+
+// What is left of a data centre that is gone with all its hosts and workers looks like one that is
+// cut off. Its tasks wait for the limit, which the metrics show, or for an operator.
+TEST_CASE("the tasks of a data centre that is gone run elsewhere after the limit, or when told") {
+    for (const bool told : {false, true}) {
+        INFO("told " << told);
+        const cut_world test(121, 1);
+        auto& world = *test.world;
+        const auto all = world.host_count() * tasks_each;
+        const auto lost = test.list_runs("a").size();
+        const auto owner = test.owner_in("a");
+        // A statement that was left behind doesn't count.
+        world.store().put("meta/gone/a", "earlier");
+        world.kill_host(owner);
+        for (auto& [id, worker] : world.workers()) {
+            if (worker.entry.data_centre.value == "a") {
+                world.crash_worker(id);
+            }
+        }
+        world.run_for(duration(60'000));
+        CHECK(test.list_runs().size() == all - lost);
+        const auto successor = world.owner_of("a.0");
+        REQUIRE(successor);
+        CHECK(world.counter(*successor, "takeover_waiting_ms", "a.0") > 45'000);
+        const auto left = world.counter(*successor, "takeover_ends_in_ms", "a.0");
+        CHECK(left > 540'000);
+        CHECK(left < 600'000);
+        if (told) {
+            world.store().put("meta/gone/a", "the data centre burned down");
+            CHECK(world.run_until([&] { return test.list_runs().size() == all; }, duration(5'000)));
+        } else {
+            world.run_for(duration(static_cast<std::int64_t>(left) - 5'000));
+            CHECK(test.list_runs().size() == all - lost);
+            CHECK(
+                world.run_until([&] { return test.list_runs().size() == all; }, duration(10'000)));
+        }
+        CHECK(world.counter(*successor, "takeover_ends_in_ms", "a.0") == 0);
+        check_guarantees(world);
+    }
+}
+
+// An operator who is mistaken must not make tasks run in two places.
+TEST_CASE("a data centre isn't taken for gone while something of it shows that it lives") {
+    for (const bool hosts_heard : {true, false}) {
+        INFO("hosts are heard " << hosts_heard);
+        const cut_world test(131, 2);
+        auto& world = *test.world;
+        const auto runs = test.list_runs("a");
+        test.cut({"a"}, true);
+        if (hosts_heard) {
+            // Their datagrams arrive, and nothing else does.
+            world.cut_region("a", "b", false);
+            world.cut_region("a", "c", false);
+        } else {
+            // The workers reach the store, which no host of the data centre does.
+            for (auto& [id, worker] : world.workers()) {
+                worker.cut_from_store = false;
+            }
+        }
+        world.run_for(duration(20'000));
+        world.store().put("meta/gone/a", "all lost");
+        CHECK(test.count_seconds(runs, duration(20'000)) == 20);
+        CHECK(test.list_runs().size() == world.host_count() * tasks_each);
+        check_guarantees(world);
+        test.cut({"a"}, false);
+        world.run_for(heal_time);
+        check_guarantees(world);
+    }
+}
+
+} // namespace fulmar
--- a/tests/former_owner_test.cpp
+++ b/tests/former_owner_test.cpp
@@ -75,3 +75,74 @@
     world.pass(duration(1'000));
     CHECK_FALSE(world.shard.tables.workers.contains({"w1"}));
 }
+
+namespace {
+
+ownership_record make_record(owner_term::support support, witness_sets witnesses) {
+    owner_term term{{1}, {"a1/1"}, std::move(witnesses)};
+    term.rests_on = support;
+    return {std::move(term), {}};
+}
+
+const witness_sets witnesses{{{"a1"}, {"a2"}, {"b1"}, {"c1"}}, {{"a1"}, {"a2"}}};
+
+} // namespace
+
+// A data centre that is cut off goes on with its own hosts, so those of the others alone must not
+// rule its owner out.
+TEST_CASE("a former owner is ruled out by half of its spread and half of its local witnesses") {
+    takeover_world world(make_record(owner_term::support::either_witnesses, witnesses), {1});
+    CHECK(find_unfenced_witnesses(world.shard) == all_witnesses(witnesses));
+    on_witness_fenced(world.shard, {"b1"}, world.now);
+    on_witness_fenced(world.shard, {"c1"}, world.now);
+    world.pass(duration(60'000));
+    CHECK_FALSE(world.shard.takeover_complete);
+    CHECK(find_unfenced_witnesses(world.shard) == witnesses.local);
+    on_witness_fenced(world.shard, {"a2"}, world.now);
+    world.pass(duration(7'000));
+    CHECK_FALSE(world.shard.takeover_complete);
+    world.pass(duration(1'000));
+    CHECK(world.shard.takeover_complete);
+}
+
+// An owner of an earlier version stops when half of its spread witnesses refuse it.
+TEST_CASE("a former owner without local witnesses is ruled out by half of the spread ones") {
+    takeover_world world(make_record(owner_term::support::spread_witnesses, {witnesses.spread, {}}),
+                         {1});
+    on_witness_fenced(world.shard, {"b1"}, world.now);
+    on_witness_fenced(world.shard, {"c1"}, world.now);
+    world.pass(refusal_limit);
+    CHECK(world.shard.takeover_complete);
+}
+
+// A successor with another setting must not start tasks while the former owner goes on.
+TEST_CASE("a takeover waits for the limit that the former owner stored") {
+    for (const duration stored : {duration(60'000), duration(900'000)}) {
+        auto record = make_record(owner_term::support::either_witnesses, witnesses);
+        record.current.limit = stored;
+        takeover_world world(record, {1});
+        world.shard.timing.unconfirmed_limit = duration(300'000);
+        const auto limit = std::max(stored, duration(300'000));
+        const auto found = find_takeover_limit(world.shard);
+        REQUIRE(found);
+        // The lease, 2% for slow clocks, and the confirmation window.
+        CHECK(*found >= world.now + limit * 102 / 100 + duration(7'600));
+        CHECK(*found <= world.now + limit * 102 / 100 + duration(8'000));
+    }
+}
+
+TEST_CASE("the record of a shard's owners is read back, and one of an earlier version") {
+    auto record = make_record(owner_term::support::either_witnesses, witnesses);
+    record.current.limit = duration(120'000);
+    record.earlier.push_back(make_record(owner_term::support::workers, {}).current);
+    const auto read = parse_ownership(encode(record));
+    REQUIRE(read);
+    CHECK(read.value() == record);
+    const auto earlier = parse_ownership(
+        R"({"current":{"epoch":1,"owner":"a1/1","witnesses":["a1","b1"],"rests_on":0},"earlier":[]})");
+    REQUIRE(earlier);
+    CHECK(earlier.value().current.rests_on == owner_term::support::spread_witnesses);
+    CHECK(earlier.value().current.witnesses.spread.size() == 2);
+    CHECK(earlier.value().current.witnesses.local.empty());
+    CHECK(earlier.value().current.limit == duration(600'000));
+}
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -382,6 +382,26 @@
     }
 }
 
+void sim_world::cut_data_centre(const std::string& data_centre, bool cut) {
+    for (const auto& [name, region] : regions_) {
+        if (name.value != data_centre) {
+            cut_region(data_centre, region.value, cut);
+            cut_region(region.value, data_centre, cut);
+        }
+    }
+    for (const auto& host : hosts_) {
+        if (host->options.data_centre.value == data_centre) {
+            host->mode = cut ? store_mode::silent : store_mode::up;
+        }
+    }
+    for (auto& [id, worker] : workers_) {
+        if (worker.entry.data_centre.value == data_centre) {
+            worker.cut_from_store = cut;
+            worker.missed_heartbeats = 0;
+        }
+    }
+}
+
 const std::string& sim_world::region_of_host(std::size_t index) const {
     return regions_.at(hosts_[index]->options.data_centre).value;
 }
@@ -419,12 +439,16 @@
 // Workers.
 
 void sim_world::write_entry(const std::string& id) {
-    const auto& worker = workers_.at(id);
+    constexpr std::size_t heartbeat_limit = 3;
+    auto& worker = workers_.at(id);
     const auto key = "servers/" + id;
     if (!worker.model) {
         return;
     }
-    if (!worker.disconnected) {
+    if (worker.cut_from_store && ++worker.missed_heartbeats == heartbeat_limit) {
+        store_.remove(key);
+        answer_watches();
+    } else if (!worker.disconnected && !worker.cut_from_store) {
         store_.put(key, encode_sim_worker(worker.entry, next_order_));
         answer_watches();
     }
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -45,6 +45,8 @@
     std::set<run_key> counted_failures; // of this incarnation
     bool disconnected = false;          // can reach neither the hosts nor the store
     std::set<std::size_t> disconnected_hosts;
+    bool cut_from_store = false; // its entry is removed after three missed heartbeats
+    std::size_t missed_heartbeats = 0;
     double late_commands = 0; // fraction of commands executed late and not answered
 };
 
@@ -101,6 +103,9 @@
     // Cuts the way from one region to another: no datagram, call or answer that hosts and workers
     // of `from` send arrives in `to`. The store answers all hosts.
     void cut_region(const std::string& from, const std::string& to, bool cut);
+    // Cuts a data centre that is a region of its own off from all others and from the store. Its
+    // hosts and workers hear each other.
+    void cut_data_centre(const std::string& data_centre, bool cut);
     const std::string& region_of_host(std::size_t index) const;
     // Returns the live host that owns a shard according to the stored claim.
     std::optional<std::size_t> owner_of(const std::string& shard);
--- a/tests/takeover_model_test.cpp
+++ b/tests/takeover_model_test.cpp
@@ -26,6 +26,21 @@
     CHECK(report.states > 100'000);
 }
 
+// The owner's data centre has one host; or one more, and another data centre has a witness as well.
+TEST_CASE("a data centre that is cut off goes on, and no order of events runs its task twice") {
+    CHECK(first_violation({.local_peers = {false}}) == "none");
+    CHECK(first_violation({.workers = 1, .local_peers = {true, false}}) == "none");
+    CHECK(first_violation({.workers = 1, .local_peers = {true, true}}) == "none");
+}
+
+// The protocol before: witnesses of other data centres had to confirm an owner.
+TEST_CASE("the model finds the data centre that stopped when it was cut off") {
+    CHECK(first_violation({.local_suffice = false, .local_peers = {false}}) ==
+          "a data centre that is cut off doesn't go on");
+    CHECK(first_violation({.local_suffice = false, .workers = 1, .local_peers = {true, false}}) ==
+          "a data centre that is cut off doesn't go on");
+}
+
 TEST_CASE("the model finds the takeover that never ended, and each rule that is left out") {
     CHECK(first_violation({.pass_replaced_workers = false, .limit_unconfirmed_owner = false}) ==
           "the takeover doesn't end");
--- a/tests/takeover_wait_test.cpp
+++ b/tests/takeover_wait_test.cpp
@@ -87,30 +87,68 @@
     }
 }
 
-// Owner, workers and most hosts are cut off from the store and from the host that reaches it, and
-// go on. The successor must not start their tasks while they run, however long it takes.
+// Owner and workers are cut off from the store and from the other hosts, and go on. The successor
+// must not start their tasks while they run, however long it takes.
 TEST_CASE("a takeover waits for workers that go on with an owner that is cut off") {
     sim_world world(21, {"east"}, 3);
     const auto owner = fill_shard(world);
-    const auto witness = (owner + 1) % 3;
-    const auto successor = (owner + 2) % 3;
+    world.set_store_mode(owner, store_mode::silent);
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        if (host == owner) {
+            continue;
+        }
+        world.set_partition(owner, host, true);
+        for (auto& [id, worker] : world.workers()) {
+            worker.disconnected_hosts.insert(host);
+        }
+    }
+    world.run_for(duration(40'000));
+    check_guarantees(world);
+    CHECK(count_occupied(world) == jobs * tasks_each);
+    for (auto& [id, worker] : world.workers()) {
+        worker.disconnected_hosts.clear();
+    }
+    world.run_for(duration(3'000));
+    check_guarantees(world);
+    CHECK(all_run(world));
+}
+
+// The same together with most hosts of the data centre, while another one reaches the store.
+TEST_CASE("a takeover waits for workers that go on with most hosts of a data centre") {
+    sim_world world(21, {"east", "west"}, 3);
+    world.evacuate("west", true);
+    const auto owner = fill_shard(world);
+    world.evacuate("west", false);
+    const auto local = owner / 3 * 3; // first host of the owner's data centre
+    const auto witness = local + (owner - local + 1) % 3;
+    const auto starts = world.starts();
     for (const auto host : {owner, witness}) {
         world.set_store_mode(host, store_mode::silent);
-        world.set_partition(host, successor, true);
+        for (std::size_t other = 0; other < world.host_count(); ++other) {
+            if (other != owner && other != witness) {
+                world.set_partition(host, other, true);
+            }
+        }
     }
     for (auto& [id, worker] : world.workers()) {
-        worker.disconnected_hosts.insert(successor);
+        for (std::size_t other = 0; other < world.host_count(); ++other) {
+            if (id.starts_with("w-east") && other != owner && other != witness) {
+                worker.disconnected_hosts.insert(other);
+            }
+        }
     }
     world.run_for(duration(40'000));
     check_guarantees(world);
     CHECK(count_occupied(world) == jobs * tasks_each);
-    CHECK(world.owner_of("east.0") == successor);
+    CHECK(world.starts() == starts);
+    CHECK(world.owner_of("east.0").value_or(owner) != owner);
     for (auto& [id, worker] : world.workers()) {
         worker.disconnected_hosts.clear();
     }
     world.run_for(duration(3'000));
     check_guarantees(world);
     CHECK(all_run(world));
+    CHECK(world.starts() == starts);
 }
 
 // New jobs don't wait for the workers that a takeover waits for.
@@ -261,4 +299,26 @@
     }
 }
 
+// A host of the owner's data centre that fails meanwhile must not end them either: those of other
+// data centres stand in for it.
+TEST_CASE("long-running tasks go on in an outage of the store in which a host is lost") {
+    for (const std::size_t hosts : {2U, 3U}) {
+        sim_world world(81 + hosts, {"east", "west"}, hosts);
+        world.evacuate("west", true);
+        const auto owner = fill_shard(world);
+        const auto starts = world.starts();
+        world.set_store_mode_for_all(store_mode::silent);
+        world.run_for(duration(5'000));
+        const auto local = owner / hosts * hosts;
+        world.kill_host(local + (owner - local + 1) % hosts);
+        world.run_for(duration(30'000));
+        CHECK(all_run(world));
+        world.set_store_mode_for_all(store_mode::up);
+        world.run_for(duration(5'000));
+        CHECK(all_run(world));
+        CHECK(world.starts() == starts);
+        check_guarantees(world);
+    }
+}
+
 } // namespace fulmar
