--- a/src/fulmarwind_takeover_check_main.cpp
+++ b/src/fulmarwind_takeover_check_main.cpp
@@ -60,7 +60,7 @@
         return 2;
     }
     std::vector<bool> peers(static_cast<std::size_t>(local_peers), true);
-    peers.resize(static_cast<std::size_t>(local_peers + remote_peers), false);
+    peers.insert(peers.end(), static_cast<std::size_t>(remote_peers), false);
     const fulmar::takeover_rules rules{.pass_replaced_workers = keep_replaced == 0,
                                        .limit_unconfirmed_owner = no_limit == 0,
                                        .wait_for_leases = no_wait == 0,
