--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -291,6 +291,8 @@
     put.conditions.push_back({claim_key(state.id), state.claim_revision});
     put.conditions.push_back({head_key(state.id), state.head_revision});
     put.puts.push_back({claim_key(state.id), encode(next), {}});
+    put.puts.push_back(
+        {ownership_key(state.id), encode(release_to_successor(state, loop_.now())), {}});
     store_.commit(std::move(put), [this, alive = alive_, shard, next,
                                    successor](result<transaction_reply> reply) {
         if (!*alive) {
