shard_waits: tell what a long-running task waited for, through takeover, loan and room

task_waits now divides the wait by its causes (takeover, loan, unstored, permission, room, elsewhere) and names an unreached worker and the former epochs; task_wait_ended says the same once the task runs again. Since when it waits goes with the task when it is offered.

no functional change

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -10,6 +10,7 @@
 #include "shard_tables.hpp"
 #include "worker_class.hpp"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -270,6 +271,18 @@
     std::optional<time_point> refused_since{};
 };
 
+// What a task without a run waits for: that the takeover is complete; that another shard answers
+// about a loan; that a change of its record is stored; that starts are allowed here; or room.
+enum class wait_cause : std::uint8_t { takeover, loan, unstored, permission, room };
+inline constexpr std::size_t wait_causes = 5;
+
+std::string_view to_string(wait_cause cause);
+
+// A long-running task's wait as far as this owner has seen it.
+struct task_wait {
+    std::array<duration, wait_causes> by_cause{};
+};
+
 struct shard_state {
     shard_id id;
     data_centre_id data_centre;
@@ -372,6 +385,8 @@
     unix_time wall_clock;         // at the last event
     bool placement_needed = true; // set when something changed since the last placement
     time_point next_purge;
+    std::map<task_key, task_wait> waits; // of long-running tasks
+    time_point last_wait_check;
     time_point next_wait_check;
     // Work of placement since the last report: rounds, and pairs of task and worker compared.
     std::uint64_t placement_rounds = 0;
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -27,8 +27,12 @@
 constexpr std::size_t dropped_loans_limit = 64;
 
 json encode_task(std::uint32_t index, const task_row& task) {
-    return {index, static_cast<int>(task.result), task.failed_runs, task.last_run.value,
-            task.checkpoint};
+    return {index,
+            static_cast<int>(task.result),
+            task.failed_runs,
+            task.last_run.value,
+            task.checkpoint,
+            task.waiting_since};
 }
 
 json make_envelope(std::string_view kind, const shard_id& from, const shard_id& to,
@@ -372,6 +376,10 @@
     task.failed_runs = from.at(2).get<std::vector<run_number>>();
     task.last_run = std::max(task.last_run, from.at(3).get<run_number>());
     task.checkpoint = from.at(4).get<std::string>();
+    // Owners of an earlier version don't send it.
+    constexpr std::size_t wait_position = 5;
+    task.waiting_since =
+        from.size() > wait_position ? from.at(wait_position).get<unix_time>() : unix_time{};
 }
 
 borrowed_tasks* find_borrowed(job_row& job, std::uint64_t loan) {
--- a/src/shard_offers.cpp
+++ b/src/shard_offers.cpp
@@ -159,6 +159,8 @@
         task.failed_runs = received.failed_runs;
         task.last_run = received.last_run;
         task.checkpoint = received.checkpoint;
+        task.waiting_since = received.waiting_since;
+        task.idle_since.reset();
         task.loan = number;
         task.not_local = false;
         task.done = false;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -167,7 +167,10 @@
     time_point avoided_until = time_point::max(); // until when it doesn't start there again
     std::optional<worker_id> reserved_worker;     // worker on which room is reserved for it
     bool reservation_expired = false;             // a reservation expired since its last start
-    std::optional<time_point> idle_since; // since when a long-running task has had no run here
+    // Since when a long-running task has had no run, and the same by the wall clock, which is
+    // offered with the task.
+    std::optional<time_point> idle_since;
+    unix_time waiting_since{}; // 0: it doesn't wait
 };
 
 // One step of one occurrence.
--- a/src/shard_waits.cpp
+++ b/src/shard_waits.cpp
@@ -1,5 +1,6 @@
 // Log lines about long-running tasks that don't run: where each of them waits, in its own shard or
-// in the one that borrows it, so that its way through loans can be followed from its id.
+// in the one that borrows it, and how long it waited for what once it runs again. A wait is
+// followed over changes of owners and loans.
 #include "shard_internal.hpp"
 
 #include <fmt/format.h>
@@ -18,50 +19,128 @@
 // Maximum number of tasks in one check, the longest waits first.
 constexpr std::size_t logged_tasks = 6;
 
-struct wait_row {
+// What a task without a run waits for.
+struct wait_place {
+    wait_cause cause = wait_cause::room;
+    std::string text;
+};
+
+struct wait_line {
     duration waited{0};
     task_key key;
-    std::string place;
+    wait_place place;
 };
 
-// Describes what a task without a run waits for.
-std::string describe_place(const shard_state& shard, const job_row& job, const stage_row& stage,
-                           const task_row& task, time_point now) {
+std::string describe_takeover(const shard_state& shard, time_point now) {
+    std::string terms;
+    for (const auto& former : shard.former_owners) {
+        terms += fmt::format("{}{}", terms.empty() ? "" : ",", former.term.epoch.value);
+    }
+    const auto& unreached = shard.unreached_workers;
+    return fmt::format("takeover age_ms={} unreached={} example={} former_epochs={}",
+                       (now - shard.loaded_at).count(), unreached.size(),
+                       unreached.empty() ? std::string() : unreached.begin()->first.value, terms);
+}
+
+// Describes what a task without a run waits for; nothing if it isn't a task of this shard.
+std::optional<wait_place> find_place(const shard_state& shard, const job_row& job,
+                                     const stage_row& stage, const task_row& task, time_point now) {
     const auto loan = shard.tables.loans.find(task.loan);
     if (!is_borrowed(job) && loan != shard.tables.loans.end()) {
         const auto& row = loan->second;
         const bool stored = job.stored_version >= row.version;
-        return fmt::format("lent to={} loan={} stored={} accepted={} withdrawn={} in_flight={}",
-                           row.to.value, row.number, stored, row.accepted, row.withdrawn,
-                           row.in_flight);
+        return wait_place{
+            wait_cause::loan,
+            fmt::format("lent to={} loan={} stored={} accepted={} withdrawn={} in_flight={}",
+                        row.to.value, row.number, stored, row.accepted, row.withdrawn,
+                        row.in_flight)};
     }
     const bool withdrawn =
         std::any_of(job.borrowed.begin(), job.borrowed.end(), [&](const borrowed_tasks& row) {
             return row.loan == task.loan && row.withdrawn;
         });
     if (is_borrowed(job) && (task.loan == 0 || withdrawn)) {
-        return {}; // not a task of this shard
+        return std::nullopt;
     }
     if (is_borrowed(job) && task.result != loan_result::pending) {
-        return fmt::format("returned to={} loan={} stored={}", job.lender.value, task.loan,
-                           task.result_version <= job.stored_version);
+        return wait_place{wait_cause::loan,
+                          fmt::format("returned to={} loan={} stored={}", job.lender.value,
+                                      task.loan, task.result_version <= job.stored_version)};
     }
     if (task.not_local) {
-        return fmt::format("unstored version={} stored_version={}", job.version,
-                           job.stored_version);
+        return wait_place{wait_cause::unstored, fmt::format("unstored version={} stored_version={}",
+                                                            job.version, job.stored_version)};
     }
     if (!shard.takeover_complete && job.inherited) {
-        return "takeover";
+        return wait_place{wait_cause::takeover, describe_takeover(shard, now)};
     }
+    const bool permitted =
+        shard.starts_allowed && shard.data_centre_open && has_authority(shard, now);
     const auto waited = stage.ready_since ? (now - *stage.ready_since).count() : std::int64_t{-1};
-    return fmt::format("{} reserved_on={} room_wait_ms={} data_centre_open={} starts_allowed={}",
-                       is_borrowed(job) ? "borrowed" : "own",
-                       task.reserved_worker ? task.reserved_worker->value : std::string(), waited,
-                       shard.data_centre_open, shard.starts_allowed);
+    return wait_place{
+        permitted ? wait_cause::room : wait_cause::permission,
+        fmt::format("{} reserved_on={} room_wait_ms={} data_centre_open={} starts_allowed={}",
+                    is_borrowed(job) ? "borrowed" : "own",
+                    task.reserved_worker ? task.reserved_worker->value : std::string(), waited,
+                    shard.data_centre_open, shard.starts_allowed)};
+}
+
+std::string describe_parts(const task_wait& wait, duration waited) {
+    std::string text;
+    duration here{0};
+    for (std::size_t cause = 0; cause < wait_causes; ++cause) {
+        here += wait.by_cause[cause];
+        text += fmt::format(" {}_ms={}", to_string(static_cast<wait_cause>(cause)),
+                            wait.by_cause[cause].count());
+    }
+    return fmt::format("elsewhere_ms={}{}", std::max<std::int64_t>(0, (waited - here).count()),
+                       text);
+}
+
+// Begins to follow a wait, or continues one that began under an earlier owner or in another shard.
+void begin_wait(const shard_state& shard, task_row& task, time_point now) {
+    if (task.waiting_since.value == 0) {
+        task.waiting_since = shard.wall_clock;
+    }
+    const duration before{shard.wall_clock.value - task.waiting_since.value};
+    task.idle_since = now - std::max(duration(0), before);
+}
+
+// Logs the wait of a task that runs now, or that another shard has taken.
+void end_wait(shard_state& shard, const task_key& key, task_row& task, time_point now) {
+    if (const auto wait = shard.waits.extract(key); !wait.empty() && task.idle_since) {
+        const auto waited = now - *task.idle_since;
+        if (waited >= logged_wait && !task.runs.empty()) {
+            const auto run = shard.tables.runs.find({key, task.runs.back()});
+            shard.log->write_rare(
+                "event=task_wait_ended task={}.{}.{}.{} run={} worker={} shard={} waited_ms={} {}",
+                key.job.value, key.occurrence, key.step, key.index, task.runs.back().value,
+                run == shard.tables.runs.end() ? std::string() : run->second.worker.value,
+                shard.id.value, waited.count(), describe_parts(wait.mapped(), waited));
+        }
+    }
+    task.idle_since.reset();
+    task.waiting_since = {};
 }
 
 } // namespace
 
+std::string_view to_string(wait_cause cause) {
+    switch (cause) {
+    case wait_cause::takeover:
+        return "takeover";
+    case wait_cause::loan:
+        return "loan";
+    case wait_cause::unstored:
+        return "unstored";
+    case wait_cause::permission:
+        return "permission";
+    case wait_cause::room:
+        return "room";
+    }
+    return "";
+}
+
 std::size_t count_waiting_tasks(const shard_state& shard) {
     std::size_t waiting = 0;
     for (const auto& id : shard.active) {
@@ -78,8 +157,13 @@
     if (now < shard.next_wait_check) {
         return;
     }
+    const auto passed =
+        shard.last_wait_check == time_point{} ? duration(0) : now - shard.last_wait_check;
+    shard.last_wait_check = now;
     shard.next_wait_check = now + wait_check_interval;
-    std::vector<wait_row> rows;
+    std::erase_if(shard.waits,
+                  [&](const auto& row) { return find_task(shard.tables, row.first) == nullptr; });
+    std::vector<wait_line> lines;
     std::size_t waiting = 0;
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
@@ -90,39 +174,44 @@
                 }
                 for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
                     auto& task = stage.tasks[index];
+                    const task_key key{id, number, stage.step, index};
                     // The wait of a lent task is counted until its borrower reports a result; the
                     // borrower's lines tell whether it runs.
                     const auto loan = shard.tables.loans.find(task.loan);
                     const bool lent = !is_borrowed(job) && loan != shard.tables.loans.end() &&
                                       loan->second.accepted && !loan->second.withdrawn;
                     if (!task.runs.empty() || lent) {
-                        task.idle_since.reset();
+                        end_wait(shard, key, task, now);
+                        continue;
+                    }
+                    auto place = find_place(shard, job, stage, task, now);
+                    if (!place) {
                         continue;
                     }
                     if (!task.idle_since) {
-                        task.idle_since = now;
+                        begin_wait(shard, task, now);
                     }
+                    auto& wait = shard.waits[key];
+                    wait.by_cause[static_cast<std::size_t>(place->cause)] +=
+                        std::min(passed, now - *task.idle_since);
                     const auto waited = now - *task.idle_since;
-                    if (waited < logged_wait) {
-                        continue;
-                    }
-                    auto place = describe_place(shard, job, stage, task, now);
-                    if (!place.empty()) {
+                    if (waited >= logged_wait) {
                         ++waiting;
-                        rows.push_back({waited, {id, number, stage.step, index}, std::move(place)});
+                        lines.push_back({waited, key, std::move(*place)});
                     }
                 }
             }
         }
     }
-    std::sort(rows.begin(), rows.end(),
-              [](const wait_row& a, const wait_row& b) { return a.waited > b.waited; });
-    rows.resize(std::min(rows.size(), logged_tasks));
-    for (const auto& row : rows) {
+    std::sort(lines.begin(), lines.end(),
+              [](const wait_line& a, const wait_line& b) { return a.waited > b.waited; });
+    lines.resize(std::min(lines.size(), logged_tasks));
+    for (const auto& line : lines) {
         shard.log->write_rare(
-            "event=task_waits task={}.{}.{}.{} shard={} waited_ms={} waiting={} place={}",
-            row.key.job.value, row.key.occurrence, row.key.step, row.key.index, shard.id.value,
-            row.waited.count(), waiting, row.place);
+            "event=task_waits task={}.{}.{}.{} shard={} waited_ms={} waiting={} {} place={}",
+            line.key.job.value, line.key.occurrence, line.key.step, line.key.index, shard.id.value,
+            line.waited.count(), waiting, describe_parts(shard.waits.at(line.key), line.waited),
+            line.place.text);
     }
 }
 
