shard_takeover, shard_disuse: don't begin the wait for a lost worker anew with each owner

What callers saw: LOST. Long-running tasks of a lost worker ran nowhere while the owners of their shard changed: each successor read the worker in the stored list, waited 5.3 to 7.8 s from its own claim, and was replaced before that was over.

Cause: what an owner learned in an incomplete takeover was kept in its memory only: that a former owner has no authority any more, since when, and that it has not used the worker itself. So each owner counted as one more that may have granted the worker a lease.

Change: the ownership record tells by when the leases of a former owner have ended, if nothing can give it its authority back (its host or its witnesses have promised; workers that restart forget). The list of workers has a promise for each inherited worker that doesn't answer: its owner grants it no lease before it has stored the list without the promise. At a planned stop it has one for each silent worker, with the end of the owner's own leases there. A successor waits for each worker by what may have been granted to it. Both count from their writes, brought up to date with each transaction, so a successor's count from its load is never too short.

--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -269,7 +269,7 @@
     }
     state.releasing = true;
     schedule_shard(shard);
-    if (!can_release(state)) {
+    if (!can_release(state, loop_.now())) {
         return;
     }
     shard_record record{state.id, state.data_centre, {}};
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -89,7 +89,8 @@
            !has_lapsed(shard, worker, now);
 }
 
-// Returns whether the workers in use differ from those in the stored list.
+// Returns whether the workers in use, or the promises about them, differ from those in the stored
+// list.
 bool has_new_worker_list(const shard_state& shard, time_point now) {
     auto stored = shard.stored_workers.begin();
     for (const auto& [id, worker] : shard.tables.workers) {
@@ -102,17 +103,7 @@
         }
         ++stored;
     }
-    return stored != shard.stored_workers.end();
-}
-
-worker_list find_used_workers(const shard_state& shard, time_point now) {
-    worker_list used;
-    for (const auto& [id, worker] : shard.tables.workers) {
-        if (is_used(shard, worker, now)) {
-            used.emplace_hint(used.end(), id, worker.entry.target.address);
-        }
-    }
-    return used;
+    return stored != shard.stored_workers.end() || !is_disuse_stored(shard, now);
 }
 
 // Returns the epochs of the owners that listed each worker first. A worker at another address
@@ -130,12 +121,16 @@
     return found;
 }
 
-std::string encode_worker_list(const shard_state& shard, const worker_list& listed) {
+std::string encode_worker_list(const shard_state& shard, const worker_list& listed,
+                               const disuse_list& disused) {
     const auto since = find_listed_since(shard, listed);
     std::vector<known_worker> rows;
     rows.reserve(listed.size());
     for (const auto& [id, address] : listed) {
-        rows.push_back({{id, address}, since.at(id)});
+        const auto promise = disused.find(id);
+        rows.push_back({{id, address},
+                        since.at(id),
+                        promise == disused.end() ? std::nullopt : std::optional(promise->second)});
     }
     return encode(rows);
 }
@@ -146,21 +141,35 @@
         return true; // without witnesses there is nothing to record
     }
     return stored.current.epoch == shard.epoch && stored.current.witnesses == shard.witnesses &&
-           std::equal(
-               stored.earlier.begin(), stored.earlier.end(), shard.former_owners.begin(),
-               shard.former_owners.end(),
-               [](const owner_term& term, const former_owner& row) { return term == row.term; });
+           std::equal(stored.earlier.begin(), stored.earlier.end(), shard.former_owners.begin(),
+                      shard.former_owners.end(),
+                      [](const owner_term& term, const former_owner& row) {
+                          return term.epoch == row.term.epoch &&
+                                 term.leases_end_in.has_value() == row.leases_end.has_value();
+                      });
 }
 
-ownership_record make_ownership_record(const shard_state& shard) {
+ownership_record make_ownership_record(const shard_state& shard, time_point now) {
     ownership_record record{{shard.epoch, shard.self, shard.witnesses}, {}};
     record.current.limit = shard.timing.unconfirmed_limit;
     for (const auto& former : shard.former_owners) {
-        record.earlier.push_back(former.term);
+        auto& term = record.earlier.emplace_back(former.term);
+        term.leases_end_in.reset();
+        if (former.leases_end) {
+            term.leases_end_in = std::max(duration(0), *former.leases_end - now);
+        }
     }
     return record;
 }
 
+// Returns whether the stored lists count times that pass while the takeover goes on. Each
+// transaction then brings them up to date, so that a successor waits for what is left of them only.
+bool has_running_times(const shard_state& shard) {
+    const auto has_end = [](const former_owner& row) { return row.leases_end.has_value(); };
+    return !shard.takeover_complete &&
+           std::any_of(shard.former_owners.begin(), shard.former_owners.end(), has_end);
+}
+
 // Returns whether what a successor has to know about this owner isn't stored yet.
 bool has_new_lists(const shard_state& shard, time_point now) {
     return has_new_worker_list(shard, now) || !is_ownership_stored(shard);
@@ -302,16 +311,20 @@
     next.conditions.push_back({claim_key(shard.id), shard.claim_revision});
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
-    commit.has_worker_list = has_new_worker_list(shard, now);
+    const bool running = has_running_times(shard);
+    commit.has_worker_list = has_new_worker_list(shard, now) || running;
     if (commit.has_worker_list) {
         commit.listed_workers = find_used_workers(shard, now);
+        commit.disused_workers = find_disused(shard, commit.listed_workers, now);
         next.puts.push_back(
-            {worker_list_key(shard.id), encode_worker_list(shard, commit.listed_workers), {}});
+            {worker_list_key(shard.id),
+             encode_worker_list(shard, commit.listed_workers, commit.disused_workers),
+             {}});
         ++builder.entries;
     }
     commit.ownership.reset();
-    if (!is_ownership_stored(shard)) {
-        commit.ownership = make_ownership_record(shard);
+    if (running || !is_ownership_stored(shard)) {
+        commit.ownership = make_ownership_record(shard, now);
         next.puts.push_back({ownership_key(shard.id), encode(*commit.ownership), {}});
         ++builder.entries;
     }
@@ -391,6 +404,7 @@
     if (commit.has_worker_list) {
         shard.listed_since = find_listed_since(shard, commit.listed_workers);
         shard.stored_workers = commit.listed_workers;
+        shard.stored_disuse = commit.disused_workers;
     }
     if (commit.ownership) {
         shard.stored_ownership = *commit.ownership;
@@ -489,6 +503,16 @@
     }
 }
 
+worker_list find_used_workers(const shard_state& shard, time_point now) {
+    worker_list used;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (is_used(shard, worker, now)) {
+            used.emplace_hint(used.end(), id, worker.entry.target.address);
+        }
+    }
+    return used;
+}
+
 const worker_list* find_pending_list(const commit_state& commit) {
     return commit.pending && commit.has_worker_list ? &commit.listed_workers : nullptr;
 }
@@ -546,6 +570,7 @@
         }
         if (!commit.dirty_since && has_new_lists(shard, now)) {
             commit.dirty_since = now;
+            commit.urgent = commit.urgent || shard.releasing; // the successor waits for it
         }
         if (!commit.dirty_since && !shard.releasing &&
             now >= commit.last_applied + shard.timing.progress_interval) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -55,6 +55,7 @@
             has_lapsed(shard, worker, now) && !shard.unreached_workers.contains(it->first);
         if (removable) {
             drop_reservations(shard.tables, worker);
+            shard.untouched_workers.erase(it->first);
             shard.log->write("event=worker_forgotten shard={} worker={}", shard.id.value,
                              it->first.value);
             it = shard.tables.workers.erase(it);
@@ -79,11 +80,12 @@
         // worker may reply, and its run ends use the same numbers again.
         const bool same_incarnation = steady && now <= worker.replied_at + shard.timing.reply_age;
         command.acknowledged = same_incarnation ? worker.acknowledged_end : 0;
-        if (steady && authority) {
+        const bool disused = is_disused(shard, id);
+        if (steady && authority && !disused) {
             command.lease_until = next_lease(shard, worker, now);
             worker.lease_until = std::max(worker.lease_until, *command.lease_until);
         }
-        command.wait = !steady                    ? duration(0)
+        command.wait = !steady || disused         ? duration(0)
                        : is_shared(shard, worker) ? shard.timing.shared_hold_wait
                                                   : shard.timing.hold_wait;
         worker.hold_in_flight = true;
@@ -182,6 +184,10 @@
                 shard.unreached_workers.insert_or_assign(worker.target.id, worker.target.address);
                 shard.stored_workers.insert_or_assign(worker.target.id, worker.target.address);
                 shard.listed_since[worker.target.id] = worker.since;
+                shard.untouched_workers.insert(worker.target.id);
+                if (worker.disuse) {
+                    shard.predecessor_disuse.emplace(worker.target.id, *worker.disuse);
+                }
             }
         } else if (entry.key == ownership_key(shard.id)) {
             auto record = parse_ownership(entry.value);
@@ -459,13 +465,14 @@
     send_holds(shard, now, actions);
 }
 
-bool can_release(const shard_state& shard) {
+bool can_release(const shard_state& shard, time_point now) {
     const auto& commit = shard.commit;
     const auto unstored = [&](const auto& row) {
         const auto job = shard.tables.jobs.find(row.first);
         return job != shard.tables.jobs.end() && job->second.stored_version < job->second.version;
     };
     return !commit.in_flight && !commit.pending && shard.submissions.empty() &&
+           is_disuse_stored(shard, now) &&
            std::none_of(shard.cancellations.begin(), shard.cancellations.end(), unstored);
 }
 
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -61,6 +61,9 @@
     // Delay of the next hold while run ends aren't stored yet. The worker replies to such a hold
     // immediately, because it repeats run ends that aren't acknowledged.
     duration unstored_hold_interval{300};
+    // Delay of the next hold while the stored list says that this owner leaves the worker alone.
+    // The lease is renewed by the first one after a list without that was stored.
+    duration disused_hold_interval{200};
     // A worker may have restarted this long after it sent a reply. More than the interval above.
     duration reply_age{500};
     // A worker's clock may be 2% slow. The margin is added when checking whether a lease has ended;
@@ -223,6 +226,9 @@
 // at another address; the list then has to name that one before a run starts there.
 using worker_list = std::map<worker_id, socket_address>;
 
+// Promises of owners not to use workers, by worker.
+using disuse_list = std::map<worker_id, worker_disuse>;
+
 // State of group commit. Only one transaction is pending at a time. While its outcome is unknown,
 // the same transaction is sent again; its condition on the head's revision makes sure that it takes
 // effect at most once.
@@ -252,6 +258,7 @@
     std::vector<job_id> borrowed_jobs;         // borrowed jobs first stored in the transaction
     bool has_worker_list = false;              // the transaction includes the worker list
     worker_list listed_workers;                // the worker list in the transaction
+    disuse_list disused_workers;               // the promises in it
     std::optional<ownership_record> ownership; // the ownership record in the transaction
     time_point next_attempt;                   // earliest time of the next attempt
     std::uint64_t attempts = 0;                // number of attempts that were sent
@@ -267,8 +274,12 @@
 struct former_owner {
     owner_term term;
     // Since when too few witnesses or workers accept it. Until a confirmation window later it may
-    // renew leases.
+    // renew leases. Workers that restart accept it again.
     std::optional<time_point> refused_since{};
+    // Since when too few witnesses may confirm it. They don't do so any more.
+    std::optional<time_point> fenced_since{};
+    // By when its last lease has ended, if nothing can give it its authority back.
+    std::optional<time_point> leases_end{};
 };
 
 // What a task without a run waits for: that the takeover is complete; that another shard answers
@@ -305,6 +316,9 @@
     // The stored worker list as it was loaded, with the epochs of the owners that listed each
     // first.
     std::map<worker_id, epoch_number> predecessor_workers;
+    disuse_list predecessor_disuse; // the promises in it
+    // Those of them that have listed no runs to this owner, so it has granted them no lease.
+    std::set<worker_id> untouched_workers;
     std::vector<former_owner> former_owners; // empty once the takeover is complete
     bool takeover_complete = false;          // no run of a predecessor can be unknown to this owner
     time_point loaded_at;                    // when the shard's records were loaded
@@ -328,6 +342,7 @@
     std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
     worker_list stored_workers;                                 // in the worker list in the store
     std::map<worker_id, epoch_number> listed_since;             // see known_worker::since
+    disuse_list stored_disuse;                                  // this owner's promises there
     ownership_record stored_ownership;                          // epoch 0: none
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
@@ -488,10 +503,10 @@
 // send.
 void advance(shard_state& shard, time_point now, unix_time unix_now, shard_actions& actions);
 
-// Returns whether the shard can be released without loss: no transaction is pending and no caller
-// waits for one. Run ends that aren't stored weren't acknowledged, so workers report them again to
-// the successor.
-bool can_release(const shard_state& shard);
+// Returns whether the shard can be released without loss: no transaction is pending, no caller
+// waits for one, and it is stored which workers this owner leaves alone. Run ends that aren't
+// stored weren't acknowledged, so workers report them again to the successor.
+bool can_release(const shard_state& shard, time_point now);
 
 // Returns whether the claim must be read from the store because it isn't confirmed otherwise.
 bool needs_claim_check(const shard_state& shard, time_point now);
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -189,6 +189,22 @@
 // pending transaction takes effect. A successor then expects runs of this owner on it.
 bool is_stored(const shard_state& shard, const worker_target& worker);
 
+// Returns the workers that this owner leaves alone: those of the inherited list that don't answer,
+// and while the shard is being released all others that don't. A successor then waits for the
+// leases of others only.
+disuse_list find_disused(const shard_state& shard, const worker_list& listed, time_point now);
+
+// Returns whether the stored list, or the one in the pending transaction, has a promise of this
+// owner not to use the worker.
+bool is_disused(const shard_state& shard, const worker_id& id);
+
+// Returns whether the promises that a successor could use are stored.
+bool is_disuse_stored(const shard_state& shard, time_point now);
+
+// Returns the workers that a successor has to consider: runs of this owner or of a former one may
+// be on them.
+worker_list find_used_workers(const shard_state& shard, time_point now);
+
 // Returns whether starts on the worker pause because it refused some or its runs failed. After a
 // pause it gets one task, and further ones once that has succeeded.
 bool is_paused(const worker_row& worker, time_point now);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -320,7 +320,7 @@
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
            worker.listed && !worker.entry.draining && !is_paused(worker, now) &&
-           is_stored(shard, worker.entry.target);
+           is_stored(shard, worker.entry.target) && !is_disused(shard, worker.entry.target.id);
 }
 
 bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -103,22 +103,53 @@
 }
 
 json encode_term(const owner_term& term) {
-    return {{"epoch", term.epoch},
-            {"owner", term.owner},
-            {"witnesses", term.witnesses.spread},
-            {"local", term.witnesses.local},
-            {"rests_on", static_cast<int>(term.rests_on)},
-            {"limit_ms", term.limit.count()}};
+    json out{{"epoch", term.epoch},
+             {"owner", term.owner},
+             {"witnesses", term.witnesses.spread},
+             {"local", term.witnesses.local},
+             {"rests_on", static_cast<int>(term.rests_on)},
+             {"limit_ms", term.limit.count()}};
+    if (term.leases_end_in) {
+        out["leases_end_in_ms"] = term.leases_end_in->count();
+    }
+    return out;
 }
 
 owner_term decode_term(const json& from) {
-    // Earlier versions store neither local witnesses nor a limit.
-    return {
+    // Earlier versions store neither local witnesses nor a limit nor an end.
+    owner_term term{
         from.at("epoch").get<epoch_number>(),
         from.at("owner").get<host_id>(),
         {from.at("witnesses").get<std::set<host_id>>(), from.value("local", std::set<host_id>())},
         static_cast<owner_term::support>(from.at("rests_on").get<int>()),
         duration(from.value("limit_ms", default_unconfirmed_limit.count()))};
+    if (from.contains("leases_end_in_ms")) {
+        term.leases_end_in = duration(from.at("leases_end_in_ms").get<std::int64_t>());
+    }
+    return term;
+}
+
+// Formats a promise as the end of its worker's row.
+void append_disuse(json& row, const worker_disuse& disuse) {
+    row.push_back(disuse.by);
+    row.push_back(disuse.last_user);
+    if (disuse.leases_end_in) {
+        row.push_back(disuse.leases_end_in->count());
+    }
+}
+
+// Reads the promise in a worker's row, if there is one.
+std::optional<worker_disuse> decode_disuse(const json& row) {
+    constexpr std::size_t begin = 3;
+    constexpr std::size_t end = 5;
+    if (row.size() < end) {
+        return std::nullopt;
+    }
+    worker_disuse disuse{row.at(begin).get<epoch_number>(), row.at(begin + 1).get<epoch_number>()};
+    if (row.size() > end) {
+        disuse.leases_end_in = duration(row.at(end).get<std::int64_t>());
+    }
+    return disuse;
 }
 
 // Runs a parser that may throw, and returns a failure as an error value.
@@ -188,6 +219,9 @@
     json rows = json::array();
     for (const auto& worker : record) {
         rows.push_back({worker.target.id, to_string(worker.target.address), worker.since});
+        if (worker.disuse) {
+            append_disuse(rows.back(), *worker.disuse);
+        }
     }
     return rows.dump();
 }
@@ -231,7 +265,8 @@
             const auto address = parse_address(row.at(1).get<std::string>());
             workers.push_back(
                 {{row.at(0).get<worker_id>(), address ? address.value() : socket_address{}},
-                 row.size() > 2 ? row.at(2).get<epoch_number>() : epoch_number{}});
+                 row.size() > 2 ? row.at(2).get<epoch_number>() : epoch_number{},
+                 decode_disuse(row)});
         }
         return workers;
     });
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -4,6 +4,7 @@
 #include "fulmar/json.hpp"
 #include "shard_tables.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -55,10 +56,25 @@
 // owners of earlier versions.
 inline constexpr duration default_unconfirmed_limit{600'000};
 
-// A worker that may run tasks of the shard. A successor must reach it or wait for its lease to end.
+// A promise that an owner stores with the worker list: it grants the worker no lease before it has
+// stored the list without the promise.
+struct worker_disuse {
+    epoch_number by{}; // the owner that promises
+    // The last owner that may have granted the worker a lease; no later one up to `by` has.
+    epoch_number last_user{};
+    // By when all leases that owners up to `by` granted have ended, counted from when the list was
+    // written; nothing if that depends on the former owners.
+    std::optional<duration> leases_end_in{};
+
+    bool operator==(const worker_disuse&) const = default;
+};
+
+// A worker that may run tasks of the shard. A successor must reach it or wait for its leases to
+// end.
 struct known_worker {
     worker_target target;
     epoch_number since{}; // of the owner that listed it first; 0: listed by an earlier version
+    std::optional<worker_disuse> disuse{};
 };
 
 // Hosts that confirm an owner while the store doesn't, by name. Its own host is one of each.
@@ -85,6 +101,9 @@
     support rests_on = support::either_witnesses;
     // For how long the owner goes on after the store has confirmed it last.
     duration limit = default_unconfirmed_limit;
+    // Of an earlier owner: by when the last lease that it may have granted has ended, counted from
+    // when the record was written. Set only if nothing can give it its authority back.
+    std::optional<duration> leases_end_in{};
 
     bool operator==(const owner_term&) const = default;
 };
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -183,6 +183,7 @@
     }
     worker.inventoried = true;
     shard.unreached_workers.erase(worker.entry.target.id);
+    shard.untouched_workers.erase(worker.entry.target.id);
 }
 
 // Returns when a worker sent the reply that is processed now. A reply to a host that stood still
@@ -454,8 +455,12 @@
     }
     process_run_lists(shard, worker, report, sent, now, unix_now);
     pace_fillers(shard, worker, now);
-    worker.next_hold =
-        worker.unacknowledged_ends.empty() ? now : now + shard.timing.unstored_hold_interval;
+    if (is_disused(shard, id)) {
+        worker.next_hold = now + shard.timing.disused_hold_interval;
+    } else {
+        worker.next_hold =
+            worker.unacknowledged_ends.empty() ? now : now + shard.timing.unstored_hold_interval;
+    }
 }
 
 void on_start_reply(shard_state& shard, const run_key& key, const result<command_reply>& reply,
--- a/src/shard_takeover.cpp
+++ b/src/shard_takeover.cpp
@@ -108,21 +108,82 @@
     return false;
 }
 
-// Returns when the last lease that a former owner may have granted ends; nothing if that isn't
-// known yet.
-std::optional<time_point> find_last_lease_end(const shard_state& shard,
-                                              const former_owner& former) {
-    const auto& timing = shard.timing;
-    const auto lease =
-        timing.lease * (100 + timing.clock_drift_percent) / 100 + timing.lease_margin * 2;
+// Returns whether a former owner has lost its authority for good, but for what the store confirmed
+// before this owner's claim. Witnesses keep their promises; workers that restart don't.
+bool is_fenced(const shard_state& shard, const owner_term& term) {
+    switch (term.rests_on) {
+    case owner_term::support::spread_witnesses:
+    case owner_term::support::either_witnesses:
+        return !may_be_confirmed(shard, term);
+    case owner_term::support::workers:
+        return false;
+    case owner_term::support::nothing:
+        return true;
+    }
+    return false;
+}
+
+// The longest time for which a lease may last after its owner sent it.
+duration longest_lease_of(const shard_timing& timing) {
+    return timing.lease * (100 + timing.clock_drift_percent) / 100 + timing.lease_margin * 2;
+}
+
+// Updates what is known of a former owner: whether it is refused, and when its last lease ends.
+void update_former_owner(const shard_state& shard, former_owner& former, time_point now) {
+    if (!is_refused(shard, former.term)) {
+        former.refused_since.reset();
+    } else if (!former.refused_since) {
+        former.refused_since = now;
+    }
+    const auto lease = longest_lease_of(shard.timing);
+    const auto end_by = [&](time_point end) {
+        former.leases_end = std::min(former.leases_end.value_or(end), end);
+    };
+    if (former.term.leases_end_in) {
+        end_by(shard.loaded_at + *former.term.leases_end_in);
+    }
     const auto own_host = shard.fenced_witnesses.find(host_name_of(former.term.owner));
     if (own_host != shard.fenced_witnesses.end()) {
-        return own_host->second + lease; // its process has ended or given the shard up
+        end_by(own_host->second + lease); // its process has ended or given the shard up
+    }
+    if (is_fenced(shard, former.term)) {
+        former.fenced_since = former.fenced_since.value_or(now);
+        end_by(*former.fenced_since + shard.timing.confirmation_window + lease);
+    }
+}
+
+// Returns whether the last lease that a former owner may have granted has ended.
+bool have_leases_ended(const shard_state& shard, const former_owner& former, time_point now) {
+    if (former.leases_end && now >= *former.leases_end) {
+        return true;
     }
-    if (former.refused_since) {
-        return *former.refused_since + timing.confirmation_window + lease;
+    return former.refused_since && now >= *former.refused_since + shard.timing.confirmation_window +
+                                              longest_lease_of(shard.timing);
+}
+
+// Returns whether a former owner may have granted a worker a lease whose end its list doesn't tell.
+bool may_have_leased(const shard_state& shard, const owner_term& term, const worker_id& id) {
+    if (term.epoch < shard.predecessor_workers.at(id)) {
+        return false; // listed by a later owner
+    }
+    const auto promise = shard.predecessor_disuse.find(id);
+    if (promise == shard.predecessor_disuse.end() || term.epoch > promise->second.by) {
+        return true;
     }
-    return std::nullopt;
+    return !promise->second.leases_end_in && term.epoch <= promise->second.last_user;
+}
+
+// Returns whether all leases that former owners may have granted a worker have ended.
+bool has_no_lease(const shard_state& shard, const worker_id& id, time_point now) {
+    const auto promise = shard.predecessor_disuse.find(id);
+    const bool ends_later = promise != shard.predecessor_disuse.end() &&
+                            promise->second.leases_end_in &&
+                            now < shard.loaded_at + *promise->second.leases_end_in;
+    return !ends_later && std::none_of(shard.former_owners.begin(), shard.former_owners.end(),
+                                       [&](const former_owner& former) {
+                                           return may_have_leased(shard, former.term, id) &&
+                                                  !have_leases_ended(shard, former, now);
+                                       });
 }
 
 // Logs what an incomplete takeover waits for: the workers that were not reached, and the inherited
@@ -282,7 +343,8 @@
 // The wait for a worker of the stored list ends as soon as
 // - the worker lists its runs in reply to this owner's epoch, which it then enforces;
 // - another worker answers at its address, so the process and its runs have ended.
-// The wait for all others ends when their leases have. No former owner renews one
+// The wait for each other one ends when the leases have that former owners may have granted it:
+// what they promised in the stored list tells which. No former owner renews one
 // - after its own host has told that it doesn't act any more;
 // - a confirmation window after half of its workers refuse it, or half of its spread and half of
 // its
@@ -294,17 +356,12 @@
     if (shard.takeover_complete) {
         return;
     }
-    bool waited = true;
     for (auto& former : shard.former_owners) {
-        if (!is_refused(shard, former.term)) {
-            former.refused_since.reset();
-        } else if (!former.refused_since) {
-            former.refused_since = now;
-        }
-        const auto end = find_last_lease_end(shard, former);
-        waited = waited && end && now >= *end;
+        update_former_owner(shard, former, now);
     }
-    if (shard.unreached_workers.empty() || waited || now >= *find_takeover_limit(shard)) {
+    std::erase_if(shard.unreached_workers,
+                  [&](const auto& row) { return has_no_lease(shard, row.first, now); });
+    if (shard.unreached_workers.empty() || now >= *find_takeover_limit(shard)) {
         shard.log->write_rare("event=takeover_settled shard={} epoch={} unreached={} age_ms={}",
                               shard.id.value, shard.epoch.value, shard.unreached_workers.size(),
                               (now - shard.loaded_at).count());
