shard_parking: place a task that had no run before its owner was lost

A long-running task that already waited when its owner was lost (for room, a grant, or permission to start) waited besides until the next owner's takeover was complete: in the users' record the first task had had no run for 20 s when the closing fault struck, and waited for 30 s more.

Cause: starts aren't stored, so a successor took each task without a known run for one that may run on a worker that doesn't answer. The last owner knew better, but said so nowhere. The wait was also one for all tasks of a job that was accepted before, also for those that another shard returned or offered after the claim.

Change: a long-running task that has had no run for a second is stored as parked, with the promise that its owner stores it as not parked before it starts it. A successor places, lends and requests room for parked tasks at once, and for tasks that were lent or offered anew. Since when a task waits is stored with that, so task_waits and task_wait_ended count over owners. A parked task can't start while the store doesn't answer, so nothing is parked while it is slow.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -454,6 +454,7 @@
         place_tasks(shard, now, actions);
     }
     log_waiting_tasks(shard, now);
+    park_waiting_tasks(shard, now);
     regroup_tasks(shard, now);
     serve_room_requests(shard, now, now);
     drain_long_running_tasks(shard, now);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -401,6 +401,7 @@
     bool placement_needed = true; // set when something changed since the last placement
     time_point next_purge;
     std::map<task_key, task_wait> waits; // of long-running tasks
+    time_point next_parking;
     time_point last_wait_check;
     time_point next_wait_check;
     // Work of placement since the last report: rounds, and pairs of task and worker compared.
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -252,6 +252,15 @@
 // Jobs with long-running steps and jobs with due times always count as in time.
 timeliness predict_timeliness(const shard_state& shard, const job_row& job);
 
+// Returns whether no run of a task that a former owner started can be unknown to this one.
+bool is_settled(const shard_state& shard, const job_row& job, const task_row& task);
+
+// Parks long-running tasks that have had no run for a while.
+void park_waiting_tasks(shard_state& shard, time_point now);
+
+// Has it stored that a task isn't parked any more. Returns whether it is, so that it may start.
+bool unpark(shard_state& shard, job_row& job, task_row& task, time_point now);
+
 // Logs the long-running tasks that don't run, with what each of them waits for.
 void log_waiting_tasks(shard_state& shard, time_point now);
 
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -209,9 +209,6 @@
 // Returns tasks to the lender that found no room here within `return_after`, or within
 // `return_unreserved_after` if they could reserve none or are stranded.
 void return_unplaced(shard_state& shard, job_row& job, borrowed_tasks& loan, time_point now) {
-    if (!shard.takeover_complete && job.inherited) {
-        return; // a run of a task, started by an earlier owner of this shard, may still be unknown
-    }
     if (loan.since == time_point{}) {
         loan.since = now;
     }
@@ -230,7 +227,8 @@
         const auto limit = stranded || (reservable && !task.reserved_worker)
                                ? shard.timing.return_unreserved_after
                                : shard.timing.return_after;
-        if (stage.waiting.contains(index) && task.loan == loan.loan && now >= loan.since + limit) {
+        if (stage.waiting.contains(index) && is_settled(shard, job, task) &&
+            task.loan == loan.loan && now >= loan.since + limit) {
             stage.waiting.erase(index);
             drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
             report_task(shard, job, task, loan_result::returned, now);
@@ -341,11 +339,14 @@
 
 // Returns the waiting tasks that may be lent for room of this kind: those without reserved room
 // here, then the others if the data centre is out of service or the room is free.
-std::vector<std::uint32_t> find_lendable(const shard_state& shard, const stage_row& stage,
-                                         room_kind kind) {
+std::vector<std::uint32_t> find_lendable(const shard_state& shard, const job_row& job,
+                                         const stage_row& stage, room_kind kind) {
     std::vector<std::uint32_t> found;
     std::vector<std::uint32_t> reserved;
     for (const auto index : stage.waiting) {
+        if (!is_settled(shard, job, stage.tasks[index])) {
+            continue;
+        }
         (stage.tasks[index].reserved_worker ? reserved : found).push_back(index);
     }
     if (!shard.data_centre_open || kind == room_kind::free_now) {
@@ -359,7 +360,7 @@
 bool lend_to_published_room(shard_state& shard, job_row& job, stage_row& stage, room_kind kind,
                             time_point now) {
     const auto& step = job.spec.steps[stage.step];
-    auto tasks = find_lendable(shard, stage, kind);
+    auto tasks = find_lendable(shard, job, stage, kind);
     const auto [best, most] = find_borrower(shard, job, stage, kind, now);
     if (tasks.empty() || best == nullptr || (step.gang && most < step.count)) {
         return false;
@@ -451,6 +452,7 @@
         drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
         stage.tasks[index].not_local = true;
         stage.tasks[index].loan = loan.number;
+        stage.tasks[index].parked = false; // the loan tells the same
         loan.tasks.insert(index);
     }
     job.loans[loan.number] = other.shard;
@@ -483,7 +485,7 @@
     }
     while (lend_to_published_room(shard, job, stage, room_kind::after_short_tasks, now)) {
     }
-    if (!find_lendable(shard, stage, room_kind::after_short_tasks).empty()) {
+    if (!find_lendable(shard, job, stage, room_kind::after_short_tasks).empty()) {
         log_no_room(shard, job, stage, now);
     }
 }
--- /dev/null
+++ b/src/shard_parking.cpp
@@ -0,0 +1,78 @@
+// Parked tasks: a long-running task that has had no run for a while is stored as such, and its
+// owner stores that it isn't any more before it starts it. So the next owner knows that the task
+// runs nowhere, and places or lends it while its takeover still waits for workers.
+#include "shard_internal.hpp"
+
+namespace fulmar {
+
+namespace {
+
+constexpr duration parking_interval{500};
+
+// A task that waits for less is on its usual way to a worker, which parking would delay by a
+// transaction.
+constexpr duration park_after{1'000};
+
+// After a task was about to start. Limits the transactions for one that workers refuse.
+constexpr duration parking_pause{2'000};
+
+// While the store answers late or not at all, a parked task could not start.
+constexpr duration store_limit{1'000};
+
+bool may_park(const shard_state& shard, const job_row& job, const task_row& task, time_point now) {
+    return !task.parked && task.idle_since && now - *task.idle_since >= park_after &&
+           now >= task.no_parking_before && job.stored_version >= task.parking_version &&
+           is_settled(shard, job, task);
+}
+
+} // namespace
+
+bool is_settled(const shard_state& shard, const job_row& job, const task_row& task) {
+    return shard.takeover_complete || !job.inherited || task.settled;
+}
+
+void park_waiting_tasks(shard_state& shard, time_point now) {
+    if (now < shard.next_parking) {
+        return;
+    }
+    shard.next_parking = now + parking_interval;
+    if (shard.commit.unconfirmed || now > shard.commit.last_applied + store_limit) {
+        return;
+    }
+    for (const auto& id : shard.active) {
+        auto& job = shard.tables.jobs.at(id);
+        bool changed = false;
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (auto& stage : occurrence.stages) {
+                const auto& step = job.spec.steps[stage.step];
+                if (!stage.open || !step.long_running || step.gang) {
+                    continue;
+                }
+                for (const auto index : stage.waiting) {
+                    auto& task = stage.tasks[index];
+                    if (may_park(shard, job, task, now)) {
+                        task.parked = true;
+                        task.parking_version = job.version + 1;
+                        changed = true;
+                    }
+                }
+            }
+        }
+        if (changed) {
+            shard.counters->count("jobs_parked");
+            record_change(shard, job, false, now);
+        }
+    }
+}
+
+bool unpark(shard_state& shard, job_row& job, task_row& task, time_point now) {
+    if (task.parked) {
+        task.parked = false;
+        task.no_parking_before = now + parking_pause;
+        record_change(shard, job, true, now);
+        task.parking_version = job.version;
+    }
+    return job.stored_version >= task.parking_version;
+}
+
+} // namespace fulmar
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -100,6 +100,14 @@
     return failed == nullptr || failed->change != shard.tables.searches.change;
 }
 
+// Returns whether any waiting task of a stage may start or be lent. The others may run on a worker
+// of a predecessor without this owner's knowledge.
+bool has_settled(const shard_state& shard, const job_row& job, const stage_row& stage) {
+    return std::any_of(stage.waiting.begin(), stage.waiting.end(), [&](std::uint32_t index) {
+        return is_settled(shard, job, stage.tasks[index]);
+    });
+}
+
 // Returns the stages with tasks that wait, in the order in which they get room. If not `all`, only
 // those of which tasks may start.
 std::vector<candidate> find_candidates(shard_state& shard, bool all, time_point now) {
@@ -111,15 +119,13 @@
             std::any_of(job.borrowed.begin(), job.borrowed.end(), [&](const borrowed_tasks& loan) {
                 return loan.version > job.stored_version;
             });
-        // Until the takeover is complete, the task may already run on a worker of a predecessor
-        // without this owner's knowledge.
-        if (unstored || (!shard.takeover_complete && job.inherited)) {
+        if (unstored) {
             continue;
         }
         std::optional<timeliness> expected;
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
-                if (!stage.open || stage.waiting.empty()) {
+                if (!stage.open || !has_settled(shard, job, stage)) {
                     continue;
                 }
                 if (!stage.ready_since) {
@@ -263,9 +269,12 @@
     actions.starts.push_back({worker.entry.target, std::move(command)});
 }
 
-// Returns the waiting tasks of a stage, those with reserved room first.
-std::vector<std::uint32_t> order_waiting(const stage_row& stage) {
+// Returns the waiting tasks of a stage that may start, those with reserved room first.
+std::vector<std::uint32_t> order_waiting(const shard_state& shard, const job_row& job,
+                                         const stage_row& stage) {
     std::vector<std::uint32_t> order(stage.waiting.begin(), stage.waiting.end());
+    std::erase_if(order,
+                  [&](std::uint32_t index) { return !is_settled(shard, job, stage.tasks[index]); });
     std::stable_partition(order.begin(), order.end(), [&](std::uint32_t index) {
         return stage.tasks[index].reserved_worker.has_value();
     });
@@ -279,7 +288,7 @@
     if (step.gang && is_stranded(shard, *next.job, *next.stage)) {
         return; // its members can't be present together here
     }
-    for (const auto index : order_waiting(*next.stage)) {
+    for (const auto index : order_waiting(shard, *next.job, *next.stage)) {
         auto& task = next.stage->tasks[index];
         auto* worker = choose_worker(shard, next, step, index, now);
         const task_key key{next.job->id, next.stage->occurrence, next.stage->step, index};
@@ -293,6 +302,10 @@
         if (worker == nullptr) {
             return;
         }
+        if (!unpark(shard, *next.job, task, now)) {
+            reserve(shard, key, step.need, *worker, now); // until that is stored
+            continue;
+        }
         start_task(shard, next, index, next_run(shard, task), *worker, now, actions);
         if (step.filler) {
             plan_paces(shard, *worker, now);
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -43,17 +43,35 @@
     }
 }
 
+// Formats that a task is parked as the end of its row: since when it has waited.
+void append_parking(json& row, const task_row& task) {
+    if (task.parked) {
+        row.push_back(task.waiting_since);
+    }
+}
+
+// Reads it back. Earlier versions park no tasks.
+void decode_parking(const json& row, task_row& task) {
+    constexpr std::size_t position = 5;
+    if (row.size() > position) {
+        task.parked = true;
+        task.settled = true;
+        task.waiting_since = row.at(position).get<unix_time>();
+    }
+}
+
 // Formats what a successor needs to know about the tasks that aren't done.
 json encode_tasks(const stage_row& stage) {
     json rows = json::array();
     for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
         const auto& task = stage.tasks[index];
         const bool blank = task.failed_runs.empty() && task.last_run.value == 0 &&
-                           task.checkpoint.empty() && task.loan == 0;
+                           task.checkpoint.empty() && task.loan == 0 && !task.parked;
         if (task.done || blank) {
             continue;
         }
         rows.push_back({index, task.failed_runs, task.last_run.value, task.checkpoint, task.loan});
+        append_parking(rows.back(), task);
     }
     return rows;
 }
@@ -68,6 +86,7 @@
             const auto& task = stage.tasks[index];
             tasks.push_back({index, static_cast<int>(task.result), task.failed_runs,
                              task.last_run.value, task.checkpoint});
+            append_parking(tasks.back(), task);
         }
         rows.push_back({loan.loan, loan.occurrence, loan.step, loan.withdrawn, std::move(tasks)});
     }
@@ -91,6 +110,7 @@
             task.failed_runs = entry.at(2).get<std::vector<run_number>>();
             task.last_run = entry.at(3).get<run_number>();
             task.checkpoint = entry.at(4).get<std::string>();
+            decode_parking(entry, task);
             task.done = task.result == loan_result::done;
             task.not_local = loan.withdrawn || task.result != loan_result::pending;
             if (!task.not_local) {
@@ -475,8 +495,11 @@
                 task.last_run = entry.at(2).get<run_number>();
                 task.checkpoint = entry.at(3).get<std::string>();
                 task.loan = entry.at(4).get<std::uint64_t>();
+                decode_parking(entry, task);
                 if (task.loan != 0) {
                     task.not_local = true;
+                    task.settled =
+                        !job.spec.steps[stage.step].gang; // it was lent because it had no run here
                     stage.waiting.erase(entry.at(0).get<std::uint32_t>());
                 }
             }
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -344,6 +344,7 @@
                  time_point now) {
     task.result = result;
     task.not_local = true;
+    task.parked = false;
     record_change(shard, job, true, now);
     task.result_version = job.version;
 }
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -127,10 +127,10 @@
 };
 
 // Returns whether room is requested for a task: it waits, or it has to leave its worker.
-bool needs_room(const shard_state& shard, const stage_row& stage, const task_key& key,
-                time_point now) {
+bool needs_room(const shard_state& shard, const job_row& job, const stage_row& stage,
+                const task_key& key, time_point now) {
     if (stage.waiting.contains(key.index)) {
-        return true;
+        return is_settled(shard, job, stage.tasks[key.index]);
     }
     const auto leaving = shard.leaving_tasks.find(key);
     return leaving != shard.leaving_tasks.end() && now < leaving->second + leaving_validity &&
@@ -154,7 +154,7 @@
             if (!loan->second.accepted && !loan->second.withdrawn) {
                 wanted.push_back({since, key, &job, loan->second.to});
             }
-        } else if ((due || leaving) && needs_room(shard, stage, key, now)) {
+        } else if ((due || leaving) && needs_room(shard, job, stage, key, now)) {
             wanted.push_back({std::min(since, task.idle_since.value_or(now)), key, &job, {}});
         }
     }
@@ -175,7 +175,7 @@
     std::vector<wanted_room> wanted;
     for (const auto& id : shard.active) {
         const auto& job = shard.tables.jobs.at(id);
-        if (is_borrowed(job) || (!shard.takeover_complete && job.inherited)) {
+        if (is_borrowed(job)) {
             continue;
         }
         for (const auto& [number, occurrence] : job.occurrences) {
@@ -417,6 +417,9 @@
     std::map<shard_id, std::vector<std::uint32_t>> lendable;
     for (const auto index : stage.waiting) {
         const task_key key{job.id, stage.occurrence, stage.step, index};
+        if (!is_settled(shard, job, stage.tasks[index])) {
+            continue;
+        }
         if (const auto* granter = find_granter(shard, key, now)) {
             lendable[granter->shard].push_back(index);
             shard.granted_rooms.erase(key);
@@ -526,7 +529,7 @@
         const auto* stage = find_stage(shard.tables, key);
         const auto* granter = find_granter(shard, key, now);
         if (stage == nullptr || key.index >= stage->tasks.size() ||
-            !needs_room(shard, *stage, key, now) ||
+            !needs_room(shard, shard.tables.jobs.at(key.job), *stage, key, now) ||
             (granter != nullptr && granter->shard != from)) {
             continue;
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -171,6 +171,12 @@
     // offered with the task.
     std::optional<time_point> idle_since;
     unix_time waiting_since{}; // 0: it doesn't wait
+    // See shard_parking.cpp.
+    bool parked = false;
+    std::uint64_t parking_version = 0; // of the job's record with the last change of `parked`
+    time_point no_parking_before;
+    // No run of it that a former owner started can be unknown to this one.
+    bool settled = false;
 };
 
 // One step of one occurrence.
--- a/src/shard_waits.cpp
+++ b/src/shard_waits.cpp
@@ -71,7 +71,7 @@
         return wait_place{wait_cause::unstored, fmt::format("unstored version={} stored_version={}",
                                                             job.version, job.stored_version)};
     }
-    if (!shard.takeover_complete && job.inherited) {
+    if (!is_settled(shard, job, task)) {
         return wait_place{wait_cause::takeover, describe_takeover(shard, now)};
     }
     const bool permitted =
@@ -79,8 +79,9 @@
     const auto waited = stage.ready_since ? (now - *stage.ready_since).count() : std::int64_t{-1};
     return wait_place{
         permitted ? wait_cause::room : wait_cause::permission,
-        fmt::format("{} reserved_on={} room_wait_ms={} data_centre_open={} starts_allowed={}",
-                    is_borrowed(job) ? "borrowed" : "own",
+        fmt::format("{} parked={} reserved_on={} room_wait_ms={} data_centre_open={} "
+                    "starts_allowed={}",
+                    is_borrowed(job) ? "borrowed" : "own", task.parked,
                     task.reserved_worker ? task.reserved_worker->value : std::string(), waited,
                     shard.data_centre_open, shard.starts_allowed)};
 }
--- a/tests/owner_changes_test.cpp
+++ b/tests/owner_changes_test.cpp
@@ -127,4 +127,29 @@
     }
 }
 
+// LOST: a task that had waited for room before its owner was lost, and so ran nowhere, waited
+// besides until the next owner's takeover was complete.
+TEST_CASE("a task that had no run under the former owner doesn't wait for the takeover") {
+    for (std::uint64_t seed = 11; seed <= 14; ++seed) {
+        INFO("seed " << seed);
+        sim_world world(seed, {"east", "west"}, 3);
+        world.evacuate("west", true);
+        fill_shard(world);
+        world.evacuate("east", true);
+        lose_busy_worker(world);
+        world.run_for(duration(9'000));
+        const auto waiting = jobs * tasks_each - count_running(world);
+        REQUIRE(waiting > 0);
+        // What this one ran is unknown to the successor for 5.3 s or more.
+        lose_busy_worker(world);
+        const auto known = count_running(world);
+        end_owner(world, leaving::killed);
+        world.evacuate("west", false);
+        CHECK(world.run_until([&] { return count_running(world) >= known + waiting; },
+                              claim_limit + duration(2'000)));
+        CHECK(world.run_until([&] { return all_run(world); }, lease_limit + duration(2'000)));
+        check_guarantees(world);
+    }
+}
+
 } // namespace fulmar
--- /dev/null
+++ b/tests/owner_promises_test.cpp
@@ -0,0 +1,176 @@
+// What an owner may do with a task or a worker that a record says it leaves alone, and what its
+// successor makes of that record.
+#include "shard_internal.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fulmar;
+
+namespace {
+
+constexpr unix_time wall_clock{1'700'000'000'000};
+const job_id watch{"00000000000000aa"};
+
+// A shard that its second owner has loaded: two workers in the stored list, and a job with two
+// long-running tasks, of which the first one was stored as parked.
+struct inherited_world {
+    metrics counters;
+    decision_log log{"", {}, {}};
+    shard_record record{{"a.0"}, {"a"}, {{"r1"}}};
+    time_point now{duration(100'000)};
+    std::uint64_t revision = 10;
+    shard_state shard;
+    shard_actions last;
+
+    inherited_world()
+        : shard(make_shard(record, {"b1/2"}, {2}, {1}, {}, counters, log)) {
+        std::vector<known_worker> listed;
+        for (const auto* id : {"gone", "sound"}) {
+            listed.push_back({target_of(id), {1}});
+        }
+        job_row job;
+        job.id = watch;
+        job.queue.service = {"desk"};
+        step_spec step;
+        step.count = 2;
+        step.need = {{1'000}, {512}, {0}};
+        step.long_running = true;
+        job.spec.steps = {step};
+        job.next_occurrence = 1;
+        auto& stage = job.occurrences.emplace(0, make_occurrence(job.spec, 0)).first->second.stages;
+        stage[0].tasks[0].parked = true;
+        stage[0].tasks[0].waiting_since = {wall_clock.value - 20'000};
+        load_shard(shard, {{worker_list_key(record.id), encode(listed), {1}},
+                           {job_key(record.id, watch), encode_job(job), {1}},
+                           {progress_key(record.id, watch), encode_progress(job), {2}}});
+        shard.loaded_at = now;
+        shard.commit.last_applied = now;
+        for (const auto* id : {"gone", "sound"}) {
+            worker_entry entry;
+            entry.target = target_of(id);
+            entry.service = {"desk"};
+            entry.data_centre = {"a"};
+            entry.capacity = {{8'000}, {32'000}, {0}};
+            on_worker_entry(shard, entry, now);
+        }
+    }
+
+    static worker_target target_of(const std::string& id) { return {{id}, {"10.0.0.1", 1}}; }
+
+    // A worker answers with an empty list of runs.
+    void answer(const std::string& id) {
+        hold_reply reply;
+        reply.outcome = command_outcome::done;
+        reply.clock = {now.time_since_epoch().count()};
+        on_hold_reply(shard, {id}, reply, now, now, wall_clock);
+    }
+
+    void advance_by(duration time) {
+        now += time;
+        shard.claim_confirmed = now;
+        last = {};
+        advance(shard, now, wall_clock, last);
+    }
+
+    // The store applies the transaction that was sent.
+    void apply() {
+        transaction_reply reply;
+        reply.applied = revision_number{++revision};
+        on_commit_reply(shard, reply, now, now);
+    }
+
+    bool renews_lease(const std::string& id) const {
+        return std::any_of(last.holds.begin(), last.holds.end(), [&](const auto& hold) {
+            return hold.target.id.value == id && hold.command.lease_until;
+        });
+    }
+};
+
+} // namespace
+
+// TWICE: a successor takes a parked task for one that runs nowhere, so it must not start while the
+// stored record says that it is parked.
+TEST_CASE("a parked task starts once its record without the mark is stored") {
+    inherited_world world;
+    world.answer("sound");
+    world.advance_by(duration(50));
+    CHECK_FALSE(world.shard.takeover_complete);
+    CHECK(world.last.starts.empty());
+    REQUIRE(world.last.commit);
+    const auto& puts = world.last.commit->puts;
+    const auto stored = std::find_if(puts.begin(), puts.end(), [](const auto& put) {
+        return put.key == progress_key({"a.0"}, watch);
+    });
+    REQUIRE(stored != puts.end());
+    CHECK(stored->value.find(std::to_string(wall_clock.value - 20'000)) == std::string::npos);
+    world.advance_by(duration(50));
+    CHECK(world.last.starts.empty());
+    world.apply();
+    world.advance_by(duration(10));
+    REQUIRE(world.last.starts.size() == 1);
+    CHECK(world.last.starts[0].command.run.task.index == 0);
+}
+
+// TWICE: the other task of the job may run on the worker that doesn't answer.
+TEST_CASE("a task that isn't parked waits until the takeover is complete") {
+    inherited_world world;
+    world.answer("sound");
+    for (int step = 0; step < 20; ++step) {
+        world.advance_by(duration(50));
+        for (const auto& start : world.last.starts) {
+            CHECK(start.command.run.task.index == 0);
+        }
+        if (world.last.commit) {
+            world.apply();
+        }
+    }
+    world.answer("gone");
+    world.advance_by(duration(10));
+    CHECK(world.shard.takeover_complete);
+    CHECK(world.last.starts.size() == 1);
+}
+
+// TWICE: a successor doesn't wait for a worker that this owner promised to leave alone.
+TEST_CASE("a worker gets no lease while the stored list says that its owner leaves it alone") {
+    inherited_world world;
+    world.answer("sound");
+    bool promised = false;
+    for (int step = 0; step < 20 && !promised; ++step) {
+        world.advance_by(duration(50));
+        if (world.last.commit) {
+            world.apply();
+        }
+        promised = is_disused(world.shard, {"gone"});
+    }
+    REQUIRE(promised);
+    CHECK_FALSE(is_disused(world.shard, {"sound"}));
+    world.answer("gone");
+    for (int step = 0; step < 6; ++step) {
+        world.advance_by(duration(20));
+        CHECK_FALSE(world.renews_lease("gone"));
+    }
+    REQUIRE(world.shard.commit.pending);
+    world.apply();
+    world.answer("gone");
+    world.advance_by(duration(10));
+    CHECK(world.renews_lease("gone"));
+}
+
+TEST_CASE("the list of workers is read back with its promises, and one of an earlier version") {
+    const std::vector<known_worker> listed{
+        {inherited_world::target_of("w1"), {1}},
+        {inherited_world::target_of("w2"), {1}, worker_disuse{{3}, {2}}},
+        {inherited_world::target_of("w3"), {2}, worker_disuse{{3}, {3}, duration(1'200)}},
+    };
+    const auto read = parse_known_workers(encode(listed));
+    REQUIRE(read);
+    REQUIRE(read.value().size() == listed.size());
+    for (std::size_t i = 0; i < listed.size(); ++i) {
+        CHECK(read.value()[i].since == listed[i].since);
+        CHECK(read.value()[i].disuse == listed[i].disuse);
+    }
+    const auto earlier = parse_known_workers(R"([["w1","10.0.0.1:1"],["w2","10.0.0.1:2",4]])");
+    REQUIRE(earlier);
+    CHECK_FALSE(earlier.value()[0].disuse);
+    CHECK(earlier.value()[1].since == epoch_number{4});
+}
