--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -43,17 +43,35 @@
     }
 }
 
+// Formats that a task is parked as the end of its row: since when it has waited.
+void append_parking(json& row, const task_row& task) {
+    if (task.parked) {
+        row.push_back(task.waiting_since);
+    }
+}
+
+// Reads it back. Earlier versions park no tasks.
+void decode_parking(const json& row, task_row& task) {
+    constexpr std::size_t position = 5;
+    if (row.size() > position) {
+        task.parked = true;
+        task.settled = true;
+        task.waiting_since = row.at(position).get<unix_time>();
+    }
+}
+
 // Formats what a successor needs to know about the tasks that aren't done.
 json encode_tasks(const stage_row& stage) {
     json rows = json::array();
     for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
         const auto& task = stage.tasks[index];
         const bool blank = task.failed_runs.empty() && task.last_run.value == 0 &&
-                           task.checkpoint.empty() && task.loan == 0;
+                           task.checkpoint.empty() && task.loan == 0 && !task.parked;
         if (task.done || blank) {
             continue;
         }
         rows.push_back({index, task.failed_runs, task.last_run.value, task.checkpoint, task.loan});
+        append_parking(rows.back(), task);
     }
     return rows;
 }
@@ -68,6 +86,7 @@
             const auto& task = stage.tasks[index];
             tasks.push_back({index, static_cast<int>(task.result), task.failed_runs,
                              task.last_run.value, task.checkpoint});
+            append_parking(tasks.back(), task);
         }
         rows.push_back({loan.loan, loan.occurrence, loan.step, loan.withdrawn, std::move(tasks)});
     }
@@ -91,6 +110,7 @@
             task.failed_runs = entry.at(2).get<std::vector<run_number>>();
             task.last_run = entry.at(3).get<run_number>();
             task.checkpoint = entry.at(4).get<std::string>();
+            decode_parking(entry, task);
             task.done = task.result == loan_result::done;
             task.not_local = loan.withdrawn || task.result != loan_result::pending;
             if (!task.not_local) {
@@ -103,22 +123,53 @@
 }
 
 json encode_term(const owner_term& term) {
-    return {{"epoch", term.epoch},
-            {"owner", term.owner},
-            {"witnesses", term.witnesses.spread},
-            {"local", term.witnesses.local},
-            {"rests_on", static_cast<int>(term.rests_on)},
-            {"limit_ms", term.limit.count()}};
+    json out{{"epoch", term.epoch},
+             {"owner", term.owner},
+             {"witnesses", term.witnesses.spread},
+             {"local", term.witnesses.local},
+             {"rests_on", static_cast<int>(term.rests_on)},
+             {"limit_ms", term.limit.count()}};
+    if (term.leases_end_in) {
+        out["leases_end_in_ms"] = term.leases_end_in->count();
+    }
+    return out;
 }
 
 owner_term decode_term(const json& from) {
-    // Earlier versions store neither local witnesses nor a limit.
-    return {
+    // Earlier versions store neither local witnesses nor a limit nor an end.
+    owner_term term{
         from.at("epoch").get<epoch_number>(),
         from.at("owner").get<host_id>(),
         {from.at("witnesses").get<std::set<host_id>>(), from.value("local", std::set<host_id>())},
         static_cast<owner_term::support>(from.at("rests_on").get<int>()),
         duration(from.value("limit_ms", default_unconfirmed_limit.count()))};
+    if (from.contains("leases_end_in_ms")) {
+        term.leases_end_in = duration(from.at("leases_end_in_ms").get<std::int64_t>());
+    }
+    return term;
+}
+
+// Formats a promise as the end of its worker's row.
+void append_disuse(json& row, const worker_disuse& disuse) {
+    row.push_back(disuse.by);
+    row.push_back(disuse.last_user);
+    if (disuse.leases_end_in) {
+        row.push_back(disuse.leases_end_in->count());
+    }
+}
+
+// Reads the promise in a worker's row, if there is one.
+std::optional<worker_disuse> decode_disuse(const json& row) {
+    constexpr std::size_t begin = 3;
+    constexpr std::size_t end = 5;
+    if (row.size() < end) {
+        return std::nullopt;
+    }
+    worker_disuse disuse{row.at(begin).get<epoch_number>(), row.at(begin + 1).get<epoch_number>()};
+    if (row.size() > end) {
+        disuse.leases_end_in = duration(row.at(end).get<std::int64_t>());
+    }
+    return disuse;
 }
 
 // Runs a parser that may throw, and returns a failure as an error value.
@@ -188,6 +239,9 @@
     json rows = json::array();
     for (const auto& worker : record) {
         rows.push_back({worker.target.id, to_string(worker.target.address), worker.since});
+        if (worker.disuse) {
+            append_disuse(rows.back(), *worker.disuse);
+        }
     }
     return rows.dump();
 }
@@ -231,7 +285,8 @@
             const auto address = parse_address(row.at(1).get<std::string>());
             workers.push_back(
                 {{row.at(0).get<worker_id>(), address ? address.value() : socket_address{}},
-                 row.size() > 2 ? row.at(2).get<epoch_number>() : epoch_number{}});
+                 row.size() > 2 ? row.at(2).get<epoch_number>() : epoch_number{},
+                 decode_disuse(row)});
         }
         return workers;
     });
@@ -440,8 +495,11 @@
                 task.last_run = entry.at(2).get<run_number>();
                 task.checkpoint = entry.at(3).get<std::string>();
                 task.loan = entry.at(4).get<std::uint64_t>();
+                decode_parking(entry, task);
                 if (task.loan != 0) {
                     task.not_local = true;
+                    task.settled =
+                        !job.spec.steps[stage.step].gang; // it was lent because it had no run here
                     stage.waiting.erase(entry.at(0).get<std::uint32_t>());
                 }
             }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -167,7 +167,16 @@
     time_point avoided_until = time_point::max(); // until when it doesn't start there again
     std::optional<worker_id> reserved_worker;     // worker on which room is reserved for it
     bool reservation_expired = false;             // a reservation expired since its last start
-    std::optional<time_point> idle_since; // since when a long-running task has had no run here
+    // Since when a long-running task has had no run, and the same by the wall clock, which is
+    // offered with the task.
+    std::optional<time_point> idle_since;
+    unix_time waiting_since{}; // 0: it doesn't wait
+    // See shard_parking.cpp.
+    bool parked = false;
+    std::uint64_t parking_version = 0; // of the job's record with the last change of `parked`
+    time_point no_parking_before;
+    // No run of it that a former owner started can be unknown to this one.
+    bool settled = false;
 };
 
 // One step of one occurrence.
