shard_parking: a mark counts only if the last owner stored it

Found in review and by reading: TWICE in a rolling restart. An owner of an earlier version between two new ones starts a parked task without a change of the job's record, so the mark stays, and the next owner would start the task again.

The mark now names its owner. A successor trusts it only if that is the last owner's epoch, and stores it with its own; otherwise the task waits for the takeover, as before. Tests: "a task that an earlier owner than the last one parked waits for the takeover" (no mark of that kind was told apart before), "an owner stores the marks of the parked tasks that it has loaded".

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -209,6 +209,7 @@
     shard.predecessor_workers = shard.listed_since;
     find_former_owners(shard);
     rebuild_loan_table(shard);
+    load_parked_tasks(shard);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
             shard.active.insert(id);
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -255,6 +255,9 @@
 // Returns whether no run of a task that a former owner started can be unknown to this one.
 bool is_settled(const shard_state& shard, const job_row& job, const task_row& task);
 
+// Takes over the parked tasks of the loaded jobs.
+void load_parked_tasks(shard_state& shard);
+
 // Parks long-running tasks that have had no run for a while.
 void park_waiting_tasks(shard_state& shard, time_point now);
 
--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -52,6 +52,7 @@
                     auto& task = stage.tasks[index];
                     if (may_park(shard, job, task, now)) {
                         task.parked = true;
+                        task.parked_by = shard.epoch;
                         task.parking_version = job.version + 1;
                         changed = true;
                     }
@@ -65,6 +66,34 @@
     }
 }
 
+// A mark counts only if the last owner stored it: one of an earlier version starts parked tasks
+// without a change of their records.
+void load_parked_tasks(shard_state& shard) {
+    for (auto& [id, job] : shard.tables.jobs) {
+        bool changed = false;
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (auto& stage : occurrence.stages) {
+                for (auto& task : stage.tasks) {
+                    if (!task.parked) {
+                        continue;
+                    }
+                    if (task.parked_by.value + 1 != shard.epoch.value) {
+                        task.parked = false;
+                        continue;
+                    }
+                    task.settled = true;
+                    task.parked_by = shard.epoch;
+                    task.parking_version = job.version + 1;
+                    changed = true;
+                }
+            }
+        }
+        if (changed) {
+            record_change(shard, job, false, shard.loaded_at);
+        }
+    }
+}
+
 bool unpark(shard_state& shard, job_row& job, task_row& task, time_point now) {
     if (task.parked) {
         task.parked = false;
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -43,20 +43,21 @@
     }
 }
 
-// Formats that a task is parked as the end of its row: since when it has waited.
+// Formats that a task is parked as the end of its row: since when it has waited, and the owner.
 void append_parking(json& row, const task_row& task) {
     if (task.parked) {
         row.push_back(task.waiting_since);
+        row.push_back(task.parked_by);
     }
 }
 
 // Reads it back. Earlier versions park no tasks.
 void decode_parking(const json& row, task_row& task) {
     constexpr std::size_t position = 5;
-    if (row.size() > position) {
+    if (row.size() > position + 1) {
         task.parked = true;
-        task.settled = true;
         task.waiting_since = row.at(position).get<unix_time>();
+        task.parked_by = row.at(position + 1).get<epoch_number>();
     }
 }
 
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -173,6 +173,7 @@
     unix_time waiting_since{}; // 0: it doesn't wait
     // See shard_parking.cpp.
     bool parked = false;
+    epoch_number parked_by{};          // the owner that stored it as parked last
     std::uint64_t parking_version = 0; // of the job's record with the last change of `parked`
     time_point no_parking_before;
     // No run of it that a former owner started can be unknown to this one.
--- a/tests/owner_promises_test.cpp
+++ b/tests/owner_promises_test.cpp
@@ -22,7 +22,7 @@
     shard_state shard;
     shard_actions last;
 
-    inherited_world()
+    explicit inherited_world(epoch_number parked_by = {1})
         : shard(make_shard(record, {"b1/2"}, {2}, {1}, {}, counters, log)) {
         std::vector<known_worker> listed;
         for (const auto* id : {"gone", "sound"}) {
@@ -39,6 +39,7 @@
         job.next_occurrence = 1;
         auto& stage = job.occurrences.emplace(0, make_occurrence(job.spec, 0)).first->second.stages;
         stage[0].tasks[0].parked = true;
+        stage[0].tasks[0].parked_by = parked_by;
         stage[0].tasks[0].waiting_since = {wall_clock.value - 20'000};
         load_shard(shard, {{worker_list_key(record.id), encode(listed), {1}},
                            {job_key(record.id, watch), encode_job(job), {1}},
@@ -111,6 +112,37 @@
     CHECK(world.last.starts[0].command.run.task.index == 0);
 }
 
+// TWICE: an owner of an earlier version starts a parked task and leaves the mark in its record.
+TEST_CASE("a task that an earlier owner than the last one parked waits for the takeover") {
+    inherited_world world({0});
+    world.answer("sound");
+    for (int step = 0; step < 20; ++step) {
+        world.advance_by(duration(50));
+        CHECK(world.last.starts.empty());
+        if (world.last.commit) {
+            world.apply();
+        }
+    }
+}
+
+// LOST: a mark that isn't stored anew by each owner wouldn't count for the one after the next.
+TEST_CASE("an owner stores the marks of the parked tasks that it has loaded") {
+    inherited_world world;
+    world.advance_by(duration(50));
+    REQUIRE(world.last.commit);
+    const auto& puts = world.last.commit->puts;
+    const auto stored = std::find_if(puts.begin(), puts.end(), [](const auto& put) {
+        return put.key == progress_key({"a.0"}, watch);
+    });
+    REQUIRE(stored != puts.end());
+    job_row read;
+    read.id = watch;
+    read.spec = world.shard.tables.jobs.at(watch).spec;
+    REQUIRE(parse_progress(read, stored->value));
+    CHECK(read.occurrences.at(0).stages[0].tasks[0].parked);
+    CHECK(read.occurrences.at(0).stages[0].tasks[0].parked_by == epoch_number{2});
+}
+
 // TWICE: the other task of the job may run on the worker that doesn't answer.
 TEST_CASE("a task that isn't parked waits until the takeover is complete") {
     inherited_world world;
