pending: count the jobs of a shard while it has no live owner

A host counted the waiting jobs of a shard only while datagrams of its owner arrived or it owned the loaded shard itself.

Nobody starts the jobs of a shard without an owner, so its last count holds. Each host now keeps one count per shard, the one of the highest epoch that it has heard or had itself, instead of reading the status of live hosts. A planned hand-over, a restarted owner and a fenced owner can't make a shard count twice, as a shard has a single count, which only the same or a higher epoch replaces.

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -296,6 +296,7 @@
     peer.last_received = loop_.now();
     peer.status = std::move(status);
     for (auto& shard : peer.status.shards) {
+        record_backlog(shard);
         if (!shard.effects.empty()) {
             published_effects_[shard.id] = std::exchange(shard.effects, {});
         }
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -196,6 +196,12 @@
         std::size_t next_worker = 0; // first one of the next probe
     };
 
+    // Accepted jobs of a shard that haven't started, by queue, as its last owner reported them.
+    struct shard_backlog {
+        epoch_number epoch;
+        std::map<queue_id, std::uint64_t> pending;
+    };
+
     // Run ends of a shard that this host lost, until the next owner has received them.
     struct passing_row {
         std::vector<listed_run_end> ends;
@@ -344,6 +350,7 @@
     void answer_ends_call(const std::string& body, const peer_reply& reply);
 
     // Requests.
+    void record_backlog(const shard_status& status);
     struct request;
     using request_pointer = std::shared_ptr<request>;
     request_pointer begin_request(const job_id& id, duration timeout) const;
@@ -390,6 +397,7 @@
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
     std::map<shard_id, passing_row> passing_;
+    std::map<shard_id, shard_backlog> backlogs_; // of all shards that others own or owned
     // As a witness, this host confirms no lower epochs of these shards.
     std::map<shard_id, epoch_number> witnessed_epochs_;
     std::map<host_id, time_point> next_witness_call_; // earliest time of the next call
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -105,36 +105,35 @@
     locate(next);
 }
 
+// Keeps what the owner of a shard reports as pending. Nobody starts the jobs of a shard without a
+// live owner, so the count holds until the next owner reports, whatever becomes of the host that
+// reported it. An earlier owner doesn't know what happened since.
+void host_control::record_backlog(const shard_status& status) {
+    auto& known = backlogs_[status.id];
+    if (status.epoch >= known.epoch) {
+        known = {status.epoch, status.pending};
+    }
+}
+
 std::uint64_t host_control::pending(const queue_id& queue) const {
     std::uint64_t total = 0;
+    const auto add = [&](const std::map<queue_id, std::uint64_t>& counts) {
+        const auto found = counts.find(queue);
+        total += found == counts.end() ? 0 : found->second;
+    };
     std::set<shard_id> counted;
     for (const auto& [id, shard] : owned_) {
-        if (!shard->loaded) {
-            continue;
+        const auto known = backlogs_.find(id);
+        const bool replaced = known != backlogs_.end() && known->second.epoch > shard->state.epoch;
+        if (!shard->loaded || replaced) {
+            continue; // what another owner reported counts
         }
         counted.insert(id);
-        const auto status = summarize(shard->state, loop_.now());
-        if (const auto found = status.pending.find(queue); found != status.pending.end()) {
-            total += found->second;
-        }
-    }
-    // If two hosts report a shard, the one with the higher epoch owns it.
-    std::map<shard_id, const shard_status*> newest;
-    for (const auto& [name, peer] : peers_) {
-        if (!is_alive(peer)) {
-            continue; // the jobs of its shards have started elsewhere or are counted there
-        }
-        for (const auto& shard : peer.status.shards) {
-            auto& known = newest[shard.id];
-            if (known == nullptr || known->epoch < shard.epoch) {
-                known = &shard;
-            }
-        }
+        add(summarize(shard->state, loop_.now()).pending);
     }
-    for (const auto& [id, status] : newest) {
-        const auto found = status->pending.find(queue);
-        if (!counted.contains(id) && found != status->pending.end()) {
-            total += found->second;
+    for (const auto& [id, backlog] : backlogs_) {
+        if (!counted.contains(id)) {
+            add(backlog.pending);
         }
     }
     return total;
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -225,6 +225,9 @@
     log_.write_rare("event=shard_dropped shard={} epoch={} reason={}", id.value,
                     shard->state.epoch.value, reason);
     counters_.count("shards_dropped", reason);
+    if (shard->loaded) {
+        record_backlog(summarize(shard->state, loop_.now()));
+    }
     if (!shard->state.takeover_complete) {
         clear_takeover_gauges(shard->state); // its next owner reports the wait
     }
