--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -103,7 +103,7 @@
         }
         ++stored;
     }
-    return stored != shard.stored_workers.end() || !is_disuse_stored(shard, now);
+    return stored != shard.stored_workers.end() || !are_promises_stored(shard, now);
 }
 
 // Returns the epochs of the owners that listed each worker first. A worker at another address
@@ -122,15 +122,15 @@
 }
 
 std::string encode_worker_list(const shard_state& shard, const worker_list& listed,
-                               const disuse_list& disused) {
+                               const promise_list& promised) {
     const auto since = find_listed_since(shard, listed);
     std::vector<known_worker> rows;
     rows.reserve(listed.size());
     for (const auto& [id, address] : listed) {
-        const auto promise = disused.find(id);
+        const auto promise = promised.find(id);
         rows.push_back({{id, address},
                         since.at(id),
-                        promise == disused.end() ? std::nullopt : std::optional(promise->second)});
+                        promise == promised.end() ? std::nullopt : std::optional(promise->second)});
     }
     return encode(rows);
 }
@@ -164,7 +164,7 @@
 
 // Returns whether the stored lists count times that pass while the takeover goes on. Each
 // transaction then brings them up to date, so that a successor waits for what is left of them only.
-bool has_running_times(const shard_state& shard) {
+bool has_pending_lease_ends(const shard_state& shard) {
     const auto has_end = [](const former_owner& row) { return row.leases_end.has_value(); };
     return !shard.takeover_complete &&
            std::any_of(shard.former_owners.begin(), shard.former_owners.end(), has_end);
@@ -311,15 +311,14 @@
     next.conditions.push_back({claim_key(shard.id), shard.claim_revision});
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
-    const bool running = has_running_times(shard);
+    const bool running = has_pending_lease_ends(shard);
     commit.has_worker_list = has_new_worker_list(shard, now) || running;
     if (commit.has_worker_list) {
         commit.listed_workers = find_used_workers(shard, now);
-        commit.disused_workers = find_disused(shard, commit.listed_workers, now);
-        next.puts.push_back(
-            {worker_list_key(shard.id),
-             encode_worker_list(shard, commit.listed_workers, commit.disused_workers),
-             {}});
+        commit.promises = make_promises(shard, commit.listed_workers, now);
+        next.puts.push_back({worker_list_key(shard.id),
+                             encode_worker_list(shard, commit.listed_workers, commit.promises),
+                             {}});
         ++builder.entries;
     }
     commit.ownership.reset();
@@ -404,7 +403,7 @@
     if (commit.has_worker_list) {
         shard.listed_since = find_listed_since(shard, commit.listed_workers);
         shard.stored_workers = commit.listed_workers;
-        shard.stored_disuse = commit.disused_workers;
+        shard.stored_promises = commit.promises;
     }
     if (commit.ownership) {
         shard.stored_ownership = *commit.ownership;
@@ -570,7 +569,8 @@
         }
         if (!commit.dirty_since && has_new_lists(shard, now)) {
             commit.dirty_since = now;
-            commit.urgent = commit.urgent || shard.releasing; // the successor waits for it
+            // The successor waits for it, or a worker that has answered for its lease.
+            commit.urgent = commit.urgent || shard.releasing || !are_promises_stored(shard, now);
         }
         if (!commit.dirty_since && !shard.releasing &&
             now >= commit.last_applied + shard.timing.progress_interval) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -80,12 +80,12 @@
         // worker may reply, and its run ends use the same numbers again.
         const bool same_incarnation = steady && now <= worker.replied_at + shard.timing.reply_age;
         command.acknowledged = same_incarnation ? worker.acknowledged_end : 0;
-        const bool disused = is_disused(shard, id);
-        if (steady && authority && !disused) {
+        const bool promised = is_promised(shard, id);
+        if (steady && authority && !promised) {
             command.lease_until = next_lease(shard, worker, now);
             worker.lease_until = std::max(worker.lease_until, *command.lease_until);
         }
-        command.wait = !steady || disused         ? duration(0)
+        command.wait = !steady || promised        ? duration(0)
                        : is_shared(shard, worker) ? shard.timing.shared_hold_wait
                                                   : shard.timing.hold_wait;
         worker.hold_in_flight = true;
@@ -185,8 +185,8 @@
                 shard.stored_workers.insert_or_assign(worker.target.id, worker.target.address);
                 shard.listed_since[worker.target.id] = worker.since;
                 shard.untouched_workers.insert(worker.target.id);
-                if (worker.disuse) {
-                    shard.predecessor_disuse.emplace(worker.target.id, *worker.disuse);
+                if (worker.promise) {
+                    shard.predecessor_promises.emplace(worker.target.id, *worker.promise);
                 }
             }
         } else if (entry.key == ownership_key(shard.id)) {
@@ -474,7 +474,7 @@
         return job != shard.tables.jobs.end() && job->second.stored_version < job->second.version;
     };
     return !commit.in_flight && !commit.pending && shard.submissions.empty() &&
-           is_disuse_stored(shard, now) &&
+           are_promises_stored(shard, now) &&
            std::none_of(shard.cancellations.begin(), shard.cancellations.end(), unstored);
 }
 
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -63,7 +63,7 @@
     duration unstored_hold_interval{300};
     // Delay of the next hold while the stored list says that this owner leaves the worker alone.
     // The lease is renewed by the first one after a list without that was stored.
-    duration disused_hold_interval{200};
+    duration promised_hold_interval{200};
     // A worker may have restarted this long after it sent a reply. More than the interval above.
     duration reply_age{500};
     // A worker's clock may be 2% slow. The margin is added when checking whether a lease has ended;
@@ -227,7 +227,7 @@
 using worker_list = std::map<worker_id, socket_address>;
 
 // Promises of owners not to use workers, by worker.
-using disuse_list = std::map<worker_id, worker_disuse>;
+using promise_list = std::map<worker_id, lease_promise>;
 
 // State of group commit. Only one transaction is pending at a time. While its outcome is unknown,
 // the same transaction is sent again; its condition on the head's revision makes sure that it takes
@@ -258,7 +258,7 @@
     std::vector<job_id> borrowed_jobs;         // borrowed jobs first stored in the transaction
     bool has_worker_list = false;              // the transaction includes the worker list
     worker_list listed_workers;                // the worker list in the transaction
-    disuse_list disused_workers;               // the promises in it
+    promise_list promises;                     // the promises in it
     std::optional<ownership_record> ownership; // the ownership record in the transaction
     time_point next_attempt;                   // earliest time of the next attempt
     std::uint64_t attempts = 0;                // number of attempts that were sent
@@ -316,7 +316,7 @@
     // The stored worker list as it was loaded, with the epochs of the owners that listed each
     // first.
     std::map<worker_id, epoch_number> predecessor_workers;
-    disuse_list predecessor_disuse; // the promises in it
+    promise_list predecessor_promises; // the promises in it
     // Those of them that have listed no runs to this owner, so it has granted them no lease.
     std::set<worker_id> untouched_workers;
     std::vector<former_owner> former_owners; // empty once the takeover is complete
@@ -342,7 +342,7 @@
     std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
     worker_list stored_workers;                                 // in the worker list in the store
     std::map<worker_id, epoch_number> listed_since;             // see known_worker::since
-    disuse_list stored_disuse;                                  // this owner's promises there
+    promise_list stored_promises;                               // this owner's promises there
     ownership_record stored_ownership;                          // epoch 0: none
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -192,14 +192,14 @@
 // Returns the workers that this owner leaves alone: those of the inherited list that don't answer,
 // and while the shard is being released all others that don't. A successor then waits for the
 // leases of others only.
-disuse_list find_disused(const shard_state& shard, const worker_list& listed, time_point now);
+promise_list make_promises(const shard_state& shard, const worker_list& listed, time_point now);
 
 // Returns whether the stored list, or the one in the pending transaction, has a promise of this
 // owner not to use the worker.
-bool is_disused(const shard_state& shard, const worker_id& id);
+bool is_promised(const shard_state& shard, const worker_id& id);
 
 // Returns whether the promises that a successor could use are stored.
-bool is_disuse_stored(const shard_state& shard, time_point now);
+bool are_promises_stored(const shard_state& shard, time_point now);
 
 // Returns the workers that a successor has to consider: runs of this owner or of a former one may
 // be on them.
@@ -252,8 +252,8 @@
 // Jobs with long-running steps and jobs with due times always count as in time.
 timeliness predict_timeliness(const shard_state& shard, const job_row& job);
 
-// Returns whether no run of a task that a former owner started can be unknown to this one.
-bool is_settled(const shard_state& shard, const job_row& job, const task_row& task);
+// Returns whether a run of a task that a former owner started may be unknown to this one.
+bool has_unknown_run(const shard_state& shard, const job_row& job, const task_row& task);
 
 // Takes over the parked tasks of the loaded jobs.
 void load_parked_tasks(shard_state& shard);
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -227,7 +227,7 @@
         const auto limit = stranded || (reservable && !task.reserved_worker)
                                ? shard.timing.return_unreserved_after
                                : shard.timing.return_after;
-        if (stage.waiting.contains(index) && is_settled(shard, job, task) &&
+        if (stage.waiting.contains(index) && !has_unknown_run(shard, job, task) &&
             task.loan == loan.loan && now >= loan.since + limit) {
             stage.waiting.erase(index);
             drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
@@ -344,7 +344,7 @@
     std::vector<std::uint32_t> found;
     std::vector<std::uint32_t> reserved;
     for (const auto index : stage.waiting) {
-        if (!is_settled(shard, job, stage.tasks[index])) {
+        if (has_unknown_run(shard, job, stage.tasks[index])) {
             continue;
         }
         (stage.tasks[index].reserved_worker ? reserved : found).push_back(index);
@@ -452,7 +452,7 @@
         drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
         stage.tasks[index].not_local = true;
         stage.tasks[index].loan = loan.number;
-        stage.tasks[index].parked = false; // the loan tells the same
+        stage.tasks[index].parked = false; // a loan, too, says that it has no run here
         loan.tasks.insert(index);
     }
     job.loans[loan.number] = other.shard;
--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -22,13 +22,37 @@
 bool may_park(const shard_state& shard, const job_row& job, const task_row& task, time_point now) {
     return !task.parked && task.idle_since && now - *task.idle_since >= park_after &&
            now >= task.no_parking_before && job.stored_version >= task.parking_version &&
-           is_settled(shard, job, task);
+           !has_unknown_run(shard, job, task);
+}
+
+// Parks the tasks of a job that may be; returns whether there are any.
+bool park_tasks(const shard_state& shard, job_row& job, time_point now) {
+    bool changed = false;
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& stage : occurrence.stages) {
+            const auto& step = job.spec.steps[stage.step];
+            if (!stage.open || !step.long_running || step.gang) {
+                continue;
+            }
+            for (const auto index : stage.waiting) {
+                auto& task = stage.tasks[index];
+                if (!may_park(shard, job, task, now)) {
+                    continue;
+                }
+                task.parked = true;
+                task.parked_by = shard.epoch;
+                task.parking_version = job.version + 1;
+                changed = true;
+            }
+        }
+    }
+    return changed;
 }
 
 } // namespace
 
-bool is_settled(const shard_state& shard, const job_row& job, const task_row& task) {
-    return shard.takeover_complete || !job.inherited || task.settled;
+bool has_unknown_run(const shard_state& shard, const job_row& job, const task_row& task) {
+    return !shard.takeover_complete && job.inherited && !task.no_unknown_run;
 }
 
 void park_waiting_tasks(shard_state& shard, time_point now) {
@@ -41,25 +65,7 @@
     }
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
-        bool changed = false;
-        for (auto& [number, occurrence] : job.occurrences) {
-            for (auto& stage : occurrence.stages) {
-                const auto& step = job.spec.steps[stage.step];
-                if (!stage.open || !step.long_running || step.gang) {
-                    continue;
-                }
-                for (const auto index : stage.waiting) {
-                    auto& task = stage.tasks[index];
-                    if (may_park(shard, job, task, now)) {
-                        task.parked = true;
-                        task.parked_by = shard.epoch;
-                        task.parking_version = job.version + 1;
-                        changed = true;
-                    }
-                }
-            }
-        }
-        if (changed) {
+        if (park_tasks(shard, job, now)) {
             shard.counters->count("jobs_parked");
             record_change(shard, job, false, now);
         }
@@ -81,7 +87,7 @@
                         task.parked = false;
                         continue;
                     }
-                    task.settled = true;
+                    task.no_unknown_run = true;
                     task.parked_by = shard.epoch;
                     task.parking_version = job.version + 1;
                     changed = true;
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -102,9 +102,9 @@
 
 // Returns whether any waiting task of a stage may start or be lent. The others may run on a worker
 // of a predecessor without this owner's knowledge.
-bool has_settled(const shard_state& shard, const job_row& job, const stage_row& stage) {
+bool has_startable(const shard_state& shard, const job_row& job, const stage_row& stage) {
     return std::any_of(stage.waiting.begin(), stage.waiting.end(), [&](std::uint32_t index) {
-        return is_settled(shard, job, stage.tasks[index]);
+        return !has_unknown_run(shard, job, stage.tasks[index]);
     });
 }
 
@@ -125,7 +125,7 @@
         std::optional<timeliness> expected;
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
-                if (!stage.open || !has_settled(shard, job, stage)) {
+                if (!stage.open || !has_startable(shard, job, stage)) {
                     continue;
                 }
                 if (!stage.ready_since) {
@@ -273,8 +273,9 @@
 std::vector<std::uint32_t> order_waiting(const shard_state& shard, const job_row& job,
                                          const stage_row& stage) {
     std::vector<std::uint32_t> order(stage.waiting.begin(), stage.waiting.end());
-    std::erase_if(order,
-                  [&](std::uint32_t index) { return !is_settled(shard, job, stage.tasks[index]); });
+    std::erase_if(order, [&](std::uint32_t index) {
+        return has_unknown_run(shard, job, stage.tasks[index]);
+    });
     std::stable_partition(order.begin(), order.end(), [&](std::uint32_t index) {
         return stage.tasks[index].reserved_worker.has_value();
     });
@@ -303,7 +304,9 @@
             return;
         }
         if (!unpark(shard, *next.job, task, now)) {
-            reserve(shard, key, step.need, *worker, now); // until that is stored
+            if (!task.reserved_worker && !task.reservation_expired) {
+                reserve(shard, key, step.need, *worker, now); // until that is stored
+            }
             continue;
         }
         start_task(shard, next, index, next_run(shard, task), *worker, now, actions);
@@ -333,7 +336,7 @@
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
            worker.listed && !worker.entry.draining && !is_paused(worker, now) &&
-           is_stored(shard, worker.entry.target) && !is_disused(shard, worker.entry.target.id);
+           is_stored(shard, worker.entry.target) && !is_promised(shard, worker.entry.target.id);
 }
 
 bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
--- a/src/shard_disuse.cpp
+++ b/src/shard_promises.cpp
@@ -11,7 +11,7 @@
 
 // Workers that live answer within this time after the shard was loaded. A promise about one that
 // does so later costs it a transaction before its lease is renewed.
-constexpr duration answer_limit{300};
+constexpr duration answer_limit{1'000};
 
 // Returns the time until all leases that this owner granted a worker have ended; nothing if it
 // doesn't know the worker's clock.
@@ -28,11 +28,11 @@
 
 // Returns the promise about a worker that this owner has not used, given what its predecessors
 // promised.
-worker_disuse continue_disuse(const shard_state& shard, const worker_id& id, time_point now) {
-    worker_disuse next{shard.epoch, {shard.epoch.value - 1}};
-    const auto known = shard.predecessor_disuse.find(id);
+lease_promise continue_promise(const shard_state& shard, const worker_id& id, time_point now) {
+    lease_promise next{shard.epoch, {shard.epoch.value - 1}};
+    const auto known = shard.predecessor_promises.find(id);
     // Owners since then that stored no list may have used the worker.
-    if (known == shard.predecessor_disuse.end() ||
+    if (known == shard.predecessor_promises.end() ||
         known->second.by.value + 1 != shard.epoch.value) {
         return next;
     }
@@ -46,14 +46,14 @@
 
 } // namespace
 
-disuse_list find_disused(const shard_state& shard, const worker_list& listed, time_point now) {
-    disuse_list found;
+promise_list make_promises(const shard_state& shard, const worker_list& listed, time_point now) {
+    promise_list found;
     const bool inherited = shard.releasing || now >= shard.loaded_at + answer_limit;
     for (const auto& [id, address] : listed) {
         const auto& worker = shard.tables.workers.at(id);
         if (shard.untouched_workers.contains(id)) {
             if (inherited) {
-                found.emplace(id, continue_disuse(shard, id, now));
+                found.emplace(id, continue_promise(shard, id, now));
             }
             continue;
         }
@@ -63,24 +63,25 @@
             continue;
         }
         if (const auto lease = find_remaining_lease(shard, worker, now)) {
-            found.emplace(id, worker_disuse{shard.epoch, shard.epoch, lease});
+            found.emplace(id, lease_promise{shard.epoch, shard.epoch, lease});
         }
     }
     return found;
 }
 
-bool is_disused(const shard_state& shard, const worker_id& id) {
-    return shard.stored_disuse.contains(id) || (find_pending_list(shard.commit) != nullptr &&
-                                                shard.commit.disused_workers.contains(id));
+bool is_promised(const shard_state& shard, const worker_id& id) {
+    return shard.stored_promises.contains(id) ||
+           (find_pending_list(shard.commit) != nullptr && shard.commit.promises.contains(id));
 }
 
-bool is_disuse_stored(const shard_state& shard, time_point now) {
-    if (shard.untouched_workers.empty() && shard.stored_disuse.empty() && !shard.releasing) {
+// The ends of leases in a stored promise may be old: they only err on the long side.
+bool are_promises_stored(const shard_state& shard, time_point now) {
+    if (shard.untouched_workers.empty() && shard.stored_promises.empty() && !shard.releasing) {
         return true;
     }
-    const auto wanted = find_disused(shard, find_used_workers(shard, now), now);
-    return std::equal(wanted.begin(), wanted.end(), shard.stored_disuse.begin(),
-                      shard.stored_disuse.end(),
+    const auto wanted = make_promises(shard, find_used_workers(shard, now), now);
+    return std::equal(wanted.begin(), wanted.end(), shard.stored_promises.begin(),
+                      shard.stored_promises.end(),
                       [](const auto& a, const auto& b) { return a.first == b.first; });
 }
 
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -51,7 +51,7 @@
     }
 }
 
-// Reads it back. Earlier versions park no tasks.
+// Reads it back. Rows of earlier versions end before it.
 void decode_parking(const json& row, task_row& task) {
     constexpr std::size_t position = 5;
     if (row.size() > position + 1) {
@@ -151,26 +151,26 @@
 }
 
 // Formats a promise as the end of its worker's row.
-void append_disuse(json& row, const worker_disuse& disuse) {
-    row.push_back(disuse.by);
-    row.push_back(disuse.last_user);
-    if (disuse.leases_end_in) {
-        row.push_back(disuse.leases_end_in->count());
+void append_promise(json& row, const lease_promise& promise) {
+    row.push_back(promise.by);
+    row.push_back(promise.last_user);
+    if (promise.leases_end_in) {
+        row.push_back(promise.leases_end_in->count());
     }
 }
 
 // Reads the promise in a worker's row, if there is one.
-std::optional<worker_disuse> decode_disuse(const json& row) {
+std::optional<lease_promise> decode_promise(const json& row) {
     constexpr std::size_t begin = 3;
     constexpr std::size_t end = 5;
     if (row.size() < end) {
         return std::nullopt;
     }
-    worker_disuse disuse{row.at(begin).get<epoch_number>(), row.at(begin + 1).get<epoch_number>()};
+    lease_promise promise{row.at(begin).get<epoch_number>(), row.at(begin + 1).get<epoch_number>()};
     if (row.size() > end) {
-        disuse.leases_end_in = duration(row.at(end).get<std::int64_t>());
+        promise.leases_end_in = duration(row.at(end).get<std::int64_t>());
     }
-    return disuse;
+    return promise;
 }
 
 // Runs a parser that may throw, and returns a failure as an error value.
@@ -240,8 +240,8 @@
     json rows = json::array();
     for (const auto& worker : record) {
         rows.push_back({worker.target.id, to_string(worker.target.address), worker.since});
-        if (worker.disuse) {
-            append_disuse(rows.back(), *worker.disuse);
+        if (worker.promise) {
+            append_promise(rows.back(), *worker.promise);
         }
     }
     return rows.dump();
@@ -287,7 +287,7 @@
             workers.push_back(
                 {{row.at(0).get<worker_id>(), address ? address.value() : socket_address{}},
                  row.size() > 2 ? row.at(2).get<epoch_number>() : epoch_number{},
-                 decode_disuse(row)});
+                 decode_promise(row)});
         }
         return workers;
     });
@@ -499,7 +499,7 @@
                 decode_parking(entry, task);
                 if (task.loan != 0) {
                     task.not_local = true;
-                    task.settled =
+                    task.no_unknown_run =
                         !job.spec.steps[stage.step].gang; // it was lent because it had no run here
                     stage.waiting.erase(entry.at(0).get<std::uint32_t>());
                 }
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -58,7 +58,7 @@
 
 // A promise that an owner stores with the worker list: it grants the worker no lease before it has
 // stored the list without the promise.
-struct worker_disuse {
+struct lease_promise {
     epoch_number by{}; // the owner that promises
     // The last owner that may have granted the worker a lease; no later one up to `by` has.
     epoch_number last_user{};
@@ -66,7 +66,7 @@
     // written; nothing if that depends on the former owners.
     std::optional<duration> leases_end_in{};
 
-    bool operator==(const worker_disuse&) const = default;
+    bool operator==(const lease_promise&) const = default;
 };
 
 // A worker that may run tasks of the shard. A successor must reach it or wait for its leases to
@@ -74,7 +74,7 @@
 struct known_worker {
     worker_target target;
     epoch_number since{}; // of the owner that listed it first; 0: listed by an earlier version
-    std::optional<worker_disuse> disuse{};
+    std::optional<lease_promise> promise{};
 };
 
 // Hosts that confirm an owner while the store doesn't, by name. Its own host is one of each.
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -77,7 +77,12 @@
     if (!wanted) {
         request_stop(added, cause, now);
     } else {
-        shard.tables.jobs.at(row.run.task.job).phase = job_phase::running;
+        auto& own = shard.tables.jobs.at(row.run.task.job);
+        own.phase = job_phase::running;
+        if (task->parked) {
+            task->parked = false;
+            record_change(shard, own, true, now);
+        }
     }
     shard.log->write("event=run_adopted task={}.{}.{}.{} run={} worker={} wanted={}",
                      row.run.task.job.value, row.run.task.occurrence, row.run.task.step,
@@ -456,8 +461,8 @@
     }
     process_run_lists(shard, worker, report, sent, now, unix_now);
     pace_fillers(shard, worker, now);
-    if (is_disused(shard, id)) {
-        worker.next_hold = now + shard.timing.disused_hold_interval;
+    if (is_promised(shard, id)) {
+        worker.next_hold = now + shard.timing.promised_hold_interval;
     } else {
         worker.next_hold =
             worker.unacknowledged_ends.empty() ? now : now + shard.timing.unstored_hold_interval;
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -130,7 +130,7 @@
 bool needs_room(const shard_state& shard, const job_row& job, const stage_row& stage,
                 const task_key& key, time_point now) {
     if (stage.waiting.contains(key.index)) {
-        return is_settled(shard, job, stage.tasks[key.index]);
+        return !has_unknown_run(shard, job, stage.tasks[key.index]);
     }
     const auto leaving = shard.leaving_tasks.find(key);
     return leaving != shard.leaving_tasks.end() && now < leaving->second + leaving_validity &&
@@ -417,7 +417,7 @@
     std::map<shard_id, std::vector<std::uint32_t>> lendable;
     for (const auto index : stage.waiting) {
         const task_key key{job.id, stage.occurrence, stage.step, index};
-        if (!is_settled(shard, job, stage.tasks[index])) {
+        if (has_unknown_run(shard, job, stage.tasks[index])) {
             continue;
         }
         if (const auto* granter = find_granter(shard, key, now)) {
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -171,13 +171,13 @@
     // offered with the task.
     std::optional<time_point> idle_since;
     unix_time waiting_since{}; // 0: it doesn't wait
-    // See shard_parking.cpp.
+    // Stored as having no run; its owner stores that it isn't parked any more before it starts it.
     bool parked = false;
     epoch_number parked_by{};          // the owner that stored it as parked last
     std::uint64_t parking_version = 0; // of the job's record with the last change of `parked`
     time_point no_parking_before;
-    // No run of it that a former owner started can be unknown to this one.
-    bool settled = false;
+    // A stored record or its lender says that no former owner of this shard left a run of it.
+    bool no_unknown_run = false;
 };
 
 // One step of one occurrence.
--- a/src/shard_takeover.cpp
+++ b/src/shard_takeover.cpp
@@ -124,7 +124,7 @@
 }
 
 // The longest time for which a lease may last after its owner sent it.
-duration longest_lease_of(const shard_timing& timing) {
+duration lease_time_limit(const shard_timing& timing) {
     return timing.lease * (100 + timing.clock_drift_percent) / 100 + timing.lease_margin * 2;
 }
 
@@ -135,7 +135,7 @@
     } else if (!former.refused_since) {
         former.refused_since = now;
     }
-    const auto lease = longest_lease_of(shard.timing);
+    const auto lease = lease_time_limit(shard.timing);
     const auto end_by = [&](time_point end) {
         former.leases_end = std::min(former.leases_end.value_or(end), end);
     };
@@ -158,25 +158,25 @@
         return true;
     }
     return former.refused_since && now >= *former.refused_since + shard.timing.confirmation_window +
-                                              longest_lease_of(shard.timing);
+                                              lease_time_limit(shard.timing);
 }
 
 // Returns whether a former owner may have granted a worker a lease whose end its list doesn't tell.
 bool may_have_leased(const shard_state& shard, const owner_term& term, const worker_id& id) {
-    if (term.epoch < shard.predecessor_workers.at(id)) {
-        return false; // listed by a later owner
-    }
-    const auto promise = shard.predecessor_disuse.find(id);
-    if (promise == shard.predecessor_disuse.end() || term.epoch > promise->second.by) {
+    const auto promise = shard.predecessor_promises.find(id);
+    if (promise == shard.predecessor_promises.end() || term.epoch > promise->second.by) {
         return true;
     }
-    return !promise->second.leases_end_in && term.epoch <= promise->second.last_user;
+    // Without a record, one term stands for all owners up to its epoch.
+    const bool any_before = term.rests_on == owner_term::support::workers;
+    return !promise->second.leases_end_in &&
+           (any_before || term.epoch <= promise->second.last_user);
 }
 
 // Returns whether all leases that former owners may have granted a worker have ended.
 bool has_no_lease(const shard_state& shard, const worker_id& id, time_point now) {
-    const auto promise = shard.predecessor_disuse.find(id);
-    const bool ends_later = promise != shard.predecessor_disuse.end() &&
+    const auto promise = shard.predecessor_promises.find(id);
+    const bool ends_later = promise != shard.predecessor_promises.end() &&
                             promise->second.leases_end_in &&
                             now < shard.loaded_at + *promise->second.leases_end_in;
     return !ends_later && std::none_of(shard.former_owners.begin(), shard.former_owners.end(),
@@ -343,13 +343,12 @@
 // The wait for a worker of the stored list ends as soon as
 // - the worker lists its runs in reply to this owner's epoch, which it then enforces;
 // - another worker answers at its address, so the process and its runs have ended.
-// The wait for each other one ends when the leases have that former owners may have granted it:
-// what they promised in the stored list tells which. No former owner renews one
+// The wait for each other one ends when the leases have that former owners may have granted it: the
+// stored list tells which may have. No former owner renews one
 // - after its own host has told that it doesn't act any more;
-// - a confirmation window after half of its workers refuse it, or half of its spread and half of
-// its
-//   local witnesses, as the store has this owner's claim; a worker that refuses this owner's epoch
-//   ends the ownership instead;
+// - a confirmation window after half of its workers refuse it, or half of both kinds of its
+//   witnesses, as the store has this owner's claim; a worker that refuses this owner's epoch ends
+//   the ownership instead;
 // - at the latest after the limit for owners that the store doesn't confirm. That is what ends the
 //   wait for a data centre of which neither is left, unless an operator says that it is gone.
 void complete_takeover(shard_state& shard, time_point now) {
--- a/src/shard_waits.cpp
+++ b/src/shard_waits.cpp
@@ -71,7 +71,7 @@
         return wait_place{wait_cause::unstored, fmt::format("unstored version={} stored_version={}",
                                                             job.version, job.stored_version)};
     }
-    if (!is_settled(shard, job, task)) {
+    if (has_unknown_run(shard, job, task)) {
         return wait_place{wait_cause::takeover, describe_takeover(shard, now)};
     }
     const bool permitted =
