shard_promises: list a worker at the address that former owners knew

A worker's entry names another address while the takeover is incomplete. The owner listed it there, and the next one, whom another process answers at that address, took it for replaced; the process at the first address may still hold a lease and run tasks.

--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -79,16 +79,6 @@
     }
 }
 
-// Returns whether a run of this owner may be on the worker, now or soon. An unreachable worker
-// whose leases have ended has none. If it stayed in the list, a successor would wait for it without
-// need.
-bool is_used(const shard_state& shard, const worker_row& worker, time_point now) {
-    return worker.reachability != reachability_state::unreachable || !worker.runs.empty() ||
-           !worker.unacknowledged_ends.empty() ||
-           shard.unreached_workers.contains(worker.entry.target.id) ||
-           !has_lapsed(shard, worker, now);
-}
-
 // Returns whether the workers in use, or the promises about them, differ from those in the stored
 // list.
 bool has_new_worker_list(const shard_state& shard, time_point now) {
@@ -98,7 +88,7 @@
             continue;
         }
         if (stored == shard.stored_workers.end() || stored->first != id ||
-            stored->second != worker.entry.target.address) {
+            stored->second != find_listed_address(shard, worker)) {
             return true;
         }
         ++stored;
@@ -502,16 +492,6 @@
     }
 }
 
-worker_list find_used_workers(const shard_state& shard, time_point now) {
-    worker_list used;
-    for (const auto& [id, worker] : shard.tables.workers) {
-        if (is_used(shard, worker, now)) {
-            used.emplace_hint(used.end(), id, worker.entry.target.address);
-        }
-    }
-    return used;
-}
-
 const worker_list* find_pending_list(const commit_state& commit) {
     return commit.pending && commit.has_worker_list ? &commit.listed_workers : nullptr;
 }
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -201,6 +201,15 @@
 // Returns whether the promises that a successor could use are stored.
 bool are_promises_stored(const shard_state& shard, time_point now);
 
+// Returns whether a run of this owner may be on the worker, now or soon. An unreachable worker
+// whose leases have ended has none. If it stayed in the list, a successor would wait for it without
+// need.
+bool is_used(const shard_state& shard, const worker_row& worker, time_point now);
+
+// Returns the address at which a worker is listed. As long as former owners may have runs at the
+// one that they knew, a successor has to wait for those.
+const socket_address& find_listed_address(const shard_state& shard, const worker_row& worker);
+
 // Returns the workers that a successor has to consider: runs of this owner or of a former one may
 // be on them.
 worker_list find_used_workers(const shard_state& shard, time_point now);
--- a/src/shard_promises.cpp
+++ b/src/shard_promises.cpp
@@ -13,14 +13,10 @@
 // does so later costs it a transaction before its lease is renewed.
 constexpr duration answer_limit{1'000};
 
-// Returns the time until all leases that this owner granted a worker have ended; nothing if it
-// doesn't know the worker's clock.
-std::optional<duration> find_remaining_lease(const shard_state& shard, const worker_row& worker,
-                                             time_point now) {
+// Returns the time until all leases that this owner granted a worker have ended. The worker must
+// have replied before.
+duration find_remaining_lease(const shard_state& shard, const worker_row& worker, time_point now) {
     const auto clock = earliest_clock(shard, worker, now);
-    if (!clock) {
-        return std::nullopt;
-    }
     const auto left = worker.lease_until.value + shard.timing.lease_margin.count() - clock->value;
     const auto rate = 100 - shard.timing.clock_drift_percent; // the worker's clock may be slow
     return duration(std::max<std::int64_t>(0, left * 100 / rate + 1));
@@ -44,27 +40,52 @@
     return next;
 }
 
+// Returns whether the stored list is to have a promise about a worker.
+bool needs_promise(const shard_state& shard, const worker_row& worker, time_point now) {
+    if (shard.untouched_workers.contains(worker.entry.target.id)) {
+        return shard.releasing || now >= shard.loaded_at + answer_limit;
+    }
+    // Until the takeover is complete, a worker that has restarted may accept a former owner.
+    return shard.releasing && shard.takeover_complete && worker.clock &&
+           worker.reachability != reachability_state::reachable;
+}
+
 } // namespace
 
+bool is_used(const shard_state& shard, const worker_row& worker, time_point now) {
+    return worker.reachability != reachability_state::unreachable || !worker.runs.empty() ||
+           !worker.unacknowledged_ends.empty() ||
+           shard.unreached_workers.contains(worker.entry.target.id) ||
+           !has_lapsed(shard, worker, now);
+}
+
+const socket_address& find_listed_address(const shard_state& shard, const worker_row& worker) {
+    const auto unreached = shard.unreached_workers.find(worker.entry.target.id);
+    return unreached == shard.unreached_workers.end() ? worker.entry.target.address
+                                                      : unreached->second;
+}
+
+worker_list find_used_workers(const shard_state& shard, time_point now) {
+    worker_list used;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (is_used(shard, worker, now)) {
+            used.emplace_hint(used.end(), id, find_listed_address(shard, worker));
+        }
+    }
+    return used;
+}
+
 promise_list make_promises(const shard_state& shard, const worker_list& listed, time_point now) {
     promise_list found;
-    const bool inherited = shard.releasing || now >= shard.loaded_at + answer_limit;
     for (const auto& [id, address] : listed) {
         const auto& worker = shard.tables.workers.at(id);
-        if (shard.untouched_workers.contains(id)) {
-            if (inherited) {
-                found.emplace(id, continue_promise(shard, id, now));
-            }
+        if (!needs_promise(shard, worker, now)) {
             continue;
         }
-        // Until the takeover is complete, a worker that has restarted may accept a former owner.
-        if (!shard.releasing || !shard.takeover_complete ||
-            worker.reachability == reachability_state::reachable) {
-            continue;
-        }
-        if (const auto lease = find_remaining_lease(shard, worker, now)) {
-            found.emplace(id, lease_promise{shard.epoch, shard.epoch, lease});
-        }
+        found.emplace(id, shard.untouched_workers.contains(id)
+                              ? continue_promise(shard, id, now)
+                              : lease_promise{shard.epoch, shard.epoch,
+                                              find_remaining_lease(shard, worker, now)});
     }
     return found;
 }
@@ -79,10 +100,17 @@
     if (shard.untouched_workers.empty() && shard.stored_promises.empty() && !shard.releasing) {
         return true;
     }
-    const auto wanted = make_promises(shard, find_used_workers(shard, now), now);
-    return std::equal(wanted.begin(), wanted.end(), shard.stored_promises.begin(),
-                      shard.stored_promises.end(),
-                      [](const auto& a, const auto& b) { return a.first == b.first; });
+    auto stored = shard.stored_promises.begin();
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (!needs_promise(shard, worker, now) || !is_used(shard, worker, now)) {
+            continue;
+        }
+        if (stored == shard.stored_promises.end() || stored->first != id) {
+            return false;
+        }
+        ++stored;
+    }
+    return stored == shard.stored_promises.end();
 }
 
 } // namespace fulmar
