--- a/src/takeover_chain_model.cpp
+++ b/src/takeover_chain_model.cpp
@@ -67,8 +67,8 @@
     }
 
     void list_late_holds() {
-        for (small owner = 0; rules.late_holds && owner < 2; ++owner) {
-            const auto number = static_cast<std::size_t>(owner);
+        for (std::size_t number = 0; rules.late_holds && number < 2; ++number) {
+            const auto owner = static_cast<small>(number);
             const bool sends =
                 from.owners.at(number).active != 0 && from.late_lease == 0 &&
                 has_authority(rules, from, number) &&
--- a/src/takeover_chain_state.cpp
+++ b/src/takeover_chain_state.cpp
@@ -349,9 +349,8 @@
         state.age = rules.count_ends_from_load ? small{0} : state.age;
     }
     state.owners[0].age = std::min(state.owners[0].age, static_cast<small>(rules.owner_limit));
-    if (state.claimed == 0) {
-        state.owners[1].confirmed = 0; // the store confirms it
-    } else if (state.owners[1].age >= rules.owner_limit || state.stored.written == 0) {
+    const bool store_confirms = state.claimed == 0;
+    if (store_confirms || state.owners[1].age >= rules.owner_limit || state.stored.written == 0) {
         state.owners[1].confirmed = 0;
     }
     if (state.pending == 0) {
