--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -152,8 +152,8 @@
     return record;
 }
 
-// Returns whether the stored lists count times that pass while the takeover goes on. Each
-// transaction then brings them up to date, so that a successor waits for what is left of them only.
+// Returns whether the stored lists tell when leases end. Each transaction then brings these times
+// up to date, so that a successor waits only for what is left of them.
 bool has_pending_lease_ends(const shard_state& shard) {
     const auto has_end = [](const former_owner& row) { return row.leases_end.has_value(); };
     return !shard.takeover_complete &&
@@ -301,8 +301,8 @@
     next.conditions.push_back({claim_key(shard.id), shard.claim_revision});
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
-    const bool running = has_pending_lease_ends(shard);
-    commit.has_worker_list = has_new_worker_list(shard, now) || running;
+    const bool counts_down = has_pending_lease_ends(shard);
+    commit.has_worker_list = has_new_worker_list(shard, now) || counts_down;
     if (commit.has_worker_list) {
         commit.listed_workers = find_used_workers(shard, now);
         commit.promises = make_promises(shard, commit.listed_workers, now);
@@ -312,7 +312,7 @@
         ++builder.entries;
     }
     commit.ownership.reset();
-    if (running || !is_ownership_stored(shard)) {
+    if (counts_down || !is_ownership_stored(shard)) {
         commit.ownership = make_ownership_record(shard, now);
         next.puts.push_back({ownership_key(shard.id), encode(*commit.ownership), {}});
         ++builder.entries;
--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -72,8 +72,8 @@
     }
 }
 
-// A mark counts only if the last owner stored it: one of an earlier version starts parked tasks
-// without a change of their records.
+// A task counts as parked only if the last owner stored it so: an owner of an earlier version
+// starts parked tasks without a change of their records.
 void load_parked_tasks(shard_state& shard) {
     for (auto& [id, job] : shard.tables.jobs) {
         bool changed = false;
--- a/src/shard_promises.cpp
+++ b/src/shard_promises.cpp
@@ -1,6 +1,6 @@
-// Workers that an owner leaves alone, and says so in the stored worker list: a successor waits only
-// for leases that may have been granted. Without that, each new owner would wait anew for a worker
-// that none of the last owners has reached.
+// Lease promises: an owner stores with the worker list to which workers it grants no lease, so that
+// a successor waits only for leases that may have been granted. Without that, each new owner would
+// wait anew for a worker that none of the last owners has reached.
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -9,8 +9,8 @@
 
 namespace {
 
-// Workers that live answer within this time after the shard was loaded. A promise about one that
-// does so later costs it a transaction before its lease is renewed.
+// Live workers answer within this time after the shard was loaded. One that answers later has its
+// lease renewed only after another transaction, which removes the promise.
 constexpr duration answer_limit{1'000};
 
 // Returns the time until all leases that this owner granted a worker have ended. The worker must
--- a/tests/owner_promises_test.cpp
+++ b/tests/owner_promises_test.cpp
@@ -91,7 +91,7 @@
 
 // TWICE: a successor takes a parked task for one that runs nowhere, so it must not start while the
 // stored record says that it is parked.
-TEST_CASE("a parked task starts once its record without the mark is stored") {
+TEST_CASE("a parked task starts once it is stored as not parked") {
     inherited_world world;
     world.answer("sound");
     world.advance_by(duration(50));
@@ -112,7 +112,7 @@
     CHECK(world.last.starts[0].command.run.task.index == 0);
 }
 
-// TWICE: an owner of an earlier version starts a parked task and leaves the mark in its record.
+// TWICE: an owner of an earlier version starts a parked task and leaves its record as it is.
 TEST_CASE("a task that an earlier owner than the last one parked waits for the takeover") {
     inherited_world world({0});
     world.answer("sound");
@@ -125,8 +125,8 @@
     }
 }
 
-// LOST: a mark that isn't stored anew by each owner wouldn't count for the one after the next.
-TEST_CASE("an owner stores the marks of the parked tasks that it has loaded") {
+// LOST: a task that an owner didn't store as parked again would wait under the one after it.
+TEST_CASE("an owner stores again which of the tasks that it has loaded are parked") {
     inherited_world world;
     world.advance_by(duration(50));
     REQUIRE(world.last.commit);
@@ -188,6 +188,7 @@
     CHECK(world.renews_lease("gone"));
 }
 
+// Guards against a promise that is lost, or read into a list that has none.
 TEST_CASE("the list of workers is read back with its promises, and one of an earlier version") {
     const std::vector<known_worker> listed{
         {inherited_world::target_of("w1"), {1}},
