host_requests, shard_commit: log each attempt and each wait of a submission

Callers were told 504 with the reason owner_silent, and the logs couldn't tell whether the owner was late, busy or gone, nor whether a submission waited before its transaction or in it (hypotheses H1 and H3 of docs/incidents/submissions-lost-in-restarts.md).

Added: event=hand_in_attempt (shard, number, outcome, reason and time of an attempt that failed, and the time that is left), event=commit_conflict (how many of a rejected transaction's jobs exist elsewhere), and in event=hand_in_answered the number of requests, the time from arrival to answer, the part of it before the first transaction, and the number of transactions.

no functional change

--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -69,6 +69,7 @@
     time_point began;
     time_point deadline;
     generation_number generation; // of the configuration that routed the request
+    std::size_t attempts = 0;     // to submit
     bool unconfirmed = false;     // an earlier attempt may have stored the job
     bool ignore_full = false;     // every shard has answered that it is full
     std::set<shard_id> full;      // shards that have answered that they are full
@@ -290,7 +291,8 @@
 }
 
 void host_control::submit_to(const request_pointer& request, const shard_id& shard) {
-    const auto finish = [this, request, shard](const submit_answer& answer) {
+    ++request->attempts;
+    const auto finish = [this, request, shard, sent = loop_.now()](const submit_answer& answer) {
         if (answer.outcome == submit_outcome::unavailable && answer.reason == shard_full) {
             request->full.insert(shard);
             route_submit(request);
@@ -300,6 +302,12 @@
             answer.outcome == submit_outcome::unknown ||
             (answer.outcome == submit_outcome::unavailable && answer.reason == not_owner);
         if (retryable) {
+            log_.write(
+                "event=hand_in_attempt job={} shard={} attempt={} outcome={} reason={} ms={} "
+                "left_ms={}",
+                request->id.value, shard.value, request->attempts, to_string(answer.outcome),
+                answer.reason, (loop_.now() - sent).count(),
+                (request->deadline - loop_.now()).count());
             request->unconfirmed =
                 request->unconfirmed || answer.outcome == submit_outcome::unknown;
             request->last_reason = answer.reason;
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -233,8 +233,8 @@
     }
     // The outcome of unanswered submissions and cancellations is unknown here; only the next owner
     // can determine whether they were stored.
-    for (const auto& [job, tokens] : shard->state.submissions) {
-        for (const auto token : tokens) {
+    for (const auto& [job, submission] : shard->state.submissions) {
+        for (const auto token : submission.tokens) {
             const auto waiting = submit_waiting_.extract(token);
             if (!waiting.empty()) {
                 waiting.mapped()({token, submit_outcome::unknown, duration(0), "owner_changed"});
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -39,28 +39,34 @@
 
 // Answers all requests that wait for the submission of a job.
 void answer_submissions(shard_state& shard, const job_id& id, const submit_answer& answer,
-                        shard_actions& actions) {
+                        time_point now, shard_actions& actions) {
     const auto waiting = shard.submissions.extract(id);
     if (waiting.empty()) {
         return;
     }
-    for (const auto token : waiting.mapped()) {
+    const auto& submission = waiting.mapped();
+    for (const auto token : submission.tokens) {
         auto next = answer;
         next.token = token;
         actions.submit_answers.push_back(std::move(next));
     }
-    shard.log->write("event=hand_in_answered job={} shard={} outcome={} reason={}", id.value,
-                     shard.id.value, to_string(answer.outcome), answer.reason);
+    shard.log->write("event=hand_in_answered job={} shard={} outcome={} reason={} requests={} "
+                     "waited_ms={} unsent_ms={} transactions={}",
+                     id.value, shard.id.value, to_string(answer.outcome), answer.reason,
+                     submission.tokens.size(), (now - submission.arrived).count(),
+                     (submission.sent.value_or(now) - submission.arrived).count(),
+                     submission.transactions);
 }
 
 // Answers submissions and cancellations that no longer have to wait for a transaction.
-void answer_stored(shard_state& shard, shard_actions& actions) {
+void answer_stored(shard_state& shard, time_point now, shard_actions& actions) {
     for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
         const auto id = it->first;
         ++it;
         const auto job = shard.tables.jobs.find(id);
         if (job != shard.tables.jobs.end() && job->second.spec_stored) {
-            answer_submissions(shard, id, {0, submit_outcome::accepted, duration(0), ""}, actions);
+            answer_submissions(shard, id, {0, submit_outcome::accepted, duration(0), ""}, now,
+                               actions);
         }
     }
     for (auto it = shard.cancellations.begin(); it != shard.cancellations.end();) {
@@ -187,7 +193,7 @@
 // Returns the jobs that are submitted and not stored, those submitted first in front.
 std::vector<job_id> find_submissions(const shard_state& shard) {
     std::vector<std::pair<unix_time, job_id>> found;
-    for (const auto& [id, tokens] : shard.submissions) {
+    for (const auto& [id, submission] : shard.submissions) {
         const auto& job = shard.tables.jobs.at(id);
         if (!job.spec_stored) {
             found.emplace_back(job.accepted, id);
@@ -229,6 +235,7 @@
 // A transaction that is being built.
 struct transaction_builder {
     shard_state& shard;
+    time_point now;
     store_transaction next;
     std::size_t entries = fixed_entries;
 
@@ -238,6 +245,9 @@
 void add_submission(transaction_builder& builder, const job_id& id) {
     auto& shard = builder.shard;
     auto& next = builder.next;
+    auto& waiting = shard.submissions.at(id);
+    waiting.sent = waiting.sent.value_or(builder.now);
+    ++waiting.transactions;
     next.conditions.push_back({job_index_key(id), revision_number{0}});
     next.puts.push_back({job_index_key(id), shard.id.value, {}});
     next.puts.push_back({job_key(shard.id, id), encode_job(shard.tables.jobs.at(id)), {}});
@@ -291,7 +301,7 @@
 // Builds one transaction from the changes that are to be stored.
 store_transaction build_transaction(shard_state& shard, time_point now) {
     auto& commit = shard.commit;
-    transaction_builder builder{shard, {}};
+    transaction_builder builder{shard, now, {}};
     auto& next = builder.next;
     commit.changes.clear();
     commit.submissions.clear();
@@ -344,7 +354,7 @@
             mark(change.since, change.urgent);
         }
     }
-    for (const auto& [id, tokens] : shard.submissions) {
+    for (const auto& [id, submission] : shard.submissions) {
         const auto job = shard.tables.jobs.find(id);
         if (job != shard.tables.jobs.end() && !job->second.spec_stored) {
             mark(now, true);
@@ -437,12 +447,17 @@
         return;
     }
     // These jobs were submitted to another shard before and exist there.
+    std::size_t duplicates = 0;
     for (const auto& id : commit.submissions) {
         if (find(job_index_key(id)) != nullptr) {
             shard.tables.jobs.erase(id);
             shard.counters->count("hand_ins_duplicate");
+            ++duplicates;
         }
     }
+    shard.log->write("event=commit_conflict shard={} number={} submissions={} duplicates={} ms={}",
+                     shard.id.value, commit.number, commit.submissions.size(), duplicates,
+                     (now - sent).count());
     abandon_transaction(commit);
     commit.next_attempt = now;
 }
@@ -529,7 +544,7 @@
         ++it;
         if (!shard.tables.jobs.contains(id)) {
             answer_submissions(shard, id, {0, submit_outcome::accepted, duration(0), "duplicate"},
-                               actions);
+                               now, actions);
         }
     }
     // While the store doesn't reply, new jobs are refused immediately instead of being kept
@@ -547,12 +562,12 @@
                 shard.tables.jobs.erase(id);
                 answer_submissions(
                     shard, id,
-                    {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"},
+                    {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"}, now,
                     actions);
             }
         }
     }
-    answer_stored(shard, actions);
+    answer_stored(shard, now, actions);
     for (auto& [id, worker] : shard.tables.workers) {
         acknowledge_ends(shard, worker, now);
     }
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -295,12 +295,11 @@
 
 void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
                 request_token token, time_point now, unix_time unix_now) {
-    if (const auto known = shard.tables.jobs.find(id);
-        known != shard.tables.jobs.end() && known->second.spec_stored) {
-        shard.submissions[id].push_back(token);
-        return;
+    auto& waiting = shard.submissions[id];
+    if (waiting.tokens.empty()) {
+        waiting.arrived = now;
     }
-    shard.submissions[id].push_back(token);
+    waiting.tokens.push_back(token);
     if (shard.tables.jobs.contains(id)) {
         return;
     }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -270,6 +270,14 @@
     bool urgent = false;
 };
 
+// A submission that its callers wait for.
+struct waiting_submission {
+    std::vector<request_token> tokens; // the requests for it, of one caller or of several hosts
+    time_point arrived;                // of the first request
+    std::optional<time_point> sent{};  // when the first transaction with the job was sent
+    std::size_t transactions = 0;      // that included the job
+};
+
 // An owner of the shard before this one that may still act, if it lives.
 struct former_owner {
     owner_term term;
@@ -338,7 +346,7 @@
     bool handing_over = false;    // the claim is being written for the successor: no commits
 
     commit_state commit;
-    std::map<job_id, std::vector<request_token>> submissions;   // not yet answered
+    std::map<job_id, waiting_submission> submissions;           // not yet answered
     std::map<job_id, std::vector<request_token>> cancellations; // not yet answered
     worker_list stored_workers;                                 // in the worker list in the store
     std::map<worker_id, epoch_number> listed_since;             // see known_worker::since
