shard_commit: refuse submissions that nobody waits for any more

Callers were told 504 for jobs that a busy owner stored seconds later, and jobs whose callers still waited came too late as well.

Cause: a submission carried no deadline, so an owner worked through its queue in the order of arrival, whoever still waited. Now a host tells the owner how long it waits ("left_ms"), and a submission that no transaction includes 0.2 s before that is refused with the reason "overloaded": certainly not stored, so the host can tell its caller so, with Retry-After. One that a transaction includes which may still take effect is never refused. An owner of an earlier version ignores the field; a host of an earlier version counts as waiting for 3 s.

Test: "a submission that nobody waits for any more is refused unless it has been sent" fails without the change (no answer where one refusal is expected). Two tests pass their tokens in the new aggregate; no check of them changed.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -364,7 +364,8 @@
     void route_submit(const request_pointer& request);
     void submit_to(const request_pointer& request, const shard_id& shard);
     void submit_local(const shard_pointer& shard, const job_id& id, const queue_spec& queue,
-                      const job_spec& spec, bool ignore_full, submit_callback done);
+                      const job_spec& spec, bool ignore_full, time_point store_by,
+                      submit_callback done);
     std::vector<shard_id> rank_shards(const queue_spec& queue, const job_spec& spec) const;
     void locate(const request_pointer& request);
     void query_owner(const request_pointer& request, const shard_id& shard);
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -14,6 +14,13 @@
 // short outages are over by then.
 constexpr duration unavailable_retry_after{1'000};
 
+// An owner that hasn't begun to store a job refuses it this long before the deadline, so that the
+// refusal reaches the host that asked.
+constexpr duration refusal_time{200};
+
+// For submissions from hosts of an earlier version, which don't tell how long they wait.
+constexpr duration default_time_left{3'000};
+
 // Of a caller's host or path in a log line, in bytes.
 constexpr std::size_t logged_text_limit = 80;
 
@@ -220,7 +227,8 @@
         request->on_submit(final);
     };
     if (const auto own = find_owned(shard)) {
-        submit_local(own, request->id, request->queue, request->spec, request->ignore_full, finish);
+        submit_local(own, request->id, request->queue, request->spec, request->ignore_full,
+                     request->deadline - refusal_time, finish);
         return;
     }
     const auto* owner = find_owner(shard);
@@ -231,6 +239,7 @@
     const json body{{"shard", shard},
                     {"job", request->id},
                     {"insist", request->ignore_full},
+                    {"left_ms", (request->deadline - loop_.now()).count()},
                     {"queue", encode_queue(request->queue)},
                     {"spec", encode_spec(request->spec)}};
     const auto limit = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
@@ -254,13 +263,13 @@
 
 void host_control::submit_local(const shard_pointer& shard, const job_id& id,
                                 const queue_spec& queue, const job_spec& spec, bool ignore_full,
-                                submit_callback done) {
+                                time_point store_by, submit_callback done) {
     if (!shard->loaded) {
         shard->waiting.emplace_back(
-            [this, name = shard->state.id, id, queue, spec, ignore_full, done] {
+            [this, name = shard->state.id, id, queue, spec, ignore_full, store_by, done] {
                 const auto current = find_owned(name);
                 if (current && current->loaded) {
-                    submit_local(current, id, queue, spec, ignore_full, done);
+                    submit_local(current, id, queue, spec, ignore_full, store_by, done);
                 } else {
                     done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
                 }
@@ -278,7 +287,7 @@
     }
     const auto token = next_token_++;
     submit_waiting_[token] = std::move(done);
-    submit_job(shard->state, id, queue, spec, token, loop_.now(), loop_.unix_now());
+    submit_job(shard->state, id, queue, spec, {token, store_by}, loop_.now(), loop_.unix_now());
     schedule_shard(shard);
 }
 
@@ -407,8 +416,10 @@
             done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
             return;
         }
+        const duration left{in.value("left_ms", default_time_left.count())};
         submit_local(shard, in.at("job").get<job_id>(), decode_queue(in.at("queue")),
-                     decode_spec(in.at("spec")), in.at("insist").get<bool>(), done);
+                     decode_spec(in.at("spec")), in.at("insist").get<bool>(),
+                     loop_.now() + left - refusal_time, done);
     } catch (const std::exception& failure) {
         reply(error{error_kind::protocol_error, failure.what()});
     }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t oldest_change_share = 6; // jobs, with changes that are not urgent as well
 constexpr std::size_t purge_share = 1;         // jobs
 
+// Retry-After for submissions that this owner couldn't store in time.
+constexpr duration overload_retry_after{1'000};
+
 // Acknowledges run ends whose job's record is stored, in the order of their numbers.
 void acknowledge_ends(shard_state& shard, worker_row& worker, time_point now) {
     const auto before = worker.acknowledged_end;
@@ -536,6 +539,26 @@
     return names(shard.stored_workers) && (pending == nullptr || names(*pending));
 }
 
+// Refuses the submissions for which `is_refused` holds and that are certainly not stored: no
+// transaction that may still take effect includes them.
+template <class Predicate>
+void refuse_submissions(shard_state& shard, Predicate is_refused, const submit_answer& answer,
+                        time_point now, shard_actions& actions) {
+    const auto& commit = shard.commit;
+    for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
+        const auto id = it->first;
+        const bool refused = is_refused(it->second);
+        ++it;
+        const bool sent =
+            commit.pending && std::find(commit.submissions.begin(), commit.submissions.end(), id) !=
+                                  commit.submissions.end();
+        if (refused && !sent && !shard.tables.jobs.at(id).spec_stored) {
+            shard.tables.jobs.erase(id);
+            answer_submissions(shard, id, answer, now, actions);
+        }
+    }
+}
+
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions) {
     auto& commit = shard.commit;
     // A submitted job that exists in another shard has no row any more.
@@ -552,21 +575,14 @@
     const bool failing =
         commit.unconfirmed || (!commit.in_flight && !commit.pending && commit.next_attempt > now);
     if (failing && !commit.repeated_at_once) {
-        for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
-            const auto id = it->first;
-            ++it;
-            const bool sent = commit.pending &&
-                              std::find(commit.submissions.begin(), commit.submissions.end(), id) !=
-                                  commit.submissions.end();
-            if (!sent && !shard.tables.jobs.at(id).spec_stored) {
-                shard.tables.jobs.erase(id);
-                answer_submissions(
-                    shard, id,
-                    {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"}, now,
-                    actions);
-            }
-        }
-    }
+        refuse_submissions(
+            shard, [](const waiting_submission&) { return true; },
+            {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"}, now, actions);
+    }
+    // Nobody waits any longer for the others; storing them would delay those that are waited for.
+    refuse_submissions(
+        shard, [&](const waiting_submission& waiting) { return now >= waiting.store_by; },
+        {0, submit_outcome::unavailable, overload_retry_after, "overloaded"}, now, actions);
     answer_stored(shard, now, actions);
     for (auto& [id, worker] : shard.tables.workers) {
         acknowledge_ends(shard, worker, now);
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -294,12 +294,14 @@
 }
 
 void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
-                request_token token, time_point now, unix_time unix_now) {
+                const submit_request& request, time_point now, unix_time unix_now) {
     auto& waiting = shard.submissions[id];
     if (waiting.tokens.empty()) {
         waiting.arrived = now;
+        waiting.store_by = request.store_by;
     }
-    waiting.tokens.push_back(token);
+    waiting.store_by = std::max(waiting.store_by, request.store_by);
+    waiting.tokens.push_back(request.token);
     if (shard.tables.jobs.contains(id)) {
         return;
     }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -274,6 +274,7 @@
 struct waiting_submission {
     std::vector<request_token> tokens; // the requests for it, of one caller or of several hosts
     time_point arrived;                // of the first request
+    time_point store_by;               // refused if no transaction has the job by then
     std::optional<time_point> sent{};  // when the first transaction with the job was sent
     std::size_t transactions = 0;      // that included the job
 };
@@ -440,9 +441,16 @@
 bool exceeds_long_running_limit(const shard_state& shard, const queue_spec& queue,
                                 const job_spec& spec);
 
-// Processes a submission. The answer follows in the actions once the job is stored.
+// One request for a submission. A job that no transaction includes by `store_by` is refused: whoever
+// asked has to answer its caller.
+struct submit_request {
+    request_token token = 0;
+    time_point store_by = time_point::max();
+};
+
+// Processes a submission. The answer follows in the actions once the job is stored or refused.
 void submit_job(shard_state& shard, const job_id& id, const queue_spec& queue, job_spec spec,
-                request_token token, time_point now, unix_time unix_now);
+                const submit_request& request, time_point now, unix_time unix_now);
 
 // Processes a cancellation. The answer follows in the actions.
 void cancel_job(shard_state& shard, const job_id& id, request_token token, time_point now,
--- a/tests/broken_connection_test.cpp
+++ b/tests/broken_connection_test.cpp
@@ -36,7 +36,7 @@
         spec.steps.emplace_back();
         queue_spec queue;
         queue.service = {"desk"};
-        submit_job(shard, {id}, queue, spec, next_token++, now, wall_clock);
+        submit_job(shard, {id}, queue, spec, {next_token++}, now, wall_clock);
     }
 
     void send() {
--- a/tests/commit_order_test.cpp
+++ b/tests/commit_order_test.cpp
@@ -57,7 +57,7 @@
             spec.steps.emplace_back();
             queue_spec queue;
             queue.service = {"desk"};
-            submit_job(shard, make_id(number), queue, spec, next_token++, now, wall_clock);
+            submit_job(shard, make_id(number), queue, spec, {next_token++}, now, wall_clock);
         }
     }
 
@@ -171,6 +171,31 @@
           max_transaction_entries);
 }
 
+// Busy owners stored jobs whose callers had been told seconds before that the outcome was unknown,
+// while those of callers that still waited came too late as well.
+TEST_CASE("a submission that nobody waits for any more is refused unless it has been sent") {
+    commit_world world;
+    const auto add = [&](std::size_t number, request_token token) {
+        job_spec spec;
+        spec.steps.emplace_back();
+        submit_job(world.shard, make_id(number), {}, spec, {token, world.now + duration(100)},
+                   world.now, wall_clock);
+    };
+    add(301, 901);
+    REQUIRE(world.send()); // stays unanswered
+    add(302, 902);
+    world.now += duration(100);
+    shard_actions actions;
+    advance(world.shard, world.now, wall_clock, actions);
+    REQUIRE(actions.submit_answers.size() == 1);
+    CHECK(actions.submit_answers.front().token == 902);
+    CHECK(actions.submit_answers.front().outcome == submit_outcome::unavailable);
+    world.apply();
+    const auto next = world.send();
+    CHECK_FALSE((next && world.submits(*next, 302)));
+    CHECK(world.shard.tables.jobs.at(make_id(301)).spec_stored);
+}
+
 // Submissions were stored in the order of their ids, so that a caller with a high id waited until
 // no other job was submitted.
 TEST_CASE("the submission that has waited longest is stored first") {
@@ -182,7 +207,7 @@
                    spec.steps.emplace_back();
                    return spec;
                }(),
-               77, world.now, {wall_clock.value - 1});
+               {77}, world.now, {wall_clock.value - 1});
     world.shard.commit.in_flight = false;
     world.submit(201, 240);
     const auto sent = world.send();
