host_requests: answer all requests before a host that stops ends

Cause: a request was bound by its caller's deadline only, never by the life of the process. A host that had got SIGTERM took a request 3 to 4 s later, tried owners for 2.85 s, and finish_stop ended the loop 0.7 s before the kill with the request open. The class: work that is begun without regard to how long the one who does it is there.

Now drain() takes the time by which all requests are answered, 1 s before the kill. It bounds those in progress and later ones; at that time each one that is left is answered: "not run" with Retry-After only if no attempt was sent or each was refused, "unknown" otherwise. A request that comes within 150 ms of it is rejected at once. Each request is answered once; a late answer of an attempt is dropped. The simulated stop ends like the daemon's, waits for answers and counts requests left open as a violation, so all its tests of stops check it.

Test: "a host that stops answers each request before it ends"; without the call of limit_requests it fails (the late request isn't answered, and the open ones aren't by the end).

--- a/src/host_control.cpp
+++ b/src/host_control.cpp
@@ -569,16 +569,6 @@
     }
 }
 
-void host_control::drain(std::function<void()> done) {
-    log_.write_rare("event=host_leaving shards={}", owned_.size());
-    leaving_ = true;
-    on_drained_ = std::move(done);
-    next_local_gossip_ = loop_.now();
-    next_global_gossip_ = loop_.now();
-    gossip();
-    maintain_claims();
-}
-
 void host_control::cache_location(const job_id& id, const shard_id& shard) {
     if (!location_cache_.insert_or_assign(id, shard).second) {
         return;
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -88,6 +88,8 @@
 // Receives a job's phase, or not_found, or unavailable if the phase can't be determined now.
 using phase_callback = std::function<void(result<job_phase>)>;
 
+enum class request_kind : std::uint8_t;
+
 class host_control {
   public:
     host_control(host_options options, event_loop& loop, async_store& store, worker_link& workers,
@@ -134,8 +136,13 @@
     // line.
     std::string describe() const;
 
-    // Hands over all shards, then calls `done`.
-    void drain(std::function<void()> done);
+    // Hands over all shards, then calls `done`. All requests, also later ones, are answered by
+    // `answer_by`; what this host can't serve by then is rejected, or its outcome is unknown if
+    // another host may have received it.
+    void drain(time_point answer_by, std::function<void()> done);
+
+    // Returns the number of submissions, queries and cancellations that aren't answered yet.
+    std::size_t open_requests() const { return open_requests_.size(); }
 
     // Process datagrams and calls from peers.
     void on_datagram(const std::string& datagram);
@@ -360,9 +367,17 @@
     std::string encode_backlogs() const;
     struct request;
     using request_pointer = std::shared_ptr<request>;
-    request_pointer begin_request(const job_id& id, duration timeout) const;
+    request_pointer begin_request(request_kind kind, const job_id& id, duration timeout);
+    bool reject_stopping(const request_pointer& request);
+    void limit_requests(time_point answer_by);
+    void close_request(const request_pointer& request);
+    void answer_unserved(const request_pointer& request);
     void route_submit(const request_pointer& request);
     void submit_to(const request_pointer& request, const shard_id& shard);
+    void on_submit_answer(const request_pointer& request, const shard_id& shard,
+                          std::size_t attempt, time_point sent, const submit_answer& answer);
+    void answer_submission(const request_pointer& request, const shard_id& shard,
+                           submit_answer answer);
     void submit_local(const shard_pointer& shard, const job_id& id, const queue_spec& queue,
                       const job_spec& spec, bool ignore_full, time_point store_by,
                       submit_callback done);
@@ -453,6 +468,7 @@
         published_effects_; // last published by each shard
     time_point next_claim_check_;
     bool leaving_ = false;
+    std::optional<time_point> answer_by_; // when this host must have answered all requests
     bool fetching_orders_ = false;
     bool orders_fresh_ = false;
     bool workers_fresh_ = false;
@@ -460,6 +476,7 @@
     std::optional<time_point> last_outage_;
     std::function<void()> on_drained_;
     std::uint64_t next_token_ = 1;
+    std::set<request_pointer> open_requests_; // not answered yet
     std::map<request_token, submit_callback> submit_waiting_;
     std::map<request_token, phase_callback> cancel_waiting_;
     std::map<request_token, peer_reply> loan_waiting_;
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -1,7 +1,7 @@
 // Requests from callers: each is forwarded to the owner of the shard that has, or will have, the
 // job.
 #include "bounded_json.hpp"
-#include "host_control.hpp"
+#include "host_request.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -10,21 +10,14 @@
 
 namespace {
 
-// Retry-After for requests rejected because the store or the owner is unreachable; takeovers and
-// short outages are over by then.
-constexpr duration unavailable_retry_after{1'000};
-
-// An owner that hasn't begun to store a job refuses it this long before the deadline, so that the
-// refusal reaches the host that asked.
-constexpr duration refusal_time{200};
-
-// For submissions from hosts of an earlier version, which don't tell how long they wait.
-constexpr duration default_time_left{3'000};
-
 // Of a caller's host or path in a log line, in bytes.
 constexpr std::size_t logged_text_limit = 80;
 
-enum class request_kind : std::uint8_t { submit, query, cancel };
+// A host that stops begins no attempt that has less time than this: a call to the owner and a
+// transaction in another region.
+constexpr duration shortest_attempt{150};
+
+} // namespace
 
 std::string_view to_string(request_kind kind) {
     switch (kind) {
@@ -38,79 +31,73 @@
     return "";
 }
 
-std::string encode_answer(const submit_answer& answer) {
-    return json{{"outcome", static_cast<int>(answer.outcome)},
-                {"retry_after", answer.retry_after.count()},
-                {"reason", answer.reason}}
-        .dump();
-}
-
-result<submit_answer> parse_answer(const std::string& text) {
-    try {
-        const auto in = json::parse(text);
-        return submit_answer{0, static_cast<submit_outcome>(in.at("outcome").get<int>()),
-                             duration(in.at("retry_after").get<std::int64_t>()),
-                             in.at("reason").get<std::string>()};
-    } catch (const std::exception& failure) {
-        return error{error_kind::protocol_error, failure.what()};
-    }
-}
-
-constexpr std::string_view not_owner = "not_owner";
-constexpr std::string_view shard_full = "full";
-
-} // namespace
-
-struct host_control::request {
-    request_kind kind = request_kind::submit;
-    job_id id;
-    queue_spec queue;
-    job_spec spec;
-    time_point began;
-    time_point deadline;
-    generation_number generation; // of the configuration that routed the request
-    std::size_t attempts = 0;     // to submit
-    bool unconfirmed = false;     // an earlier attempt may have stored the job
-    bool ignore_full = false;     // every shard has answered that it is full
-    std::set<shard_id> full;      // shards that have answered that they are full
-    bool from_index = false;      // look the shard up in the store, not in the cache
-    std::string last_reason = "no_shard";
-    submit_callback on_submit;
-    phase_callback on_phase;
-};
-
-host_control::request_pointer host_control::begin_request(const job_id& id,
-                                                          duration timeout) const {
+host_control::request_pointer host_control::begin_request(request_kind kind, const job_id& id,
+                                                          duration timeout) {
     auto next = std::make_shared<request>();
+    next->kind = kind;
     next->id = id;
     next->began = loop_.now();
     next->deadline = next->began + timeout;
+    if (answer_by_) {
+        next->deadline = std::min(next->deadline, *answer_by_);
+    }
     next->generation = config_.generation;
+    open_requests_.insert(next);
     return next;
 }
 
+// Rejects a request at once if this host stops too soon to serve it. Returns whether it did.
+bool host_control::reject_stopping(const request_pointer& request) {
+    if (!answer_by_ || request->deadline - loop_.now() >= shortest_attempt) {
+        return false;
+    }
+    request->last_reason = "host_stopping";
+    answer_unserved(request);
+    return true;
+}
+
 void host_control::submit(const job_id& id, const queue_spec& queue, job_spec spec,
                           duration timeout, submit_callback done) {
-    const auto next = begin_request(id, timeout);
-    next->kind = request_kind::submit;
+    const auto next = begin_request(request_kind::submit, id, timeout);
     next->queue = queue;
     next->spec = std::move(spec);
     next->on_submit = std::move(done);
-    route_submit(next);
+    if (!reject_stopping(next)) {
+        route_submit(next);
+    }
 }
 
 void host_control::query(const job_id& id, duration timeout, phase_callback done) {
-    const auto next = begin_request(id, timeout);
-    next->kind = request_kind::query;
+    const auto next = begin_request(request_kind::query, id, timeout);
     next->on_phase = std::move(done);
-    locate(next);
+    if (!reject_stopping(next)) {
+        locate(next);
+    }
 }
 
 void host_control::cancel(const job_id& id, duration timeout, phase_callback done) {
-    const auto next = begin_request(id, timeout);
-    next->kind = request_kind::cancel;
+    const auto next = begin_request(request_kind::cancel, id, timeout);
     next->on_phase = std::move(done);
-    locate(next);
+    if (!reject_stopping(next)) {
+        locate(next);
+    }
+}
+
+// Bounds all requests, those in progress and later ones, by the time at which this host must have
+// answered them.
+void host_control::limit_requests(time_point answer_by) {
+    answer_by_ = answer_by;
+    for (const auto& request : open_requests_) {
+        request->deadline = std::min(request->deadline, answer_by);
+    }
+    loop_.call_after(std::max(duration(0), answer_by - loop_.now()), [this, alive = alive_] {
+        if (!*alive) {
+            return;
+        }
+        for (const auto& request : std::set(open_requests_)) {
+            answer_unserved(request);
+        }
+    });
 }
 
 void host_control::record_rejection(int status, std::string_view reason, std::string_view host,
@@ -135,31 +122,67 @@
                age(config_applied_));
 }
 
-// Calls `retry` after a pause, or answers that the request can't be served now if the deadline is
-// too close.
-void host_control::retry_request(const request_pointer& request, std::function<void()> retry) {
-    const auto pause = options_.timing.request_retry;
-    if (loop_.now() + pause < request->deadline) {
-        loop_.call_after(pause, [alive = alive_, retry = std::move(retry)] {
-            if (*alive) {
-                retry();
-            }
-        });
+void host_control::drain(time_point answer_by, std::function<void()> done) {
+    log_.write_rare("event=host_leaving shards={} requests={} answer_by_ms={}", owned_.size(),
+                    open_requests_.size(), (answer_by - loop_.now()).count());
+    leaving_ = true;
+    limit_requests(answer_by);
+    on_drained_ = std::move(done);
+    next_local_gossip_ = loop_.now();
+    next_global_gossip_ = loop_.now();
+    gossip();
+    maintain_claims();
+}
+
+// Ends a request. The caller is answered right after.
+void host_control::close_request(const request_pointer& request) {
+    request->answered = true;
+    open_requests_.erase(request);
+}
+
+// Answers that a request couldn't be served in its time.
+void host_control::answer_unserved(const request_pointer& request) {
+    if (request->answered) {
         return;
     }
+    close_request(request);
+    const bool submission = request->kind == request_kind::submit;
+    // Only an answer of the owner, or the store's refusal, tells that nothing was stored.
+    const bool unknown = submission && (request->unconfirmed || request->open_attempts > 0);
     counters_.count("requests_unserved", request->last_reason);
-    log_.write("event=request_unserved kind={} job={} reason={} waited_ms={} generation={}",
-               to_string(request->kind), request->id.value, request->last_reason,
-               (loop_.now() - request->began).count(), request->generation.value);
-    if (request->kind == request_kind::submit) {
-        const auto outcome =
-            request->unconfirmed ? submit_outcome::unknown : submit_outcome::unavailable;
+    log_.write(
+        "event=request_unserved kind={} job={} reason={} waited_ms={} attempts={} unknown={} "
+        "generation={}",
+        to_string(request->kind), request->id.value, request->last_reason,
+        (loop_.now() - request->began).count(), request->attempts, unknown,
+        request->generation.value);
+    if (submission) {
+        const auto outcome = unknown ? submit_outcome::unknown : submit_outcome::unavailable;
         request->on_submit({0, outcome, unavailable_retry_after, request->last_reason});
     } else {
         request->on_phase(error{error_kind::unavailable, request->last_reason});
     }
 }
 
+// Calls `retry` after a pause, or answers that the request can't be served now if the deadline is
+// too close.
+void host_control::retry_request(const request_pointer& request, std::function<void()> retry) {
+    const auto pause = options_.timing.request_retry;
+    if (loop_.now() + pause >= request->deadline) {
+        answer_unserved(request);
+        return;
+    }
+    if (std::exchange(request->retry_pending, true)) {
+        return;
+    }
+    loop_.call_after(pause, [alive = alive_, request, retry = std::move(retry)] {
+        if (*alive && !request->answered) {
+            request->retry_pending = false;
+            retry();
+        }
+    });
+}
+
 const host_control::peer_row* host_control::find_owner(const shard_id& id) const {
     const auto claim = claims_.find(id);
     if (claim == claims_.end()) {
@@ -170,127 +193,6 @@
     return peer == peers_.end() ? nullptr : &peer->second;
 }
 
-void host_control::route_submit(const request_pointer& request) {
-    const auto ranked = rank_shards(request->queue, request->spec);
-    if (ranked.empty()) {
-        retry_request(request, [this, request] { route_submit(request); });
-        return;
-    }
-    // If every shard has answered that it is full, the first one has to accept the job anyway.
-    for (const auto& shard : ranked) {
-        if (!request->full.contains(shard)) {
-            submit_to(request, shard);
-            return;
-        }
-    }
-    request->ignore_full = true;
-    submit_to(request, ranked.front());
-}
-
-void host_control::submit_to(const request_pointer& request, const shard_id& shard) {
-    ++request->attempts;
-    const auto finish = [this, request, shard, sent = loop_.now()](const submit_answer& answer) {
-        if (answer.outcome == submit_outcome::unavailable && answer.reason == shard_full) {
-            request->full.insert(shard);
-            route_submit(request);
-            return;
-        }
-        const bool retryable =
-            answer.outcome == submit_outcome::unknown ||
-            (answer.outcome == submit_outcome::unavailable && answer.reason == not_owner);
-        if (retryable) {
-            log_.write(
-                "event=hand_in_attempt job={} shard={} attempt={} outcome={} reason={} ms={} "
-                "left_ms={}",
-                request->id.value, shard.value, request->attempts, to_string(answer.outcome),
-                answer.reason, (loop_.now() - sent).count(),
-                (request->deadline - loop_.now()).count());
-            request->unconfirmed =
-                request->unconfirmed || answer.outcome == submit_outcome::unknown;
-            request->last_reason = answer.reason;
-            retry_request(request, [this, request] { route_submit(request); });
-            return;
-        }
-        auto final = answer;
-        if (request->unconfirmed && answer.outcome != submit_outcome::accepted) {
-            final.outcome = submit_outcome::unknown;
-        }
-        if (answer.outcome == submit_outcome::accepted && answer.reason.empty()) {
-            cache_location(request->id, shard);
-        }
-        log_.write(
-            "event=hand_in job={} queue={} shard={} outcome={} reason={} ms={} generation={}",
-            request->id.value, request->queue.id.value, shard.value, to_string(final.outcome),
-            final.reason, (loop_.now() - request->began).count(), request->generation.value);
-        counters_.observe("hand_in_ms",
-                          static_cast<double>((loop_.now() - request->began).count()));
-        request->on_submit(final);
-    };
-    if (const auto own = find_owned(shard)) {
-        submit_local(own, request->id, request->queue, request->spec, request->ignore_full,
-                     request->deadline - refusal_time, finish);
-        return;
-    }
-    const auto* owner = find_owner(shard);
-    if (owner == nullptr || owner->record.address.port == 0) {
-        retry_request(request, [this, request] { route_submit(request); });
-        return;
-    }
-    const json body{{"shard", shard},
-                    {"job", request->id},
-                    {"insist", request->ignore_full},
-                    {"left_ms", (request->deadline - loop_.now()).count()},
-                    {"queue", encode_queue(request->queue)},
-                    {"spec", encode_spec(request->spec)}};
-    const auto limit = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
-    peers_link_.call(
-        owner->record.address, "submit", body.dump(), limit,
-        [alive = alive_, finish](const result<std::string>& reply) {
-            if (!*alive) {
-                return;
-            }
-            const auto answer =
-                reply ? parse_answer(reply.value()) : result<submit_answer>(reply.error());
-            if (answer) {
-                finish(answer.value());
-            } else if (answer.error().kind == error_kind::unavailable) {
-                finish({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
-            } else {
-                finish({0, submit_outcome::unknown, duration(0), "owner_silent"});
-            }
-        });
-}
-
-void host_control::submit_local(const shard_pointer& shard, const job_id& id,
-                                const queue_spec& queue, const job_spec& spec, bool ignore_full,
-                                time_point store_by, submit_callback done) {
-    if (!shard->loaded) {
-        shard->waiting.emplace_back(
-            [this, name = shard->state.id, id, queue, spec, ignore_full, store_by, done] {
-                const auto current = find_owned(name);
-                if (current && current->loaded) {
-                    submit_local(current, id, queue, spec, ignore_full, store_by, done);
-                } else {
-                    done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
-                }
-            });
-        return;
-    }
-    if (shard->state.releasing) {
-        done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
-        return;
-    }
-    if (!ignore_full && !shard->state.tables.jobs.contains(id) &&
-        exceeds_long_running_limit(shard->state, queue, spec)) {
-        done({0, submit_outcome::unavailable, duration(0), std::string(shard_full)});
-        return;
-    }
-    const auto token = next_token_++;
-    submit_waiting_[token] = std::move(done);
-    submit_job(shard->state, id, queue, spec, {token, store_by}, loop_.now(), loop_.unix_now());
-    schedule_shard(shard);
-}
-
 // Determines which shard has a job: from the owned shards, the cache, or the index in the store.
 void host_control::locate(const request_pointer& request) {
     for (const auto& [id, shard] : owned_) {
@@ -306,7 +208,7 @@
     }
     store_.get(job_index_key(request->id),
                [this, alive = alive_, request](result<std::optional<store_entry>> entry) {
-                   if (!*alive) {
+                   if (!*alive || request->answered) {
                        return;
                    }
                    if (!entry) {
@@ -317,6 +219,7 @@
                    if (!entry.value()) {
                        log_.write("event=job_unknown kind={} job={}", to_string(request->kind),
                                   request->id.value);
+                       close_request(request);
                        request->on_phase(error{error_kind::not_found, "no such job"});
                        return;
                    }
@@ -329,7 +232,11 @@
 
 void host_control::query_owner(const request_pointer& request, const shard_id& shard) {
     const auto finish = [this, request](result<job_phase> phase) {
+        if (request->answered) {
+            return;
+        }
         if (phase) {
+            close_request(request);
             counters_.observe("ask_ms",
                               static_cast<double>((loop_.now() - request->began).count()));
             request->on_phase(phase);
@@ -407,24 +314,6 @@
 
 // Calls from peers.
 
-void host_control::answer_submit_call(const std::string& body, const peer_reply& reply) {
-    try {
-        const auto in = json::parse(body);
-        const auto shard = find_owned(in.at("shard").get<shard_id>());
-        const auto done = [reply](const submit_answer& answer) { reply(encode_answer(answer)); };
-        if (!shard) {
-            done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
-            return;
-        }
-        const duration left{in.value("left_ms", default_time_left.count())};
-        submit_local(shard, in.at("job").get<job_id>(), decode_queue(in.at("queue")),
-                     decode_spec(in.at("spec")), in.at("insist").get<bool>(),
-                     loop_.now() + left - refusal_time, done);
-    } catch (const std::exception& failure) {
-        reply(error{error_kind::protocol_error, failure.what()});
-    }
-}
-
 void host_control::answer_phase_call(const std::string& body, const peer_reply& reply,
                                      bool cancel) {
     try {
--- /dev/null
+++ b/src/host_submissions.cpp
@@ -0,0 +1,197 @@
+// Submissions: which shard's owner is asked to store a job, until when, and what the caller may be
+// told about it.
+#include "bounded_json.hpp"
+#include "host_request.hpp"
+
+#include <algorithm>
+
+namespace fulmar {
+
+namespace {
+
+// An owner that hasn't begun to store a job refuses it this long before the deadline, so that the
+// refusal reaches the host that asked.
+constexpr duration refusal_time{200};
+
+// For submissions from hosts of an earlier version, which don't tell how long they wait.
+constexpr duration default_time_left{3'000};
+
+std::string encode_answer(const submit_answer& answer) {
+    return json{{"outcome", static_cast<int>(answer.outcome)},
+                {"retry_after", answer.retry_after.count()},
+                {"reason", answer.reason}}
+        .dump();
+}
+
+result<submit_answer> parse_answer(const std::string& text) {
+    try {
+        const auto in = json::parse(text);
+        return submit_answer{0, static_cast<submit_outcome>(in.at("outcome").get<int>()),
+                             duration(in.at("retry_after").get<std::int64_t>()),
+                             in.at("reason").get<std::string>()};
+    } catch (const std::exception& failure) {
+        return error{error_kind::protocol_error, failure.what()};
+    }
+}
+
+} // namespace
+
+void host_control::route_submit(const request_pointer& request) {
+    const auto ranked = rank_shards(request->queue, request->spec);
+    if (ranked.empty()) {
+        retry_request(request, [this, request] { route_submit(request); });
+        return;
+    }
+    // If every shard has answered that it is full, the first one has to accept the job anyway.
+    const auto open = std::find_if(ranked.begin(), ranked.end(), [&](const shard_id& shard) {
+        return !request->full.contains(shard);
+    });
+    request->ignore_full = open == ranked.end();
+    const auto shard = request->ignore_full ? ranked.front() : *open;
+    submit_to(request, shard);
+}
+
+void host_control::submit_to(const request_pointer& request, const shard_id& shard) {
+    const auto attempt = ++request->attempts;
+    const auto left = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
+    const auto done = [this, request, shard, attempt,
+                       sent = loop_.now()](const submit_answer& answer) {
+        --request->open_attempts;
+        on_submit_answer(request, shard, attempt, sent, answer);
+    };
+    if (const auto own = find_owned(shard)) {
+        ++request->open_attempts;
+        submit_local(own, request->id, request->queue, request->spec, request->ignore_full,
+                     request->deadline - refusal_time, done);
+        return;
+    }
+    const auto* owner = find_owner(shard);
+    if (owner == nullptr || owner->record.address.port == 0) {
+        retry_request(request, [this, request] { route_submit(request); });
+        return;
+    }
+    ++request->open_attempts;
+    const json body{{"shard", shard},
+                    {"job", request->id},
+                    {"insist", request->ignore_full},
+                    {"left_ms", (request->deadline - loop_.now()).count()},
+                    {"queue", encode_queue(request->queue)},
+                    {"spec", encode_spec(request->spec)}};
+    peers_link_.call(
+        owner->record.address, "submit", body.dump(), left,
+        [alive = alive_, done](const result<std::string>& reply) {
+            if (!*alive) {
+                return;
+            }
+            const auto answer =
+                reply ? parse_answer(reply.value()) : result<submit_answer>(reply.error());
+            if (answer) {
+                done(answer.value());
+            } else if (answer.error().kind == error_kind::unavailable) {
+                done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+            } else {
+                done({0, submit_outcome::unknown, duration(0), "owner_silent"});
+            }
+        });
+}
+
+void host_control::on_submit_answer(const request_pointer& request, const shard_id& shard,
+                                    std::size_t attempt, time_point sent,
+                                    const submit_answer& answer) {
+    using enum submit_outcome;
+    if (request->answered) {
+        return;
+    }
+    if (answer.outcome == accepted) {
+        answer_submission(request, shard, answer);
+        return;
+    }
+    log_.write("event=hand_in_attempt job={} shard={} attempt={} outcome={} reason={} ms={} "
+               "left_ms={}",
+               request->id.value, shard.value, attempt, to_string(answer.outcome), answer.reason,
+               (loop_.now() - sent).count(), (request->deadline - loop_.now()).count());
+    request->last_reason = answer.reason;
+    const bool last = attempt == request->attempts;
+    if (answer.outcome == unavailable && answer.reason == shard_full && last) {
+        request->full.insert(shard);
+        route_submit(request);
+        return;
+    }
+    const bool retryable = answer.outcome == unknown || answer.reason == not_owner;
+    if (answer.outcome == unknown) {
+        request->unconfirmed = true;
+    }
+    if (retryable && (last || request->open_attempts == 0)) {
+        retry_request(request, [this, request] { route_submit(request); });
+    } else if (!retryable && request->open_attempts == 0) {
+        answer_submission(request, shard, answer);
+    }
+}
+
+void host_control::answer_submission(const request_pointer& request, const shard_id& shard,
+                                     submit_answer answer) {
+    close_request(request);
+    if (request->unconfirmed && answer.outcome != submit_outcome::accepted) {
+        answer.outcome = submit_outcome::unknown;
+    }
+    if (answer.outcome == submit_outcome::accepted && answer.reason.empty()) {
+        cache_location(request->id, shard);
+    }
+    const auto passed = (loop_.now() - request->began).count();
+    log_.write("event=hand_in job={} queue={} shard={} outcome={} reason={} ms={} attempts={} "
+               "generation={}",
+               request->id.value, request->queue.id.value, shard.value, to_string(answer.outcome),
+               answer.reason, passed, request->attempts, request->generation.value);
+    counters_.observe("hand_in_ms", static_cast<double>(passed));
+    request->on_submit(answer);
+}
+
+void host_control::submit_local(const shard_pointer& shard, const job_id& id,
+                                const queue_spec& queue, const job_spec& spec, bool ignore_full,
+                                time_point store_by, submit_callback done) {
+    if (!shard->loaded) {
+        shard->waiting.emplace_back(
+            [this, name = shard->state.id, id, queue, spec, ignore_full, store_by, done] {
+                const auto current = find_owned(name);
+                if (current && current->loaded) {
+                    submit_local(current, id, queue, spec, ignore_full, store_by, done);
+                } else {
+                    done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+                }
+            });
+        return;
+    }
+    if (shard->state.releasing) {
+        done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+        return;
+    }
+    if (!ignore_full && !shard->state.tables.jobs.contains(id) &&
+        exceeds_long_running_limit(shard->state, queue, spec)) {
+        done({0, submit_outcome::unavailable, duration(0), std::string(shard_full)});
+        return;
+    }
+    const auto token = next_token_++;
+    submit_waiting_[token] = std::move(done);
+    submit_job(shard->state, id, queue, spec, {token, store_by}, loop_.now(), loop_.unix_now());
+    schedule_shard(shard);
+}
+
+void host_control::answer_submit_call(const std::string& body, const peer_reply& reply) {
+    try {
+        const auto in = json::parse(body);
+        const auto shard = find_owned(in.at("shard").get<shard_id>());
+        const auto done = [reply](const submit_answer& answer) { reply(encode_answer(answer)); };
+        if (!shard) {
+            done({0, submit_outcome::unavailable, duration(0), std::string(not_owner)});
+            return;
+        }
+        const duration left{in.value("left_ms", default_time_left.count())};
+        submit_local(shard, in.at("job").get<job_id>(), decode_queue(in.at("queue")),
+                     decode_spec(in.at("spec")), in.at("insist").get<bool>(),
+                     loop_.now() + left - refusal_time, done);
+    } catch (const std::exception& failure) {
+        reply(error{error_kind::protocol_error, failure.what()});
+    }
+}
+
+} // namespace fulmar
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr duration world_tick{20};
+
+// From a planned stop until the host must have answered its callers, and until its process ends.
+constexpr duration last_answer_time{5'000};
+constexpr duration stop_time{5'300};
 constexpr duration heartbeat_interval{1'500};
 constexpr std::int64_t unix_start_ms = 1'700'000'000'000;
 
@@ -296,11 +300,27 @@
         return;
     }
     const auto incarnation = host.incarnation;
-    host.control->drain([this, index, incarnation] {
-        on_host(index, incarnation, duration(200), [this, index] { kill_host(index); });
+    host.control->drain(now_ + last_answer_time, [this, index, incarnation] {
+        on_host(index, incarnation, duration(200), [this, index] { finish_stop(index); });
+    });
+    on_host(index, incarnation, stop_time, [this, index] {
+        if (hosts_[index]->control->open_requests() > 0) {
+            record_violation(hosts_[index]->options.name.value + " ended with open requests");
+        }
+        kill_host(index);
     });
 }
 
+// Ends a process that has handed over its shards once it has answered its callers.
+void sim_world::finish_stop(std::size_t index) {
+    auto& host = *hosts_[index];
+    if (host.control->open_requests() == 0) {
+        kill_host(index);
+        return;
+    }
+    on_host(index, host.incarnation, duration(50), [this, index] { finish_stop(index); });
+}
+
 void sim_world::freeze_host(std::size_t index, duration time) {
     hosts_[index]->frozen_until = now_ + time;
 }
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -203,6 +203,7 @@
     bool answer_hung_watch(waiting_watch& watch);
     bool is_cut(const data_centre_id& from, const data_centre_id& to) const;
     void tick();
+    void finish_stop(std::size_t index);
     void record_ends(sim_worker& worker, const worker_model& model);
     void check_starts(sim_worker& worker, const worker_model& model);
     void check_capacity(const sim_worker& worker);
--- /dev/null
+++ b/tests/stopping_host_test.cpp
@@ -0,0 +1,80 @@
+// What callers are told by a host that stops.
+#include "sim_test_support.hpp"
+
+namespace fulmar {
+
+namespace {
+
+// From the signal until the last answer, as in the daemon with a grace period of 6 s.
+constexpr duration last_answer_time{5'000};
+
+// Callers may wait for longer than a stop takes.
+constexpr duration patient_caller{9'000};
+
+struct submission {
+    std::optional<submit_answer> answer;
+    time_point answered_at;
+};
+
+// Submits a job for a caller that doesn't try again.
+std::shared_ptr<submission> submit_once(sim_world& world, std::size_t host, const std::string& id,
+                                        duration timeout) {
+    auto row = std::make_shared<submission>();
+    world.host(host)->submit({id}, world.queue("renders"), sim_world::simple_job(1), timeout,
+                             [&world, row](const submit_answer& answer) {
+                                 row->answer = answer;
+                                 row->answered_at = world.now();
+                             });
+    return row;
+}
+
+std::size_t find_other_host(std::size_t owner) {
+    return owner == 0 ? 1 : 0;
+}
+
+void partition(sim_world& world, std::size_t host) {
+    for (std::size_t other = 0; other < world.host_count(); ++other) {
+        if (other != host) {
+            world.set_partition(host, other, true);
+        }
+    }
+}
+
+} // namespace
+
+// LOST: a host that stopped closed the connections of callers whose requests still waited for a
+// silent owner, and tried owners for longer than its process lived.
+TEST_CASE("a host that stops answers each request before it ends") {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        INFO("seed " << seed);
+        sim_world world(seed, {"east"}, 3);
+        world.run_for(startup_time);
+        const auto owner = world.owner_of("east.0");
+        REQUIRE(owner);
+        const auto host = find_other_host(*owner);
+        partition(world, host);
+        const auto handed_on = submit_once(world, host, "00000000000000a1", patient_caller);
+        world.run_for(duration(2'500)); // until this host knows of no live owner
+        const auto kept = submit_once(world, host, "00000000000000a2", patient_caller);
+        CHECK_FALSE(handed_on->answer);
+        CHECK_FALSE(kept->answer);
+        const auto stopped_at = world.now();
+        world.stop_host(host);
+        world.run_for(last_answer_time - duration(50));
+        // Too late to serve anything: rejected at once, so that the caller goes to another host.
+        const auto late = submit_once(world, host, "00000000000000a3", patient_caller);
+        REQUIRE(late->answer);
+        CHECK(late->answer->outcome == submit_outcome::unavailable);
+        CHECK(late->answer->retry_after > duration(0));
+        world.run_for(duration(100));
+        REQUIRE(handed_on->answer);
+        CHECK(handed_on->answer->outcome == submit_outcome::unknown);
+        CHECK(handed_on->answered_at - stopped_at <= last_answer_time);
+        REQUIRE(kept->answer);
+        CHECK(kept->answer->outcome == submit_outcome::unavailable);
+        CHECK(kept->answered_at - stopped_at <= last_answer_time);
+        check_guarantees(world);
+    }
+}
+
+} // namespace fulmar
