host_submissions: stay with the shard that may have stored a job

Callers were told 504 (owner_silent) for jobs that were accepted, for seconds at a time, and hosts that stopped were busy with them.

So retries kept owners as late as made hosts retry.

Now an attempt lasts until the request's deadline; after 800 ms the same owner is asked again beside it, as a connection may have gone silent, and answers both with one transaction. Another shard is asked only once the owner isn't heard for 1 s, after a look into the index in the store. 200 ms before the deadline the store is asked, too, so that callers learn of jobs that were stored although their owner is gone.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -61,8 +61,9 @@
     // the claim has been unchanged, for this long.
     duration settling_time{3'000};
     duration host_lease{20'000}; // of the host's record in the store
-    duration peer_timeout{800};  // of a call to another host
-    duration request_retry{80};  // between attempts to reach a shard's owner
+    // Of a call to another host. A submission is sent again after this time; it goes on.
+    duration peer_timeout{800};
+    duration request_retry{80}; // between attempts to reach a shard's owner
     // Requests are answered this long before the caller's deadline, so that the answer arrives in
     // time.
     duration answer_margin{150};
@@ -373,11 +374,16 @@
     void close_request(const request_pointer& request);
     void answer_unserved(const request_pointer& request);
     void route_submit(const request_pointer& request);
+    bool has_live_owner(const shard_id& shard) const;
     void submit_to(const request_pointer& request, const shard_id& shard);
+    void plan_resend(const request_pointer& request, const shard_id& shard);
     void on_submit_answer(const request_pointer& request, const shard_id& shard,
                           std::size_t attempt, time_point sent, const submit_answer& answer);
     void answer_submission(const request_pointer& request, const shard_id& shard,
                            submit_answer answer);
+    void mark_unconfirmed(const request_pointer& request, const shard_id& shard);
+    void plan_index_check(const request_pointer& request);
+    void check_index(const request_pointer& request, std::function<void()> if_absent);
     void submit_local(const shard_pointer& shard, const job_id& id, const queue_spec& queue,
                       const job_spec& spec, bool ignore_full, time_point store_by,
                       submit_callback done);
--- a/src/host_request.hpp
+++ b/src/host_request.hpp
@@ -32,7 +32,9 @@
     std::size_t attempts = 0;      // the last one is followed by another when it fails
     std::size_t open_attempts = 0; // not answered yet
     bool retry_pending = false;
-    bool unconfirmed = false; // an attempt that ended may have stored the job
+    bool unconfirmed = false;               // an attempt that ended may have stored the job
+    std::optional<shard_id> unconfirmed_at; // the shard that may have stored it
+    bool index_check_planned = false;
     bool ignore_full = false; // every shard has answered that it is full
     std::set<shard_id> full;  // shards that have answered that they are full
 
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -89,6 +89,9 @@
     answer_by_ = answer_by;
     for (const auto& request : open_requests_) {
         request->deadline = std::min(request->deadline, answer_by);
+        if (request->kind == request_kind::submit && request->index_check_planned) {
+            plan_index_check(request); // the one that is planned may come too late
+        }
     }
     loop_.call_after(std::max(duration(0), answer_by - loop_.now()), [this, alive = alive_] {
         if (!*alive) {
--- a/src/host_submissions.cpp
+++ b/src/host_submissions.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Before the deadline of a submission with an unknown outcome, the store is asked whether it has
+// the job: a read in another region, beside other traffic.
+constexpr duration index_check_time{200};
+
 // An owner that hasn't begun to store a job refuses it this long before the deadline, so that the
 // refusal reaches the host that asked.
 constexpr duration refusal_time{200};
@@ -36,7 +40,15 @@
 
 } // namespace
 
+// Chooses the shard of the next attempt. While a shard that may have stored the job has an owner,
+// it is asked again: its owner answers for all attempts with one transaction, while another shard
+// would need one of its own to find that the job exists.
 void host_control::route_submit(const request_pointer& request) {
+    const auto& asked = request->unconfirmed_at;
+    if (asked && has_live_owner(*asked)) {
+        submit_to(request, *asked);
+        return;
+    }
     const auto ranked = rank_shards(request->queue, request->spec);
     if (ranked.empty()) {
         retry_request(request, [this, request] { route_submit(request); });
@@ -48,12 +60,34 @@
     });
     request->ignore_full = open == ranked.end();
     const auto shard = request->ignore_full ? ranked.front() : *open;
-    submit_to(request, shard);
+    if (!asked) {
+        submit_to(request, shard);
+        return;
+    }
+    request->retry_pending = true;
+    check_index(request, [this, request, shard] {
+        request->retry_pending = false;
+        request->unconfirmed_at.reset();
+        submit_to(request, shard);
+    });
+}
+
+// Returns whether this host owns a shard, or hears the process that does. An owner that is late but
+// runs sends datagrams.
+bool host_control::has_live_owner(const shard_id& shard) const {
+    if (find_owned(shard)) {
+        return true;
+    }
+    const auto* owner = find_owner(shard);
+    return owner != nullptr && is_alive(*owner) &&
+           loop_.now() - *owner->last_received <= options_.timing.global_gossip_interval * 2 &&
+           claims_.at(shard).record.owner.value ==
+               owner->record.name.value + "/" + owner->record.incarnation;
 }
 
 void host_control::submit_to(const request_pointer& request, const shard_id& shard) {
     const auto attempt = ++request->attempts;
-    const auto left = std::min(options_.timing.peer_timeout, request->deadline - loop_.now());
+    const auto left = request->deadline - loop_.now();
     const auto done = [this, request, shard, attempt,
                        sent = loop_.now()](const submit_answer& answer) {
         --request->open_attempts;
@@ -74,9 +108,10 @@
     const json body{{"shard", shard},
                     {"job", request->id},
                     {"insist", request->ignore_full},
-                    {"left_ms", (request->deadline - loop_.now()).count()},
+                    {"left_ms", left.count()},
                     {"queue", encode_queue(request->queue)},
                     {"spec", encode_spec(request->spec)}};
+    plan_resend(request, shard);
     peers_link_.call(
         owner->record.address, "submit", body.dump(), left,
         [alive = alive_, done](const result<std::string>& reply) {
@@ -95,6 +130,25 @@
         });
 }
 
+// Sends a submission again if its owner hasn't answered for a while, as a connection may have gone
+// silent. The earlier attempt goes on, so that its answer isn't lost.
+void host_control::plan_resend(const request_pointer& request, const shard_id& shard) {
+    const auto attempt = request->attempts;
+    loop_.call_after(options_.timing.peer_timeout, [this, alive = alive_, request, shard, attempt] {
+        if (!*alive || request->answered || request->retry_pending ||
+            request->attempts != attempt || request->open_attempts == 0 ||
+            request->deadline - loop_.now() < options_.timing.request_retry) {
+            return;
+        }
+        request->last_reason = "owner_silent";
+        mark_unconfirmed(request, shard);
+        log_.write("event=hand_in_resent job={} shard={} attempt={} ms={} left_ms={}",
+                   request->id.value, shard.value, attempt, (loop_.now() - request->began).count(),
+                   (request->deadline - loop_.now()).count());
+        route_submit(request);
+    });
+}
+
 void host_control::on_submit_answer(const request_pointer& request, const shard_id& shard,
                                     std::size_t attempt, time_point sent,
                                     const submit_answer& answer) {
@@ -114,12 +168,14 @@
     const bool last = attempt == request->attempts;
     if (answer.outcome == unavailable && answer.reason == shard_full && last) {
         request->full.insert(shard);
+        request->unconfirmed_at.reset();
         route_submit(request);
         return;
     }
     const bool retryable = answer.outcome == unknown || answer.reason == not_owner;
     if (answer.outcome == unknown) {
         request->unconfirmed = true;
+        mark_unconfirmed(request, shard);
     }
     if (retryable && (last || request->open_attempts == 0)) {
         retry_request(request, [this, request] { route_submit(request); });
@@ -146,6 +202,47 @@
     request->on_submit(answer);
 }
 
+// Notes that a shard may have stored the job, and plans to ask the store before the caller has to
+// be told that the outcome is unknown.
+void host_control::mark_unconfirmed(const request_pointer& request, const shard_id& shard) {
+    request->unconfirmed_at = shard;
+    if (!std::exchange(request->index_check_planned, true)) {
+        plan_index_check(request);
+    }
+}
+
+void host_control::plan_index_check(const request_pointer& request) {
+    const auto at = request->deadline - index_check_time;
+    loop_.call_after(std::max(duration(0), at - loop_.now()), [this, alive = alive_, request] {
+        if (*alive) {
+            check_index(request, {});
+        }
+    });
+}
+
+// Answers a submission whose job the store has. Calls `if_absent` otherwise, also if the store
+// doesn't answer: an attempt that is still open may store the job later.
+void host_control::check_index(const request_pointer& request, std::function<void()> if_absent) {
+    if (request->answered) {
+        return;
+    }
+    store_.get(job_index_key(request->id), [this, alive = alive_, request,
+                                            if_absent = std::move(if_absent)](
+                                               const result<std::optional<store_entry>>& entry) {
+        if (!*alive || request->answered) {
+            return;
+        }
+        if (entry && entry.value()) {
+            const shard_id shard{entry.value()->value};
+            cache_location(request->id, shard);
+            answer_submission(request, shard,
+                              {0, submit_outcome::accepted, duration(0), "found_in_store"});
+        } else if (if_absent) {
+            if_absent();
+        }
+    });
+}
+
 void host_control::submit_local(const shard_pointer& shard, const job_id& id,
                                 const queue_spec& queue, const job_spec& spec, bool ignore_full,
                                 time_point store_by, submit_callback done) {
--- a/tests/stopping_host_test.cpp
+++ b/tests/stopping_host_test.cpp
@@ -1,4 +1,4 @@
-// What callers are told by a host that stops.
+// What callers are told by a host that stops, and by one whose shard's owner is late.
 #include "sim_test_support.hpp"
 
 namespace fulmar {
@@ -77,4 +77,55 @@
     }
 }
 
+// LOST: a submission whose owner was late went to another shard while the first one's transaction
+// went on. Each such job cost two transactions, which kept busy owners late.
+TEST_CASE("a submission stays with the shard whose owner is late") {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        INFO("seed " << seed);
+        sim_world world(seed, {"east", "west"}, 2);
+        world.run_for(startup_time);
+        std::size_t host = 0; // one that owns no shard
+        while (world.owner_of("east.0") == host || world.owner_of("west.0") == host) {
+            ++host;
+        }
+        world.lose_answer({.kind = "submission", .late = duration(1'200), .times_out = true});
+        const auto began = world.now();
+        const auto id = world.submit(host, sim_world::simple_job(2), duration(500));
+        world.run_for(duration(100));
+        // From now on, new jobs go to the other shard.
+        world.evacuate(world.data_centre_of(host).value, true);
+        REQUIRE(world.run_until([&] { return world.jobs().at(id).answer.has_value(); },
+                                duration(2'700)));
+        CHECK(world.answers_lost("submission") == 1);
+        CHECK(world.now() - began >= duration(1'000)); // later than an attempt once lasted
+        CHECK(world.jobs().at(id).answer == submit_outcome::accepted);
+        CHECK(finish_all(world, finish_time));
+        for (std::size_t owner = 0; owner < world.host_count(); ++owner) {
+            CHECK(world.counter(owner, "hand_ins_duplicate", "") == 0);
+        }
+        check_guarantees(world);
+    }
+}
+
+// LOST: callers were told that the outcome of accepted jobs was unknown, as the owner's answer was
+// lost with it, although the store had the job.
+TEST_CASE("a submission that was stored is reported as accepted although its owner is gone") {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        INFO("seed " << seed);
+        sim_world world(seed, {"east"}, 2);
+        world.run_for(startup_time);
+        const auto owner = world.owner_of("east.0");
+        REQUIRE(owner);
+        const auto host = find_other_host(*owner);
+        world.lose_answer({.kind = "peer.submit", .times_out = true});
+        const auto sent = submit_once(world, host, "00000000000000b1", duration(1'500));
+        world.run_for(duration(100));
+        world.kill_host(*owner);
+        world.run_for(duration(1'500)); // a successor claims the shard after 2 s at the soonest
+        REQUIRE(sent->answer);
+        CHECK(sent->answer->outcome == submit_outcome::accepted);
+        check_guarantees(world);
+    }
+}
+
 } // namespace fulmar
