host_submissions: refuse unsent submissions early enough for their callers

Its refusals came up to 0.3 s after the deadline of the host that had asked, as its event loop was 0.2 to 0.3 s late, both when the submission arrived and when its time was checked. The margin was 0.2 s.

The margin is 0.5 s now, or half of the time if that is less. Where the loop isn't late a transaction begins within 0.1 s of the arrival, so no submission waits for so long there.

--- a/src/host_submissions.cpp
+++ b/src/host_submissions.cpp
@@ -14,12 +14,18 @@
 constexpr duration index_check_time{200};
 
 // An owner that hasn't begun to store a job refuses it this long before the deadline, so that the
-// refusal reaches the host that asked.
-constexpr duration refusal_time{200};
+// refusal reaches the host that asked: twice the delay of an event loop that is overloaded. Of a
+// shorter time, half.
+constexpr duration refusal_time{500};
 
 // For submissions from hosts of an earlier version, which don't tell how long they wait.
 constexpr duration default_time_left{3'000};
 
+// Returns by when a transaction has to include a submission whose answer is due after `left`.
+time_point find_store_limit(time_point now, duration left) {
+    return now + left - std::min(refusal_time, left / 2);
+}
+
 std::string encode_answer(const submit_answer& answer) {
     return json{{"outcome", static_cast<int>(answer.outcome)},
                 {"retry_after", answer.retry_after.count()},
@@ -96,7 +102,7 @@
     if (const auto own = find_owned(shard)) {
         ++request->open_attempts;
         submit_local(own, request->id, request->queue, request->spec, request->ignore_full,
-                     request->deadline - refusal_time, done);
+                     find_store_limit(loop_.now(), left), done);
         return;
     }
     const auto* owner = find_owner(shard);
@@ -285,7 +291,7 @@
         const duration left{in.value("left_ms", default_time_left.count())};
         submit_local(shard, in.at("job").get<job_id>(), decode_queue(in.at("queue")),
                      decode_spec(in.at("spec")), in.at("insist").get<bool>(),
-                     loop_.now() + left - refusal_time, done);
+                     find_store_limit(loop_.now(), left), done);
     } catch (const std::exception& failure) {
         reply(error{error_kind::protocol_error, failure.what()});
     }
