shard_submissions: duplicates that wait cost no transaction, and have few others rejected

Callers saw: submissions that were answered after 2 to 7 s, or not at all, at owners that stored four jobs a transaction.

Cause: callers send a job again at any host, and hosts rank shards each for itself. The store rejects a transaction with one job that another shard has stored; only the duplicates of that transaction were dropped, and the next one took unknown jobs beside the known ones.

Change: the jobs that the store didn't name in a rejection are known to be new, and the next transaction takes only such jobs if it has any. For 3 s after a duplicate, and for submissions that wait for over 800 ms, the index entries of the eight that wait longest are read, also while a transaction is in flight: a job that exists is answered as accepted without a transaction. A read is trusted for its "exists" only if no pending transaction has the job; the condition in the transaction stays. A submission whose read isn't answered within 200 ms, or fails, is taken all the same. Without duplicates and long waits there is no read. The handling of submissions moved from shard_commit to shard_submissions, unchanged otherwise.

Tests, both failed with the selection and the reads switched off: "a duplicate does not have later transactions rejected, nor cost one itself" (the next transaction had the unknown job 205, and no read was made), and "the index entries of submissions that wait for long are read, without waiting for it" (no read).

--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -151,6 +151,18 @@
                           });
                       });
     }
+    for (const auto& id : actions.index_reads) {
+        store_.get(job_index_key(id), [this, alive = alive_, shard,
+                                       id](const result<std::optional<store_entry>>& entry) {
+            if (!*alive) {
+                return;
+            }
+            handle_event(shard, "index_read", [&] {
+                on_index_read(shard->state, id, entry, loop_.now());
+                schedule_shard(shard);
+            });
+        });
+    }
     for (const auto& message : actions.loan_messages) {
         send_loan_message(shard, message);
     }
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -20,9 +20,6 @@
 constexpr std::size_t oldest_change_share = 6; // jobs, with changes that are not urgent as well
 constexpr std::size_t purge_share = 1;         // jobs
 
-// Retry-After for submissions that this owner couldn't store in time.
-constexpr duration overload_retry_after{1'000};
-
 // Acknowledges run ends whose job's record is stored, in the order of their numbers.
 void acknowledge_ends(shard_state& shard, worker_row& worker, time_point now) {
     const auto before = worker.acknowledged_end;
@@ -40,27 +37,6 @@
     }
 }
 
-// Answers all requests that wait for the submission of a job.
-void answer_submissions(shard_state& shard, const job_id& id, const submit_answer& answer,
-                        time_point now, shard_actions& actions) {
-    const auto waiting = shard.submissions.extract(id);
-    if (waiting.empty()) {
-        return;
-    }
-    const auto& submission = waiting.mapped();
-    for (const auto token : submission.tokens) {
-        auto next = answer;
-        next.token = token;
-        actions.submit_answers.push_back(std::move(next));
-    }
-    shard.log->write("event=hand_in_answered job={} shard={} outcome={} reason={} requests={} "
-                     "waited_ms={} unsent_ms={} transactions={}",
-                     id.value, shard.id.value, to_string(answer.outcome), answer.reason,
-                     submission.tokens.size(), (now - submission.arrived).count(),
-                     (submission.sent.value_or(now) - submission.arrived).count(),
-                     submission.transactions);
-}
-
 // Answers submissions and cancellations that no longer have to wait for a transaction.
 void answer_stored(shard_state& shard, time_point now, shard_actions& actions) {
     for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
@@ -193,24 +169,6 @@
     commit.unconfirmed = false;
 }
 
-// Returns the jobs that are submitted and not stored, those submitted first in front.
-std::vector<job_id> find_submissions(const shard_state& shard) {
-    std::vector<std::pair<unix_time, job_id>> found;
-    for (const auto& [id, submission] : shard.submissions) {
-        const auto& job = shard.tables.jobs.at(id);
-        if (!job.spec_stored) {
-            found.emplace_back(job.accepted, id);
-        }
-    }
-    std::sort(found.begin(), found.end());
-    std::vector<job_id> sorted;
-    sorted.reserve(found.size());
-    for (auto& [accepted, id] : found) {
-        sorted.push_back(std::move(id));
-    }
-    return sorted;
-}
-
 // Returns the jobs whose records can be stored: those whose changes have waited longest, then the
 // urgent ones by their wait, then the others by theirs.
 std::vector<job_id> find_changed_jobs(shard_state& shard) {
@@ -330,7 +288,7 @@
         next.puts.push_back({ownership_key(shard.id), encode(*commit.ownership), {}});
         ++builder.entries;
     }
-    const auto submitted = find_submissions(shard);
+    const auto submitted = select_submissions(shard, now);
     const auto changed = find_changed_jobs(shard);
     const auto& purged = shard.to_purge;
     const auto submissions =
@@ -449,15 +407,8 @@
         }
         return;
     }
-    // These jobs were submitted to another shard before and exist there.
-    std::size_t duplicates = 0;
-    for (const auto& id : commit.submissions) {
-        if (find(job_index_key(id)) != nullptr) {
-            shard.tables.jobs.erase(id);
-            shard.counters->count("hand_ins_duplicate");
-            ++duplicates;
-        }
-    }
+    // Jobs whose index entries exist were submitted to another shard before.
+    const auto duplicates = drop_duplicates(shard, present, now);
     shard.log->write("event=commit_conflict shard={} number={} submissions={} duplicates={} ms={}",
                      shard.id.value, commit.number, commit.submissions.size(), duplicates,
                      (now - sent).count());
@@ -539,54 +490,11 @@
     return names(shard.stored_workers) && (pending == nullptr || names(*pending));
 }
 
-// Refuses the submissions for which `is_refused` holds and that are certainly not stored: no
-// transaction that may still take effect includes them.
-template <class Predicate>
-void refuse_submissions(shard_state& shard, Predicate is_refused, const submit_answer& answer,
-                        time_point now, shard_actions& actions) {
-    const auto& commit = shard.commit;
-    for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
-        const auto id = it->first;
-        const bool refused = is_refused(it->second);
-        ++it;
-        const bool sent =
-            commit.pending && std::find(commit.submissions.begin(), commit.submissions.end(), id) !=
-                                  commit.submissions.end();
-        if (refused && !sent && !shard.tables.jobs.at(id).spec_stored) {
-            shard.tables.jobs.erase(id);
-            answer_submissions(shard, id, answer, now, actions);
-        }
-    }
-}
+namespace {
 
-void prepare_commit(shard_state& shard, time_point now, shard_actions& actions) {
+// Sends the next transaction if one is due.
+void send_transaction(shard_state& shard, time_point now, shard_actions& actions) {
     auto& commit = shard.commit;
-    // A submitted job that exists in another shard has no row any more.
-    for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
-        const auto id = it->first;
-        ++it;
-        if (!shard.tables.jobs.contains(id)) {
-            answer_submissions(shard, id, {0, submit_outcome::accepted, duration(0), "duplicate"},
-                               now, actions);
-        }
-    }
-    // While the store doesn't reply, new jobs are refused immediately instead of being kept
-    // waiting.
-    const bool failing =
-        commit.unconfirmed || (!commit.in_flight && !commit.pending && commit.next_attempt > now);
-    if (failing && !commit.repeated_at_once) {
-        refuse_submissions(
-            shard, [](const waiting_submission&) { return true; },
-            {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"}, now, actions);
-    }
-    // Nobody waits any longer for the others; storing them would delay those that are waited for.
-    refuse_submissions(
-        shard, [&](const waiting_submission& waiting) { return now >= waiting.store_by; },
-        {0, submit_outcome::unavailable, overload_retry_after, "overloaded"}, now, actions);
-    answer_stored(shard, now, actions);
-    for (auto& [id, worker] : shard.tables.workers) {
-        acknowledge_ends(shard, worker, now);
-    }
     if (commit.in_flight || now < commit.next_attempt || shard.handing_over) {
         return;
     }
@@ -614,4 +522,25 @@
     actions.commit = commit.pending;
 }
 
+} // namespace
+
+void prepare_commit(shard_state& shard, time_point now, shard_actions& actions) {
+    // A submitted job that exists in another shard has no row any more.
+    for (auto it = shard.submissions.begin(); it != shard.submissions.end();) {
+        const auto id = it->first;
+        ++it;
+        if (!shard.tables.jobs.contains(id)) {
+            answer_submissions(shard, id, {0, submit_outcome::accepted, duration(0), "duplicate"},
+                               now, actions);
+        }
+    }
+    refuse_unstorable(shard, now, actions);
+    answer_stored(shard, now, actions);
+    for (auto& [id, worker] : shard.tables.workers) {
+        acknowledge_ends(shard, worker, now);
+    }
+    send_transaction(shard, now, actions);
+    request_index_reads(shard, now, actions);
+}
+
 } // namespace fulmar
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -220,6 +220,7 @@
     std::vector<cancel_answer> cancel_answers;
     std::vector<loan_message> loan_messages;
     std::vector<loan_answer> loan_answers;
+    std::vector<job_id> index_reads; // jobs whose index entries are to be read
 };
 
 // Workers that may have runs of a shard, with their addresses. A worker may come back under its id
@@ -268,8 +269,15 @@
     std::optional<time_point> dirty_since;
     // A caller or another shard waits for the change, so it skips the commit delay.
     bool urgent = false;
+    // Until then submissions of jobs that another shard has stored are expected.
+    time_point duplicates_until;
+    std::size_t index_reads = 0; // without an answer
 };
 
+// What is known of the index entry of a submitted job: nothing; it is being read; it didn't exist,
+// so no other shard had stored the job; or it couldn't be read.
+enum class index_knowledge : std::uint8_t { none, requested, absent, unreadable };
+
 // A submission that its callers wait for.
 struct waiting_submission {
     std::vector<request_token> tokens; // the requests for it, of one caller or of several hosts
@@ -277,6 +285,8 @@
     time_point store_by;               // refused if no transaction has the job by then
     std::optional<time_point> sent{};  // when the first transaction with the job was sent
     std::size_t transactions = 0;      // that included the job
+    index_knowledge index = index_knowledge::none;
+    time_point index_requested; // when the read was requested
 };
 
 // An owner of the shard before this one that may still act, if it lives.
@@ -441,8 +451,8 @@
 bool exceeds_long_running_limit(const shard_state& shard, const queue_spec& queue,
                                 const job_spec& spec);
 
-// One request for a submission. A job that no transaction includes by `store_by` is refused: whoever
-// asked has to answer its caller.
+// One request for a submission. A job that no transaction includes by `store_by` is refused:
+// whoever asked has to answer its caller.
 struct submit_request {
     request_token token = 0;
     time_point store_by = time_point::max();
@@ -472,6 +482,10 @@
 void on_commit_reply(shard_state& shard, const result<transaction_reply>& reply, time_point sent,
                      time_point now);
 
+// Processes the index entry of a submitted job, as read for `shard_actions::index_reads`.
+void on_index_read(shard_state& shard, const job_id& id,
+                   const result<std::optional<store_entry>>& entry, time_point now);
+
 // Run ends that were listed to an owner and weren't stored when it lost the shard. It passes them
 // on to the next owner.
 // Returns whether an end matters to the next owner: it was done, or it used up an attempt.
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -258,6 +258,26 @@
 // that are settled.
 void prepare_commit(shard_state& shard, time_point now, shard_actions& actions);
 
+// Answers all requests that wait for the submission of a job.
+void answer_submissions(shard_state& shard, const job_id& id, const submit_answer& answer,
+                        time_point now, shard_actions& actions);
+
+// Refuses the submissions that can't be stored in time, or at all, and that are certainly not
+// stored.
+void refuse_unstorable(shard_state& shard, time_point now, shard_actions& actions);
+
+// Returns the submitted jobs that the next transaction may include, those submitted first in front.
+std::vector<job_id> select_submissions(const shard_state& shard, time_point now);
+
+// Drops the jobs of a rejected transaction that exist in other shards; returns their number.
+// `present` are the entries that the store returned for its conditions.
+std::size_t drop_duplicates(shard_state& shard, const std::vector<store_entry>& present,
+                            time_point now);
+
+// Requests reads of the index entries of waiting submissions that may be duplicates. In calm times
+// there are none.
+void request_index_reads(shard_state& shard, time_point now, shard_actions& actions);
+
 // Whether a job can still end within its objective, ordered from best to worst.
 enum class timeliness : std::uint8_t { in_time, late, overdue };
 
--- a/tests/commit_order_test.cpp
+++ b/tests/commit_order_test.cpp
@@ -61,12 +61,37 @@
         }
     }
 
+    std::vector<std::string> accepted; // reasons of the answers to submissions that were accepted
+    std::vector<job_id> reads;         // index entries that are to be read
+
     std::optional<store_transaction> send() {
         shard_actions actions;
         advance(shard, now, wall_clock, actions);
+        for (const auto& answer : actions.submit_answers) {
+            REQUIRE(answer.outcome == submit_outcome::accepted);
+            accepted.push_back(answer.reason);
+        }
+        reads.insert(reads.end(), actions.index_reads.begin(), actions.index_reads.end());
         return actions.commit;
     }
 
+    // Rejects the transaction that was sent: another shard has stored the job.
+    void reject_for(std::size_t duplicate) {
+        transaction_reply reply;
+        reply.present = {{claim_key(record.id), "", shard.claim_revision},
+                         {head_key(record.id), "", shard.head_revision},
+                         {job_index_key(make_id(duplicate)), "west.0", {5}}};
+        const auto sent = now;
+        now += duration(20);
+        on_commit_reply(shard, reply, sent, now);
+    }
+
+    void answer_read(std::size_t number, bool exists) {
+        const auto key = job_index_key(make_id(number));
+        const auto entry = exists ? std::optional(store_entry{key, "west.0", {5}}) : std::nullopt;
+        on_index_read(shard, make_id(number), entry, now);
+    }
+
     void apply() {
         transaction_reply reply;
         reply.applied = revision_number{++revision};
@@ -255,3 +280,54 @@
     }
     CHECK_FALSE(world.send());
 }
+
+// Jobs that another shard had stored had nearly every transaction rejected, one after the other,
+// while new jobs waited for seconds in each of them again.
+TEST_CASE("a duplicate does not have later transactions rejected, nor cost one itself") {
+    commit_world world;
+    world.submit(201, 204);
+    const auto first = world.send();
+    REQUIRE(first);
+    CHECK(world.reads.empty()); // none before a duplicate was seen
+    world.submit(205, 208);
+    CHECK_FALSE(world.send());
+    world.reject_for(201);
+    // The store has just told that it lacks the others of the rejected transaction.
+    const auto second = world.send();
+    REQUIRE(second);
+    CHECK(world.submits(*second, 202));
+    CHECK_FALSE(world.submits(*second, 205));
+    CHECK(world.reads == std::vector{make_id(205), make_id(206), make_id(207), make_id(208)});
+    world.answer_read(205, true);
+    world.answer_read(206, false);
+    world.answer_read(202, true); // may be its own transaction, whose reply is late
+    world.apply();
+    const auto third = world.send();
+    REQUIRE(third);
+    CHECK(world.accepted == std::vector<std::string>{"duplicate", "duplicate", "", "", ""});
+    CHECK(world.submits(*third, 206));
+    CHECK_FALSE(world.submits(*third, 205));
+    CHECK_FALSE(world.submits(*third, 207));
+}
+
+// A submission that waits is likely to be sent again, to another shard. A store that doesn't answer
+// reads must not hold it back.
+TEST_CASE("the index entries of submissions that wait for long are read, without waiting for it") {
+    commit_world world;
+    world.submit(201, 201);
+    REQUIRE(world.send());
+    world.submit(202, 240);
+    world.now += duration(900);
+    REQUIRE_FALSE(world.send());
+    CHECK(world.reads.size() == 8);
+    world.answer_read(202, true);
+    world.answer_read(203, false);
+    world.now += duration(300);
+    world.apply();
+    const auto next = world.send();
+    REQUIRE(next);
+    CHECK(world.accepted == std::vector<std::string>{"duplicate", ""});
+    CHECK(world.submits(*next, 203));
+    CHECK(world.submits(*next, 204)); // its read has no answer
+    CHECK_FALSE(world.submits(*next, 240));
+}
