host_submissions: answer by the deadline, and after an owner's change try another shard

Test: "a request is answered by its deadline while the store doesn't answer" (fails without the timer: 1.0 s). A test and a comment said that nobody waits any more for what is refused; it is refused while the answer can still arrive.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -61,7 +61,7 @@
     // the claim has been unchanged, for this long.
     duration settling_time{3'000};
     duration host_lease{20'000}; // of the host's record in the store
-    // Of a call to another host. A submission is sent again after this time; it goes on.
+    // Of a call to another host. A submission isn't given up then, but sent again beside it.
     duration peer_timeout{800};
     duration request_retry{80}; // between attempts to reach a shard's owner
     // Requests are answered this long before the caller's deadline, so that the answer arrives in
@@ -118,7 +118,7 @@
 
     duration answer_margin() const { return options_.timing.answer_margin; }
 
-    // Submits a job. `timeout` limits the retries and the calls to other hosts. A shard that this
+    // Submits a job. `timeout` limits the calls to other hosts and to the store. A shard that this
     // host owns calls `done` once the job is stored or rejected, or with an unknown outcome if the
     // shard is dropped before; `timeout` doesn't limit that.
     void submit(const job_id& id, const queue_spec& queue, job_spec spec, duration timeout,
--- a/src/host_request.hpp
+++ b/src/host_request.hpp
@@ -26,17 +26,19 @@
     time_point deadline;          // for attempts; a stop of this host brings it forward
     generation_number generation; // of the configuration that routed the request
     bool answered = false;
+    bool waits_here = false; // for a shard of this host, which answers also after the deadline
     std::string last_reason = "no_shard";
 
     // Of a submission. Its attempts may overlap, as one that is late isn't given up.
-    std::size_t attempts = 0;      // the last one is followed by another when it fails
+    std::size_t attempts = 0;      // sent so far
     std::size_t open_attempts = 0; // not answered yet
     bool retry_pending = false;
     bool unconfirmed = false;               // an attempt that ended may have stored the job
     std::optional<shard_id> unconfirmed_at; // the shard that may have stored it
     bool index_check_planned = false;
-    bool ignore_full = false; // every shard has answered that it is full
-    std::set<shard_id> full;  // shards that have answered that they are full
+    bool ignore_full = false;                 // the shard has to take the job, as all are full
+    std::set<shard_id> full;                  // shards that have answered that they are full
+    std::map<shard_id, time_point> not_owned; // when a shard's owner was last found to change
 
     bool from_index = false; // look the shard up in the store, not in the cache
     submit_callback on_submit;
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -43,6 +43,14 @@
     }
     next->generation = config_.generation;
     open_requests_.insert(next);
+    // Calls to the store may take longer than the caller waits.
+    loop_.call_after(std::max(duration(0), next->deadline - next->began),
+                     [this, alive = alive_, weak = std::weak_ptr(next)] {
+                         const auto open = weak.lock();
+                         if (*alive && open && !open->waits_here) {
+                             answer_unserved(open);
+                         }
+                     });
     return next;
 }
 
@@ -235,6 +243,7 @@
 
 void host_control::query_owner(const request_pointer& request, const shard_id& shard) {
     const auto finish = [this, request](result<job_phase> phase) {
+        request->waits_here = false;
         if (request->answered) {
             return;
         }
@@ -253,6 +262,7 @@
     };
     const bool cancel = request->kind == request_kind::cancel;
     if (const auto own = find_owned(shard)) {
+        request->waits_here = true;
         query_local(own, request->id, cancel, finish);
         return;
     }
--- a/src/host_submissions.cpp
+++ b/src/host_submissions.cpp
@@ -13,6 +13,9 @@
 // the job: a read in another region, beside other traffic.
 constexpr duration index_check_time{200};
 
+// A shard whose owner was changing is asked again after this if there is another one.
+constexpr duration owner_change_time{500};
+
 // An owner that hasn't begun to store a job refuses it this long before the deadline, so that the
 // refusal reaches the host that asked: twice the delay of an event loop that is overloaded. Of a
 // shorter time, half.
@@ -61,9 +64,18 @@
         return;
     }
     // If every shard has answered that it is full, the first one has to accept the job anyway.
-    const auto open = std::find_if(ranked.begin(), ranked.end(), [&](const shard_id& shard) {
-        return !request->full.contains(shard);
+    const auto is_open = [&](const shard_id& shard) { return !request->full.contains(shard); };
+    const auto is_owned = [&](const shard_id& shard) {
+        const auto refused = request->not_owned.find(shard);
+        return refused == request->not_owned.end() ||
+               loop_.now() >= refused->second + owner_change_time;
+    };
+    auto open = std::find_if(ranked.begin(), ranked.end(), [&](const shard_id& shard) {
+        return is_open(shard) && is_owned(shard);
     });
+    if (open == ranked.end()) {
+        open = std::find_if(ranked.begin(), ranked.end(), is_open);
+    }
     request->ignore_full = open == ranked.end();
     const auto shard = request->ignore_full ? ranked.front() : *open;
     if (!asked) {
@@ -74,7 +86,9 @@
     check_index(request, [this, request, shard] {
         request->retry_pending = false;
         request->unconfirmed_at.reset();
-        submit_to(request, shard);
+        if (loop_.now() < request->deadline) {
+            submit_to(request, shard);
+        }
     });
 }
 
@@ -97,10 +111,12 @@
     const auto done = [this, request, shard, attempt,
                        sent = loop_.now()](const submit_answer& answer) {
         --request->open_attempts;
+        request->waits_here = false;
         on_submit_answer(request, shard, attempt, sent, answer);
     };
     if (const auto own = find_owned(shard)) {
         ++request->open_attempts;
+        request->waits_here = true;
         submit_local(own, request->id, request->queue, request->spec, request->ignore_full,
                      find_store_limit(loop_.now(), left), done);
         return;
@@ -171,21 +187,23 @@
                request->id.value, shard.value, attempt, to_string(answer.outcome), answer.reason,
                (loop_.now() - sent).count(), (request->deadline - loop_.now()).count());
     request->last_reason = answer.reason;
-    const bool last = attempt == request->attempts;
-    if (answer.outcome == unavailable && answer.reason == shard_full && last) {
-        request->full.insert(shard);
-        request->unconfirmed_at.reset();
-        route_submit(request);
-        return;
-    }
-    const bool retryable = answer.outcome == unknown || answer.reason == not_owner;
     if (answer.outcome == unknown) {
         request->unconfirmed = true;
         mark_unconfirmed(request, shard);
+    } else if (answer.reason == shard_full) {
+        request->full.insert(shard);
+    } else if (answer.reason == not_owner) {
+        request->not_owned[shard] = loop_.now();
     }
-    if (retryable && (last || request->open_attempts == 0)) {
+    if (request->retry_pending || (attempt != request->attempts && request->open_attempts > 0)) {
+        return; // another attempt follows or is open
+    }
+    if (answer.reason == shard_full) {
+        request->unconfirmed_at.reset();
+        route_submit(request);
+    } else if (answer.outcome == unknown || answer.reason == not_owner) {
         retry_request(request, [this, request] { route_submit(request); });
-    } else if (!retryable && request->open_attempts == 0) {
+    } else if (request->open_attempts == 0) {
         answer_submission(request, shard, answer);
     }
 }
--- a/src/shard_submissions.cpp
+++ b/src/shard_submissions.cpp
@@ -213,7 +213,7 @@
             shard, [](const waiting_submission&) { return true; },
             {0, submit_outcome::unavailable, shard.timing.commit_retry * 2, "store"}, now, actions);
     }
-    // Nobody waits any longer for the others; storing them would delay those that are waited for.
+    // The others can't be answered in time; storing them would delay those that can.
     refuse_submissions(
         shard, [&](const waiting_submission& waiting) { return now >= waiting.store_by; },
         {0, submit_outcome::unavailable, overload_retry_after, "overloaded"}, now, actions);
--- a/tests/commit_order_test.cpp
+++ b/tests/commit_order_test.cpp
@@ -198,7 +198,7 @@
 
 // Busy owners stored jobs whose callers had been told seconds before that the outcome was unknown,
 // while those of callers that still waited came too late as well.
-TEST_CASE("a submission that nobody waits for any more is refused unless it has been sent") {
+TEST_CASE("a submission that can't be answered in time is refused unless it has been sent") {
     commit_world world;
     const auto add = [&](std::size_t number, request_token token) {
         job_spec spec;
--- a/tests/stopping_host_test.cpp
+++ b/tests/stopping_host_test.cpp
@@ -128,4 +128,22 @@
     }
 }
 
+// Callers of a host whose store didn't answer a read waited for longer than they had said.
+TEST_CASE("a request is answered by its deadline while the store doesn't answer") {
+    sim_world world(1, {"east"}, 2);
+    world.run_for(startup_time);
+    const auto host = find_other_host(*world.owner_of("east.0"));
+    world.set_store_mode(host, store_mode::silent);
+    constexpr duration timeout{350};
+    std::optional<time_point> answered_at;
+    const auto began = world.now();
+    world.host(host)->query({"00000000000000c1"}, timeout, [&](const result<job_phase>& phase) {
+        CHECK_FALSE(phase);
+        answered_at = world.now();
+    });
+    world.run_for(duration(1'500));
+    REQUIRE(answered_at);
+    CHECK(*answered_at - began <= timeout);
+}
+
 } // namespace fulmar
