host_successor: a host that stops asks hosts that it doesn't hear

Cause: a stopping owner chose each successor among the hosts that it hears: those of its data centre and the owners elsewhere, as hosts without shards send no datagrams to other regions. Once it owned all shards there were no other owners, so all went to its neighbour, which choose_owner itself rated as overloaded. Handovers in flight at the same time didn't count either: claims_ changes when the transaction is applied. The shards came back one by one by requests, each after 3 s without a change.

Change: if no host that it hears is in the shard's data centre, reaches the store and has the processors, a stopping host calls those that it doesn't hear for their status: the six nearest for each shard, two of a data centre, 18 in all, in parallel, again after 1 s while it still has shards. The answer counts like a datagram. A handover waits 0.4 s at most for answers, not at all once a suitable host is known. choose_owner counts handovers that the store hasn't answered. choose_owner moves to host_successor.cpp. A host of an earlier version refuses the call and isn't chosen, as before. Shorter settling times for requests would move shards more often and still pass through the overload. Not changed: an overloaded owner that doesn't stop still waits for requests.

Tests: "planned stops in turn give no host several shards while others have none" failed before (2 or 3 shards on one host). "a host that stops waits only briefly for hosts that don't answer" passed before; it bounds the wait that this adds.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -1,8 +1,6 @@
-// Ownership of shards: choice of owner, claims and requests for handover.
+// Ownership of shards: claims and requests for handover.
 #include "host_control.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace fulmar {
@@ -11,10 +9,6 @@
 
 constexpr duration claim_check_interval{200};
 
-// Part of its load with which the present owner of a shard is compared with others: a shard moves
-// for a clear gain only.
-constexpr double owner_advantage = 0.8;
-
 // Until a host requests the same shard again.
 constexpr duration request_retry_interval{10'000};
 
@@ -43,11 +37,6 @@
 // in addition to its failure timeout: callers at other hosts can't reach its jobs.
 constexpr duration cut_off_timeout{2'000};
 
-std::uint64_t rendezvous_hash(const shard_id& shard, const host_id& host) {
-    const auto text = shard.value + "|" + host.value;
-    return XXH64(text.data(), text.size(), 0);
-}
-
 } // namespace
 
 std::string_view host_control::describe(claim_reason reason) {
@@ -87,81 +76,6 @@
     return owners;
 }
 
-// Returns the host that should own a shard, excluding `except`; empty if there is none. Live hosts
-// that reach the store come first, then those whose processors suffice for the shard and those that
-// they own already, then the nearest ones, then those with the fewest workers relative to their
-// processor share; ties go to the highest rendezvous hash. The present owner's load counts a little
-// less. `candidate` counts as live: hosts without shards send no datagrams to other data centres.
-host_id host_control::choose_owner(const shard_record& shard, const host_id& except,
-                                   const host_id& candidate) const {
-    struct option {
-        bool store_unreachable; // for longer than the outage limit
-        bool overloaded;
-        int distance;
-        double load; // processors that the workers need, relative to the host's
-        std::uint64_t hash;
-        host_id name;
-    };
-    const auto region_of = [&](const data_centre_id& data_centre) {
-        const auto found = options_.regions.find(data_centre);
-        return found == options_.regions.end() ? region_id{} : found->second;
-    };
-    const auto size_of = [&](const shard_id& id) {
-        const auto found = shard_sizes_.find(id);
-        return found == shard_sizes_.end() ? std::int64_t{0} : found->second.workers;
-    };
-    std::map<host_id, std::int64_t> workers;
-    for (const auto& [id, row] : claims_) {
-        workers[host_name_of(row.record.owner)] += id == shard.id ? 0 : size_of(id);
-    }
-    const auto claim = claims_.find(shard.id);
-    const auto current =
-        claim == claims_.end() ? host_id{} : host_name_of(claim->second.record.owner);
-    const auto make = [&](const host_id& name, const data_centre_id& data_centre,
-                          std::int64_t weight, std::int64_t store_unreachable_ms) {
-        const int distance = data_centre == shard.data_centre                         ? 0
-                             : region_of(data_centre) == region_of(shard.data_centre) ? 1
-                                                                                      : 2;
-        const auto load =
-            static_cast<double>((workers[name] + size_of(shard.id)) * processors_per_worker) /
-            static_cast<double>(std::max<std::int64_t>(1, weight)) *
-            (name == current ? owner_advantage : 1);
-        const bool store_unreachable =
-            store_unreachable_ms > options_.timing.store_outage_limit.count();
-        return option{store_unreachable,
-                      load > usable_processor_share,
-                      distance,
-                      load,
-                      rendezvous_hash(shard.id, name),
-                      name};
-    };
-    std::optional<option> best;
-    const auto add_option = [&](const option& next) {
-        if (next.name == except) {
-            return;
-        }
-        // The higher hash is better, so the two change places.
-        if (!best ||
-            std::tie(next.store_unreachable, next.overloaded, next.distance, next.load, best->hash,
-                     next.name) < std::tie(best->store_unreachable, best->overloaded,
-                                           best->distance, best->load, next.hash, best->name)) {
-            best = next;
-        }
-    };
-    if (!leaving_) {
-        add_option(make(options_.name, options_.data_centre, options_.weight,
-                        store_.unreachable_for().count()));
-    }
-    for (const auto& [name, peer] : peers_) {
-        const bool live = is_alive(peer) && peer.status.incarnation == peer.record.incarnation;
-        if (live || (name == candidate && !is_leaving(peer))) {
-            add_option(make(name, peer.record.data_centre, peer.record.weight,
-                            peer.status.store_unreachable_ms));
-        }
-    }
-    return best ? best->name : host_id{};
-}
-
 duration host_control::owner_timeout(const data_centre_id& data_centre) const {
     const auto& timing = options_.timing;
     const int distance = distance_to(data_centre);
@@ -409,6 +323,7 @@
     fetch_backlogs();
     update_shard_sizes();
     if (leaving_) {
+        ask_unheard_hosts();
         bool all_handed_over = true;
         for (const auto& [id, shard] : std::map(owned_)) {
             transfer_shard(shard);
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -275,6 +275,14 @@
     void announce_config(bool reader);
 
     // Ownership of shards.
+    struct owner_option {
+        bool store_unreachable = false; // for longer than the outage limit
+        bool overloaded = false;
+        int distance = 0;
+        double load = 0; // processors that the workers need, relative to the host's
+        std::uint64_t hash = 0;
+        host_id name;
+    };
     enum class claim_reason : std::uint8_t {
         none, // the shard isn't to be claimed
         unowned,
@@ -306,8 +314,16 @@
     void request_shards();
     void answer_yield_call(const std::string& body, const peer_reply& reply);
     void update_shard_sizes();
+    std::optional<owner_option> find_best_owner(const shard_record& shard, const host_id& except,
+                                                const host_id& candidate = {}) const;
     host_id choose_owner(const shard_record& shard, const host_id& except,
                          const host_id& candidate = {}) const;
+    bool lacks_successor(const shard_record& shard) const;
+    bool awaits_answers(const shard_record& shard) const;
+    std::vector<host_id> choose_hosts_to_ask(const shard_record& shard) const;
+    void ask_unheard_hosts();
+    void ask_for_status(const host_id& name);
+    std::string answer_status_call() const;
     std::size_t count_owned(const host_id& owner) const;
     std::set<host_id> list_owners() const;
     void claim_shard(const shard_record& shard, const claim_row* claim, claim_reason reason);
@@ -416,6 +432,11 @@
     std::map<data_centre_id, time_point> last_join_;
     std::map<std::pair<data_centre_id, rack_id>, time_point> rack_first_seen_;
     std::map<shard_id, claim_row> claims_;
+    std::map<shard_id, host_id> next_owners_; // by handovers that the store hasn't answered yet
+    // Calls of a stopping host to hosts that may take its shards.
+    std::size_t unanswered_asks_ = 0;
+    time_point asks_end_; // from then on, it doesn't wait for their answers
+    time_point next_asks_;
     std::map<shard_id, epoch_number> fenced_epochs_;  // highest epoch lost or released
     std::map<shard_id, time_point> shard_first_seen_; // when the shard was first seen in the list
     time_point next_shard_request_;
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -370,6 +370,8 @@
         reply(std::string());
     } else if (method == "backlogs") {
         reply(encode_backlogs());
+    } else if (method == "status") {
+        reply(answer_status_call());
     } else if (method == "config") {
         answer_config_call(body, reply);
     } else if (method == "orders") {
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -281,7 +281,12 @@
     if (!can_release(state)) {
         return;
     }
-    shard_record record{state.id, state.data_centre, {}};
+    const shard_record record{state.id, state.data_centre, {}};
+    if (leaving_ && awaits_answers(record)) {
+        shard->next_transfer = loop_.now() + options_.timing.tick;
+        next_claim_check_ = std::min(next_claim_check_, shard->next_transfer);
+        return;
+    }
     const auto successor = !leaving_ && !shard->successor.value.empty()
                                ? shard->successor
                                : choose_owner(record, options_.name);
@@ -292,6 +297,7 @@
                 {state.epoch.value + 1}};
     }
     state.handing_over = true;
+    next_owners_[state.id] = successor;
     log_.write_rare("event=shard_handed_over shard={} epoch={} successor={} requested_by={} "
                     "takeover_complete={}",
                     state.id.value, next.epoch.value, next.owner.value, shard->successor.value,
@@ -307,6 +313,7 @@
                           return;
                       }
                       shard->state.handing_over = false;
+                      next_owners_.erase(shard->state.id);
                       if (!reply) {
                           // Starts continue unless this host is leaving. If the claim was written
                           // after all, the successor's higher epoch fences them.
@@ -337,11 +344,12 @@
         claim->second.record.epoch <= fenced_epochs_[shard.id] || owned_.contains(shard.id)) {
         return false;
     }
-    if (!claiming_.insert(shard.id).second) {
+    if (awaits_answers(shard) || !claiming_.insert(shard.id).second) {
         return true;
     }
     const auto epoch = claim->second.record.epoch;
     const auto successor = choose_owner(shard, options_.name);
+    next_owners_[shard.id] = successor;
     claim_record next{{}, epoch};
     if (!successor.value.empty()) {
         next = {{successor.value + "/" + peers_.at(successor).record.incarnation},
@@ -358,6 +366,7 @@
             return;
         }
         claiming_.erase(id);
+        next_owners_.erase(id);
         if (!reply || !reply.value().applied) {
             return; // repeated at the next check, or the view shows another owner by then
         }
