shard_reports: log which incarnation of a worker executed a start, and what a lost run was

The logs can't tell its hypotheses apart: a start's answer carries the worker's clock, which nothing reads, and run_lost doesn't say whether the worker had ever listed the run.

Change: match_incarnation compares the clock in a reply with the known one and tells whether the incarnation that the owner knows, or a later one, executed the command; while the worker is young, neither can be told. event=start_uncertain and the counter starts_in_uncertain_incarnation report it. run_lost tells the run's phase, its age, and for how long the worker has been silent.

In simulations, replies to starts, stops and paces no longer carry the start time of the worker's process: the platform's don't.

No functional change.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -45,7 +45,7 @@
         auto& worker = it->second;
         if (worker.reachability == reachability_state::unreachable && !worker.runs.empty() &&
             has_lapsed(shard, worker, now)) {
-            end_worker_runs(shard, worker, "lease_lapsed");
+            end_worker_runs(shard, worker, "lease_lapsed", now);
         }
         // A replaced worker rules former owners out.
         const bool needed = worker.replaced && !shard.takeover_complete;
@@ -420,15 +420,19 @@
     }
 }
 
-void end_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason) {
+void end_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason,
+                     time_point now) {
     const auto runs = worker.runs;
     for (const auto& key : runs) {
-        shard.log->write("event=run_lost task={}.{}.{}.{} run={} worker={} reason={}",
+        const auto& run = shard.tables.runs.at(key);
+        shard.log->write("event=run_lost task={}.{}.{}.{} run={} worker={} reason={} phase={} "
+                         "started_ms={} unanswered_ms={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
-                         key.number.value, worker.entry.target.id.value, reason);
+                         key.number.value, worker.entry.target.id.value, reason,
+                         to_string(run.phase), (now - run.start_sent).count(),
+                         (now - worker.unanswered_since).count());
         shard.counters->count("runs_lost", reason);
         if (auto* task = find_task(shard.tables, key.task)) {
-            const auto& run = shard.tables.runs.at(key);
             if (!run.checkpoint.empty()) {
                 task->checkpoint = run.checkpoint;
             }
--- /dev/null
+++ b/src/shard_incarnations.cpp
@@ -0,0 +1,45 @@
+// Incarnations of workers. A worker that restarts under its id knows nothing of before, counts its
+// clock from its start, and executes commands that were meant for its former incarnation. Until a
+// reply shows the restart, this owner counts with the former one.
+#include "shard_internal.hpp"
+
+namespace fulmar {
+
+std::string_view to_string(incarnation_match match) {
+    switch (match) {
+    case incarnation_match::known:
+        return "known";
+    case incarnation_match::unclear:
+        return "unclear";
+    case incarnation_match::other:
+        return "other";
+    }
+    return "";
+}
+
+// The known incarnation's clock can be told while the command was on its way. A later one began
+// after the clock was read, so its own is behind, but for a worker that was young then.
+incarnation_match match_incarnation(const shard_timing& timing, const worker_row& worker,
+                                    const command_reply& reply, time_point sent, time_point now) {
+    if (reply.start_time && worker.start_time) {
+        return reply.start_time == worker.start_time ? incarnation_match::known
+                                                     : incarnation_match::other;
+    }
+    if (!reply.clock || !worker.clock) {
+        return incarnation_match::unclear;
+    }
+    const auto slow = [&](duration time) {
+        return time.count() > 0 ? time * (100 - timing.clock_drift_percent) / 100 : time;
+    };
+    const duration clock(reply.clock->value);
+    const duration known(worker.clock->value);
+    const auto lowest = known + slow(sent - worker.clock_at) - timing.lease_margin;
+    const auto highest = known + (now - worker.clock_sent) + timing.lease_margin;
+    if (clock < lowest || clock > highest) {
+        return incarnation_match::other;
+    }
+    const auto highest_of_later = now - worker.clock_sent;
+    return highest_of_later < lowest ? incarnation_match::known : incarnation_match::unclear;
+}
+
+} // namespace fulmar
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -10,6 +10,17 @@
 std::optional<worker_clock> earliest_clock(const shard_state& shard, const worker_row& worker,
                                            time_point now);
 
+// Which incarnation of a worker carried a command out: the one that the worker's row describes,
+// another one, or one of the two.
+enum class incarnation_match : std::uint8_t { known, unclear, other };
+
+std::string_view to_string(incarnation_match match);
+
+// Finds that out from the reply to a command that was sent at `sent`. Commands name the worker's id
+// only, so a worker that has restarted executes those that were meant for its former incarnation.
+incarnation_match match_incarnation(const shard_timing& timing, const worker_row& worker,
+                                    const command_reply& reply, time_point sent, time_point now);
+
 // Returns the end of the lease for a command that is sent now, in the worker's clock. The worker
 // must have replied before.
 worker_clock next_lease(const shard_state& shard, const worker_row& worker, time_point now);
@@ -32,7 +43,8 @@
 void lose_shard(shard_state& shard, std::string_view reason);
 
 // Removes all runs of a worker whose incarnation or leases have ended.
-void end_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason);
+void end_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason,
+                     time_point now);
 
 // Requests the stop of a run; the next advance sends the command.
 void request_stop(run_row& run, stop_cause cause, time_point now);
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -233,7 +233,7 @@
     }
     worker.replaced = true;
     reset_worker_state(shard, worker);
-    end_worker_runs(shard, worker, "other_life");
+    end_worker_runs(shard, worker, "other_life", now);
     shard.unreached_workers.erase(target.id);
 }
 
@@ -452,6 +452,7 @@
     worker.reachability = reachability_state::reachable;
     worker.replaced = false;
     worker.clock = report.clock;
+    worker.clock_sent = sent;
     worker.clock_at = now;
     if (!worker.inventoried) {
         // A lease granted by a predecessor, or for an earlier process, may still last this long.
@@ -469,6 +470,22 @@
     }
 }
 
+namespace {
+
+// Logs a start that wasn't certainly carried out by the incarnation that last replied to a hold.
+void log_uncertain_start(const shard_state& shard, const run_row& run, const worker_row& worker,
+                         const command_reply& reply, incarnation_match match, time_point now) {
+    shard.counters->count("starts_in_uncertain_incarnation", to_string(match));
+    shard.log->write("event=start_uncertain task={}.{}.{}.{} run={} worker={} incarnation={} "
+                     "clock_ms={} known_clock_ms={} known_age_ms={}",
+                     run.key.task.job.value, run.key.task.occurrence, run.key.task.step,
+                     run.key.task.index, run.key.number.value, run.worker.value, to_string(match),
+                     reply.clock ? reply.clock->value : -1, worker.clock ? worker.clock->value : -1,
+                     (now - worker.clock_at).count());
+}
+
+} // namespace
+
 void on_start_reply(shard_state& shard, const run_key& key, const result<command_reply>& reply,
                     time_point now) {
     const auto found = shard.tables.runs.find(key);
@@ -497,6 +514,11 @@
     const auto outcome = reply.value().outcome;
     if (outcome == command_outcome::done) {
         shard.counters->count("starts", "done");
+        const auto match =
+            match_incarnation(shard.timing, worker, reply.value(), run.start_sent, now);
+        if (match != incarnation_match::known) {
+            log_uncertain_start(shard, run, worker, reply.value(), match, now);
+        }
         if (!run.confirmed) {
             run.confirmed = now;
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -59,11 +59,13 @@
     time_point unlisted_at; // when the entry was found to be deleted
     time_point draining_at; // when the entry was first seen draining
 
-    // Lease. `clock` is the worker's clock, read before `clock_at` on the local clock.
+    // Lease. `clock` is the worker's clock, read between `clock_sent` and `clock_at` on the local
+    // clock.
     reachability_state reachability = reachability_state::unknown;
     // Start time of the worker's incarnation that the members below describe.
     std::optional<process_start_time> start_time;
     std::optional<worker_clock> clock;
+    time_point clock_sent;
     time_point clock_at;
     // When this incarnation sent its last reply, at the latest as the clock tells: a reply may have
     // waited for this process.
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -305,21 +305,24 @@
 
     void start(const worker_target& worker, const start_command& command,
                std::function<void(result<command_reply>)> done) override {
-        call<command_reply>(
-            "start", worker, std::move(done),
-            [command](worker_model& model, time_point now) { return model.start(command, now); });
+        call<command_reply>("start", worker, std::move(done),
+                            [command](worker_model& model, time_point now) {
+                                return as_sent(model.start(command, now));
+                            });
     }
     void stop(const worker_target& worker, const stop_command& command,
               std::function<void(result<command_reply>)> done) override {
-        call<command_reply>(
-            "stop", worker, std::move(done),
-            [command](worker_model& model, time_point now) { return model.stop(command, now); });
+        call<command_reply>("stop", worker, std::move(done),
+                            [command](worker_model& model, time_point now) {
+                                return as_sent(model.stop(command, now));
+                            });
     }
     void pace(const worker_target& worker, const pace_command& command,
               std::function<void(result<command_reply>)> done) override {
-        call<command_reply>(
-            "pace", worker, std::move(done),
-            [command](worker_model& model, time_point now) { return model.pace(command, now); });
+        call<command_reply>("pace", worker, std::move(done),
+                            [command](worker_model& model, time_point now) {
+                                return as_sent(model.pace(command, now));
+                            });
     }
     void hold(const worker_target& worker, const hold_command& command,
               std::function<void(result<hold_reply>)> done) override {
@@ -328,6 +331,12 @@
     }
 
   private:
+    // The platform's workers tell the start time of their process in the replies to holds only.
+    static command_reply as_sent(command_reply reply) {
+        reply.start_time.reset();
+        return reply;
+    }
+
     sim_worker* find(const worker_target& worker) const {
         const auto found = world_.workers_.find(worker.id.value);
         const bool reached = found != world_.workers_.end() && found->second.model &&
