shard_incarnations: don't take a start for one of the worker's former process

What callers saw: TWICE.

Cause: commands name the worker's id only, so a restarted worker executes those that were meant for its former process.

Change: the clock in the answer to a start tells the incarnation. A run counts as one of the known incarnation only if the answer's clock shows it or a hold lists it; only then has it lapsed with that incarnation's lease. Any other run waits for the longest lease from the last command that may have arrived. An answer with another incarnation's clock has the worker asked at once for its runs, and it gets nothing before. Nothing changes for runs that a worker has listed: the usual case, within a second of their start.

Ruled out: binding a command to an incarnation. The header names the id, a new process knows no fencing token, and a time on the former clock is in its future.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -38,14 +38,23 @@
     }
 }
 
+// Removes the runs of an unreachable worker whose leases have ended.
+void end_lapsed_runs(shard_state& shard, const worker_row& worker, time_point now) {
+    const auto runs = worker.runs;
+    for (const auto& key : runs) {
+        if (has_lapsed(shard, worker, shard.tables.runs.at(key), now)) {
+            end_lost_run(shard, key, "lease_lapsed", now);
+        }
+    }
+}
+
 // Removes the runs of unreachable workers whose leases have ended, and deletes workers that have
 // left.
 void expire_workers(shard_state& shard, time_point now) {
     for (auto it = shard.tables.workers.begin(); it != shard.tables.workers.end();) {
         auto& worker = it->second;
-        if (worker.reachability == reachability_state::unreachable && !worker.runs.empty() &&
-            has_lapsed(shard, worker, now)) {
-            end_worker_runs(shard, worker, "lease_lapsed", now);
+        if (worker.reachability == reachability_state::unreachable) {
+            end_lapsed_runs(shard, worker, now);
         }
         // A replaced worker rules former owners out.
         const bool needed = worker.replaced && !shard.takeover_complete;
@@ -84,6 +93,7 @@
         if (steady && authority && !promised) {
             command.lease_until = next_lease(shard, worker, now);
             worker.lease_until = std::max(worker.lease_until, *command.lease_until);
+            note_lease_sent(shard.timing, worker, now);
         }
         command.wait = !steady || promised        ? duration(0)
                        : is_shared(shard, worker) ? shard.timing.shared_hold_wait
@@ -420,25 +430,21 @@
     }
 }
 
-void end_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason,
-                     time_point now) {
-    const auto runs = worker.runs;
-    for (const auto& key : runs) {
-        const auto& run = shard.tables.runs.at(key);
-        shard.log->write("event=run_lost task={}.{}.{}.{} run={} worker={} reason={} phase={} "
-                         "started_ms={} unanswered_ms={}",
-                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
-                         key.number.value, worker.entry.target.id.value, reason,
-                         to_string(run.phase), (now - run.start_sent).count(),
-                         (now - worker.unanswered_since).count());
-        shard.counters->count("runs_lost", reason);
-        if (auto* task = find_task(shard.tables, key.task)) {
-            if (!run.checkpoint.empty()) {
-                task->checkpoint = run.checkpoint;
-            }
-        }
-        remove_run(shard.tables, key);
-    }
+void end_lost_run(shard_state& shard, const run_key& key, std::string_view reason, time_point now) {
+    const auto& run = shard.tables.runs.at(key);
+    const auto& worker = shard.tables.workers.at(run.worker);
+    shard.log->write("event=run_lost task={}.{}.{}.{} run={} worker={} reason={} phase={} "
+                     "incarnation_known={} started_ms={} unanswered_ms={}",
+                     key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                     key.number.value, run.worker.value, reason, to_string(run.phase),
+                     run.incarnation_known, (now - run.start_sent).count(),
+                     (now - worker.unanswered_since).count());
+    shard.counters->count("runs_lost", reason);
+    auto* task = find_task(shard.tables, key.task);
+    if (task != nullptr && !run.checkpoint.empty()) {
+        task->checkpoint = run.checkpoint;
+    }
+    remove_run(shard.tables, key);
     shard.placement_needed = true;
 }
 
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -31,6 +31,9 @@
     // The longest lease that workers accept. A worker that has restarted takes this one from a
     // command with a lease on the clock of its earlier process.
     duration longest_lease{6'000};
+    // A command without an answer is given up after this time, and its connection closed. Until
+    // then it may arrive. Not less than the longest time-out of a call to a worker.
+    duration delivery_limit{1'700};
     // Lease of draining workers. A task that still runs there when the worker leaves starts
     // elsewhere only after this.
     duration draining_worker_lease{2'500};
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -3,6 +3,8 @@
 // reply shows the restart, this owner counts with the former one.
 #include "shard_internal.hpp"
 
+#include <algorithm>
+
 namespace fulmar {
 
 std::string_view to_string(incarnation_match match) {
@@ -42,4 +44,31 @@
     return highest_of_later < lowest ? incarnation_match::known : incarnation_match::unclear;
 }
 
+bool has_lapsed(const shard_state& shard, const worker_row& worker, const run_row& run,
+                time_point now) {
+    return has_lapsed(shard, worker, now) &&
+           (run.incarnation_known || worker.replaced ||
+            now >= find_unnoticed_leases_end(shard.timing, worker));
+}
+
+time_point find_unnoticed_leases_end(const shard_timing& timing, const worker_row& worker) {
+    const auto longest = timing.longest_lease * (100 + timing.clock_drift_percent) / 100;
+    return worker.commands_until + longest + timing.lease_margin;
+}
+
+void note_lease_sent(const shard_timing& timing, worker_row& worker, time_point now) {
+    worker.commands_until = std::max(worker.commands_until, now + timing.delivery_limit);
+}
+
+void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
+                     time_point now) {
+    shard.counters->count("restarts_suspected", evidence);
+    shard.log->write("event=restart_suspected shard={} worker={} evidence={} runs={}",
+                     shard.id.value, worker.entry.target.id.value, evidence, worker.runs.size());
+    worker.inventoried = false;
+    worker.replies_since = now; // a hold in flight may wait for the former incarnation's answer
+    worker.hold_in_flight = false;
+    worker.next_hold = now;
+}
+
 } // namespace fulmar
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -25,9 +25,25 @@
 // must have replied before.
 worker_clock next_lease(const shard_state& shard, const worker_row& worker, time_point now);
 
-// Returns whether every lease that was ever granted to the worker has certainly ended.
+// Returns whether every lease that the worker's known incarnation was granted has certainly ended.
 bool has_lapsed(const shard_state& shard, const worker_row& worker, time_point now);
 
+// Returns whether every lease that a run may have has certainly ended, in whichever incarnation of
+// its worker it is.
+bool has_lapsed(const shard_state& shard, const worker_row& worker, const run_row& run,
+                time_point now);
+
+// Returns by when the leases end that an incarnation of the worker may have which no reply has
+// shown.
+time_point find_unnoticed_leases_end(const shard_timing& timing, const worker_row& worker);
+
+// Notes that a command with a lease is sent to the worker.
+void note_lease_sent(const shard_timing& timing, worker_row& worker, time_point now);
+
+// Has a worker that seems to have restarted asked at once for its runs. It gets nothing before.
+void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
+                     time_point now);
+
 // Returns whether this owner may still renew leases and start tasks: the store confirmed its claim,
 // or most of the workers and of either kind of witnesses accepted its epoch, within the
 // confirmation window.
@@ -42,9 +58,8 @@
 // Marks the shard as lost to another owner. This owner sends no further commands for it.
 void lose_shard(shard_state& shard, std::string_view reason);
 
-// Removes all runs of a worker whose incarnation or leases have ended.
-void end_worker_runs(shard_state& shard, worker_row& worker, std::string_view reason,
-                     time_point now);
+// Removes a run whose worker's incarnation, or whose leases have ended.
+void end_lost_run(shard_state& shard, const run_key& key, std::string_view reason, time_point now);
 
 // Requests the stop of a run; the next advance sends the command.
 void request_stop(run_row& run, stop_cause cause, time_point now);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -253,6 +253,7 @@
     command.lease_until = next_lease(shard, worker, now);
     command.checkpoint = task.checkpoint;
     worker.lease_until = std::max(worker.lease_until, command.lease_until);
+    note_lease_sent(shard.timing, worker, now);
     run_row run;
     run.key = command.run;
     run.worker = worker.entry.target.id;
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -62,6 +62,7 @@
     run.phase = run_phase::running;
     run.start_sent = now;
     run.confirmed = now;
+    run.incarnation_known = true;
     run.checkpoint = row.checkpoint;
     run.progress_percent = row.progress_percent;
     run.measurement = row.measurement;
@@ -95,9 +96,8 @@
     run.checkpoint = row.checkpoint;
     run.progress_percent = row.progress_percent;
     run.measurement = row.measurement;
-    if (!run.confirmed) {
-        run.confirmed = now;
-    }
+    run.confirmed = run.confirmed.value_or(now);
+    run.incarnation_known = true;
     if (run.phase == run_phase::starting || run.phase == run_phase::unconfirmed) {
         run.phase = run_phase::running;
     }
@@ -125,15 +125,16 @@
     }
 }
 
-// Resets the state that belongs to an earlier incarnation of the worker. The new incarnation may
-// still execute starts that got no reply, so their runs are kept until it refuses or lists them.
+// Resets the state that belongs to an earlier incarnation of the worker. The new one may have
+// executed starts that were meant for the earlier one, and may still execute those that got no
+// reply, so their runs are kept until it refuses or lists them, or a list lacks them.
 void reset_worker_state(shard_state& shard, worker_row& worker) {
     shard.log->write("event=worker_restarted shard={} worker={} runs={}", shard.id.value,
                      worker.entry.target.id.value, worker.runs.size());
     const auto runs = worker.runs;
     for (const auto& key : runs) {
         auto& run = shard.tables.runs.at(key);
-        if (!run.confirmed) {
+        if (!run.incarnation_known) {
             run.command_lease = {std::numeric_limits<std::int64_t>::max()};
             run.stop_answered.reset();
             run.next_stop = {};
@@ -233,7 +234,10 @@
     }
     worker.replaced = true;
     reset_worker_state(shard, worker);
-    end_worker_runs(shard, worker, "other_life", now);
+    const auto runs = worker.runs;
+    for (const auto& key : runs) {
+        end_lost_run(shard, key, "other_life", now);
+    }
     shard.unreached_workers.erase(target.id);
 }
 
@@ -409,6 +413,9 @@
     }
     shard.wall_clock = unix_now;
     auto& worker = found->second;
+    if (sent < worker.replies_since) {
+        return;
+    }
     worker.hold_in_flight = false;
     if (!reply) {
         const bool reached = worker.reachability == reachability_state::reachable;
@@ -455,8 +462,10 @@
     worker.clock_sent = sent;
     worker.clock_at = now;
     if (!worker.inventoried) {
-        // A lease granted by a predecessor, or for an earlier process, may still last this long.
-        const auto lease = restarted ? shard.timing.longest_lease : shard.timing.lease;
+        // It may have taken this lease from a command for an earlier incarnation. This owner's may
+        // still arrive; it refuses those of a predecessor from now on.
+        const auto lease =
+            shard.timing.longest_lease + std::max(duration(0), worker.commands_until - now);
         worker.lease_until =
             std::max(worker.lease_until, worker_clock{report.clock.value + lease.count()});
     }
@@ -519,8 +528,10 @@
         if (match != incarnation_match::known) {
             log_uncertain_start(shard, run, worker, reply.value(), match, now);
         }
-        if (!run.confirmed) {
-            run.confirmed = now;
+        run.confirmed = run.confirmed.value_or(now);
+        run.incarnation_known = run.incarnation_known || match == incarnation_match::known;
+        if (match == incarnation_match::other && worker.inventoried) {
+            suspect_restart(shard, worker, "start_reply", now);
         }
         if (run.phase != run_phase::stopping) {
             run.phase = run_phase::running;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -70,7 +70,11 @@
     // When this incarnation sent its last reply, at the latest as the clock tells: a reply may have
     // waited for this process.
     time_point replied_at;
-    worker_clock lease_until; // no lease granted by this owner or a predecessor ends later
+    // No lease that this incarnation has from this owner or a predecessor ends later.
+    worker_clock lease_until;
+    // Until then a command with a lease may still arrive. If the worker has restarted unnoticed,
+    // its new incarnation takes the longest lease from it.
+    time_point commands_until;
     time_point unanswered_since;
     // Another worker answers at its address, so this one and all its runs have ended.
     bool replaced = false;
@@ -78,6 +82,7 @@
     // Hold loop.
     bool hold_in_flight = false;
     time_point hold_sent;
+    time_point replies_since; // replies to holds that were sent before are ignored
     time_point next_hold;
     bool inventoried = false; // a complete list of runs was received since this owner took over
     std::uint64_t processed_end = 0;    // number of the last run end that was processed
@@ -127,6 +132,8 @@
     time_point start_sent;               // when the start was sent
     worker_clock command_lease;          // the lease in the start command
     std::optional<time_point> confirmed; // when the worker first confirmed that it runs
+    // Whether it runs in the incarnation that the worker's row describes, and in no later one.
+    bool incarnation_known = false;
     bool stop_in_flight = false;
     std::optional<time_point> stop_answered; // time of the first reply that confirmed the stop
     time_point next_stop;                    // earliest time of the next stop command
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -345,6 +345,19 @@
     hosts_[index]->options.weight = share;
 }
 
+void sim_world::set_longest_lease(duration lease) {
+    for (auto& [id, worker] : workers_) {
+        worker.options.longest_lease = lease;
+        crash_worker(id);
+        start_worker(id);
+    }
+    for (auto& host : hosts_) {
+        host->options.shard.longest_lease = lease;
+        kill_host(host->index);
+        start_host(host->index);
+    }
+}
+
 void sim_world::set_region(const std::string& data_centre, const std::string& region) {
     for (auto& host : hosts_) {
         host->options.regions[{data_centre}] = {region};
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -100,6 +100,9 @@
     void delay_data_reads(std::size_t index, duration delay);
     // Sets a host's processors, in thousandths of a core; takes effect at the host's next start.
     void set_processor_share(std::size_t index, std::int64_t share);
+    // Sets the longest lease that workers accept; takes effect at the processes' next start, so
+    // both are started anew.
+    void set_longest_lease(duration lease);
     // Sets the region of a data centre; takes effect at the hosts' next start.
     void set_region(const std::string& data_centre, const std::string& region);
     // Keeps the log lines of a host; takes effect at its next start.
--- /dev/null
+++ b/tests/worker_restart_test.cpp
@@ -0,0 +1,89 @@
+// Workers that start again under their ids and are cut off soon after. Commands that were meant for
+// the former process reach the new one, which takes the longest lease from them.
+#include "sim_test_support.hpp"
+
+#include <cstdlib>
+#include <random>
+
+using namespace fulmar;
+
+namespace {
+
+struct restart_play {
+    std::uint64_t seed = 1;
+    duration longest_lease{6'000};
+    bool owner_lost = false;
+    double late_commands = 0; // see sim_worker
+};
+
+std::int64_t draw(std::mt19937_64& random, std::int64_t low, std::int64_t high) {
+    return low + static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(high - low + 1));
+}
+
+// Three of six workers crash, are back after a moment, get tasks and are cut off from the hosts;
+// their owner may be killed as well. The other three have room all the while.
+void play_restart(const restart_play& play) {
+    std::mt19937_64 random(play.seed);
+    const auto hosts = 1 + random() % 2;
+    sim_world world(play.seed, {"east"}, hosts);
+    world.set_longest_lease(play.longest_lease);
+    const std::vector<std::string> restarted{"w-east-0", "w-east-1", "w-east-2"};
+    world.run_for(startup_time + duration(draw(random, 0, 3'000)));
+    for (const auto& id : restarted) {
+        world.workers().at(id).late_commands = play.late_commands;
+        world.crash_worker(id);
+    }
+    world.run_for(duration(draw(random, 5, 700)));
+    for (const auto& id : restarted) {
+        world.start_worker(id);
+    }
+    world.run_for(duration(draw(random, 0, 1'500)));
+    const auto tasks = static_cast<std::uint32_t>(draw(random, 3, 10));
+    world.submit(0, sim_world::simple_job(tasks), duration(12'000));
+    world.run_for(duration(draw(random, 20, 2'500)));
+    for (const auto& id : restarted) {
+        for (std::size_t host = 0; host < hosts; ++host) {
+            world.workers().at(id).disconnected_hosts.insert(host);
+        }
+    }
+    if (play.owner_lost) {
+        world.run_for(duration(draw(random, 0, 300)));
+        const auto owner = world.owner_of("east.0").value_or(0);
+        world.kill_host(owner);
+        world.run_for(duration(draw(random, 100, 1'000)));
+        world.start_host(owner);
+    }
+    world.run_for(duration(14'000));
+    for (const auto& id : restarted) {
+        world.workers().at(id).disconnected_hosts.clear();
+        world.workers().at(id).late_commands = 0;
+    }
+    INFO("seed " << play.seed << ", longest lease " << play.longest_lease.count() << " ms, hosts "
+                 << hosts << ", owner lost " << play.owner_lost);
+    CHECK(finish_all(world, finish_time));
+    check_guarantees(world);
+}
+
+// SIM_SEEDS plays the given number of seeds.
+std::uint64_t seed_count(std::uint64_t usual) {
+    const char* wanted = std::getenv("SIM_SEEDS");
+    return wanted != nullptr ? std::stoull(wanted) : usual;
+}
+
+constexpr std::uint64_t usual_seeds = 40;
+
+void play_restarts(bool owner_lost, double late_commands = 0) {
+    for (const duration longest : {duration(6'000), duration(10'000)}) {
+        for (std::uint64_t seed = 1; seed <= seed_count(usual_seeds); ++seed) {
+            play_restart({seed, longest, owner_lost, late_commands});
+        }
+    }
+}
+
+} // namespace
+
+// TWICE: an owner that didn't know of the restart started tasks in the new process, counted their
+// leases with the former one's clock, and started them elsewhere while they ran.
+TEST_CASE("a task that a restarted worker took unnoticed doesn't run elsewhere beside it") {
+    play_restarts(false);
+}
