shard_promises: tell a successor of leases that a restarted worker took unnoticed

What callers would see: TWICE, after a planned stop of an owner.

Cause: the list in a handover tells for each silent worker by when its leases end, counted on the clock of the incarnation that the owner knew. A run whose start may have reached another one has up to the longest lease.

Change: if a run of the worker isn't certainly in the known incarnation, the promise tells the later end.

Evidence: "a promise includes the lease that a restarted worker took unnoticed" fails before (the end told is earlier than the longest lease from the start), and holds now.

--- a/src/shard_promises.cpp
+++ b/src/shard_promises.cpp
@@ -19,7 +19,10 @@
     const auto clock = earliest_clock(shard, worker, now);
     const auto left = worker.lease_until.value + shard.timing.lease_margin.count() - clock->value;
     const auto rate = 100 - shard.timing.clock_drift_percent; // the worker's clock may be slow
-    return duration(std::max<std::int64_t>(0, left * 100 / rate + 1));
+    const duration known(std::max<std::int64_t>(0, left * 100 / rate + 1));
+    const bool certain = std::all_of(worker.run_rows.begin(), worker.run_rows.end(),
+                                     [](const run_row* run) { return run->incarnation_known; });
+    return certain ? known : std::max(known, find_unnoticed_leases_end(shard.timing, worker) - now);
 }
 
 // Returns the promise about a worker that this owner has not used, given what its predecessors
--- a/tests/owner_promises_test.cpp
+++ b/tests/owner_promises_test.cpp
@@ -217,6 +217,47 @@
     CHECK_FALSE(world.renews_lease("gone"));
 }
 
+// TWICE: the promise about a worker that was cut off after an unnoticed restart told the end of the
+// usual lease, and the successor started the task elsewhere while it ran.
+TEST_CASE("a promise includes the lease that a restarted worker took unnoticed") {
+    inherited_world world;
+    world.shard.starts_allowed = false;
+    for (int step = 0; step < 200 && world.last.starts.empty(); ++step) {
+        world.answer("gone");
+        world.answer("sound");
+        world.advance_by(duration(50));
+        if (world.last.commit) {
+            world.apply();
+        }
+        world.shard.starts_allowed = step > 100; // the leases of the takeover have ended by then
+    }
+    REQUIRE_FALSE(world.last.starts.empty());
+    const auto start = world.last.starts.front();
+    const auto started = world.now;
+    command_reply reply;
+    reply.clock = {300}; // of another process than the one that replied to the hold
+    on_start_reply(world.shard, start.command.run, reply, world.now);
+    for (const auto* id : {"gone", "sound"}) {
+        on_hold_reply(world.shard, {id}, error{error_kind::timeout, ""}, world.now, world.now,
+                      wall_clock);
+    }
+    world.advance_by(duration(3'000));
+    store_transaction handover;
+    add_handover_records(world.shard, handover, world.now);
+    REQUIRE_FALSE(handover.puts.empty());
+    const auto listed = parse_known_workers(handover.puts[0].value);
+    REQUIRE(listed);
+    for (const auto& worker : listed.value()) {
+        if (worker.target.id != start.target.id) {
+            continue;
+        }
+        REQUIRE(worker.promise);
+        REQUIRE(worker.promise->leases_end_in);
+        CHECK(world.now + *worker.promise->leases_end_in >=
+              started + world.shard.timing.longest_lease);
+    }
+}
+
 // Guards against a promise that is lost, or read into a list that has none.
 TEST_CASE("the list of workers is read back with its promises, and one of an earlier version") {
     const std::vector<known_worker> listed{
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
+enum class owner_fate : std::uint8_t { stays, killed, stopped };
+
 struct restart_play {
     std::uint64_t seed = 1;
     duration longest_lease{6'000};
-    bool owner_lost = false;
+    owner_fate owner = owner_fate::stays;
     double late_commands = 0;  // see sim_worker
     bool long_running = false; // so are the tasks, and others run before the restart
 };
@@ -22,7 +24,7 @@
 }
 
 // Three of six workers crash, are back after a moment, get tasks and are cut off from the hosts;
-// their owner may be killed as well. The other three have room all the while.
+// their owner may be killed or stopped. The other three have room all the while.
 void play_restart(const restart_play& play) {
     std::mt19937_64 random(play.seed);
     const auto hosts = 1 + random() % 2;
@@ -59,12 +61,17 @@
             world.workers().at(id).disconnected_hosts.insert(host);
         }
     }
-    if (play.owner_lost) {
+    const auto owner = world.owner_of("east.0").value_or(0);
+    if (play.owner == owner_fate::killed) {
         world.run_for(duration(draw(random, 0, 300)));
-        const auto owner = world.owner_of("east.0").value_or(0);
         world.kill_host(owner);
         world.run_for(duration(draw(random, 100, 1'000)));
         world.start_host(owner);
+    } else if (play.owner == owner_fate::stopped) {
+        world.run_for(duration(draw(random, 0, 4'000)));
+        world.stop_host(owner);
+        world.run_until([&] { return world.host(owner) == nullptr; }, duration(6'000));
+        world.start_host(owner);
     }
     world.run_for(duration(14'000));
     for (const auto& id : restarted) {
@@ -75,7 +82,7 @@
         world.cancel(0, id);
     }
     INFO("seed " << play.seed << ", longest lease " << play.longest_lease.count() << " ms, hosts "
-                 << hosts << ", owner lost " << play.owner_lost);
+                 << hosts << ", owner's fate " << static_cast<int>(play.owner));
     CHECK(finish_all(world, finish_time));
     check_guarantees(world);
 }
@@ -102,16 +109,22 @@
 // TWICE: an owner that didn't know of the restart started tasks in the new process, counted their
 // leases with the former one's clock, and started them elsewhere while they ran.
 TEST_CASE("a task that a restarted worker took unnoticed doesn't run elsewhere beside it") {
-    play_restarts({.owner_lost = false});
+    play_restarts({.owner = owner_fate::stays});
 }
 // TWICE: the same, by the next owner, which counted with the usual lease.
 TEST_CASE(
     "a new owner waits for tasks that a restarted worker took from the former one unnoticed") {
-    play_restarts({.owner_lost = true});
+    play_restarts({.owner = owner_fate::killed});
+}
+
+// TWICE: a promise about a silent worker told the successor the end of the usual lease.
+TEST_CASE("an owner that stops tells of leases that a restarted worker took unnoticed") {
+    play_restarts({.owner = owner_fate::stopped});
 }
 
 // TWICE: the same with runs that are recorded, which a new owner waits for by the usual lease.
 TEST_CASE("recorded runs and those that a restarted worker took unnoticed run nowhere else") {
-    play_restarts({.owner_lost = false, .long_running = true});
-    play_restarts({.owner_lost = true, .long_running = true});
+    for (const auto fate : {owner_fate::stays, owner_fate::killed, owner_fate::stopped}) {
+        play_restarts({.owner = fate, .long_running = true});
+    }
 }
