shard_recorded_runs: a borrowed task that is about to start again isn't returned

Cause: a recorded task whose run has ended waits for one transaction before it starts again. To the code for loans it waits for room, long after its loan was made, so it was returned at once, or lent to another shard, instead of starting where room was reserved for it.

Change: a task that only waits for that transaction is neither returned nor lent.

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -331,9 +331,17 @@
 // Records long-running tasks that have run on their workers for a while.
 void record_long_running_runs(shard_state& shard, time_point now);
 
-// Marks a task that runs nowhere in this shard as neither parked nor recorded as running.
+// Marks a task as neither parked nor recorded as running. If it was, no former owner left a run of
+// it that this one doesn't know.
 void clear_whereabouts(task_row& task);
 
+// Has that stored for a task whose run is being stopped so that it starts elsewhere: the stop takes
+// longer than the transaction.
+void release_for_move(shard_state& shard, const task_key& key, time_point now);
+
+// Returns whether a task only waits until the store has it as neither parked nor recorded.
+bool is_release_pending(const job_row& job, const task_row& task);
+
 // Has it stored that a task is neither parked nor recorded as running. Returns whether it is, so
 // that it may start.
 bool release_whereabouts(shard_state& shard, job_row& job, task_row& task, time_point now);
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -228,7 +228,7 @@
                                ? shard.timing.return_unreserved_after
                                : shard.timing.return_after;
         if (stage.waiting.contains(index) && !has_unknown_run(shard, job, task) &&
-            task.loan == loan.loan && now >= loan.since + limit) {
+            !is_release_pending(job, task) && task.loan == loan.loan && now >= loan.since + limit) {
             stage.waiting.erase(index);
             drop_reservation(shard.tables, {job.id, stage.occurrence, stage.step, index});
             report_task(shard, job, task, loan_result::returned, now);
@@ -340,10 +340,11 @@
     std::vector<std::uint32_t> found;
     std::vector<std::uint32_t> reserved;
     for (const auto index : stage.waiting) {
-        if (has_unknown_run(shard, job, stage.tasks[index])) {
+        const auto& task = stage.tasks[index];
+        if (has_unknown_run(shard, job, task) || is_release_pending(job, task)) {
             continue;
         }
-        (stage.tasks[index].reserved_worker ? reserved : found).push_back(index);
+        (task.reserved_worker ? reserved : found).push_back(index);
     }
     if (!shard.data_centre_open || kind == room_kind::free_now) {
         found.insert(found.end(), reserved.begin(), reserved.end());
--- a/src/shard_recorded_runs.cpp
+++ b/src/shard_recorded_runs.cpp
@@ -128,6 +128,21 @@
     task.recorded_on.reset();
 }
 
+void release_for_move(shard_state& shard, const task_key& key, time_point now) {
+    auto* task = find_task(shard.tables, key);
+    if (task == nullptr || !task->recorded_on) {
+        return;
+    }
+    auto& job = shard.tables.jobs.at(key.job);
+    clear_whereabouts(*task);
+    record_change(shard, job, false, now);
+    task->whereabouts_version = job.version;
+}
+
+bool is_release_pending(const job_row& job, const task_row& task) {
+    return !task.parked && !task.recorded_on && job.stored_version < task.whereabouts_version;
+}
+
 bool release_whereabouts(shard_state& shard, job_row& job, task_row& task, time_point now) {
     constexpr duration parking_pause{2'000}; // limits the transactions for one that workers refuse
     if (task.parked || task.recorded_on) {
