shard_reports: don't take a former incarnation's answer to a stop for the new one's

An owner forgets a run whose start got no reply once its worker has confirmed a stop and a later hold doesn't list the run. A stop that was sent before the owner noticed a restart, and that the former incarnation had answered, was believed of the new one: the run was forgotten although the new incarnation had no record of the stop, the task started again, and the delayed first start could then run beside it (TWICE). Cause: the reply to a stop carries no start time, and on_stop_reply took each one for the known incarnation's.

Left: a stop that crosses a second restart; the hold that shows that restart has it sent again.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -33,6 +33,7 @@
         }
         const auto& worker = shard.tables.workers.at(run.worker);
         run.stop_in_flight = true;
+        run.stop_sent = now;
         run.next_stop = now + shard.timing.stop_retry;
         actions.stops.push_back({worker.entry.target, {key, shard.epoch}});
     }
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -4,6 +4,7 @@
 #include "shard_internal.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace fulmar {
 
@@ -71,4 +72,35 @@
     worker.next_hold = now;
 }
 
+// The new incarnation may have executed starts that were meant for the earlier one, and may still
+// execute those that got no reply, so their runs are kept until it refuses or lists them, or a list
+// lacks them.
+void reset_worker_state(shard_state& shard, worker_row& worker, time_point now) {
+    shard.log->write("event=worker_restarted shard={} worker={} runs={}", shard.id.value,
+                     worker.entry.target.id.value, worker.runs.size());
+    const auto runs = worker.runs;
+    for (const auto& key : runs) {
+        auto& run = shard.tables.runs.at(key);
+        if (!run.incarnation_known) {
+            run.command_lease = {std::numeric_limits<std::int64_t>::max()};
+            run.stop_answered.reset();
+            run.next_stop = {};
+            continue;
+        }
+        if (auto* task = find_task(shard.tables, key.task); task && !run.checkpoint.empty()) {
+            task->checkpoint = run.checkpoint;
+        }
+        shard.counters->count("runs_lost", "worker_restarted");
+        remove_run(shard.tables, key);
+    }
+    worker.incarnation_since = now;
+    worker.processed_end = 0;
+    worker.acknowledged_end = 0;
+    worker.unacknowledged_ends.clear();
+    worker.failures = 0;
+    worker.lease_until = {};
+    worker.inventoried = false;
+    shard.placement_needed = true;
+}
+
 } // namespace fulmar
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -44,6 +44,10 @@
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
                      time_point now);
 
+// Resets the state that belongs to an earlier incarnation of a worker, when a reply shows that it
+// has restarted.
+void reset_worker_state(shard_state& shard, worker_row& worker, time_point now);
+
 // Returns whether this owner may still renew leases and start tasks: the store confirmed its claim,
 // or most of the workers and of either kind of witnesses accepted its epoch, within the
 // confirmation window.
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -125,36 +125,6 @@
     }
 }
 
-// Resets the state that belongs to an earlier incarnation of the worker. The new one may have
-// executed starts that were meant for the earlier one, and may still execute those that got no
-// reply, so their runs are kept until it refuses or lists them, or a list lacks them.
-void reset_worker_state(shard_state& shard, worker_row& worker) {
-    shard.log->write("event=worker_restarted shard={} worker={} runs={}", shard.id.value,
-                     worker.entry.target.id.value, worker.runs.size());
-    const auto runs = worker.runs;
-    for (const auto& key : runs) {
-        auto& run = shard.tables.runs.at(key);
-        if (!run.incarnation_known) {
-            run.command_lease = {std::numeric_limits<std::int64_t>::max()};
-            run.stop_answered.reset();
-            run.next_stop = {};
-            continue;
-        }
-        if (auto* task = find_task(shard.tables, key.task); task && !run.checkpoint.empty()) {
-            task->checkpoint = run.checkpoint;
-        }
-        shard.counters->count("runs_lost", "worker_restarted");
-        remove_run(shard.tables, key);
-    }
-    worker.processed_end = 0;
-    worker.acknowledged_end = 0;
-    worker.unacknowledged_ends.clear();
-    worker.failures = 0;
-    worker.lease_until = {};
-    worker.inventoried = false;
-    shard.placement_needed = true;
-}
-
 // Processes the lists of run ends and active runs in a reply.
 void process_run_lists(shard_state& shard, worker_row& worker, const hold_reply& reply,
                        time_point sent, time_point now, unix_time unix_now) {
@@ -233,7 +203,7 @@
         return;
     }
     worker.replaced = true;
-    reset_worker_state(shard, worker);
+    reset_worker_state(shard, worker, now);
     const auto runs = worker.runs;
     for (const auto& key : runs) {
         end_lost_run(shard, key, "other_life", now);
@@ -445,7 +415,7 @@
         (worker.start_time && report.start_time && *worker.start_time != *report.start_time) ||
         (worker.clock && report.clock < *worker.clock);
     if (restarted) {
-        reset_worker_state(shard, worker);
+        reset_worker_state(shard, worker, now);
     }
     worker.replied_at = find_reply_time(worker, report.clock, restarted, sent, now);
     if (report.start_time) {
@@ -576,6 +546,9 @@
         lose_shard(shard, "fenced");
         return;
     }
+    if (run.stop_sent < shard.tables.workers.at(run.worker).incarnation_since) {
+        return; // a former incarnation may have answered, and the present one execute the start
+    }
     if (outcome == command_outcome::done || outcome == command_outcome::superseded ||
         outcome == command_outcome::missing) {
         // The first reply counts: if a hold that was sent after it doesn't list the run, the run
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -64,6 +64,9 @@
     reachability_state reachability = reachability_state::unknown;
     // Start time of the worker's incarnation that the members below describe.
     std::optional<process_start_time> start_time;
+    // When a reply showed that a former incarnation had ended. Replies to commands that were sent
+    // before may be that one's.
+    time_point incarnation_since;
     std::optional<worker_clock> clock;
     time_point clock_sent;
     time_point clock_at;
@@ -135,6 +138,7 @@
     // Whether it runs in the incarnation that the worker's row describes, and in no later one.
     bool incarnation_known = false;
     bool stop_in_flight = false;
+    time_point stop_sent;                    // when the last stop command was sent
     std::optional<time_point> stop_answered; // time of the first reply that confirmed the stop
     time_point next_stop;                    // earliest time of the next stop command
     std::string checkpoint;
