shard_control: send an acknowledgement of run ends only until it has been answered

Each hold repeated the highest acknowledged number. An incarnation numbers its ends from 1, so a hold that reached a restarted worker had it delete ends that no owner had seen.

A number is now sent only until a hold with it was answered by the same incarnation, and 0 otherwise. What remains is a hold with a new number that crosses a restart. The ends that the new incarnation lists then don't begin at 1; the owner counts this gap (run_ends_missing) and logs it. It can't see it if the worker lists no later end, and what the deleted ends were is lost.

"a gap in the numbers of a restarted worker's run ends is counted" covers the log.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -89,7 +89,9 @@
         // After an unanswered hold, or a while after a reply was sent, another incarnation of the
         // worker may reply, and its run ends use the same numbers again.
         const bool same_incarnation = steady && now <= worker.replied_at + shard.timing.reply_age;
-        command.acknowledged = same_incarnation ? worker.acknowledged_end : 0;
+        const bool new_number = worker.acknowledged_end > worker.acknowledged_sent;
+        command.acknowledged = same_incarnation && new_number ? worker.acknowledged_end : 0;
+        worker.acknowledged_in_flight = command.acknowledged;
         const bool promised = is_promised(shard, id);
         if (steady && authority && !promised) {
             command.lease_until = next_lease(shard, worker, now);
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -96,6 +96,9 @@
     worker.incarnation_since = now;
     worker.processed_end = 0;
     worker.acknowledged_end = 0;
+    worker.acknowledged_sent = 0;
+    worker.acknowledged_in_flight = 0;
+    worker.ends_contiguous = true; // an incarnation's numbers begin at 1
     worker.unacknowledged_ends.clear();
     worker.failures = 0;
     worker.lease_until = {};
@@ -103,4 +106,19 @@
     shard.placement_needed = true;
 }
 
+void check_end_numbers(shard_state& shard, const worker_row& worker,
+                       const std::vector<run_end>& ended) {
+    const auto next = std::find_if(ended.begin(), ended.end(), [&](const run_end& row) {
+        return row.number > worker.processed_end;
+    });
+    if (!worker.ends_contiguous || next == ended.end() ||
+        next->number == worker.processed_end + 1) {
+        return;
+    }
+    const auto missing = next->number - worker.processed_end - 1;
+    shard.counters->count("run_ends_missing", {}, static_cast<double>(missing));
+    shard.log->write("event=run_ends_missing shard={} worker={} first={} ends={}", shard.id.value,
+                     worker.entry.target.id.value, worker.processed_end + 1, missing);
+}
+
 } // namespace fulmar
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -48,6 +48,11 @@
 // has restarted.
 void reset_worker_state(shard_state& shard, worker_row& worker, time_point now);
 
+// Logs a gap in the numbers of the run ends that a worker lists: it deleted ends that this owner
+// hasn't seen, on an acknowledgement that was meant for its former incarnation.
+void check_end_numbers(shard_state& shard, const worker_row& worker,
+                       const std::vector<run_end>& ended);
+
 // Returns whether this owner may still renew leases and start tasks: the store confirmed its claim,
 // or most of the workers and of either kind of witnesses accepted its epoch, within the
 // confirmation window.
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -128,10 +128,12 @@
 // Processes the lists of run ends and active runs in a reply.
 void process_run_lists(shard_state& shard, worker_row& worker, const hold_reply& reply,
                        time_point sent, time_point now, unix_time unix_now) {
+    check_end_numbers(shard, worker, reply.ended);
     for (const auto& row : reply.ended) {
         if (row.number > worker.processed_end) {
             on_run_ended(shard, worker, row, now, unix_now);
             worker.processed_end = row.number;
+            worker.ends_contiguous = true;
         }
     }
     std::set<run_key> listed;
@@ -417,6 +419,7 @@
     if (restarted) {
         reset_worker_state(shard, worker, now);
     }
+    worker.acknowledged_sent = std::max(worker.acknowledged_sent, worker.acknowledged_in_flight);
     worker.replied_at = find_reply_time(worker, report.clock, restarted, sent, now);
     if (report.start_time) {
         worker.start_time = report.start_time;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -90,8 +90,13 @@
     bool inventoried = false; // a complete list of runs was received since this owner took over
     std::uint64_t processed_end = 0;    // number of the last run end that was processed
     std::uint64_t acknowledged_end = 0; // number of the last one that may be acknowledged
-    // Highest acknowledgement in a hold that the worker replied to.
+    // Highest acknowledgement in a hold that this incarnation replied to. The number isn't
+    // repeated: another incarnation would delete run ends of its own that no owner has seen.
     std::uint64_t acknowledged_sent = 0;
+    std::uint64_t acknowledged_in_flight = 0; // in the last hold
+    // No number up to `processed_end` is missing among the run ends that this owner has processed,
+    // so a gap after it shows that the worker deleted some unseen.
+    bool ends_contiguous = false;
     std::deque<unacknowledged_run_end> unacknowledged_ends;
 
     // Load. `committed` counts the memory and accelerators of all tasks, but processors only of
--- a/tests/worker_incarnations_test.cpp
+++ b/tests/worker_incarnations_test.cpp
@@ -202,3 +202,54 @@
     CHECK(world.starts_sent == 2);
     CHECK(world.model->start(late, world.now).outcome == command_outcome::superseded);
 }
+
+// TWICE: each hold repeated the last acknowledged number, so the hold that was on its way in a
+// restart, or carried out late, had the new process delete an end that no owner had seen.
+TEST_CASE("a hold doesn't have a restarted worker delete run ends that nobody has seen") {
+    restart_world world(2);
+    world.work = duration(300);
+    world.find_worker();
+    world.answer_start(); // it ends soon
+    world.work = work_time;
+    while (!world.starts.empty()) {
+        world.answer_start();
+    }
+    world.answer_all(duration(1'000));
+    REQUIRE(world.job().occurrences.at(0).stages[0].done == 1);
+    REQUIRE_FALSE(world.model->has_unacknowledged_ends());
+    world.pass();
+    const auto delayed = world.holds.front().first;
+    world.work = duration(300);
+    world.restart();
+    // The owner doesn't know of the restart, and its hold stays unanswered.
+    world.fail_hold(broken);
+    world.answer_all(duration(200)); // the other task starts again
+    world.now += duration(300);
+    world.model->advance(world.now);
+    REQUIRE(world.model->has_unacknowledged_ends());
+    world.model->hold(delayed, world.now);
+    world.answer_all(duration(1'000));
+    CHECK(world.job().phase == job_phase::completed);
+    CHECK(world.starts_sent == 3);
+}
+
+// A new number that crosses a restart still has the new process delete ends: the log has to tell.
+TEST_CASE("a gap in the numbers of a restarted worker's run ends is counted") {
+    restart_world world(2);
+    world.find_worker();
+    world.answer_all(duration(500));
+    world.pass();
+    world.restart();
+    world.notice_restart();
+    world.work = duration(300);
+    world.answer_all(duration(300));
+    world.now += duration(300);
+    world.model->advance(world.now);
+    REQUIRE(world.model->has_unacknowledged_ends());
+    hold_command delayed;
+    delayed.epoch = world.shard.epoch;
+    delayed.acknowledged = 1;
+    world.model->hold(delayed, world.now);
+    world.answer_all(duration(500));
+    CHECK(world.counters.value("run_ends_missing", "") == 1);
+}
