shard_control: notice a worker's restart by its entry in the store

The tasks of a worker that crashed and was back soon waited until the hold that the crashed process had left unanswered timed out and the next probe was answered. The worker writes its entry, with its start time, as soon as it is back, but on_worker_entry didn't read that.

An entry with a later start time than the known incarnation's now has the worker asked for its runs at once; once per start time, and nothing is believed but the answer to the hold. Entries of the simulation carry the start time, as the platform's do.

Left: a wall clock that steps back hides the restart from the entry; the next hold shows it as before.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -253,9 +253,17 @@
         worker.replaced = false;
         worker.next_hold = now;
     }
+    // Entries are written at intervals, so one of a former incarnation may be read after a reply of
+    // the next one.
+    const bool restarted = entry.start_time && worker.start_time &&
+                           *entry.start_time > *worker.start_time &&
+                           entry.start_time != worker.entry.start_time;
     worker.entry = entry;
     worker.listed = true;
     shard.placement_needed = true;
+    if (restarted) {
+        suspect_restart(shard, worker, "entry", now);
+    }
 }
 
 void on_worker_unlisted(shard_state& shard, const worker_id& id, time_point now) {
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -34,11 +34,12 @@
 }
 
 std::string encode_sim_worker(const worker_entry& entry, std::uint64_t heartbeat) {
-    return json{{"service", entry.service},   {"dc", entry.data_centre},
-                {"rack", entry.rack},         {"address", to_string(entry.target.address)},
-                {"capacity", entry.capacity}, {"labels", entry.labels},
-                {"draining", entry.draining}, {"beat", heartbeat}}
-        .dump();
+    json out{{"service", entry.service},   {"dc", entry.data_centre},
+             {"rack", entry.rack},         {"address", to_string(entry.target.address)},
+             {"capacity", entry.capacity}, {"labels", entry.labels},
+             {"draining", entry.draining}, {"beat", heartbeat}};
+    out["born"] = entry.start_time->value;
+    return out.dump();
 }
 
 result<worker_entry> parse_sim_worker(const std::string& id, const std::string& text) {
@@ -54,6 +55,7 @@
     entry.capacity = in.at("capacity").get<resources>();
     entry.labels = in.at("labels").get<std::vector<std::string>>();
     entry.draining = in.at("draining").get<bool>();
+    entry.start_time = process_start_time{in.at("born").get<std::int64_t>()};
     return entry;
 }
 
@@ -531,8 +533,9 @@
     worker.checked_runs = 0;
     worker.counted_failures.clear();
     worker.entry.draining = false;
-    worker.model =
-        std::make_unique<worker_model>(worker.options, process_start_time{unix_now().value}, now_);
+    const process_start_time started{unix_now().value};
+    worker.entry.start_time = started;
+    worker.model = std::make_unique<worker_model>(worker.options, started, now_);
     write_entry(id);
 }
 
--- a/tests/worker_incarnations_test.cpp
+++ b/tests/worker_incarnations_test.cpp
@@ -253,3 +253,33 @@
     world.answer_all(duration(500));
     CHECK(world.counters.value("run_ends_missing", "") == 1);
 }
+
+// Work of a crashed worker waited for the time-out of the hold that its former process left
+// unanswered. A worker writes its entry every second, so an entry must not have it asked again.
+TEST_CASE("a worker's entry with a later start time has the worker asked once") {
+    restart_world world(1);
+    world.find_worker();
+    world.answer_all(duration(500));
+    world.pass();
+    REQUIRE(world.holds.size() == 1);
+    const auto former = restart_world::take(world.holds); // unanswered
+    const auto start_time = world.row().start_time->value;
+    on_worker_entry(world.shard, restart_world::entry({start_time - 1}), world.now);
+    on_worker_entry(world.shard, restart_world::entry({start_time}), world.now);
+    world.pass();
+    CHECK(world.holds.empty());
+    world.restart();
+    const auto entry =
+        restart_world::entry({world.now.time_since_epoch().count() + wall_clock.value});
+    on_worker_entry(world.shard, entry, world.now);
+    world.pass();
+    REQUIRE(world.holds.size() == 1);
+    on_worker_entry(world.shard, entry, world.now);
+    world.pass();
+    CHECK(world.holds.size() == 1);
+    world.answer_hold();
+    world.pass();
+    CHECK(world.starts_sent == 2);
+    on_hold_reply(world.shard, the_worker, silent, former.second, world.now, wall_clock);
+    CHECK(world.row().reachability == reachability_state::reachable);
+}
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -128,3 +128,28 @@
         play_restarts({.owner = fate, .long_running = true});
     }
 }
+
+// Tasks waited until the hold that the crashed process had left unanswered timed out, up to 1.7 s.
+TEST_CASE("tasks of a worker that is back start again once its entry shows the restart") {
+    constexpr duration down_time{300};
+    constexpr duration limit{500}; // for the entry, a hold and a start
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        sim_world world(seed, {"east"}, 1, 2);
+        world.run_for(startup_time);
+        world.submit(0, sim_world::simple_job(6), duration(20'000));
+        world.run_for(duration(draw(random, 2'000, 3'000)));
+        const std::string id = "w-east-0";
+        const auto lost = world.workers().at(id).model->occupied().size();
+        REQUIRE(lost > 0);
+        world.crash_worker(id);
+        world.run_for(down_time);
+        const auto starts = world.starts();
+        world.start_worker(id);
+        const auto back = world.now();
+        CHECK(world.run_until([&] { return world.starts() >= starts + lost; }, duration(5'000)));
+        CHECK((world.now() - back) <= limit);
+        check_guarantees(world);
+    }
+}
