shard_reports: don't count a former incarnation's answer to a start as another restart

Responses overtake each other. An answer to a start that the former incarnation sent, and that arrived after a hold had shown the new one, was taken for a sign of a second restart: the worker was asked for its runs again and got no starts until it had answered.

A clock ahead of what the known incarnation can show is a former one's: a later incarnation's is behind. match_incarnation tells this case apart, and the run, which ended with its incarnation, is given up at once. A list of runs can't be believed that way: only one hold is in flight, and those sent before a suspected restart are ignored. A test shows that as well.

Evidence: fulmar_simulation_tests "a start's reply by a former incarnation doesn't count as another restart" fails without the change (the worker is marked as not inventoried and the run is kept) and passes with it; "a hold's reply by a former incarnation after the new one's is ignored" passes with and without. Left: an answer of a former incarnation that was itself young when the other one started is unclear, and its run waits for the next list.

--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -14,6 +14,8 @@
         return "known";
     case incarnation_match::unclear:
         return "unclear";
+    case incarnation_match::former:
+        return "former";
     case incarnation_match::other:
         return "other";
     }
@@ -38,7 +40,10 @@
     const duration known(worker.clock->value);
     const auto lowest = known + slow(sent - worker.clock_at) - timing.lease_margin;
     const auto highest = known + (now - worker.clock_sent) + timing.lease_margin;
-    if (clock < lowest || clock > highest) {
+    if (clock > highest) {
+        return incarnation_match::former; // the known one's and a later one's are behind
+    }
+    if (clock < lowest) {
         return incarnation_match::other;
     }
     const auto highest_of_later = now - worker.clock_sent;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -10,9 +10,9 @@
 std::optional<worker_clock> earliest_clock(const shard_state& shard, const worker_row& worker,
                                            time_point now);
 
-// Which incarnation of a worker carried a command out: the one that the worker's row describes,
-// another one, or one of the two.
-enum class incarnation_match : std::uint8_t { known, unclear, other };
+// Which incarnation of a worker carried a command out: the one that the worker's row describes, one
+// before it, another one, or that can't be told.
+enum class incarnation_match : std::uint8_t { known, unclear, former, other };
 
 std::string_view to_string(incarnation_match match);
 
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -503,6 +503,10 @@
         if (match != incarnation_match::known) {
             log_uncertain_start(shard, run, worker, reply.value(), match, now);
         }
+        if (match == incarnation_match::former) {
+            end_lost_run(shard, key, "worker_restarted", now);
+            return;
+        }
         run.confirmed = run.confirmed.value_or(now);
         run.incarnation_known = run.incarnation_known || match == incarnation_match::known;
         if (match == incarnation_match::other && worker.inventoried) {
--- a/tests/worker_incarnations_test.cpp
+++ b/tests/worker_incarnations_test.cpp
@@ -283,3 +283,48 @@
     on_hold_reply(world.shard, the_worker, silent, former.second, world.now, wall_clock);
     CHECK(world.row().reachability == reachability_state::reachable);
 }
+
+// Replies on different connections overtake each other. The start's reply counted as a second
+// restart, so the worker was asked again and got no starts meanwhile.
+TEST_CASE("a start's reply by a former incarnation doesn't count as another restart") {
+    restart_world world(2);
+    world.now += duration(5'000);
+    world.find_worker();
+    world.answer_start();
+    const auto start = restart_world::take(world.starts);
+    const auto former = restart_world::as_sent(world.model->start(start, world.now));
+    world.now += duration(2'000);
+    world.restart();
+    world.notice_restart();
+    REQUIRE(world.row().inventoried);
+    on_start_reply(world.shard, start.run, former, world.now);
+    CHECK(world.row().inventoried);
+    CHECK_FALSE(world.shard.tables.runs.contains(start.run));
+    world.answer_all(duration(300));
+    CHECK(world.starts_sent == 4);
+    CHECK(world.shard.tables.runs.size() == 2);
+}
+
+// Guards against a list of the former incarnation that undoes what the new one has listed.
+TEST_CASE("a hold's reply by a former incarnation after the new one's is ignored") {
+    restart_world world(1);
+    world.find_worker();
+    world.answer_start();
+    world.answer_all(duration(500));
+    world.pass();
+    const auto [command, sent] = restart_world::take(world.holds);
+    const auto former = world.model->hold(command, world.now);
+    world.restart();
+    world.pass();
+    suspect_restart(world.shard, world.row(), "test", world.now);
+    world.pass();
+    world.answer_hold();
+    const auto start_time = world.row().start_time;
+    world.answer_all(duration(300));
+    REQUIRE(world.starts_sent == 2);
+    on_hold_reply(world.shard, the_worker, former, sent, world.now, wall_clock);
+    CHECK(world.row().start_time == start_time);
+    world.answer_all(duration(300));
+    CHECK(world.starts_sent == 2);
+    CHECK(world.shard.tables.runs.size() == 1);
+}
