shard_incarnations: have a restarted worker refuse delayed starts of forgotten runs

A start without a reply may be carried out seconds later. Its run is stopped and forgotten and the task starts elsewhere; if the worker then restarts, the new process has no record of the stop, and carries the start out beside the other run (TWICE).

The owner keeps the starts without a reply of the last 12 s, at most 64 a worker, also when the worker's row is removed. When it notices a restart, it sends the new incarnation a stop for each that has no active run, and repeats it until it is answered.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -37,6 +37,7 @@
         run.next_stop = now + shard.timing.stop_retry;
         actions.stops.push_back({worker.entry.target, {key, shard.epoch}});
     }
+    send_late_start_stops(shard, now, actions);
 }
 
 // Removes the runs of an unreachable worker whose leases have ended.
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -8,6 +8,16 @@
 
 namespace fulmar {
 
+namespace {
+
+// A start without a reply may be carried out this long after it was sent.
+constexpr duration late_start_limit{12'000};
+
+// Number of starts without a reply that are kept for a worker.
+constexpr std::size_t max_unanswered_starts = 64;
+
+} // namespace
+
 std::string_view to_string(incarnation_match match) {
     switch (match) {
     case incarnation_match::known:
@@ -99,6 +109,7 @@
         remove_run(shard.tables, key);
     }
     worker.incarnation_since = now;
+    refuse_unanswered_starts(shard.tables, worker.entry.target.id, now);
     worker.processed_end = 0;
     worker.acknowledged_end = 0;
     worker.acknowledged_sent = 0;
@@ -111,6 +122,64 @@
     shard.placement_needed = true;
 }
 
+void note_unanswered_start(shard_tables& tables, const run_row& run) {
+    auto& starts = tables.unanswered_starts[run.worker];
+    unanswered_start start;
+    start.run = run.key;
+    start.sent = run.start_sent;
+    starts.push_back(start);
+    if (starts.size() > max_unanswered_starts) {
+        starts.pop_front();
+    }
+}
+
+void refuse_unanswered_starts(shard_tables& tables, const worker_id& worker, time_point now) {
+    const auto found = tables.unanswered_starts.find(worker);
+    if (found == tables.unanswered_starts.end()) {
+        return;
+    }
+    for (auto& start : found->second) {
+        start.stop_due = true;
+        start.next_stop = now;
+    }
+}
+
+void send_late_start_stops(shard_state& shard, time_point now, shard_actions& actions) {
+    auto& tables = shard.tables;
+    for (auto it = tables.unanswered_starts.begin(); it != tables.unanswered_starts.end();) {
+        auto& [id, starts] = *it;
+        while (!starts.empty() && now >= starts.front().sent + late_start_limit) {
+            starts.pop_front();
+        }
+        const auto worker = tables.workers.find(id);
+        for (auto& start : starts) {
+            if (!start.stop_due || now < start.next_stop || tables.runs.contains(start.run) ||
+                worker == tables.workers.end()) {
+                continue;
+            }
+            start.stop_sent = now;
+            start.next_stop = now + shard.timing.stop_retry;
+            actions.stops.push_back({worker->second.entry.target, {start.run, shard.epoch}});
+            shard.counters->count("late_start_stops");
+        }
+        it = starts.empty() ? tables.unanswered_starts.erase(it) : std::next(it);
+    }
+}
+
+void on_late_start_stopped(shard_tables& tables, const run_key& run) {
+    for (auto& [id, starts] : tables.unanswered_starts) {
+        const auto start =
+            std::find_if(starts.begin(), starts.end(), [&](const unanswered_start& row) {
+                return row.stop_due && row.run == run;
+            });
+        const auto worker = tables.workers.find(id);
+        if (start != starts.end() && worker != tables.workers.end() &&
+            start->stop_sent >= worker->second.incarnation_since) {
+            start->stop_due = false;
+        }
+    }
+}
+
 void check_end_numbers(shard_state& shard, const worker_row& worker,
                        const std::vector<run_end>& ended) {
     const auto next = std::find_if(ended.begin(), ended.end(), [&](const run_end& row) {
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -48,6 +48,19 @@
 // has restarted.
 void reset_worker_state(shard_state& shard, worker_row& worker, time_point now);
 
+// Notes that a start got no reply. If its run is forgotten and its worker restarts, the new
+// incarnation has no record of the run's stop, and would still carry the start out.
+void note_unanswered_start(shard_tables& tables, const run_row& run);
+
+// Has the worker's new incarnation refuse the starts that its former one left without a reply.
+void refuse_unanswered_starts(shard_tables& tables, const worker_id& worker, time_point now);
+
+// Sends the stops of these starts' runs that are due. Those of active runs are sent by send_stops.
+void send_late_start_stops(shard_state& shard, time_point now, shard_actions& actions);
+
+// Processes the reply to a stop whose run isn't active.
+void on_late_start_stopped(shard_tables& tables, const run_key& run);
+
 // Logs a gap in the numbers of the run ends that a worker lists: it deleted ends that this owner
 // hasn't seen, on an acknowledgement that was meant for its former incarnation.
 void check_end_numbers(shard_state& shard, const worker_row& worker,
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -421,6 +421,9 @@
     }
     worker.acknowledged_sent = std::max(worker.acknowledged_sent, worker.acknowledged_in_flight);
     worker.replied_at = find_reply_time(worker, report.clock, restarted, sent, now);
+    if (!worker.start_time) { // it may have been forgotten when a former incarnation was silent
+        refuse_unanswered_starts(shard.tables, id, now);
+    }
     if (report.start_time) {
         worker.start_time = report.start_time;
     }
@@ -490,7 +493,10 @@
         if (reply.error().kind == error_kind::unavailable) {
             remove_run(shard.tables, key);
             shard.placement_needed = true;
-        } else if (run.phase == run_phase::starting) {
+            return;
+        }
+        note_unanswered_start(shard.tables, run);
+        if (run.phase == run_phase::starting) {
             run.phase = run_phase::unconfirmed;
         }
         return;
@@ -537,12 +543,14 @@
 
 void on_stop_reply(shard_state& shard, const run_key& key, const result<command_reply>& reply,
                    time_point now) {
-    const auto found = shard.tables.runs.find(key);
-    if (shard.ownership_lost || found == shard.tables.runs.end()) {
+    if (shard.ownership_lost) {
         return;
     }
-    auto& run = found->second;
-    run.stop_in_flight = false;
+    const auto found = shard.tables.runs.find(key);
+    const bool active = found != shard.tables.runs.end();
+    if (active) {
+        found->second.stop_in_flight = false;
+    }
     if (!reply) {
         shard.counters->count("stops", to_string(reply.error().kind));
         return;
@@ -553,11 +561,20 @@
         lose_shard(shard, "fenced");
         return;
     }
+    const bool executed = outcome == command_outcome::done ||
+                          outcome == command_outcome::superseded ||
+                          outcome == command_outcome::missing;
+    if (!active) {
+        if (executed) {
+            on_late_start_stopped(shard.tables, key);
+        }
+        return;
+    }
+    auto& run = found->second;
     if (run.stop_sent < shard.tables.workers.at(run.worker).incarnation_since) {
         return; // a former incarnation may have answered, and the present one execute the start
     }
-    if (outcome == command_outcome::done || outcome == command_outcome::superseded ||
-        outcome == command_outcome::missing) {
+    if (executed) {
         // The first reply counts: if a hold that was sent after it doesn't list the run, the run
         // has ended.
         run.stop_answered = run.stop_answered.value_or(now);
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -164,6 +164,15 @@
     bool pace_in_flight = false;
 };
 
+// A start that got no reply, so that it may be carried out much later.
+struct unanswered_start {
+    run_key run;
+    time_point sent;
+    bool stop_due = false; // the worker's present incarnation hasn't confirmed a stop of the run
+    time_point stop_sent;  // of the last stop
+    time_point next_stop;
+};
+
 // What a borrower reports about a task that was lent to it.
 enum class loan_result : std::uint8_t { pending, done, failed, returned };
 
@@ -291,6 +300,8 @@
     std::map<worker_id, worker_row> workers;
     std::map<job_id, job_row> jobs;
     std::map<run_key, run_row> runs;
+    // The last starts without a reply, by worker. They outlast the rows of their runs and workers.
+    std::map<worker_id, std::deque<unanswered_start>> unanswered_starts;
     std::map<std::uint64_t, loan_row> loans; // loans that this shard made as the lender
     search_memory searches;
 };
--- a/tests/worker_incarnations_test.cpp
+++ b/tests/worker_incarnations_test.cpp
@@ -328,3 +328,43 @@
     CHECK(world.starts_sent == 2);
     CHECK(world.shard.tables.runs.size() == 1);
 }
+
+// TWICE: a start without a reply was carried out by the worker's new process after its run had been
+// stopped and forgotten, beside the task's next run.
+TEST_CASE("a restarted worker refuses a delayed start whose run was forgotten") {
+    restart_world world(1);
+    world.find_worker();
+    const auto late = restart_world::take(world.starts);
+    on_start_reply(world.shard, late.run, silent, world.now);
+    world.answer_all(duration(1'000)); // the run is stopped and forgotten
+    REQUIRE(world.starts_sent == 2);
+    REQUIRE_FALSE(world.shard.tables.runs.contains(late.run));
+    const int restarts = GENERATE(1, 2);
+    for (int i = 0; i < restarts; ++i) {
+        world.pass();
+        world.restart();
+        world.notice_restart();
+        world.pass();
+        REQUIRE_FALSE(world.stops.empty());
+        on_stop_reply(world.shard, restart_world::take(world.stops).run, silent, world.now);
+        world.answer_all(duration(1'500));
+        CHECK(world.model->start(late, world.now).outcome == command_outcome::superseded);
+    }
+    world.pass(duration(1'000));
+    CHECK(world.stops.empty());
+    world.answer_all(duration(12'000));
+    CHECK(world.shard.tables.unanswered_starts.empty());
+}
+
+// Guards against memory that grows with a worker that answers no starts.
+TEST_CASE("the unanswered starts that are kept for a worker are limited in number") {
+    restart_world world(1);
+    run_row run;
+    run.worker = the_worker;
+    run.start_sent = world.now;
+    for (std::uint32_t index = 0; index < 1'000; ++index) {
+        run.key = {{the_job, 0, 0, index}, {1}};
+        note_unanswered_start(world.shard.tables, run);
+    }
+    CHECK(world.shard.tables.unanswered_starts.at(the_worker).size() <= 64);
+}
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -153,3 +153,29 @@
         check_guarantees(world);
     }
 }
+
+// TWICE: a start without an answer was carried out by the restarted process seconds later, when its
+// run had been stopped and forgotten and the task ran elsewhere.
+TEST_CASE("a restarted worker carries out no delayed start of a forgotten run") {
+    for (std::uint64_t seed = 1; seed <= seed_count(usual_seeds); ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        sim_world world(seed, {"east"}, 1, 3);
+        world.run_for(startup_time);
+        world.lose_answer(
+            {.kind = "start", .late = duration(draw(random, 6'000, 8'000)), .times_out = true});
+        world.submit(0, sim_world::simple_job(static_cast<std::uint32_t>(draw(random, 1, 6))),
+                     duration(20'000));
+        world.run_for(duration(4'500));
+        REQUIRE(world.answers_lost("start") == 1);
+        for (auto& [id, worker] : world.workers()) {
+            world.crash_worker(id);
+        }
+        world.run_for(duration(draw(random, 5, 300)));
+        for (auto& [id, worker] : world.workers()) {
+            world.start_worker(id);
+        }
+        CHECK(finish_all(world, finish_time));
+        check_guarantees(world);
+    }
+}
