soak: restart workers in place and isolate them soon after

What callers saw: TWICE, tasks ran beside runs that a restarted worker had taken unnoticed (docs/incidents/restart-unnoticed.md). No play of the soak could show it: a worker's port ended with its process, so calls on open connections failed and owners noticed, no task lasted longer than 2.5 s but those that last, and no worker lost all hosts while it ran on.

Change: in two seeds of five, two or more workers of one data centre crash and are back under their ids after 5 to 700 ms. Their port and its connections stay open; calls that come from shortly before the crash on are executed by the new incarnation, and holds in progress stay unanswered. 0.02 to 2.5 s later these workers are isolated from hosts and store for 12 to 14 s; in half of these seeds the shard's owner is killed or stopped meanwhile. Tasks of 8 to 15 s and tasks that last come around it; the longest lease is 6 or 10 s. Replies to starts, stops and paces no longer tell the start time of the worker's process; the platform's don't. The plans of the other seeds are the same as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import select
 import socket
 import struct
 import sys
@@ -51,10 +52,14 @@
     """Serves the owner's calls. Between reading a call and answering it, a fault may strike."""
 
     def answer(self):
-        port, owner = self.server, self.server.owner
+        port, arrived = self.server, time.monotonic()
         length = int(self.headers.get("Content-Length") or 0)
         self.raw = self.rfile.read(length) if length else b""
         port.wait_while_held("requests")
+        if arrived < port.isolated_until and self.is_abandoned():
+            self.close_connection = True
+            return
+        owner = port.owner  # a worker that restarted meanwhile gets the call, at the same address
         parts = urllib.parse.urlsplit(self.path)
         query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
         body = json.loads(self.raw) if self.raw and not isinstance(owner, PeerProxy) else {}
@@ -73,6 +78,8 @@
             reply = self.strike(fault, carry_out, f"{kinds[0]} at {port.name}") if fault else carry_out()
         port.wait_while_held("answers")
         if reply is None or getattr(owner, "crashed", False):
+            if getattr(owner, "leaves_connections", False):
+                self.stay_silent()
             self.close_connection = True
             return
         data = reply[1] if isinstance(reply[1], bytes) else json.dumps(reply[1]).encode()
@@ -83,6 +90,22 @@
         self.wfile.write(data)
         self.wfile.flush()
 
+    def is_abandoned(self):
+        """Returns whether the caller has closed the connection."""
+        try:
+            return bool(select.select([self.connection], [], [], 0)[0]) and (
+                not self.connection.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return True
+
+    def stay_silent(self):
+        """Leaves the connection open until the caller closes it."""
+        self.connection.settimeout(SILENCE_S)
+        try:
+            self.connection.recv(1)
+        except OSError:
+            pass
+
     def strike(self, fault, carry_out, what):
         """Carries the call out as the fault says. Returns the reply to send, None for none."""
         port, faults = self.server, self.server.faults
@@ -91,11 +114,7 @@
             timer = threading.Timer(fault.delay, carry_out)
             timer.daemon = True
             timer.start()
-            self.connection.settimeout(SILENCE_S)
-            try:
-                self.connection.recv(1)
-            except OSError:
-                pass
+            self.stay_silent()
             return None
         reply = None if fault.how == "lost" else carry_out()
         done = f"carried out ({reply[0]})" if reply else "not carried out, or unanswered"
@@ -122,6 +141,7 @@
     def __init__(self, play, owner, port, name, host=None):
         self.play, self.faults, self.name, self.host = play, play.faults, name, host
         self.held = {"requests": 0.0, "answers": 0.0}
+        self.isolated_until = 0.0
         self.reset = set()
         super().__init__(owner, port)
 
@@ -140,9 +160,15 @@
         self.held[way] = time.monotonic() + seconds
         self.faults.disturb(seconds, f"{way} of {self.name} held up for {seconds:.2f} s")
 
+    def isolate(self, seconds):
+        """Holds up both ways. Calls that their callers have given up by the end get lost."""
+        self.isolated_until = time.monotonic() + seconds
+        for way in self.held:
+            self.cut(way, seconds)
+
     def wait_while_held(self, way):
         while (left := self.held[way] - time.monotonic()) > 0:
-            time.sleep(left)
+            time.sleep(min(left, 0.01))
 
 
 class PeerProxy:
--- a/tests/soak/parts.py
+++ b/tests/soak/parts.py
@@ -44,7 +44,7 @@
     """One life of a worker, whose tasks do what `plan.make_spec` says. A worker that isn't guarded
     starts whatever it is told to start."""
 
-    def __init__(self, play, place, port):
+    def __init__(self, play, place, port, server=None, register_after=0.0):
         self.play, self.place, self.port = play, place, port
         self.store, self.record, self.checks = play.store, play.record, play.checks
         self.name, zone, rack, cpu, self.rate = place
@@ -53,7 +53,9 @@
         self.fence = self.lease_until = self.last_end = 0
         self.running, self.ended, self.refused_below, self.crashed = {}, [], {}, False
         self.capacity = {"cpu": cpu, "memMb": 8000, "gpu": 0}
-        self.server = FaultyServer(play, self, port, self.name)
+        self.leaves_connections, self.register_after = False, register_after
+        self.server = server or FaultyServer(play, self, port, self.name)
+        self.server.owner = self
         self.entry = {"service": play.SERVICE, "address": f"127.0.0.1:{port}", "zone": zone, "version": "1",
                       "slots": 8, "state": "ready", "coldRemainingMs": 0, "seqNo": 0,
                       "capacity": self.capacity, "labels": ["kind-a", rack], "born": self.born}
@@ -67,13 +69,28 @@
         """Returns whether a run is there now. When the lease ends, all runs end."""
         return not self.crashed and key in self.running and self.clock() < self.lease_until
 
-    def crash(self):
-        """The process ends. Its entry expires, unless its next life has written it."""
+    def beat(self):
+        time.sleep(self.register_after)
+        while not self.crashed:
+            if time.monotonic() > self.server.isolated_until:
+                self.entry["seqNo"] += 1
+                self.store.put("servers/" + self.name, json.dumps(self.entry))
+            time.sleep(standins.HEARTBEAT_S)
+
+    def isolate(self, seconds):
+        """Takes connections to the hosts and to the store away. What runs here runs on."""
+        self.server.isolate(seconds)
+        threading.Timer(3 * standins.HEARTBEAT_S, self.remove_entry).start()
+
+    def crash(self, leaves_port=False):
+        """The process ends. Its entry expires, unless its next life has written it. A port that it leaves
+        stays open, as do the connections, for the next life."""
         with self.lock:
-            self.crashed = True
+            self.leaves_connections, self.crashed = leaves_port, True
             self.running.clear()
             self.lock.notify_all()
-        self.server.end()
+        if not leaves_port:
+            self.server.end()
         threading.Timer(3 * standins.HEARTBEAT_S, self.remove_entry).start()
 
     def remove_entry(self):
@@ -115,6 +132,8 @@
             reply = super().handle(request, method, path, query, body)
             if path == "/api/pace" and reply[0] == 200:
                 self.running[body["task"], body["runId"]]["percent"] = body["percent"]
+            if path != "/api/hold":
+                reply[1].pop("born", None)  # only lists of runs tell it
             return reply
 
     def start(self, body, common):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -6,6 +6,7 @@
 from types import SimpleNamespace
 
 HORIZON_S = 120.0  # plans are drawn up to here and cut off at the length of the play
+ISOLATION_SHARE = 0.4  # of the seeds
 WARM_UP_S = 2.0    # without faults, so that connections have carried calls before they break
 
 # Each kind of call is hit in turn; calls whose effect can't be taken back are named several times.
@@ -43,6 +44,23 @@
     same_port: bool  # of a worker's next life
 
 
+@dataclass
+class Isolation:
+    """Workers of one data centre crash and are back under their ids at the same addresses, where they
+    execute the calls that were sent before. Soon after, they lose hosts and store, and run on."""
+    at: float
+    zone: str
+    workers: list          # their names
+    before_s: float        # calls that arrive so long before the crash are executed after it
+    down_s: float
+    connected_s: float     # from the return to the loss of the hosts
+    cut_s: float
+    register_after: float  # from the return to the first entry in the store
+    owner_fault: str       # what happens to the host that owns the data centre's shard: kill, term or ""
+    owner_after: float     # from the return on
+    owner_back: float
+
+
 @dataclass
 class Job:
     at: float
@@ -123,6 +141,32 @@
     return faults
 
 
+def draw_isolations(rng, seed, workers, hosts):
+    """Returns isolations, and jobs around them whose tasks run for long."""
+    faults, jobs, at = [], [], WARM_UP_S + rng.uniform(0.0, 3.0)
+    while at < HORIZON_S:
+        zone = rng.choice(sorted({worker[1] for worker in workers}))
+        names = [worker[0] for worker in workers if worker[1] == zone]
+        # Owners notice a restart by the next hold that is answered, mostly within a second.
+        connected_s = rng.uniform(0.02, rng.choice((0.8, 2.5)))
+        fault = Isolation(at, zone, rng.sample(names, rng.randint(2, len(names) - 1)), rng.uniform(0.0, 0.1),
+                          rng.uniform(0.005, 0.7), connected_s, rng.uniform(12.0, 14.0),
+                          rng.uniform(0.0, 1.5), rng.choice(("", "", "kill", "term")),
+                          rng.uniform(0.0, 3.0), rng.uniform(0.3, 5.0))
+        faults.append(fault)
+        near = [number for number, host in enumerate(hosts) if host[1] == zone]
+        for number in range(rng.randint(5, 9)):
+            step = {"count": rng.randint(1, 4), "cpu": 250, "memMb": 128,
+                    "estRuntimeMs": rng.randrange(8000, 15000)}
+            lasts = number == 0
+            steps = [dict(step, count=2, longRunning=True) if lasts else step]
+            jobs.append(Job(at + rng.uniform(-0.2, fault.down_s + min(1.0, connected_s)),
+                            f"{seed:08x}ee{len(jobs):06x}", make_spec(steps, "last" if lasts else "work"),
+                            [rng.choice(near)] + draw_hosts(rng), 4, 0.3))
+        at += rng.uniform(25.0, 30.0)
+    return faults, jobs
+
+
 def make_plan(seed, seconds):
     rng = random.Random(seed)
     names = ["centro-a", "centro-b", "sur-a"][:rng.choice((2, 2, 3))]
@@ -133,11 +177,19 @@
                for zone in names for n in range(workers_each)]
     guarded = rng.random() < 0.5  # workers reject what exceeds their capacity
     # Generators of their own, so that the length of one part doesn't change the others.
-    parts = [random.Random(rng.random()) for _ in range(3)]
+    parts = [random.Random(rng.random()) for _ in range(4)]
+    hosts = [(f"h-{zone}-{n}", zone) for zone in names for n in range(hosts_each)]
     faults = draw_call_faults(parts[1]) + draw_place_faults(parts[2])
+    jobs = draw_jobs(parts[0], seed)
+    longest_lease_ms = 10000
+    if rng.random() < ISOLATION_SHARE:
+        longest_lease_ms = parts[3].choice((6000, 10000))
+        isolations, long_jobs = draw_isolations(parts[3], seed, workers, hosts)
+        # Others only before, so that in most of these seeds the shard's owner sees the whole course.
+        faults = [fault for fault in faults if fault.at < isolations[0].at - 1.0] + isolations
+        jobs += long_jobs
     end = WARM_UP_S + seconds
     return SimpleNamespace(
         zones={name: name.split("-")[0] for name in names}, workers=workers, guarded=guarded,
-        hosts=[(f"h-{zone}-{n}", zone) for zone in names for n in range(hosts_each)],
-        jobs=[job for job in draw_jobs(parts[0], seed) if job.at < end],
+        hosts=hosts, longest_lease_ms=longest_lease_ms, jobs=[job for job in jobs if job.at < end],
         faults=[fault for fault in faults if fault.at < end])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Plays real hosts against stand-ins for store, workers and clients, with faults drawn by a seed, and
 checks the users' rules. Answers of calls that were carried out get lost, and processes are killed,
-suspended, disconnected and replaced. See docs/fault-matrix.md, "Soak".
+suspended, disconnected and replaced, or restarted and isolated. See docs/fault-matrix.md, "Soak".
 
     soak.py --daemon build/fulmarwind --seeds 1-20 [--jobs 3] [--seconds 12] [--logs DIR]
 
@@ -11,6 +11,7 @@
 import concurrent.futures
 import http.client
 import json
+import math
 import os
 import shutil
 import sys
@@ -22,7 +23,7 @@
 from checks import CONTACT_S, GONE_S, IDLE_S, LASTING_CALM_S, Checks
 from faults import ROOT, Faults, standins
 from parts import BOUNDS, Host, Store, Worker
-from plan import WARM_UP_S, CallFault, make_plan
+from plan import WARM_UP_S, CallFault, Isolation, make_plan
 
 sys.path.insert(0, os.path.join(ROOT, "tools"))
 from ports import reserve_ports
@@ -30,7 +31,9 @@
 # Seeds that have found a fault, with its cause; `--kept` plays them. Faults strike whatever call of their
 # kind comes next, so that a seed plays the same faults each time, but not the same course.
 RESENT = "calls that had been carried out were sent again, and the 503 to the second sending was believed"
-KEPT_SEEDS = {4: RESENT, 5: RESENT, 9: RESENT}
+UNNOTICED = "a restarted worker took its longest lease from a start meant for its former process, unknown to "
+KEPT_SEEDS = {4: RESENT, 5: RESENT, 9: RESENT, 7: UNNOTICED + "the owner", 88: UNNOTICED + "the owner",
+              37: UNNOTICED + "the owner's successor"}
 
 CLIENT_TIMEOUT_S = 3.0
 START_S = 60.0  # until all hosts are ready, on a machine that is busy
@@ -45,6 +48,7 @@
     def __init__(self, daemon, seed, seconds, folder):
         self.daemon, self.folder = daemon, folder
         self.plan, self.length = make_plan(seed, seconds), WARM_UP_S + seconds
+        BOUNDS["maxHoldMs"] = self.plan.longest_lease_ms  # each seed has a process of its own
         self.record = standins.Record(os.path.join(folder, "record.txt"))
         self.faults, self.store = Faults(self.record), Store()
         self.checks = Checks(self.record, self.faults, self.plan.jobs)
@@ -135,6 +139,9 @@
         if isinstance(fault, CallFault):
             self.faults.armed.append(fault)
             return
+        if isinstance(fault, Isolation):
+            self.spawn(self.isolate, fault)
+            return
         host = list(self.hosts.values())[fault.number % len(self.hosts)]
         worker = list(self.workers.values())[fault.number % len(self.workers)]
         if fault.what == "cut":
@@ -155,6 +162,35 @@
             self.workers[worker.name] = Worker(self, worker.place, port)
         self.faults.disturb()
 
+    def isolate(self, fault):
+        """Restarts workers at their ports, which stay open, and isolates them soon after."""
+        workers = [worker for worker in map(self.workers.get, fault.workers) if not worker.crashed]
+        self.faults.disturb(fault.before_s + fault.down_s + fault.connected_s + fault.cut_s,
+                            f"workers {[worker.name for worker in workers]} restart within "
+                            f"{fault.down_s:.3f} s, and are isolated {fault.connected_s:.2f} s later")
+        for worker in workers:
+            worker.server.held["requests"] = math.inf
+        time.sleep(fault.before_s)
+        for worker in workers:
+            worker.crash(leaves_port=True)
+        time.sleep(fault.down_s)
+        for worker in workers:
+            self.workers[worker.name] = Worker(self, worker.place, worker.port, worker.server,
+                                               fault.register_after)
+            worker.server.held["requests"] = 0.0
+        if fault.owner_fault:
+            self.spawn(self.end_owner, fault)
+        time.sleep(fault.connected_s)
+        for name in fault.workers:
+            if not self.workers[name].crashed:
+                self.workers[name].isolate(fault.cut_s)
+
+    def end_owner(self, fault):
+        time.sleep(fault.owner_after)
+        owner = next((owner for shard, owner in self.owners().items() if shard.startswith(fault.zone)), None)
+        if owner in self.hosts:
+            self.hosts[owner].suffer(fault.owner_fault, fault.owner_back)
+
     def notice_stalls(self):
         while not self.over:
             before = time.monotonic()
@@ -248,16 +284,17 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
     parser.add_argument("--daemon", required=True, help="the fulmarwind to play")
-    parser.add_argument("--seeds", default="", help="A-B, both included, or a single one")
+    parser.add_argument("--seeds", default="", help="A-B, both included, or single ones; several with commas")
     parser.add_argument("--kept", action="store_true", help="play the kept seeds as well")
     parser.add_argument("--jobs", type=int, default=1, help="seeds at a time")
     parser.add_argument("--seconds", type=float, default=12.0, help="for which faults occur")
     parser.add_argument("--logs", help="folder that keeps the logs of seeds that failed")
     options = parser.parse_args()
     logs = os.path.abspath(options.logs or tempfile.mkdtemp(prefix="soak-"))
-    first, _, last = options.seeds.partition("-")
-    seeds = (list(KEPT_SEEDS) if options.kept else []) + (
-        list(range(int(first), int(last or first) + 1)) if first else [])
+    seeds = list(KEPT_SEEDS) if options.kept else []
+    for part in filter(None, options.seeds.split(",")):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
     codes = []
     with concurrent.futures.ProcessPoolExecutor(options.jobs, max_tasks_per_child=1) as pool:
         for play_of_seed in [pool.submit(play, os.path.abspath(options.daemon), seed, options.seconds, logs)
