shard_room_requests: log what becomes of granted room

Change: the granting shard logs `room_released` with the reason (request expired, task not listed any more, worker accepts no starts, held for too long, another worker chosen), how long the room was held and whether a loan was being made; the requesting shard logs `room_granted` once for each grant. No other functional change.

A wait of over 9 s can now be divided into the time before a reservation, until the room is free, and until the loan.

What is left: the time that a reservation waits for short tasks is not logged by itself.

no functional change but log lines

--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -54,10 +54,37 @@
                : &worker->second;
 }
 
-void release_room(shard_state& shard, const task_key& key, room_request& request) {
+// Why room that was held for a task of another shard is released: the request wasn't repeated or
+// may not be granted any more, the message of its shard doesn't list the task, the worker accepts
+// no starts, the room was held for too long, or another worker was chosen.
+enum class release_reason : std::uint8_t { expired, unlisted, worker, unused, moved };
+
+std::string_view to_string(release_reason reason) {
+    switch (reason) {
+    case release_reason::expired:
+        return "expired";
+    case release_reason::unlisted:
+        return "unlisted";
+    case release_reason::worker:
+        return "worker";
+    case release_reason::unused:
+        return "unused";
+    case release_reason::moved:
+        return "moved";
+    }
+    return "";
+}
+
+void release_room(shard_state& shard, const task_key& key, room_request& request,
+                  release_reason reason, time_point now) {
     if (auto* worker = find_reserved(shard, key, request)) {
         worker->reserved.erase(key);
         shard.placement_needed = true;
+        shard.log->write("event=room_released task={}.{}.{}.{} shard={} for={} worker={} reason={} "
+                         "held_ms={} lending={}",
+                         key.job.value, key.occurrence, key.step, key.index, shard.id.value,
+                         request.from.value, request.worker->value, to_string(reason),
+                         (now - request.reserved_at).count(), request.lending);
     }
     request.worker.reset();
 }
@@ -69,15 +96,15 @@
     for (auto row = shard.room_requests.begin(); row != shard.room_requests.end();) {
         auto& [key, request] = *row;
         if (!grants || request.until <= now) {
-            release_room(shard, key, request);
+            release_room(shard, key, request, release_reason::expired, now);
             row = shard.room_requests.erase(row);
             continue;
         }
         const auto* worker = find_reserved(shard, key, request);
         if (worker == nullptr || !accepts_starts(shard, *worker, now)) {
-            release_room(shard, key, request);
+            release_room(shard, key, request, release_reason::worker, now);
         } else if (now >= request.reserved_at + (request.lending ? lending_limit : unused_limit)) {
-            release_room(shard, key, request);
+            release_room(shard, key, request, release_reason::unused, now);
             request.no_room_before = now + unused_pause;
         }
         ++row;
@@ -395,7 +422,7 @@
             task.reservation_expired = false;
             shard.counters->count("room_requests", "used");
         } else if (worker != nullptr && task.reserved_worker != found->second.worker) {
-            release_room(shard, key, found->second);
+            release_room(shard, key, found->second, release_reason::moved, now);
         }
         shard.room_requests.erase(found);
     }
@@ -486,7 +513,7 @@
             ++row;
             continue;
         }
-        release_room(shard, key, request);
+        release_room(shard, key, request, release_reason::unlisted, now);
         row = shard.room_requests.erase(row);
     }
     shard.next_room_service = now;
@@ -533,6 +560,11 @@
             (granter != nullptr && granter->shard != from)) {
             continue;
         }
+        if (granter == nullptr) {
+            shard.log->write("event=room_granted task={}.{}.{}.{} shard={} by={} waiting={}",
+                             key.job.value, key.occurrence, key.step, key.index, shard.id.value,
+                             from.value, stage->waiting.contains(key.index));
+        }
         shard.granted_rooms[key] = {from, now + request_validity};
         shard.placement_needed = true;
     }
