shard_incarnations: store which incarnations are settled; keep a stopped run until its start can't arrive

Cause: each owner took it that a worker which answered it for the first time might have the longest lease, and recorded no run there for up to 6.7 s. Owners that were lost earlier recorded none, so their successors waited for the longest lease.

Change: an incarnation of a worker whose lease has become the usual one stays so: no command that was meant for a former incarnation arrives there any more. Its start time is stored with the next transaction (one more key, for all workers of the shard), and the next owner counts with the usual lease if the worker answers with that start time. The first owner of a shard has no predecessor to count for.

The answer to a start with a clock that is ahead no longer ends the run: this host may have been suspended, and its clock with it, while the worker runs the task. The worker is asked, as in other unclear cases.

--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -288,6 +288,12 @@
         next.puts.push_back({ownership_key(shard.id), encode(*commit.ownership), {}});
         ++builder.entries;
     }
+    commit.settled.reset();
+    if (shard.settled != shard.stored_settled) {
+        commit.settled = shard.settled;
+        next.puts.push_back({incarnations_key(shard.id), encode(shard.settled), {}});
+        ++builder.entries;
+    }
     const auto submitted = select_submissions(shard, now);
     const auto changed = find_changed_jobs(shard);
     const auto& purged = shard.to_purge;
@@ -369,6 +375,9 @@
     if (commit.ownership) {
         shard.stored_ownership = *commit.ownership;
     }
+    if (commit.settled) {
+        shard.stored_settled = std::move(*commit.settled);
+    }
     commit.pending.reset();
     commit.unconfirmed = false;
     commit.next_attempt = now;
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -211,6 +211,14 @@
                 continue;
             }
             shard.stored_ownership = std::move(record).value();
+        } else if (entry.key == incarnations_key(shard.id)) {
+            auto record = parse_incarnations(entry.value);
+            if (!record) {
+                reject(entry, record.error());
+                continue;
+            }
+            shard.stored_settled = record.value();
+            shard.settled = std::move(record).value();
         } else if (entry.key.starts_with(progress)) {
             const auto job = shard.tables.jobs.find(job_id{entry.key.substr(progress.size())});
             if (job == shard.tables.jobs.end()) {
@@ -482,6 +490,7 @@
     log_waiting_tasks(shard, now);
     park_waiting_tasks(shard, now);
     record_long_running_runs(shard, now);
+    update_settled(shard, now);
     regroup_tasks(shard, now);
     serve_room_requests(shard, now, now);
     drain_long_running_tasks(shard, now);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -262,16 +262,17 @@
     std::optional<store_transaction> pending;
     std::uint64_t number = 0;
     std::map<job_id, unstored_change> unstored;
-    std::vector<stored_change> changes;        // in the transaction
-    std::vector<job_id> submissions;           // jobs submitted in the transaction
-    std::vector<job_id> purged;                // jobs whose records the transaction removes
-    std::vector<job_id> borrowed_jobs;         // borrowed jobs first stored in the transaction
-    bool has_worker_list = false;              // the transaction includes the worker list
-    worker_list listed_workers;                // the worker list in the transaction
-    promise_list promises;                     // the promises in it
-    std::optional<ownership_record> ownership; // the ownership record in the transaction
-    time_point next_attempt;                   // earliest time of the next attempt
-    std::uint64_t attempts = 0;                // number of attempts that were sent
+    std::vector<stored_change> changes;          // in the transaction
+    std::vector<job_id> submissions;             // jobs submitted in the transaction
+    std::vector<job_id> purged;                  // jobs whose records the transaction removes
+    std::vector<job_id> borrowed_jobs;           // borrowed jobs first stored in the transaction
+    bool has_worker_list = false;                // the transaction includes the worker list
+    worker_list listed_workers;                  // the worker list in the transaction
+    promise_list promises;                       // the promises in it
+    std::optional<settled_incarnations> settled; // in the transaction
+    std::optional<ownership_record> ownership;   // the ownership record in the transaction
+    time_point next_attempt;                     // earliest time of the next attempt
+    std::uint64_t attempts = 0;                  // number of attempts that were sent
     // Number of the last attempt whose reply proved that this was still the shard's owner.
     std::uint64_t confirmed_attempt = 0;
     time_point last_applied; // send time of the last transaction that was applied
@@ -374,6 +375,8 @@
     worker_list stored_workers;                                 // in the worker list in the store
     std::map<worker_id, epoch_number> listed_since;             // see known_worker::since
     promise_list stored_promises;                               // this owner's promises there
+    settled_incarnations settled;                               // of this shard's workers
+    settled_incarnations stored_settled;                        // in the store
     ownership_record stored_ownership;                          // epoch 0: none
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
@@ -435,6 +438,7 @@
     std::map<task_key, task_wait> waits; // of long-running tasks
     time_point next_parking;
     time_point next_recording;
+    time_point next_settled_check;
     time_point last_wait_check;
     time_point next_wait_check;
     // Work of placement since the last report: rounds, and pairs of task and worker compared.
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -13,6 +13,8 @@
 // A start without a reply may be carried out this long after it was sent.
 constexpr duration late_start_limit{12'000};
 
+constexpr duration settled_check_interval{300};
+
 // Number of starts without a reply that are kept for a worker.
 constexpr std::size_t max_unanswered_starts = 64;
 
@@ -51,7 +53,8 @@
     const auto lowest = known + slow(sent - worker.clock_at) - timing.lease_margin;
     const auto highest = known + (now - worker.clock_sent) + timing.lease_margin;
     if (clock > highest) {
-        return incarnation_match::former; // the known one's and a later one's are behind
+        // A later one is behind, and so is the known one, unless this host's clock stood still.
+        return incarnation_match::former;
     }
     if (clock < lowest) {
         return incarnation_match::other;
@@ -76,6 +79,41 @@
     worker.commands_until = std::max(worker.commands_until, now + timing.delivery_limit);
 }
 
+bool has_usual_lease(const shard_state& shard, const worker_row& worker, time_point now) {
+    return worker.lease_until <=
+           worker_clock{next_lease(shard, worker, now).value + shard.timing.lease_margin.count()};
+}
+
+void update_settled(shard_state& shard, time_point now) {
+    if (now < shard.next_settled_check) {
+        return;
+    }
+    shard.next_settled_check = now + settled_check_interval;
+    std::erase_if(shard.settled,
+                  [&](const auto& row) { return !shard.tables.workers.contains(row.first); });
+    for (const auto& [id, worker] : shard.tables.workers) {
+        const bool answers = worker.reachability == reachability_state::reachable &&
+                             worker.inventoried && worker.start_time;
+        if (answers && has_usual_lease(shard, worker, now)) {
+            shard.settled[id] = *worker.start_time;
+        }
+    }
+}
+
+// A former owner's commands are refused from this reply on. This owner's that were meant for a
+// former incarnation may still arrive.
+duration find_first_lease(const shard_state& shard, const worker_row& worker,
+                          const std::optional<process_start_time>& start_time, time_point now) {
+    const auto settled = shard.settled.find(worker.entry.target.id);
+    const bool known =
+        start_time && settled != shard.settled.end() && settled->second == *start_time;
+    const bool unused = shard.epoch.value == 1 && worker.commands_until == time_point{};
+    if (known || unused) {
+        return shard.timing.lease;
+    }
+    return shard.timing.longest_lease + std::max(duration(0), worker.commands_until - now);
+}
+
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
                      time_point now) {
     shard.counters->count("restarts_suspected", evidence);
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -347,6 +347,18 @@
 // task, or one whose run is recorded, could not start.
 bool is_storing(const shard_state& shard, time_point now);
 
+// Returns whether no lease that the worker has lasts longer than one that this owner grants now.
+// After a restart it may have a longer one.
+bool has_usual_lease(const shard_state& shard, const worker_row& worker, time_point now);
+
+// Updates which incarnations of the workers are settled.
+void update_settled(shard_state& shard, time_point now);
+
+// Returns the lease that a worker may have which has just replied with this start time, for the
+// first time to this owner or after a restart.
+duration find_first_lease(const shard_state& shard, const worker_row& worker,
+                          const std::optional<process_start_time>& start_time, time_point now);
+
 // Takes over the recorded runs of the loaded jobs.
 void load_recorded_runs(shard_state& shard);
 
--- a/src/shard_recorded_runs.cpp
+++ b/src/shard_recorded_runs.cpp
@@ -16,13 +16,6 @@
 // Most runs that fail at once, or that are moved again, have ended by then.
 constexpr duration record_after{1'000};
 
-// Returns whether no lease that the worker has lasts longer than one that this owner grants now.
-// After a restart it may have a longer one.
-bool has_usual_lease(const shard_state& shard, const worker_row& worker, time_point now) {
-    return worker.lease_until <=
-           worker_clock{next_lease(shard, worker, now).value + shard.timing.lease_margin.count()};
-}
-
 bool may_record(const shard_state& shard, const task_key& key, const task_row& task,
                 time_point now) {
     if (task.recorded_on || task.not_local || task.runs.size() != 1) {
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -249,6 +249,10 @@
     return data_prefix(shard) + "workers";
 }
 
+std::string incarnations_key(const shard_id& shard) {
+    return data_prefix(shard) + "incarnations";
+}
+
 std::string ownership_key(const shard_id& shard) {
     return data_prefix(shard) + "ownership";
 }
@@ -297,6 +301,24 @@
     return rows.dump();
 }
 
+std::string encode(const settled_incarnations& record) {
+    json rows = json::array();
+    for (const auto& [id, start_time] : record) {
+        rows.push_back({id, start_time});
+    }
+    return rows.dump();
+}
+
+result<settled_incarnations> parse_incarnations(std::string_view text) {
+    return parse_record(text, [](const json& in) {
+        settled_incarnations found;
+        for (const auto& row : in) {
+            found[row.at(0).get<worker_id>()] = row.at(1).get<process_start_time>();
+        }
+        return found;
+    });
+}
+
 result<claim_record> parse_claim(std::string_view text) {
     return parse_record(text, [](const json& in) {
         return claim_record{in.at("owner").get<host_id>(), in.at("epoch").get<epoch_number>()};
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -4,6 +4,7 @@
 #include "fulmar/json.hpp"
 #include "shard_tables.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -33,6 +34,7 @@
 std::string head_key(const shard_id& shard);
 std::string worker_list_key(const shard_id& shard);
 std::string ownership_key(const shard_id& shard);
+std::string incarnations_key(const shard_id& shard);
 std::string job_key(const shard_id& shard, const job_id& job);
 std::string progress_key(const shard_id& shard, const job_id& job);
 
@@ -77,6 +79,10 @@
     std::optional<lease_promise> promise{};
 };
 
+// Start times of workers' incarnations that have no lease longer than the usual one, nor get one:
+// no command that was meant for a former incarnation can arrive any more.
+using settled_incarnations = std::map<worker_id, process_start_time>;
+
 // Hosts that confirm an owner while the store doesn't, by name. Its own host is one of each.
 struct witness_sets {
     std::set<host_id> spread; // over the data centres
@@ -128,11 +134,13 @@
 std::string encode(const std::vector<known_worker>& record);
 std::string encode(const ownership_record& record);
 std::string encode(const std::vector<shard_record>& record);
+std::string encode(const settled_incarnations& record);
 result<claim_record> parse_claim(std::string_view text);
 result<head_record> parse_head(std::string_view text);
 result<std::vector<known_worker>> parse_known_workers(std::string_view text);
 result<ownership_record> parse_ownership(std::string_view text);
 result<std::vector<shard_record>> parse_shards(std::string_view text);
+result<settled_incarnations> parse_incarnations(std::string_view text);
 
 // The job as submitted. Parsing sets its queue, spec and time of acceptance, and the lender of a
 // borrowed job.
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -113,7 +113,9 @@
                                  worker.clock->value >= run.command_lease.value &&
                                  sent > run.start_sent;
     const bool was_stopped = run.stop_answered && sent > *run.stop_answered;
-    if (was_running || was_stopped || (command_expired && !run.confirmed)) {
+    // If the worker restarts before the start arrives, it no longer knows the stop.
+    const bool may_arrive = !run.confirmed && now < run.start_sent + shard.timing.delivery_limit;
+    if (was_running || (was_stopped && !may_arrive) || (command_expired && !run.confirmed)) {
         shard.log->write("event=run_absent task={}.{}.{}.{} run={} worker={} phase={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
                          key.number.value, run.worker.value, to_string(run.phase));
@@ -440,10 +442,7 @@
     worker.clock_sent = sent;
     worker.clock_at = now;
     if (!worker.inventoried) {
-        // It may have taken this lease from a command for an earlier incarnation. This owner's may
-        // still arrive; it refuses those of a predecessor from now on.
-        const auto lease =
-            shard.timing.longest_lease + std::max(duration(0), worker.commands_until - now);
+        const auto lease = find_first_lease(shard, worker, report.start_time, now);
         worker.lease_until =
             std::max(worker.lease_until, worker_clock{report.clock.value + lease.count()});
     }
@@ -509,10 +508,6 @@
         if (match != incarnation_match::known) {
             log_uncertain_start(shard, run, worker, reply.value(), match, now);
         }
-        if (match == incarnation_match::former) {
-            end_lost_run(shard, key, "worker_restarted", now);
-            return;
-        }
         run.confirmed = run.confirmed.value_or(now);
         run.incarnation_known = run.incarnation_known || match == incarnation_match::known;
         if (match == incarnation_match::other && worker.inventoried) {
