shard_incarnations: commands without a reply may be executed late, by any later incarnation

A command that got no reply was carried out seconds later, by the process that then had the worker's id; its owner had counted it as over 1.7 s after it was sent, and had started the task elsewhere.

Cause, and its class: the caller's time-out stood for "can't be executed any more". By the platform's pages a call without a reply may be executed seconds later, after newer ones (up to 12 s, as its users' fault list says), and a worker that is back under its id executes those that were meant for its former process, with the longest lease.

Change: - Each command carries a fencing token made of the epoch and of a fence, which the owner raises when a hold or a start gets no reply and when a restart is suspected. A process that has replied to a raised one refuses all that was sent before: late holds that would lengthen its leases, and late starts. If a noticed restart leaves commands open, the worker is asked once more before its list is believed. Stops of forgotten runs after a restart, which did a part of that, are gone. - Open commands are kept by worker: those without a reply count for 12 s from when they were sent (`late_limit`), answered ones no more. Runs that aren't certainly in the known incarnation are waited for so long, and for the longest lease. - A start without a reply is sent again to the same worker for the same run, so the task neither waits for 12 s nor runs twice. If that isn't possible, the run is stopped and its task waits until the first start can't be executed any more. A run is recorded only when none of its starts is open. - run_lost tells how many commands are open; event=start_repeated is new.

Ruled out: waiting for 12 s after each start without a reply (a worker that answers no starts would delay each task by that); binding a command to an incarnation (the header names the id only).

--- a/include/fulmar/worker_link.hpp
+++ b/include/fulmar/worker_link.hpp
@@ -17,6 +17,9 @@
 // incarnation of a worker. A restarted worker keeps no state of earlier incarnations.
 using process_start_time = strong_type<struct process_start_tag, std::int64_t>;
 
+// A worker executes no command with a lower token than the highest that its process has seen.
+using fencing_token = strong_type<struct fencing_token_tag, std::uint64_t>;
+
 // The worker that a call is meant for. A worker with another id rejects the call.
 struct worker_target {
     worker_id id;
@@ -26,7 +29,7 @@
 struct start_command {
     run_key run;
     std::string payload;
-    epoch_number epoch;
+    fencing_token token;
     worker_clock lease_until; // lease of everything that runs on the worker; never shortened
     std::string checkpoint;   // to resume from; empty: start from the beginning
     std::string ticket;       // of the advice service; empty: none
@@ -34,17 +37,17 @@
 
 struct stop_command {
     run_key run;
-    epoch_number epoch;
+    fencing_token token;
 };
 
 struct pace_command {
     run_key run;
-    epoch_number epoch;
+    fencing_token token;
     int percent = 100;
 };
 
 struct hold_command {
-    epoch_number epoch;
+    fencing_token token;
     std::uint64_t acknowledged = 0;          // the worker deletes run ends up to this number
     std::optional<worker_clock> lease_until; // unset: probe only, no renewal
     duration wait{0};                        // maximum wait of the reply for a run end
@@ -54,7 +57,7 @@
 // errors of a call without a reply see worker_link.
 enum class command_outcome : std::uint8_t {
     done,
-    fenced,     // the worker has already seen a higher epoch
+    fenced,     // the worker has already seen a higher token; it did nothing
     superseded, // this run or one with a higher number was stopped or ended on this worker
     late,       // the lease in the command has expired
     no_room,
--- a/src/host_reach.cpp
+++ b/src/host_reach.cpp
@@ -65,7 +65,7 @@
     reach.next_probe = now + probe_interval;
     const auto workers = list_workers(shard);
     for (std::size_t i = 0; i < std::min(probed_workers, workers.size()); ++i) {
-        // The lowest epoch: a worker with an owner refuses it, which is an answer as well.
+        // The lowest token: a worker with an owner refuses it, which is an answer as well.
         workers_.hold(workers[reach.next_worker++ % workers.size()], hold_command{},
                       [this, alive = alive_, shard = shard.id](const result<hold_reply>& reply) {
                           if (*alive && reply) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -34,10 +34,10 @@
         const auto& worker = shard.tables.workers.at(run.worker);
         run.stop_in_flight = true;
         run.stop_sent = now;
+        run.stop_fence = worker.fence;
         run.next_stop = now + shard.timing.stop_retry;
-        actions.stops.push_back({worker.entry.target, {key, shard.epoch}});
+        actions.stops.push_back({worker.entry.target, {key, make_token(shard, worker)}});
     }
-    send_late_start_stops(shard, now, actions);
 }
 
 // Removes the runs of an unreachable worker whose leases have ended.
@@ -69,6 +69,7 @@
             shard.untouched_workers.erase(it->first);
             shard.log->write("event=worker_forgotten shard={} worker={}", shard.id.value,
                              it->first.value);
+            ++shard.fences; // a new row has a higher one
             it = shard.tables.workers.erase(it);
         } else {
             ++it;
@@ -84,7 +85,7 @@
             continue;
         }
         hold_command command;
-        command.epoch = shard.epoch;
+        command.token = make_token(shard, worker);
         const bool steady =
             worker.reachability == reachability_state::reachable && worker.inventoried;
         // After an unanswered hold, or a while after a reply was sent, another incarnation of the
@@ -104,6 +105,7 @@
                                                   : shard.timing.hold_wait;
         worker.hold_in_flight = true;
         worker.hold_sent = now;
+        worker.hold_fence = worker.fence;
         actions.holds.push_back({worker.entry.target, command});
     }
 }
@@ -246,7 +248,11 @@
 }
 
 void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now) {
-    auto& worker = shard.tables.workers[entry.target.id];
+    auto [found, added] = shard.tables.workers.try_emplace(entry.target.id);
+    auto& worker = found->second;
+    if (added) {
+        worker.fence = shard.fences;
+    }
     const bool first_drain = entry.draining && !worker.entry.draining;
     if (first_drain) {
         worker.draining_at = now;
@@ -456,11 +462,12 @@
     const auto& run = shard.tables.runs.at(key);
     const auto& worker = shard.tables.workers.at(run.worker);
     shard.log->write("event=run_lost task={}.{}.{}.{} run={} worker={} reason={} phase={} "
-                     "incarnation_known={} started_ms={} unanswered_ms={}",
+                     "incarnation_known={} starts_unanswered={} leases_unanswered={} started_ms={} "
+                     "unanswered_ms={}",
                      key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
                      key.number.value, run.worker.value, reason, to_string(run.phase),
-                     run.incarnation_known, (now - run.start_sent).count(),
-                     (now - worker.unanswered_since).count());
+                     run.incarnation_known, run.starts_unanswered, worker.unanswered_leases.size(),
+                     (now - run.start_sent).count(), (now - worker.unanswered_since).count());
     shard.counters->count("runs_lost", reason);
     auto* task = find_task(shard.tables, key.task);
     if (task != nullptr && !run.checkpoint.empty()) {
@@ -494,6 +501,7 @@
     regroup_tasks(shard, now);
     serve_room_requests(shard, now, now);
     drain_long_running_tasks(shard, now);
+    repeat_starts(shard, now, actions);
     send_stops(shard, now, actions);
     send_paces(shard, actions);
     find_purgeable(shard, now, unix_now);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -31,9 +31,8 @@
     // The longest lease that workers accept. A worker that has restarted takes this one from a
     // command with a lease on the clock of its earlier process.
     duration longest_lease{6'000};
-    // A command without an answer is given up after this time, and its connection closed. Until
-    // then it may arrive. Not less than the longest time-out of a call to a worker.
-    duration delivery_limit{1'700};
+    // A command without a reply may be executed until this long after it was sent.
+    duration late_limit{12'000};
     // Lease of draining workers. A task that still runs there when the worker leaves starts
     // elsewhere only after this.
     duration draining_worker_lease{2'500};
@@ -439,6 +438,9 @@
     time_point next_parking;
     time_point next_recording;
     time_point next_settled_check;
+    std::uint32_t fences = 0; // the highest fence of a worker
+    // Starts to send again; see repeat_starts.
+    std::set<run_key> repeated_starts;
     time_point last_wait_check;
     time_point next_wait_check;
     // Work of placement since the last report: rounds, and pairs of task and worker compared.
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -1,22 +1,27 @@
 // Incarnations of workers. A worker that restarts under its id knows nothing of before, counts its
 // clock from its start, and executes commands that were meant for its former incarnation. Until a
-// reply shows the restart, this owner counts with the former one.
+// reply shows the restart, this owner counts with the former one. A command without a reply may be
+// executed seconds later, by a later incarnation as well. The fence, a part of the token in each
+// command, is raised after such a command: an incarnation that has replied to the raised one
+// refuses all that was sent before.
 #include "shard_internal.hpp"
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace fulmar {
 
 namespace {
 
-// A start without a reply may be carried out this long after it was sent.
-constexpr duration late_start_limit{12'000};
+// Bits of a fencing token for the fence, below those for the epoch.
+constexpr unsigned fence_bits = 20;
+constexpr std::uint32_t highest_fence = (1U << fence_bits) - 1;
 
-constexpr duration settled_check_interval{300};
+// Number of commands without a reply that are kept for a worker one by one.
+constexpr std::size_t max_unanswered_leases = 64;
 
-// Number of starts without a reply that are kept for a worker.
-constexpr std::size_t max_unanswered_starts = 64;
+constexpr duration settled_check_interval{300};
 
 } // namespace
 
@@ -63,20 +68,74 @@
     return highest_of_later < lowest ? incarnation_match::known : incarnation_match::unclear;
 }
 
+fencing_token make_token(const shard_state& shard, const worker_row& worker) {
+    return {(shard.epoch.value << fence_bits) + worker.fence};
+}
+
+void raise_fence(shard_state& shard, worker_row& worker) {
+    if (shard.fences >= highest_fence) {
+        lose_shard(shard, "fences_used_up"); // the next epoch begins with the lowest
+        return;
+    }
+    worker.fence = ++shard.fences;
+}
+
+void on_fenced(shard_state& shard, const worker_row& worker, std::uint32_t fence) {
+    if (fence >= worker.fence) {
+        lose_shard(shard, "fenced");
+    }
+}
+
+bool refuses_former_commands(const worker_row& worker) {
+    const auto& unanswered = worker.unanswered_leases;
+    return worker.hold_fence == worker.fence &&
+           (unanswered.empty() || unanswered.back().fence < worker.fence);
+}
+
+bool may_start_late(const run_row& run, time_point at) {
+    return run.start_in_flight || at < run.late_until;
+}
+
+bool is_certain(const worker_row& worker, const run_row& run) {
+    return run.incarnation_known && !may_start_late(run, worker.clock_sent);
+}
+
 bool has_lapsed(const shard_state& shard, const worker_row& worker, const run_row& run,
                 time_point now) {
     return has_lapsed(shard, worker, now) &&
-           (run.incarnation_known || worker.replaced ||
+           (is_certain(worker, run) || worker.replaced ||
             now >= find_unnoticed_leases_end(shard.timing, worker));
 }
 
 time_point find_unnoticed_leases_end(const shard_timing& timing, const worker_row& worker) {
     const auto longest = timing.longest_lease * (100 + timing.clock_drift_percent) / 100;
-    return worker.commands_until + longest + timing.lease_margin;
+    auto last = worker.leases_taken;
+    if (!worker.unanswered_leases.empty()) {
+        last = std::max(last, worker.unanswered_leases.back().sent + timing.late_limit);
+    }
+    return last + longest + timing.lease_margin;
 }
 
 void note_lease_sent(const shard_timing& timing, worker_row& worker, time_point now) {
-    worker.commands_until = std::max(worker.commands_until, now + timing.delivery_limit);
+    auto& unanswered = worker.unanswered_leases;
+    unanswered.push_back({now, worker.fence});
+    while (unanswered.front().sent + timing.late_limit < now ||
+           unanswered.size() > max_unanswered_leases) {
+        const auto late = unanswered.front().sent + timing.late_limit;
+        worker.leases_taken = std::max(worker.leases_taken, late);
+        unanswered.pop_front();
+    }
+}
+
+void note_lease_answered(worker_row& worker, time_point sent, time_point now) {
+    auto& unanswered = worker.unanswered_leases;
+    const auto found =
+        std::find_if(unanswered.begin(), unanswered.end(),
+                     [&](const worker_row::unanswered_lease& row) { return row.sent == sent; });
+    if (found != unanswered.end()) {
+        unanswered.erase(found);
+        worker.leases_taken = std::max(worker.leases_taken, now);
+    }
 }
 
 bool has_usual_lease(const shard_state& shard, const worker_row& worker, time_point now) {
@@ -100,18 +159,15 @@
     }
 }
 
-// A former owner's commands are refused from this reply on. This owner's that were meant for a
-// former incarnation may still arrive.
+// All commands that were sent before are refused from this reply on.
 duration find_first_lease(const shard_state& shard, const worker_row& worker,
-                          const std::optional<process_start_time>& start_time, time_point now) {
+                          const std::optional<process_start_time>& start_time) {
     const auto settled = shard.settled.find(worker.entry.target.id);
     const bool known =
         start_time && settled != shard.settled.end() && settled->second == *start_time;
-    const bool unused = shard.epoch.value == 1 && worker.commands_until == time_point{};
-    if (known || unused) {
-        return shard.timing.lease;
-    }
-    return shard.timing.longest_lease + std::max(duration(0), worker.commands_until - now);
+    const bool unused = shard.epoch.value == 1 && worker.fence == 0 &&
+                        worker.leases_taken == time_point{} && worker.unanswered_leases.empty();
+    return known || unused ? shard.timing.lease : shard.timing.longest_lease;
 }
 
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
@@ -119,25 +175,29 @@
     shard.counters->count("restarts_suspected", evidence);
     shard.log->write("event=restart_suspected shard={} worker={} evidence={} runs={}",
                      shard.id.value, worker.entry.target.id.value, evidence, worker.runs.size());
+    raise_fence(shard, worker);
     worker.inventoried = false;
     worker.replies_since = now; // a hold in flight may wait for the former incarnation's answer
     worker.hold_in_flight = false;
     worker.next_hold = now;
 }
 
-// The new incarnation may have executed starts that were meant for the earlier one, and may still
-// execute those that got no reply, so their runs are kept until it refuses or lists them, or a list
-// lacks them.
+// The new incarnation may have executed starts that were meant for the earlier one, and a later one
+// may still execute those that got no reply, so their runs are kept.
 void reset_worker_state(shard_state& shard, worker_row& worker, time_point now) {
-    shard.log->write("event=worker_restarted shard={} worker={} runs={}", shard.id.value,
-                     worker.entry.target.id.value, worker.runs.size());
+    shard.log->write("event=worker_restarted shard={} worker={} runs={} fence={}", shard.id.value,
+                     worker.entry.target.id.value, worker.runs.size(), worker.fence);
     const auto runs = worker.runs;
     for (const auto& key : runs) {
         auto& run = shard.tables.runs.at(key);
-        if (!run.incarnation_known) {
+        if (!is_certain(worker, run)) {
             run.command_lease = {std::numeric_limits<std::int64_t>::max()};
             run.stop_answered.reset();
             run.next_stop = {};
+            if (std::exchange(run.incarnation_known, false)) {
+                run.confirmed.reset();
+                run.phase = run.phase == run_phase::running ? run_phase::unconfirmed : run.phase;
+            }
             continue;
         }
         if (auto* task = find_task(shard.tables, key.task); task && !run.checkpoint.empty()) {
@@ -147,7 +207,6 @@
         remove_run(shard.tables, key);
     }
     worker.incarnation_since = now;
-    refuse_unanswered_starts(shard.tables, worker.entry.target.id, now);
     worker.processed_end = 0;
     worker.acknowledged_end = 0;
     worker.acknowledged_sent = 0;
@@ -160,64 +219,6 @@
     shard.placement_needed = true;
 }
 
-void note_unanswered_start(shard_tables& tables, const run_row& run) {
-    auto& starts = tables.unanswered_starts[run.worker];
-    unanswered_start start;
-    start.run = run.key;
-    start.sent = run.start_sent;
-    starts.push_back(start);
-    if (starts.size() > max_unanswered_starts) {
-        starts.pop_front();
-    }
-}
-
-void refuse_unanswered_starts(shard_tables& tables, const worker_id& worker, time_point now) {
-    const auto found = tables.unanswered_starts.find(worker);
-    if (found == tables.unanswered_starts.end()) {
-        return;
-    }
-    for (auto& start : found->second) {
-        start.stop_due = true;
-        start.next_stop = now;
-    }
-}
-
-void send_late_start_stops(shard_state& shard, time_point now, shard_actions& actions) {
-    auto& tables = shard.tables;
-    for (auto it = tables.unanswered_starts.begin(); it != tables.unanswered_starts.end();) {
-        auto& [id, starts] = *it;
-        while (!starts.empty() && now >= starts.front().sent + late_start_limit) {
-            starts.pop_front();
-        }
-        const auto worker = tables.workers.find(id);
-        for (auto& start : starts) {
-            if (!start.stop_due || now < start.next_stop || tables.runs.contains(start.run) ||
-                worker == tables.workers.end()) {
-                continue;
-            }
-            start.stop_sent = now;
-            start.next_stop = now + shard.timing.stop_retry;
-            actions.stops.push_back({worker->second.entry.target, {start.run, shard.epoch}});
-            shard.counters->count("late_start_stops");
-        }
-        it = starts.empty() ? tables.unanswered_starts.erase(it) : std::next(it);
-    }
-}
-
-void on_late_start_stopped(shard_tables& tables, const run_key& run) {
-    for (auto& [id, starts] : tables.unanswered_starts) {
-        const auto start =
-            std::find_if(starts.begin(), starts.end(), [&](const unanswered_start& row) {
-                return row.stop_due && row.run == run;
-            });
-        const auto worker = tables.workers.find(id);
-        if (start != starts.end() && worker != tables.workers.end() &&
-            start->stop_sent >= worker->second.incarnation_since) {
-            start->stop_due = false;
-        }
-    }
-}
-
 void check_end_numbers(shard_state& shard, const worker_row& worker,
                        const std::vector<run_end>& ended) {
     const auto next = std::find_if(ended.begin(), ended.end(), [&](const run_end& row) {
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -37,8 +37,29 @@
 // shown.
 time_point find_unnoticed_leases_end(const shard_timing& timing, const worker_row& worker);
 
-// Notes that a command with a lease is sent to the worker.
+// Note that a command with a lease is sent to the worker, and that it got a reply or wasn't sent.
 void note_lease_sent(const shard_timing& timing, worker_row& worker, time_point now);
+void note_lease_answered(worker_row& worker, time_point sent, time_point now);
+
+// Returns the token for a command to the worker. Those of later owners are higher.
+fencing_token make_token(const shard_state& shard, const worker_row& worker);
+
+// Has the worker refuse all commands that were sent before, from its next reply on.
+void raise_fence(shard_state& shard, worker_row& worker);
+
+// Handles that the worker refused a command with this fence: if it was the present one, there is
+// another owner.
+void on_fenced(shard_state& shard, const worker_row& worker, std::uint32_t fence);
+
+// Returns whether the incarnation that replied to the last hold executes no command any more that
+// was sent before it and has no reply.
+bool refuses_former_commands(const worker_row& worker);
+
+// Returns whether a start of the run that has no reply could still be executed at that time.
+bool may_start_late(const run_row& run, time_point at);
+
+// Returns whether a run is in the worker's known incarnation, or else nowhere.
+bool is_certain(const worker_row& worker, const run_row& run);
 
 // Has a worker that seems to have restarted asked at once for its runs. It gets nothing before.
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
@@ -48,18 +69,9 @@
 // has restarted.
 void reset_worker_state(shard_state& shard, worker_row& worker, time_point now);
 
-// Notes that a start got no reply. If its run is forgotten and its worker restarts, the new
-// incarnation has no record of the run's stop, and would still carry the start out.
-void note_unanswered_start(shard_tables& tables, const run_row& run);
-
-// Has the worker's new incarnation refuse the starts that its former one left without a reply.
-void refuse_unanswered_starts(shard_tables& tables, const worker_id& worker, time_point now);
-
-// Sends the stops of these starts' runs that are due. Those of active runs are sent by send_stops.
-void send_late_start_stops(shard_state& shard, time_point now, shard_actions& actions);
-
-// Processes the reply to a stop whose run isn't active.
-void on_late_start_stopped(shard_tables& tables, const run_key& run);
+// Sends starts again that got no reply, to the same workers. Whichever of the two is executed, it
+// is the same run.
+void repeat_starts(shard_state& shard, time_point now, shard_actions& actions);
 
 // Logs a gap in the numbers of the run ends that a worker lists: it deleted ends that this owner
 // hasn't seen, on an acknowledgement that was meant for its former incarnation.
@@ -274,6 +286,9 @@
 // Returns whether a task that failed on the worker looks for another one first.
 bool is_avoided(const task_row& task, const worker_id& worker, time_point now);
 
+// Returns whether the worker stays, and this owner may use it.
+bool is_usable(const shard_state& shard, const worker_row& worker);
+
 // Returns whether any task may start on the worker now.
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now);
 
@@ -357,7 +372,7 @@
 // Returns the lease that a worker may have which has just replied with this start time, for the
 // first time to this owner or after a restart.
 duration find_first_lease(const shard_state& shard, const worker_row& worker,
-                          const std::optional<process_start_time>& start_time, time_point now);
+                          const std::optional<process_start_time>& start_time);
 
 // Takes over the recorded runs of the loaded jobs.
 void load_recorded_runs(shard_state& shard);
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -369,9 +369,11 @@
             run.pace_target == run.pace_confirmed || run.pace_confirmed == refused_pace) {
             continue;
         }
-        run.pace_in_flight = true;
         const auto& worker = shard.tables.workers.at(run.worker);
-        actions.paces.push_back({worker.entry.target, {key, shard.epoch, run.pace_target}});
+        run.pace_in_flight = true;
+        run.pace_fence = worker.fence;
+        actions.paces.push_back(
+            {worker.entry.target, {key, make_token(shard, worker), run.pace_target}});
         shard.counters->count("paces");
     }
 }
@@ -390,7 +392,8 @@
     }
     const auto outcome = reply.value().outcome;
     if (outcome == command_outcome::fenced) {
-        lose_shard(shard, "fenced");
+        run.pace_confirmed = unknown_pace;
+        on_fenced(shard, shard.tables.workers.at(run.worker), run.pace_fence);
         return;
     }
     const bool executed = outcome == command_outcome::done || outcome == command_outcome::missing;
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace fulmar {
 
@@ -249,7 +250,7 @@
     start_command command;
     command.run = {{next.job->id, next.stage->occurrence, next.stage->step, index}, number};
     command.payload = next.job->spec.payload;
-    command.epoch = shard.epoch;
+    command.token = make_token(shard, worker);
     command.lease_until = next_lease(shard, worker, now);
     command.checkpoint = task.checkpoint;
     worker.lease_until = std::max(worker.lease_until, command.lease_until);
@@ -259,6 +260,9 @@
     run.worker = worker.entry.target.id;
     apply_step_spec(run, step);
     run.start_sent = now;
+    run.start_fence = worker.fence;
+    run.start_in_flight = true;
+    run.starts_sent = 1;
     run.command_lease = command.lease_until;
     run.checkpoint = task.checkpoint;
     add_run(shard.tables, std::move(run));
@@ -318,8 +322,56 @@
     }
 }
 
+// Returns whether a start that got no reply may be sent again.
+bool may_repeat_start(const shard_state& shard, const run_row& run, const worker_row& worker,
+                      time_point now) {
+    const bool allowed = shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
+                         has_authority(shard, now);
+    return allowed && run.phase == run_phase::unconfirmed && worker.inventoried &&
+           worker.reachability == reachability_state::reachable && is_usable(shard, worker);
+}
+
 } // namespace
 
+bool is_usable(const shard_state& shard, const worker_row& worker) {
+    return worker.listed && !worker.entry.draining && is_stored(shard, worker.entry.target) &&
+           !is_promised(shard, worker.entry.target.id);
+}
+
+void repeat_starts(shard_state& shard, time_point now, shard_actions& actions) {
+    const auto repeated = std::exchange(shard.repeated_starts, {});
+    for (const auto& key : repeated) {
+        const auto found = shard.tables.runs.find(key);
+        if (found == shard.tables.runs.end()) {
+            continue;
+        }
+        auto& run = found->second;
+        auto& worker = shard.tables.workers.at(run.worker);
+        if (!may_repeat_start(shard, run, worker, now)) {
+            continue; // the next list of runs has it tried again
+        }
+        run.phase = run_phase::starting;
+        run.start_sent = now;
+        run.start_fence = worker.fence;
+        run.start_in_flight = true;
+        ++run.starts_sent;
+        start_command command;
+        command.run = key;
+        command.payload = shard.tables.jobs.at(key.task.job).spec.payload;
+        command.token = make_token(shard, worker);
+        command.lease_until = next_lease(shard, worker, now);
+        command.checkpoint = run.checkpoint;
+        worker.lease_until = std::max(worker.lease_until, command.lease_until);
+        run.command_lease = command.lease_until;
+        note_lease_sent(shard.timing, worker, now);
+        shard.counters->count("starts_repeated");
+        shard.log->write("event=start_repeated task={}.{}.{}.{} run={} worker={} starts_sent={}",
+                         key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                         key.number.value, run.worker.value, run.starts_sent);
+        actions.starts.push_back({worker.entry.target, std::move(command)});
+    }
+}
+
 bool is_paused(const worker_row& worker, time_point now) {
     if (worker.no_starts_before > now) {
         return true;
@@ -336,8 +388,7 @@
 
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
-           worker.listed && !worker.entry.draining && !is_paused(worker, now) &&
-           is_stored(shard, worker.entry.target) && !is_promised(shard, worker.entry.target.id);
+           is_usable(shard, worker) && !is_paused(worker, now);
 }
 
 bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
--- a/src/shard_promises.cpp
+++ b/src/shard_promises.cpp
@@ -21,7 +21,7 @@
     const auto rate = 100 - shard.timing.clock_drift_percent; // the worker's clock may be slow
     const duration known(std::max<std::int64_t>(0, left * 100 / rate + 1));
     const bool certain = std::all_of(worker.run_rows.begin(), worker.run_rows.end(),
-                                     [](const run_row* run) { return run->incarnation_known; });
+                                     [&](const run_row* run) { return is_certain(worker, *run); });
     return certain ? known : std::max(known, find_unnoticed_leases_end(shard.timing, worker) - now);
 }
 
--- a/src/shard_recorded_runs.cpp
+++ b/src/shard_recorded_runs.cpp
@@ -22,11 +22,11 @@
         return false;
     }
     const auto& run = shard.tables.runs.at({key, task.runs.front()});
-    if (run.phase != run_phase::running || !run.incarnation_known ||
+    const auto& worker = shard.tables.workers.at(run.worker);
+    if (run.phase != run_phase::running || !is_certain(worker, run) ||
         now < run.start_sent + record_after) {
         return false;
     }
-    const auto& worker = shard.tables.workers.at(run.worker);
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
            has_usual_lease(shard, worker, now);
 }
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -92,17 +92,32 @@
 }
 
 // Updates a run from its status in the worker's list.
-void update_run(run_row& run, const run_status& row, time_point now) {
+void update_run(run_row& run, const run_status& row, time_point sent, time_point now) {
     run.checkpoint = row.checkpoint;
     run.progress_percent = row.progress_percent;
     run.measurement = row.measurement;
     run.confirmed = run.confirmed.value_or(now);
-    run.incarnation_known = true;
+    // The list may be of an incarnation before the one that got a repeated start.
+    run.incarnation_known =
+        run.incarnation_known || run.starts_unanswered == 0 || sent > run.start_sent;
     if (run.phase == run_phase::starting || run.phase == run_phase::unconfirmed) {
         run.phase = run_phase::running;
     }
 }
 
+// Has a start sent again that the worker hasn't executed. It may still execute the earlier one:
+// the task must not start elsewhere before that is over.
+void repeat_or_stop(shard_state& shard, run_row& run, const worker_row& worker, time_point now) {
+    constexpr std::uint32_t max_starts = 4;
+    const auto* task = find_task(shard.tables, run.key.task);
+    const bool wanted = task != nullptr && !task->done && !task->not_local && !task->recorded_on;
+    if (wanted && is_usable(shard, worker) && run.starts_sent < max_starts) {
+        shard.repeated_starts.insert(run.key);
+    } else {
+        request_stop(run, stop_cause::duplicate, now);
+    }
+}
+
 // Handles a run that the worker doesn't list. The list may be older than the reply to a command, so
 // only what was known before the hold was sent counts.
 void check_absent_run(shard_state& shard, const run_key& key, const worker_row& worker,
@@ -113,17 +128,16 @@
                                  worker.clock->value >= run.command_lease.value &&
                                  sent > run.start_sent;
     const bool was_stopped = run.stop_answered && sent > *run.stop_answered;
-    // If the worker restarts before the start arrives, it no longer knows the stop.
-    const bool may_arrive = !run.confirmed && now < run.start_sent + shard.timing.delivery_limit;
-    if (was_running || (was_stopped && !may_arrive) || (command_expired && !run.confirmed)) {
+    const bool ended = was_running || was_stopped || (command_expired && !run.confirmed);
+    // A later incarnation knows neither the stop nor the fence.
+    if (ended && !may_start_late(run, sent)) {
         shard.log->write("event=run_absent task={}.{}.{}.{} run={} worker={} phase={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
                          key.number.value, run.worker.value, to_string(run.phase));
         remove_run(shard.tables, key);
         shard.placement_needed = true;
     } else if (run.phase == run_phase::unconfirmed && sent > run.start_sent) {
-        // The worker may still execute the start command. A stop makes it refuse the command.
-        request_stop(run, stop_cause::duplicate, now);
+        repeat_or_stop(shard, run, worker, now);
     }
 }
 
@@ -145,7 +159,7 @@
         if (found == shard.tables.runs.end()) {
             adopt_run(shard, worker, row, now);
         } else if (found->second.worker == worker.entry.target.id) {
-            update_run(found->second, row, now);
+            update_run(found->second, row, sent, now);
             if (found->second.long_running && found->second.start_sent >= worker.no_starts_before &&
                 now >= found->second.start_sent + success_time) {
                 worker.failures = 0;
@@ -207,6 +221,7 @@
         return;
     }
     worker.replaced = true;
+    raise_fence(shard, worker); // it may come back there under its id
     reset_worker_state(shard, worker, now);
     const auto runs = worker.runs;
     for (const auto& key : runs) {
@@ -249,6 +264,13 @@
            find_stage(tables, key)->waiting.contains(key.index);
 }
 
+// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it.
+void wait_for_late_start(run_row& run, time_point now) {
+    run.incarnation_known = false;
+    run.confirmed.reset();
+    request_stop(run, stop_cause::duplicate, now);
+}
+
 // Applies the end of a run to its task and job. Returns whether a caller or another shard waits for
 // the change. Completing a task may free the rows of its whole occurrence, and ending a job frees
 // those of all its occurrences, so the rows are not used after either.
@@ -339,7 +361,11 @@
     const auto& key = row.run;
     if (const auto run = shard.tables.runs.find(key);
         run != shard.tables.runs.end() && run->second.worker == worker) {
-        remove_run(shard.tables, key);
+        if (row.kind != run_end_kind::done && may_start_late(run->second, now)) {
+            wait_for_late_start(run->second, now);
+        } else {
+            remove_run(shard.tables, key);
+        }
     }
     shard.placement_needed = true;
     const auto* task = find_task(shard.tables, key.task);
@@ -389,12 +415,18 @@
     }
     shard.wall_clock = unix_now;
     auto& worker = found->second;
+    if (reply || reply.error().kind == error_kind::unavailable) {
+        note_lease_answered(worker, sent, now);
+    }
     if (sent < worker.replies_since) {
         return;
     }
     worker.hold_in_flight = false;
     if (!reply) {
         const bool reached = worker.reachability == reachability_state::reachable;
+        if (reached) {
+            raise_fence(shard, worker);
+        }
         mark_unreachable(shard, worker, to_string(reply.error().kind), sent, now);
         if (reached && reply.error().kind == error_kind::outcome_unknown) {
             worker.next_hold = now; // only the connection broke
@@ -404,7 +436,8 @@
     }
     const auto& report = reply.value();
     if (report.outcome == command_outcome::fenced) {
-        lose_shard(shard, "fenced");
+        worker.next_hold = now;
+        on_fenced(shard, worker, sent == worker.hold_sent ? worker.hold_fence : 0);
         return;
     }
     if (report.outcome == command_outcome::other_incarnation) {
@@ -423,9 +456,6 @@
     }
     worker.acknowledged_sent = std::max(worker.acknowledged_sent, worker.acknowledged_in_flight);
     worker.replied_at = find_reply_time(worker, report.clock, restarted, sent, now);
-    if (!worker.start_time) { // it may have been forgotten when a former incarnation was silent
-        refuse_unanswered_starts(shard.tables, id, now);
-    }
     if (report.start_time) {
         worker.start_time = report.start_time;
     }
@@ -442,9 +472,14 @@
     worker.clock_sent = sent;
     worker.clock_at = now;
     if (!worker.inventoried) {
-        const auto lease = find_first_lease(shard, worker, report.start_time, now);
+        const auto lease = find_first_lease(shard, worker, report.start_time);
         worker.lease_until =
             std::max(worker.lease_until, worker_clock{report.clock.value + lease.count()});
+        if (!refuses_former_commands(worker)) {
+            raise_fence(shard, worker);
+            worker.next_hold = now;
+            return;
+        }
     }
     process_run_lists(shard, worker, report, sent, now, unix_now);
     pace_fillers(shard, worker, now);
@@ -470,6 +505,17 @@
                      (now - worker.clock_at).count());
 }
 
+// Handles that a start was refused or not sent. If an earlier one of the same run got no reply, the
+// worker may have executed that one, or may still do so: its next lists decide.
+void give_up_start(shard_state& shard, run_row& run) {
+    if (run.starts_unanswered > 0) {
+        run.phase = run.phase == run_phase::starting ? run_phase::unconfirmed : run.phase;
+        return;
+    }
+    remove_run(shard.tables, run_key(run.key));
+    shard.placement_needed = true;
+}
+
 } // namespace
 
 void on_start_reply(shard_state& shard, const run_key& key, const result<command_reply>& reply,
@@ -480,6 +526,11 @@
     }
     auto& run = found->second;
     auto& worker = shard.tables.workers.at(run.worker);
+    run.start_in_flight = false;
+    const bool sent = reply || reply.error().kind != error_kind::unavailable;
+    if (reply || !sent) {
+        note_lease_answered(worker, run.start_sent, now);
+    }
     const auto log_answer = [&](std::string_view outcome) {
         shard.counters->count("starts", outcome);
         shard.log->write("event=start_answered task={}.{}.{}.{} run={} worker={} outcome={}",
@@ -489,12 +540,13 @@
     if (!reply) {
         log_answer(to_string(reply.error().kind));
         pause_starts(shard, worker, now);
-        if (reply.error().kind == error_kind::unavailable) {
-            remove_run(shard.tables, key);
-            shard.placement_needed = true;
+        if (!sent) {
+            give_up_start(shard, run);
             return;
         }
-        note_unanswered_start(shard.tables, run);
+        run.late_until = run.start_sent + shard.timing.late_limit;
+        ++run.starts_unanswered;
+        raise_fence(shard, worker);
         if (run.phase == run_phase::starting) {
             run.phase = run_phase::unconfirmed;
         }
@@ -509,7 +561,8 @@
             log_uncertain_start(shard, run, worker, reply.value(), match, now);
         }
         run.confirmed = run.confirmed.value_or(now);
-        run.incarnation_known = run.incarnation_known || match == incarnation_match::known;
+        run.incarnation_known =
+            run.incarnation_known || (match == incarnation_match::known && worker.inventoried);
         if (match == incarnation_match::other && worker.inventoried) {
             suspect_restart(shard, worker, "start_reply", now);
         }
@@ -520,10 +573,8 @@
     }
     log_answer(to_string(outcome));
     if (outcome == command_outcome::fenced) {
-        lose_shard(shard, "fenced");
-        return;
-    }
-    if (outcome == command_outcome::no_room) {
+        on_fenced(shard, worker, run.start_fence);
+    } else if (outcome == command_outcome::no_room) {
         worker.no_starts_before = std::max(worker.no_starts_before, now + no_room_pause);
     } else if (outcome != command_outcome::superseded) {
         ++worker.failures;
@@ -532,8 +583,7 @@
     if (outcome == command_outcome::late || outcome == command_outcome::other_incarnation) {
         worker.next_hold = now;
     }
-    remove_run(shard.tables, key);
-    shard.placement_needed = true;
+    give_up_start(shard, run);
 }
 
 void on_stop_reply(shard_state& shard, const run_key& key, const result<command_reply>& reply,
@@ -552,20 +602,17 @@
     }
     const auto outcome = reply.value().outcome;
     shard.counters->count("stops", to_string(outcome));
+    if (!active) {
+        return;
+    }
+    auto& run = found->second;
     if (outcome == command_outcome::fenced) {
-        lose_shard(shard, "fenced");
+        on_fenced(shard, shard.tables.workers.at(run.worker), run.stop_fence);
         return;
     }
     const bool executed = outcome == command_outcome::done ||
                           outcome == command_outcome::superseded ||
                           outcome == command_outcome::missing;
-    if (!active) {
-        if (executed) {
-            on_late_start_stopped(shard.tables, key);
-        }
-        return;
-    }
-    auto& run = found->second;
     if (run.stop_sent < shard.tables.workers.at(run.worker).incarnation_since) {
         return; // a former incarnation may have answered, and the present one execute the start
     }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -75,9 +75,18 @@
     time_point replied_at;
     // No lease that this incarnation has from this owner or a predecessor ends later.
     worker_clock lease_until;
-    // Until then a command with a lease may still arrive. If the worker has restarted unnoticed,
-    // its new incarnation takes the longest lease from it.
-    time_point commands_until;
+    // Commands with a lease that have no reply, those sent last at the end. Until `late_limit`
+    // after they were sent they may be executed, by whichever incarnation there is then. One that
+    // hasn't been noticed takes the longest lease from them.
+    struct unanswered_lease {
+        time_point sent;
+        std::uint32_t fence = 0;
+    };
+    std::deque<unanswered_lease> unanswered_leases;
+    time_point leases_taken; // no other command with a lease was executed later
+    // Raised to have later incarnations refuse what was sent before; see make_token.
+    std::uint32_t fence = 0;
+    std::uint32_t hold_fence = 0; // of the last hold
     time_point unanswered_since;
     // Another worker answers at its address, so this one and all its runs have ended.
     bool replaced = false;
@@ -137,13 +146,20 @@
     resources need;
     bool filler = false;
     bool long_running = false;
-    time_point start_sent;               // when the start was sent
+    time_point start_sent;         // when the start was last sent
+    std::uint32_t start_fence = 0; // with which it was sent
+    bool start_in_flight = false;
+    // Until then a start that got no reply may still be executed.
+    time_point late_until;
+    std::uint32_t starts_sent = 0;
+    std::uint32_t starts_unanswered = 0;
     worker_clock command_lease;          // the lease in the start command
     std::optional<time_point> confirmed; // when the worker first confirmed that it runs
     // Whether it runs in the incarnation that the worker's row describes, and in no later one.
     bool incarnation_known = false;
     bool stop_in_flight = false;
     time_point stop_sent;                    // when the last stop command was sent
+    std::uint32_t stop_fence = 0;            // with which it was sent
     std::optional<time_point> stop_answered; // time of the first reply that confirmed the stop
     time_point next_stop;                    // earliest time of the next stop command
     std::string checkpoint;
@@ -162,15 +178,7 @@
     std::optional<time_point> throttled_since; // since when a filler's target pace is close to 0
     int pace_confirmed = 100;                  // confirmed; -1: unknown, -2: refused
     bool pace_in_flight = false;
-};
-
-// A start that got no reply, so that it may be carried out much later.
-struct unanswered_start {
-    run_key run;
-    time_point sent;
-    bool stop_due = false; // the worker's present incarnation hasn't confirmed a stop of the run
-    time_point stop_sent;  // of the last stop
-    time_point next_stop;
+    std::uint32_t pace_fence = 0;
 };
 
 // What a borrower reports about a task that was lent to it.
@@ -300,8 +308,6 @@
     std::map<worker_id, worker_row> workers;
     std::map<job_id, job_row> jobs;
     std::map<run_key, run_row> runs;
-    // The last starts without a reply, by worker. They outlast the rows of their runs and workers.
-    std::map<worker_id, std::deque<unanswered_start>> unanswered_starts;
     std::map<std::uint64_t, loan_row> loans; // loans that this shard made as the lender
     search_memory searches;
 };
--- a/src/shard_takeover.cpp
+++ b/src/shard_takeover.cpp
@@ -18,6 +18,9 @@
 
 constexpr duration takeover_log_interval{1'000};
 
+// A call lasts at most this long: the longest wait for a run end, and the time-out.
+constexpr duration call_limit{1'700};
+
 bool is_most(std::size_t part, std::size_t whole) {
     return part * 2 > whole;
 }
@@ -123,13 +126,18 @@
     return false;
 }
 
-// The longest time for which a lease may last after its owner sent it. The owner may not have known
-// of the worker's last restart.
-duration lease_time_limit(const shard_timing& timing) {
-    return timing.delivery_limit + timing.longest_lease * (100 + timing.clock_drift_percent) / 100 +
+// The time for which a lease lasts after a worker that has restarted unnoticed took it.
+duration longest_lease_time(const shard_timing& timing) {
+    return timing.longest_lease * (100 + timing.clock_drift_percent) / 100 +
            timing.lease_margin * 2;
 }
 
+// The longest time for which a lease is taken to last after its owner sent it. The owner may not
+// have known of the worker's last restart.
+duration lease_time_limit(const shard_timing& timing) {
+    return call_limit + longest_lease_time(timing);
+}
+
 // The part of it that is due only if a worker had restarted unnoticed.
 duration unnoticed_lease_time(const shard_timing& timing) {
     return lease_time_limit(timing) -
--- a/src/worker_model.hpp
+++ b/src/worker_model.hpp
@@ -83,7 +83,7 @@
         std::size_t observed = 0;
     };
 
-    bool is_fenced(epoch_number epoch);
+    bool is_fenced(fencing_token token);
     void extend_lease(worker_clock until, time_point now);
     void end_run(const run_key& run, run_end_kind kind, time_point now);
     command_reply reply(command_outcome outcome, time_point now) const;
@@ -93,7 +93,7 @@
     process_start_time start_time_;
     time_point started_;
     time_point last_advance_;
-    epoch_number highest_epoch_;
+    fencing_token highest_token_;
     worker_clock lease_until_;
     std::map<run_key, run_state> runs_;
     // The highest run of each task that ended or was stopped here.
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -129,6 +129,16 @@
     }
 }
 
+// TWICE: commands without an answer arrived seconds later, when the owner had started the tasks
+// elsewhere.
+TEST_CASE("a restarted worker runs no task beside another one's that a late command gave it") {
+    for (const auto fate : {owner_fate::stays, owner_fate::killed, owner_fate::stopped}) {
+        for (const bool long_running : {false, true}) {
+            play_restarts({.owner = fate, .late_commands = 0.3, .long_running = long_running});
+        }
+    }
+}
+
 // Tasks waited until the hold that the crashed process had left unanswered timed out, up to 1.7 s.
 TEST_CASE("tasks of a worker that is back start again once its entry shows the restart") {
     constexpr duration down_time{300};
