shard_takeover: wait longer for a former owner's commands that are executed late

What callers saw: TWICE, a task ran on a restarted worker that a new owner couldn't reach, and the new owner started it elsewhere.

A successor counted the former owner's last command as over after 1.7 s; it may be executed 12 s later.

Change: the wait for silent workers counts as much of the 12 s as the takeover's target leaves: 17 s in all, that is 8.2 s with a longest lease of 6 s and 4.1 s with 10 s. It was 10.6 and 14.7 s.

Ruled out: the full 12 s (takeovers of 21 and 25 s).

Long-running tasks whose runs are recorded wait for 8 s, as before.

--- a/src/shard_takeover.cpp
+++ b/src/shard_takeover.cpp
@@ -18,6 +18,10 @@
 
 constexpr duration takeover_log_interval{1'000};
 
+// A takeover with silent workers should end within this time after the former owner's end: jobs
+// without any run are counted as lost 21 s after the last disruption.
+constexpr duration takeover_target{17'000};
+
 // A call lasts at most this long: the longest wait for a run end, and the time-out.
 constexpr duration call_limit{1'700};
 
@@ -132,10 +136,17 @@
            timing.lease_margin * 2;
 }
 
+// For how long a former owner's command without a reply is waited for. The full `late_limit` would
+// have the inherited tasks wait beyond the target.
+duration counted_late_limit(const shard_timing& timing) {
+    const auto left = takeover_target - timing.confirmation_window - longest_lease_time(timing);
+    return std::clamp(left, call_limit, timing.late_limit);
+}
+
 // The longest time for which a lease is taken to last after its owner sent it. The owner may not
 // have known of the worker's last restart.
 duration lease_time_limit(const shard_timing& timing) {
-    return call_limit + longest_lease_time(timing);
+    return counted_late_limit(timing) + longest_lease_time(timing);
 }
 
 // The part of it that is due only if a worker had restarted unnoticed.
