soak: calls to workers that restart and are isolated arrive up to 12 s late

Calls without an answer were carried out there seconds later, by the next process. No play of the soak did that.

Cause: the stand-ins carried a call out at once, or up to 3 s later in a former process that was no more.

Change: in seeds with isolations, three or five in ten starts and holds to the workers concerned, from 0.5 to 2 s before the crash until the isolation, get no answer. The connection stays silent, and the process that is at the address 2 to 12 s later carries the call out, isolated or not. record.txt names these calls when they are sent, when they arrive, and their results; a report of TWICE says if an end was taken note of by a late hold. The numbers come from a generator of their own. The kept seeds 7, 37 and 88 have no late calls, so that they play as they did.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -26,7 +26,7 @@
         self.attempts = []  # answers to the attempts to hand the job in; None: not answered yet
         self.accepted_at = self.cancel_sent = self.cancel_acked = self.completed_at = None
         self.starts = collections.defaultdict(list)  # task -> times
-        self.done, self.noted = set(), set()  # tasks that ended `done`, and whose end was taken note of
+        self.done, self.noted = set(), {}  # tasks that ended `done`, and by what their ends were taken note of
         self.last_run = {}  # task -> when it was last seen at work
         self.idle_since = None
 
@@ -97,7 +97,8 @@
                     if there[0] == task and (other, there) != (worker, key) and other.holds(there):
                         self.fail("TWICE", task, f"{where} beside run {there[1]} on {other.name}")
             if task in row.noted:
-                self.fail("TWICE", task, f"{where} starts after its end `done` was taken note of")
+                self.fail("TWICE", task, f"{where} starts after its end `done` was taken note of "
+                          f"{row.noted[task]}")
             if row.completed_at and now - row.completed_at > 1 and calm:
                 self.fail("TWICE", task, f"{where} starts after the job was shown as completed")
             if over:
@@ -128,10 +129,10 @@
             if ended is None:
                 return
             row = self.jobs[task.split(".")[0]]
-            row.noted.add(task)
+            how = row.noted.setdefault(task, "by a late hold" if worker.is_late else "by a hold")
             if any(start > ended for start in row.starts[task]):
                 self.fail("TWICE", task, f"started again after the end `done` of run {run} on "
-                          f"{worker.name}, which is taken note of")
+                          f"{worker.name}, which is taken note of {how}")
 
     # What needs time. Called all the while.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,7 @@
 sys.path.insert(0, os.path.join(ROOT, "review", "lib"))
 import standins  # noqa: E402
 
+LOGGED = ("task", "runId", "fencingToken", "deadlineMs", "lastSeen")
 SILENCE_S = 10.0  # a connection without an answer stays open for so long unless the caller closes it
 
 
@@ -26,14 +27,19 @@
     def __init__(self, record):
         self.record, self.lock = record, threading.Lock()
         self.armed, self.hits = [], collections.Counter()
+        self.late = {}  # worker -> until when its calls are late, plan.LateCalls
         self.disturbed_until = time.monotonic()
 
-    def take(self, kinds):
+    def take(self, kinds, place):
         with self.lock:
             fault = next((fault for fault in self.armed if fault.call in kinds), None)
             if fault:
                 self.armed.remove(fault)
                 self.hits[fault.call] += 1
+                return fault
+            until, late = self.late.get(place, (0.0, None))
+            if fault := late.draw(kinds[0]) if time.monotonic() < until else None:
+                self.hits["late " + fault.call] += 1
             return fault
 
     def disturb(self, seconds=0.0, text=""):
@@ -66,7 +72,7 @@
 
         def carry_out():
             try:
-                return owner.handle(self, self.command, parts.path, query, body)
+                return port.owner.handle(self, self.command, parts.path, query, body)
             except (OSError, http.client.HTTPException):
                 return None  # the process behind the proxy gave no answer
 
@@ -74,8 +80,10 @@
             reply = 503, {}
         else:
             kinds = owner.kinds(self.command, parts.path, body)
-            fault = port.faults.take(kinds)
-            reply = self.strike(fault, carry_out, f"{kinds[0]} at {port.name}") if fault else carry_out()
+            fault = port.faults.take(kinds, port.name)
+            fields = [f"{key}={body[key]}" for key in LOGGED if key in body]
+            what = " ".join([kinds[0], "at", port.name] + fields)
+            reply = self.strike(fault, carry_out, what) if fault else carry_out()
         port.wait_while_held("answers")
         if reply is None or getattr(owner, "crashed", False):
             if getattr(owner, "leaves_connections", False):
@@ -106,12 +114,19 @@
         except OSError:
             pass
 
+    def carry_out_late(self, carry_out, what):
+        """Delivers a call whose caller has given up, also to a worker that is isolated by now."""
+        record, self.is_late = self.server.faults.record, True
+        record.write(f"late: {what} arrives")
+        reply = carry_out()
+        record.write(f"late: {what}: {reply[0] if reply else 'lost, no process answers'}")
+
     def strike(self, fault, carry_out, what):
         """Carries the call out as the fault says. Returns the reply to send, None for none."""
         port, faults = self.server, self.server.faults
         if fault.how == "late":
             faults.disturb(fault.delay, f"{what} unanswered, carried out after {fault.delay:.2f} s")
-            timer = threading.Timer(fault.delay, carry_out)
+            timer = threading.Timer(fault.delay, self.carry_out_late, (carry_out, what))
             timer.daemon = True
             timer.start()
             self.stay_silent()
--- a/tests/soak/parts.py
+++ b/tests/soak/parts.py
@@ -44,12 +44,12 @@
     """One life of a worker, whose tasks do what `plan.make_spec` says. A worker that isn't guarded
     starts whatever it is told to start."""
 
-    def __init__(self, play, place, port, server=None, register_after=0.0):
+    def __init__(self, play, place, port, server=None, register_after=0.0, age_s=0.0):
         self.play, self.place, self.port = play, place, port
         self.store, self.record, self.checks = play.store, play.record, play.checks
         self.name, zone, rack, cpu, self.rate = place
         self.lock = threading.Condition()
-        self.born_at, self.born = time.monotonic(), int(time.time() * 1000)
+        self.born_at, self.born = time.monotonic() - age_s, int((time.time() - age_s) * 1000)
         self.fence = self.lease_until = self.last_end = 0
         self.running, self.ended, self.refused_below, self.crashed = {}, [], {}, False
         self.capacity = {"cpu": cpu, "memMb": 8000, "gpu": 0}
@@ -129,6 +129,7 @@
             if self.crashed:
                 return None
             self.sweep()
+            self.is_late = getattr(request, "is_late", False)
             reply = super().handle(request, method, path, query, body)
             if path == "/api/pace" and reply[0] == 200:
                 self.running[body["task"], body["runId"]]["percent"] = body["percent"]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -7,6 +7,7 @@
 
 HORIZON_S = 120.0  # plans are drawn up to here and cut off at the length of the play
 ISOLATION_SHARE = 0.4  # of the seeds
+PROMPT_SEEDS = {7, 37, 88}  # kept seeds from before isolations had late calls: they play as they did
 WARM_UP_S = 2.0    # without faults, so that connections have carried calls before they break
 
 # Each kind of call is hit in turn; calls whose effect can't be taken back are named several times.
@@ -61,6 +62,26 @@
     owner_back: float
 
 
+@dataclass
+class LateCalls:
+    """Before an isolation, a share of the starts and holds to its workers gets no answer. They are carried
+    out 2 to 12 s later by the process that is at the address then, isolated or not."""
+    at: float
+    workers: list  # their names
+    seconds: float
+    share: float
+    seed: int      # for which calls and how late
+
+    def __post_init__(self):
+        self.rng = random.Random(self.seed)
+
+    def draw(self, call):
+        """Returns the fault of a call, None for none."""
+        if call in ("worker.start", "worker.hold") and self.rng.random() < self.share:
+            return CallFault(self.at, call, "late", False, 0.0, self.rng.uniform(2.0, 12.0))
+        return None
+
+
 @dataclass
 class Job:
     at: float
@@ -167,6 +188,14 @@
     return faults, jobs
 
 
+def draw_late_calls(rng, isolation):
+    """Returns late calls from up to 2 s before the crash until the isolation."""
+    lead = rng.uniform(0.5, 2.0)
+    return LateCalls(isolation.at + isolation.before_s - lead, isolation.workers,
+                     lead + isolation.down_s + isolation.connected_s, rng.choice((0.3, 0.3, 0.5)),
+                     rng.randrange(2**32))
+
+
 def make_plan(seed, seconds):
     rng = random.Random(seed)
     names = ["centro-a", "centro-b", "sur-a"][:rng.choice((2, 2, 3))]
@@ -181,15 +210,21 @@
     hosts = [(f"h-{zone}-{n}", zone) for zone in names for n in range(hosts_each)]
     faults = draw_call_faults(parts[1]) + draw_place_faults(parts[2])
     jobs = draw_jobs(parts[0], seed)
-    longest_lease_ms = 10000
+    longest_lease_ms, worker_age_s = 10000, 0.0
     if rng.random() < ISOLATION_SHARE:
         longest_lease_ms = parts[3].choice((6000, 10000))
         isolations, long_jobs = draw_isolations(parts[3], seed, workers, hosts)
         # Others only before, so that in most of these seeds the shard's owner sees the whole course.
         faults = [fault for fault in faults if fault.at < isolations[0].at - 1.0] + isolations
         jobs += long_jobs
+        if seed not in PROMPT_SEEDS:
+            late = random.Random(f"late calls of {seed}")
+            # What was meant for a process that is old by now lies in the future of the next one's clock.
+            worker_age_s = late.uniform(0.0, 60.0)
+            faults += [draw_late_calls(late, isolation) for isolation in isolations]
     end = WARM_UP_S + seconds
     return SimpleNamespace(
         zones={name: name.split("-")[0] for name in names}, workers=workers, guarded=guarded,
-        hosts=hosts, longest_lease_ms=longest_lease_ms, jobs=[job for job in jobs if job.at < end],
+        hosts=hosts, longest_lease_ms=longest_lease_ms, worker_age_s=worker_age_s,
+        jobs=[job for job in jobs if job.at < end],
         faults=[fault for fault in faults if fault.at < end])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from checks import CONTACT_S, GONE_S, IDLE_S, LASTING_CALM_S, Checks
 from faults import ROOT, Faults, standins
 from parts import BOUNDS, Host, Store, Worker
-from plan import WARM_UP_S, CallFault, Isolation, make_plan
+from plan import WARM_UP_S, CallFault, Isolation, LateCalls, make_plan
 
 sys.path.insert(0, os.path.join(ROOT, "tools"))
 from ports import reserve_ports
@@ -61,7 +61,7 @@
         self.store.guarded, self.version = self.plan.guarded, 0
         self.write_config()
         for place in self.plan.workers:
-            self.workers[place[0]] = Worker(self, place, self.ports.pop())
+            self.workers[place[0]] = Worker(self, place, self.ports.pop(), age_s=self.plan.worker_age_s)
         for name, zone in self.plan.hosts:
             self.hosts[name] = Host(self, name, zone)
         for host in self.hosts.values():
@@ -139,6 +139,9 @@
         if isinstance(fault, CallFault):
             self.faults.armed.append(fault)
             return
+        if isinstance(fault, LateCalls):
+            self.faults.late.update(dict.fromkeys(fault.workers, (time.monotonic() + fault.seconds, fault)))
+            return
         if isinstance(fault, Isolation):
             self.spawn(self.isolate, fault)
             return
