--- a/src/restart_model.hpp
+++ b/src/restart_model.hpp
@@ -33,7 +33,8 @@
     // longest, unless the run is certain.
     bool count_unnoticed_at_handover = true;
     // A command without a reply is counted until the late limit after it was sent, by its owner,
-    // and by a successor.
+    // and by a successor. shard_takeover.cpp counts a part of it only, as far as the takeover's
+    // target allows.
     bool count_late_limit = true;
     bool count_late_limit_of_former = true;
     // A worker refuses commands with a lower fence than the highest that it has seen.
