shard_eviction: evict short tasks for long-running ones that have waited for long

Cause: room is reserved for such a task, which keeps further short tasks away, but nothing ended those that ran. A short pause of the worker ended a reservation as well, and two reservations on one worker each waited for the room of both.

Change: after a wait of 1.5 s, runs on the reserved worker are stopped: the least urgent first, none more urgent than the task, no gang members, none of steps with a limit of unavailable tasks; then those that lose the least work for what they free. The worker with the least to evict is preferred. Reservations stay over pauses of up to 1 s and during an eviction; own ones move off unusable workers; of several on one worker, the earliest is usable first. Messages still list 16 tasks; up to 8 for which the receiver is to evict come first, and displace rooms that aren't free yet.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -494,6 +494,7 @@
     regroup_tasks(shard, now);
     serve_room_requests(shard, now, now);
     drain_long_running_tasks(shard, now);
+    evict_for_reservations(shard, now);
     send_stops(shard, now, actions);
     send_paces(shard, actions);
     find_purgeable(shard, now, unix_now);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -152,6 +152,14 @@
     std::optional<worker_id> worker; // on which room is reserved for it
     time_point reserved_at;
     time_point no_room_before; // set when a reservation wasn't used in time
+    std::int32_t priority = 0; // of its queue
+    bool evict = false;        // its owner asks this shard, and no other one, to evict runs for it
+};
+
+// The shard that evicts runs for a waiting task, or is asked to.
+struct evicting_shard {
+    shard_id shard;
+    time_point until;
 };
 
 // A message to the owner of another shard with all tasks that wait for room there. Its reply is
@@ -422,9 +430,11 @@
     std::map<task_key, room_request> room_requests;       // of other shards
     std::map<shard_id, std::uint64_t> last_room_requests; // number of each shard's last message
     std::map<task_key, granted_room> granted_rooms;       // by other shards
+    std::map<task_key, evicting_shard> evicting_shards;   // by waiting task of this shard
     std::map<task_key, time_point> leaving_tasks; // run on a draining worker; when last seen
     std::uint32_t room_messages = 0;              // number of messages with room requests
     time_point next_room_service;
+    time_point next_eviction_check;
     // From measurements of this shard's workers and estimates of other shards.
     filler_effects effects;
     // Processors that fillers requested recently, by image.
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -169,10 +169,45 @@
 bool is_spread_full(std::uint32_t limit, const stage_row* stage, const worker_row& worker,
                     const task_key& task);
 
-// Returns how well a worker suits a reservation; nothing if the need doesn't fit there even once
-// short tasks have ended.
+// Returns how well a worker suits a reservation for a task of a queue with this priority; nothing
+// if the need doesn't fit there even once short tasks have ended.
 std::optional<std::pair<double, millicores>>
-rank_for_reservation(const shard_state& shard, const resources& need, const worker_row& worker);
+rank_for_reservation(const shard_state& shard, const resources& need, std::int32_t priority,
+                     const worker_row& worker, time_point now);
+
+// After this wait, short tasks are evicted for a long-running one. Its room must be free, granted,
+// lent and used within 9 s after its last run, of which 5 s may pass until the end of a lost
+// worker's lease, and a stop takes up to 0.9 s.
+constexpr duration eviction_wait{1'500};
+
+// One shard at a time evicts runs for a task; after this time another one may.
+constexpr duration eviction_turn{4'000};
+
+// Runs to stop on one worker.
+struct eviction_plan {
+    std::vector<run_key> runs;
+    resources freed;
+    double lost = 0; // processor time, in thousandths of a core times milliseconds
+};
+
+// Returns the cheapest runs to evict on a worker so that so much becomes free for a task of a queue
+// with this priority. Returns nothing if these don't exist.
+std::optional<eviction_plan> plan_eviction(const shard_state& shard, const worker_row& worker,
+                                           const resources& wanted, std::int32_t priority,
+                                           time_point now);
+
+// Returns what the runs of a worker that are being stopped will free.
+resources find_room_of_stopping_runs(const worker_row& worker);
+
+// Returns whether runs on the worker are being evicted.
+bool is_evicting(const worker_row& worker);
+
+// Returns whether reservations on the worker stay. Short pauses of starts don't end them.
+bool keeps_reservations(const shard_state& shard, const worker_row& worker, time_point now);
+
+// Evicts short tasks for long-running ones that have waited for long and for which room is
+// reserved.
+void evict_for_reservations(shard_state& shard, time_point now);
 
 // Returns whether the worker has a label; each has the empty one.
 bool has_required_label(const worker_row& worker, const std::string& label);
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -9,6 +9,12 @@
 
 namespace {
 
+// Ranks workers whose runs can't be evicted behind all others.
+constexpr double not_evictable_malus = 3;
+
+// Run time on all needed processors whose loss weighs as much as free processors.
+constexpr duration large_loss{30'000};
+
 // Returns how much of the need is free now, from 0 to 2: the sum of the free parts of the needed
 // processors and memory.
 double free_part(const resources& free, const resources& need) {
@@ -41,12 +47,25 @@
 }
 
 std::optional<std::pair<double, millicores>>
-rank_for_reservation(const shard_state& shard, const resources& need, const worker_row& worker) {
+rank_for_reservation(const shard_state& shard, const resources& need, std::int32_t priority,
+                     const worker_row& worker, time_point now) {
     if (!fits(need, long_running_room(shard.tables, worker))) {
         return std::nullopt;
     }
     const auto free = free_resources(worker);
-    return std::pair(free_part(free, need), free.processors);
+    const auto rank = free_part(free, need);
+    const auto missing = need - free - find_room_of_stopping_runs(worker);
+    if (fits(missing, {})) {
+        return std::pair(rank, free.processors);
+    }
+    // Prefers workers on which the least work would be lost if runs had to be evicted.
+    const auto plan = plan_eviction(shard, worker, missing, priority, now);
+    if (!plan) {
+        return std::pair(rank - not_evictable_malus, free.processors);
+    }
+    const auto most = static_cast<double>(std::max<std::int64_t>(1, need.processors.value)) *
+                      static_cast<double>(large_loss.count());
+    return std::pair(rank - std::min(1.0, plan->lost / most), free.processors);
 }
 
 namespace {
@@ -64,7 +83,9 @@
             is_spread_full(step.spread_limit, &stage, worker, key)) {
             continue;
         }
-        if (const auto rank = rank_for_reservation(shard, step.need, worker); rank > best_rank) {
+        if (const auto rank =
+                rank_for_reservation(shard, step.need, job.queue.priority, worker, now);
+            rank > best_rank) {
             best = &worker;
             best_rank = rank;
         }
@@ -78,7 +99,7 @@
              time_point now) {
     auto* task = find_task(shard.tables, key);
     drop_reservation(shard.tables, key);
-    worker.reserved[key] = {need, now + reservation_time};
+    worker.reserved[key] = {need, now + reservation_time, now};
     task->reserved_worker = worker.entry.target.id;
 }
 
@@ -90,7 +111,12 @@
         return false;
     }
     if (task.reserved_worker) {
-        return true;
+        const auto worker = shard.tables.workers.find(*task.reserved_worker);
+        if (worker != shard.tables.workers.end() &&
+            keeps_reservations(shard, worker->second, now)) {
+            return true;
+        }
+        drop_reservation(shard.tables, key);
     }
     auto* best = choose_for_reservation(shard, job, stage, key, now);
     // Tasks of other shards that have waited longer come first.
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -28,6 +28,13 @@
 constexpr std::size_t rotating_tasks = 4;
 constexpr std::size_t first_tasks_per_stage = 2;
 
+// Maximum number of tasks in a message for which the other shard is to evict runs.
+constexpr std::size_t evicting_tasks = 8;
+
+// Another shard is asked to evict runs for a task that has waited this long while room of its own
+// shard is reserved for it. Its own shard then didn't find runs to evict.
+constexpr duration own_eviction_time{3'000};
+
 constexpr duration service_interval{100};
 
 // Between attempts to request room from an owner that doesn't know the call.
@@ -56,8 +63,9 @@
 
 // Why room that was held for a task of another shard is released: the request wasn't repeated or
 // may not be granted any more, the message of its shard doesn't list the task, the worker accepts
-// no starts, the room was held for too long, or another worker was chosen.
-enum class release_reason : std::uint8_t { expired, unlisted, worker, unused, moved };
+// no starts, the room was held for too long, another worker was chosen, or the room is reserved for
+// tasks that have waited longer.
+enum class release_reason : std::uint8_t { expired, unlisted, worker, unused, moved, displaced };
 
 std::string_view to_string(release_reason reason) {
     switch (reason) {
@@ -71,6 +79,8 @@
         return "unused";
     case release_reason::moved:
         return "moved";
+    case release_reason::displaced:
+        return "displaced";
     }
     return "";
 }
@@ -101,11 +111,14 @@
             continue;
         }
         const auto* worker = find_reserved(shard, key, request);
-        if (worker == nullptr || !accepts_starts(shard, *worker, now)) {
+        if (worker == nullptr || !keeps_reservations(shard, *worker, now)) {
             release_room(shard, key, request, release_reason::worker, now);
+        } else if (is_evicting(*worker)) {
+            request.reserved_at = now; // the room isn't free yet
         } else if (now >= request.reserved_at + (request.lending ? lending_limit : unused_limit)) {
             release_room(shard, key, request, release_reason::unused, now);
-            request.no_room_before = now + unused_pause;
+            // One for which runs may be evicted keeps its place.
+            request.no_room_before = now + (request.evict ? duration(0) : unused_pause);
         }
         ++row;
     }
@@ -122,7 +135,9 @@
             is_spread_full(request.spread_limit, stage, worker, key)) {
             continue;
         }
-        if (const auto rank = rank_for_reservation(shard, request.need, worker); rank > best_rank) {
+        if (const auto rank =
+                rank_for_reservation(shard, request.need, request.priority, worker, now);
+            rank > best_rank) {
             best = &worker;
             best_rank = rank;
         }
@@ -130,7 +145,7 @@
     if (best == nullptr) {
         return;
     }
-    best->reserved[key] = {request.need, request.until};
+    best->reserved[key] = {request.need, request.until, now};
     request.worker = best->entry.target.id;
     request.reserved_at = now;
     shard.counters->count("room_requests", "reserved");
@@ -139,6 +154,23 @@
                      request.from.value, request.worker->value);
 }
 
+// Releases the rooms that aren't free yet and for whose tasks nothing is to be evicted, so that
+// tasks that have waited for long come first. Returns whether there were any.
+bool release_unready_rooms(shard_state& shard, time_point now) {
+    bool released = false;
+    for (auto& [key, request] : shard.room_requests) {
+        const auto* worker = find_reserved(shard, key, request);
+        if (worker == nullptr || request.evict || request.lending ||
+            fits(request.need, free_resources(*worker, &key))) {
+            continue;
+        }
+        release_room(shard, key, request, release_reason::displaced, now);
+        request.no_room_before = now + unused_pause;
+        released = true;
+    }
+    return released;
+}
+
 // Returns whether the task runs here or is to run here.
 bool is_held(shard_state& shard, const task_key& key) {
     const auto* task = find_task(shard.tables, key);
@@ -150,7 +182,10 @@
     time_point since;
     task_key key;
     const job_row* job = nullptr;
-    shard_id lending_to; // empty if it isn't being lent
+    shard_id lending_to;       // empty if it isn't being lent
+    bool waiting = false;      // it has no run
+    bool reserved = false;     // room of this shard is reserved for it
+    shard_id evicting_shard{}; // the shard that is asked to evict runs for it; empty: none
 };
 
 // Returns whether room is requested for a task: it waits, or it has to leave its worker.
@@ -182,7 +217,12 @@
                 wanted.push_back({since, key, &job, loan->second.to});
             }
         } else if ((due || leaving) && needs_room(shard, job, stage, key, now)) {
-            wanted.push_back({std::min(since, task.idle_since.value_or(now)), key, &job, {}});
+            wanted.push_back({std::min(since, task.idle_since.value_or(now)),
+                              key,
+                              &job,
+                              {},
+                              stage.waiting.contains(index),
+                              task.reserved_worker.has_value()});
         }
     }
 }
@@ -285,9 +325,45 @@
     return kept;
 }
 
-// Returns the tasks to list in a message to a shard. Those that are being lent to it come first, as
-// it releases the room of tasks that aren't listed. Room for some stages may exist nowhere, which
-// must not keep others from requesting it.
+// Chooses for each task that has waited for long the shard that is to evict runs for it, one at a
+// time.
+void choose_evicting_shards(shard_state& shard, std::vector<wanted_room>& wanted, time_point now) {
+    std::erase_if(shard.evicting_shards, [&](const auto& row) { return row.second.until <= now; });
+    for (auto& row : wanted) {
+        const auto waited = now - row.since;
+        if (!row.waiting || !row.lending_to.value.empty() || waited < eviction_wait ||
+            !row.job->spec.steps[row.key.step].long_running) {
+            continue;
+        }
+        if (const auto chosen = shard.evicting_shards.find(row.key);
+            chosen != shard.evicting_shards.end()) {
+            row.evicting_shard = chosen->second.shard;
+            continue;
+        }
+        if (row.reserved && waited < own_eviction_time) {
+            continue; // its own shard evicts
+        }
+        std::vector<shard_id> others;
+        for (const auto& [id, other] : shard.other_shards) {
+            if (other.available && now >= other.unasked_until &&
+                could_run_there(other, row.job->queue.service, row.job->spec.steps[row.key.step],
+                                now)) {
+                others.push_back(id);
+            }
+        }
+        if (others.empty()) {
+            continue;
+        }
+        const auto turn =
+            static_cast<std::size_t>(waited / eviction_turn) + std::size_t{row.key.index};
+        row.evicting_shard = others[turn % others.size()];
+        shard.evicting_shards[row.key] = {row.evicting_shard, now + eviction_turn};
+    }
+}
+
+// Returns the tasks to list in a message to a shard. Those that are being lent to it and those for
+// which it is to evict runs come first, as it releases the room of tasks that aren't listed. Room
+// for some stages may exist nowhere, which must not keep others from requesting it.
 std::vector<const wanted_room*> select_tasks(const std::vector<wanted_room>& wanted,
                                              const listing_order& order, const shard_id& to,
                                              std::size_t message) {
@@ -297,19 +373,35 @@
             listed.push_back(&row);
         }
     }
-    const auto count = std::min(order.rows.size(), tasks_per_message);
-    const bool rotates = order.leading > tasks_per_message;
-    const auto fixed = rotates ? tasks_per_message - rotating_tasks : count;
-    listed.insert(listed.end(), order.rows.begin(),
-                  order.rows.begin() + static_cast<std::ptrdiff_t>(fixed));
+    std::set<const wanted_room*> evicting;
+    for (const auto& row : wanted) {
+        if (row.evicting_shard == to && evicting.size() < evicting_tasks) {
+            evicting.insert(&row);
+            listed.push_back(&row);
+        }
+    }
+    std::vector<const wanted_room*> others;
+    std::size_t leading = 0;
+    for (std::size_t i = 0; i < order.rows.size(); ++i) {
+        if (!evicting.contains(order.rows[i])) {
+            others.push_back(order.rows[i]);
+            leading += i < order.leading ? 1 : 0;
+        }
+    }
+    const auto places = tasks_per_message - evicting.size();
+    const auto count = std::min(others.size(), places);
+    const bool rotates = leading > places;
+    const auto fixed = rotates ? places - rotating_tasks : count;
+    listed.insert(listed.end(), others.begin(),
+                  others.begin() + static_cast<std::ptrdiff_t>(fixed));
     for (std::size_t i = 0; i < count - fixed; ++i) {
-        const auto place = (message * rotating_tasks + i) % (order.leading - fixed);
-        listed.push_back(order.rows[fixed + place]);
+        const auto place = (message * rotating_tasks + i) % (leading - fixed);
+        listed.push_back(others[fixed + place]);
     }
     return listed;
 }
 
-json encode_request(const wanted_room& row, time_point now) {
+json encode_request(const wanted_room& row, const shard_id& to, time_point now) {
     const auto& step = row.job->spec.steps[row.key.step];
     return {{"job", row.key.job},
             {"occurrence", row.key.occurrence},
@@ -320,6 +412,8 @@
             {"spread_limit", step.spread_limit},
             {"need", counted_need(step)},
             {"waited_ms", (now - row.since).count()},
+            {"priority", row.job->queue.priority},
+            {"evict", row.evicting_shard == to},
             {"lending", !row.lending_to.value.empty()}};
 }
 
@@ -343,6 +437,8 @@
         request.label = row.at("label").get<std::string>();
         request.spread_limit = row.at("spread_limit").get<std::uint32_t>();
         request.need = row.at("need").get<resources>();
+        request.priority = row.value("priority", 0);
+        request.evict = row.value("evict", false);
         request.since = now - duration(std::max<std::int64_t>(0, row.at("waited_ms")));
         request.until = now + request_validity;
         shard.room_requests.emplace(key, std::move(request));
@@ -351,6 +447,10 @@
     auto& request = found->second;
     request.from = from;
     request.lending = lending;
+    request.evict = row.value("evict", false);
+    if (request.evict) {
+        request.no_room_before = now;
+    }
     request.until = now + request_validity;
     if (auto* worker = find_reserved(shard, key, request)) {
         worker->reserved.at(key).until = request.until;
@@ -372,11 +472,11 @@
         shard.next_room_service = now + service_interval;
         expire_requests(shard, now);
     }
-    std::vector<std::pair<time_point, task_key>> open;
+    std::vector<std::tuple<bool, time_point, task_key>> open;
     for (const auto& [key, request] : shard.room_requests) {
         if (!request.worker && !request.lending && request.since <= before && request.until > now &&
             now >= request.no_room_before) {
-            open.emplace_back(request.since, key);
+            open.emplace_back(!request.evict, request.since, key);
         }
     }
     if (open.empty() || !grants_room(shard, now)) {
@@ -385,13 +485,16 @@
     std::sort(open.begin(), open.end());
     std::size_t served = 0;
     std::set<task_key> without_room; // by stage, as its tasks have the same need
-    for (const auto& [since, key] : open) {
+    for (const auto& [later, since, key] : open) {
         const task_key stage{key.job, key.occurrence, key.step, 0};
         if (without_room.contains(stage)) {
             continue;
         }
         auto& request = shard.room_requests.at(key);
         reserve_for_request(shard, key, request, now);
+        if (!request.worker && request.evict && release_unready_rooms(shard, now)) {
+            reserve_for_request(shard, key, request, now);
+        }
         if (request.worker) {
             ++served;
         } else {
@@ -465,7 +568,8 @@
     if (shard.ownership_lost || shard.releasing || !has_authority(shard, now)) {
         return messages;
     }
-    const auto wanted = find_wanted(shard, now);
+    auto wanted = find_wanted(shard, now);
+    choose_evicting_shards(shard, wanted, now);
     const auto number = (shard.epoch.value << 24U) + ++shard.room_messages;
     const auto order = order_wanted(wanted);
     for (auto& [id, other] : shard.other_shards) {
@@ -475,7 +579,7 @@
         json tasks = json::array();
         const auto runnable = keep_runnable(order, other, now);
         for (const auto* row : select_tasks(wanted, runnable, id, shard.room_messages)) {
-            tasks.push_back(encode_request(*row, now));
+            tasks.push_back(encode_request(*row, id, now));
         }
         const bool listed_before = std::exchange(other.room_requested, !tasks.empty());
         if (tasks.empty() && !listed_before) {
@@ -524,7 +628,8 @@
             continue;
         }
         const auto* worker = find_reserved(shard, key, request->second);
-        if (worker != nullptr && fits(request->second.need, free_resources(*worker, &key))) {
+        if (worker != nullptr && accepts_starts(shard, *worker, now) &&
+            fits(request->second.need, free_resources(*worker, &key))) {
             grants.push_back({{"job", key.job},
                               {"occurrence", key.occurrence},
                               {"step", key.step},
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace fulmar {
 
@@ -170,8 +171,11 @@
 
 resources free_resources(const worker_row& worker, const task_key* task) {
     auto free = worker.entry.capacity - worker.committed;
+    const auto own = task == nullptr ? worker.reserved.end() : worker.reserved.find(*task);
     for (const auto& [key, reservation] : worker.reserved) {
-        if (task == nullptr || key != *task) {
+        // A later reservation must not keep an earlier one from being used.
+        if (own == worker.reserved.end() ||
+            std::tie(reservation.since, key) < std::tie(own->second.since, own->first)) {
             free = free - reservation.need;
         }
     }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -110,6 +110,7 @@
     struct reservation {
         resources need;
         time_point until;
+        time_point since; // of several on one worker, the first one is used first
     };
     std::map<task_key, reservation> reserved; // for tasks that are to start here
 
@@ -127,7 +128,15 @@
 
 std::string_view to_string(run_phase phase);
 
-enum class stop_cause : std::uint8_t { none, cancelled, job_failed, duplicate, moved, gang };
+enum class stop_cause : std::uint8_t {
+    none,
+    cancelled,
+    job_failed,
+    duplicate,
+    moved,
+    gang,
+    evicted
+};
 
 struct run_row {
     run_key key;
