shard_reports, shard_room_requests, restart_state: split files that had grown large

The replies to starts and stops, the rooms that a shard wants in others, and the reduction of the model's states move to files of their own, requests and grants of room to a header of their own. Three functions get declarations for it, two a name that fits outside their old file (`decode_room_key`, `room_request_validity`).

No functional change.

--- a/src/restart_state.cpp
+++ b/src/restart_state.cpp
@@ -19,6 +19,17 @@
     value = to_small(std::max<int>(value, least));
 }
 
+bool is_own(const restart_command& command, std::size_t owner) {
+    return command.left > 0 && command.epoch == epoch_of(owner);
+}
+
+bool is_lower(const restart_rules& rules, const restart_command& command,
+              const restart_worker& worker) {
+    return command.epoch < worker.epoch ||
+           (rules.refuse_lower_fences && command.epoch == worker.epoch &&
+            command.fence < worker.fence);
+}
+
 namespace {
 
 void count_down(small& left) {
@@ -30,22 +41,11 @@
     return rules.count_late_limit ? 0 : rules.late_limit;
 }
 
-bool is_own(const restart_command& command, std::size_t owner) {
-    return command.left > 0 && command.epoch == epoch_of(owner);
-}
-
 // Returns whether an owner knows that it has sent a command.
 bool is_counted(const restart_command& command, std::size_t owner) {
     return is_own(command, owner) && command.forgotten == 0;
 }
 
-bool is_lower(const restart_rules& rules, const restart_command& command,
-              const restart_worker& worker) {
-    return command.epoch < worker.epoch ||
-           (rules.refuse_lower_fences && command.epoch == worker.epoch &&
-            command.fence < worker.fence);
-}
-
 // Returns the ticks until no lease can be left that a later incarnation took from a command.
 int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number) {
     int left = 0;
@@ -586,140 +586,4 @@
     }
 }
 
-namespace {
-
-// Clears what an owner knows and that can't matter any more.
-void forget_past(const restart_rules& rules, restart_owner& owner) {
-    if (owner.claimed == 0) {
-        return;
-    }
-    if (owner.active == 0 || owner.age > rules.confirmation_window) {
-        const auto heard = owner.heard;
-        owner = {};
-        owner.claimed = 1;
-        owner.active = 0;
-        owner.heard = heard;
-        return;
-    }
-    const bool passed = owner.heard != 0 || owner.no_unknown_run != 0;
-    if (passed) {
-        owner.usual = 0;
-        owner.longest = 0;
-    }
-    if (!rules.wait_for_former_commands) {
-        owner.former_commands = 0;
-    }
-    if (owner.run != starting) {
-        owner.stop_answered = 0;
-    }
-    // The next start raises these.
-    if (passed && ((owner.run == known_run && owner.doubt == 0) || owner.run == no_run)) {
-        owner.unnoticed = 0;
-    }
-    if (owner.run == no_run && owner.lease <= rules.lease) {
-        owner.lease = 0;
-    }
-}
-
-// Replaces the fences of an owner by their ranks.
-void rank_fences(restart_state& state, std::size_t number) {
-    std::uint32_t used = 0; // one bit for each fence in use
-    const auto apply = [&](auto change) {
-        change(state.owners.at(number).fence);
-        if (state.worker.epoch == epoch_of(number)) {
-            change(state.worker.fence);
-        }
-        for (auto& command : state.commands) {
-            if (is_own(command, number)) {
-                change(command.fence);
-            }
-        }
-    };
-    apply([&](const small& fence) { used |= 1U << static_cast<unsigned>(fence); });
-    if ((used & (used + 1U)) == 0) {
-        return; // these are the ranks
-    }
-    apply([&](small& fence) {
-        const auto lower = used & ((1U << static_cast<unsigned>(fence)) - 1U);
-        fence = to_small(std::popcount(lower));
-    });
-}
-
-} // namespace
-
-void forget_past(const restart_rules& rules, restart_state& state) {
-    if (state.elsewhere != 0) {
-        state.list = {};
-        // Only the starts that are on their way can still begin the task on the worker.
-        state.owners = {};
-        state.owner = 0;
-        state.recorded = 0;
-        state.recorded_by = 0;
-    }
-    for (auto& owner : state.owners) {
-        forget_past(rules, owner);
-    }
-    if (state.owners.front().active == 0 && state.elsewhere == 0) {
-        state.owners.front().heard = 1; // only later owners' matters, see is_passed
-    }
-    if (state.list.owner != 0 &&
-        state.owners.at(static_cast<std::size_t>(state.list.owner - 1)).active == 0) {
-        state.list = {};
-    }
-    const bool last = state.restarts >= rules.restart_limit;
-    for (auto& command : state.commands) {
-        if (command.left > 0) {
-            const auto& owner = state.owners.at(static_cast<std::size_t>(command.epoch - 1));
-            command.calling = owner.active != 0 ? command.calling : small{0};
-            const bool unanswered = command.calling == 0 || command.run == 0;
-            const bool refused = last && unanswered && is_lower(rules, command, state.worker);
-            command.executed = refused ? small{1} : command.executed;
-            const bool counted = owner.active != 0 && state.elsewhere == 0;
-            const bool matters = state.elsewhere == 0 || command.run != 0;
-            if ((!counted && command.executed != 0) || !matters) {
-                command = {};
-            }
-        }
-        if (command.left == 0) {
-            command = {};
-        }
-        if (command.calling == 0) {
-            command.answer = 0;
-            command.incarnation = 0;
-        }
-        if (command.executed != 0 || command.meant == 0) {
-            command.lease = 0;
-            command.meant = 0;
-        }
-    }
-    const bool starts_left =
-        state.starts_sent < rules.start_limit ||
-        std::any_of(state.commands.begin(), state.commands.end(), [](const auto& row) {
-            return row.left > 0 && row.run != 0 && row.executed == 0;
-        });
-    if (!starts_left) {
-        state.worker.closed = 0;
-        state.worker.lease = state.worker.run != 0 ? state.worker.lease : small{0};
-    }
-    if (rules.keep_ended_runs) {
-        state.worker.ended = 0;
-        state.list.ended = 0;
-    }
-    const bool last_owner = state.owner + 1U >= rules.owners;
-    if (last_owner || state.recorded_by != epoch_of(state.owner)) {
-        state.recorded = 0; // a successor doesn't count it
-        state.recorded_by = 0;
-    }
-    for (std::size_t number = 0; number < max_owners; ++number) {
-        auto& owner = state.owners.at(number);
-        if (owner.claimed == 0 && state.elsewhere == 0) {
-            continue;
-        }
-        owner.new_row = owner.asks != 0 ? owner.new_row : small{0};
-        rank_fences(state, number);
-    }
-    std::sort(state.commands.begin(), state.commands.end(),
-              [](const auto& a, const auto& b) { return std::memcmp(&a, &b, sizeof(a)) > 0; });
-}
-
 } // namespace fulmar
--- a/src/restart_state.hpp
+++ b/src/restart_state.hpp
@@ -125,6 +125,13 @@
 small to_small(int value);
 void raise_to(small& value, int least);
 small epoch_of(std::size_t owner);
+
+// Returns whether a command that may still be executed is of this owner.
+bool is_own(const restart_command& command, std::size_t owner);
+
+// Returns whether the worker refuses a command for its token.
+bool is_lower(const restart_rules& rules, const restart_command& command,
+              const restart_worker& worker);
 void forget_run(restart_owner& owner);
 
 // Returns whether an owner may send commands with a lease: until the successor's claim, and as long
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -108,6 +108,10 @@
 void apply_run_end(shard_state& shard, const worker_id& worker, const run_end& row, time_point now,
                    unix_time unix_now);
 
+// Pauses starts on a worker that refused one, didn't reply to one, or had failed runs. The pause
+// doubles with each consecutive failure.
+void pause_starts(const shard_state& shard, worker_row& worker, time_point now);
+
 // Handles the end of a task's run that a worker listed to this owner.
 void on_run_ended(shard_state& shard, worker_row& worker, const run_end& row, time_point now,
                   unix_time unix_now);
@@ -167,6 +171,14 @@
 bool reserve_for_long_running(shard_state& shard, const job_row& job, const stage_row& stage,
                               const task_key& key, time_point now);
 
+// A request or a grant that isn't repeated ends after this. Requests are repeated about three times
+// in this time.
+constexpr duration room_request_validity{1'000};
+
+// Reads the task that a room request or a grant is about. Throws a std::exception if it is
+// malformed.
+task_key decode_room_key(const json& from);
+
 // Reserves room for the tasks of other shards that wait for it, the longest wait first, up to those
 // that wait since `before`. Returns for how many it reserved room.
 std::size_t serve_room_requests(shard_state& shard, time_point before, time_point now);
--- /dev/null
+++ b/src/shard_room.hpp
@@ -0,0 +1,45 @@
+// Requests and grants of room between the owners of shards.
+#pragma once
+
+#include "shard_tables.hpp"
+
+namespace fulmar {
+
+// A long-running task of another shard that waits for room in this one. Expires unless its owner
+// repeats it. Its reservation is a grant: its shard lends it here once it fits.
+struct room_request {
+    shard_id from;
+    service_id service;
+    std::string label;
+    std::uint32_t spread_limit = 0;
+    resources need;
+    time_point since; // when the task began to wait
+    time_point until;
+    bool lending = false;            // a loan to this shard is being made
+    std::optional<worker_id> worker; // on which room is reserved for it
+    time_point reserved_at;
+    time_point no_room_before; // set when a reservation wasn't used in time
+    std::int32_t priority = 0; // of its queue
+    bool evict = false;        // its owner asks this shard, and no other one, to evict runs for it
+};
+
+// The shard that evicts runs for a waiting task, or is asked to.
+struct evicting_shard {
+    shard_id shard;
+    time_point until;
+};
+
+// A message to the owner of another shard with all tasks that wait for room there. Its reply is
+// passed to on_room_reply.
+struct room_request_message {
+    shard_id to;
+    std::string body;
+};
+
+// Room that another shard holds for a task of this one.
+struct granted_room {
+    shard_id by;
+    time_point until;
+};
+
+} // namespace fulmar
