shard_incarnations: a restarted worker that no command can have reached counts with the usual lease

Cause: after each restart that an owner noticed, it assumed that the new process had taken the longest lease from a command that was meant for the former one, also if no such command was open.

Change: the open commands are known, so the usual lease counts if there is none, no start was answered by an incarnation that isn't the known one, the reply isn't to a hold with a lease, and no former owner's command can be executed any more. Answers by the known incarnation no longer count as leases that another one may have.

--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -131,17 +131,25 @@
     }
 }
 
-void note_lease_answered(worker_row& worker, time_point sent, time_point now) {
+void note_lease_answered(worker_row& worker, time_point sent) {
     auto& unanswered = worker.unanswered_leases;
     const auto found =
         std::find_if(unanswered.begin(), unanswered.end(),
                      [&](const worker_row::unanswered_lease& row) { return row.sent == sent; });
     if (found != unanswered.end()) {
         unanswered.erase(found);
-        worker.leases_taken = std::max(worker.leases_taken, now);
     }
 }
 
+bool may_have_taken_lease(const shard_state& shard, const worker_row& worker, time_point now) {
+    const auto& unanswered = worker.unanswered_leases;
+    const auto former_owners_end =
+        shard.loaded_at + shard.timing.confirmation_window + shard.timing.late_limit;
+    return (shard.epoch.value > 1 && now < former_owners_end) ||
+           (!unanswered.empty() && now <= unanswered.back().sent + shard.timing.late_limit) ||
+           worker.leases_taken > worker.clock_sent;
+}
+
 bool has_usual_lease(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.lease_until <=
            worker_clock{next_lease(shard, worker, now).value + shard.timing.lease_margin.count()};
@@ -165,13 +173,13 @@
 
 // All commands that were sent before are refused from this reply on.
 duration find_first_lease(const shard_state& shard, const worker_row& worker,
-                          const std::optional<process_start_time>& start_time) {
+                          const std::optional<process_start_time>& start_time, bool took_no_lease) {
     const auto settled = shard.settled.find(worker.entry.target.id);
     const bool known =
         start_time && settled != shard.settled.end() && settled->second == *start_time;
     const bool unused = shard.epoch.value == 1 && worker.fence == 0 &&
                         worker.leases_taken == time_point{} && worker.unanswered_leases.empty();
-    return known || unused ? shard.timing.lease : shard.timing.longest_lease;
+    return known || unused || took_no_lease ? shard.timing.lease : shard.timing.longest_lease;
 }
 
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -39,7 +39,11 @@
 
 // Note that a command with a lease is sent to the worker, and that it got a reply or wasn't sent.
 void note_lease_sent(const shard_timing& timing, worker_row& worker, time_point now);
-void note_lease_answered(worker_row& worker, time_point sent, time_point now);
+void note_lease_answered(worker_row& worker, time_point sent);
+
+// Returns whether an incarnation that began after the worker's last reply may have executed a
+// command with a lease. Called before the first reply of that incarnation is noted.
+bool may_have_taken_lease(const shard_state& shard, const worker_row& worker, time_point now);
 
 // Returns the token for a command to the worker. Those of later owners are higher.
 fencing_token make_token(const shard_state& shard, const worker_row& worker);
@@ -422,7 +426,7 @@
 // Returns the lease that a worker may have which has just replied with this start time, for the
 // first time to this owner or after a restart.
 duration find_first_lease(const shard_state& shard, const worker_row& worker,
-                          const std::optional<process_start_time>& start_time);
+                          const std::optional<process_start_time>& start_time, bool took_no_lease);
 
 // Takes over the recorded runs of the loaded jobs.
 void load_recorded_runs(shard_state& shard);
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -409,7 +409,7 @@
     const bool last_hold = sent == worker.hold_sent;
     if (last_hold && worker.hold_has_lease &&
         (reply || reply.error().kind == error_kind::unavailable)) {
-        note_lease_answered(worker, sent, now);
+        note_lease_answered(worker, sent);
     }
     if (sent < worker.replies_since) {
         return;
@@ -444,6 +444,10 @@
     const bool restarted =
         (worker.start_time && report.start_time && *worker.start_time != *report.start_time) ||
         (worker.clock && report.clock < *worker.clock);
+    if (restarted && last_hold && worker.hold_has_lease) {
+        worker.leases_taken = now; // it was meant for the former incarnation
+    }
+    const bool took_no_lease = restarted && !may_have_taken_lease(shard, worker, now);
     if (restarted) {
         reset_worker_state(shard, worker, now);
     }
@@ -465,7 +469,7 @@
     worker.clock_sent = sent;
     worker.clock_at = now;
     if (!worker.inventoried) {
-        const auto lease = find_first_lease(shard, worker, report.start_time);
+        const auto lease = find_first_lease(shard, worker, report.start_time, took_no_lease);
         worker.lease_until =
             std::max(worker.lease_until, worker_clock{report.clock.value + lease.count()});
         if (!refuses_former_commands(worker)) {
--- a/src/shard_start_replies.cpp
+++ b/src/shard_start_replies.cpp
@@ -53,7 +53,13 @@
     run.start_in_flight = false;
     const bool sent = reply || reply.error().kind != error_kind::unavailable;
     if (reply || !sent) {
-        note_lease_answered(worker, run.start_sent, now);
+        note_lease_answered(worker, run.start_sent);
+    }
+    const auto match =
+        reply ? match_incarnation(shard.timing, worker, reply.value(), run.start_sent, now)
+              : incarnation_match::unclear;
+    if (reply && match != incarnation_match::known) {
+        worker.leases_taken = now;
     }
     const auto log_answer = [&](std::string_view outcome) {
         shard.counters->count("starts", outcome);
@@ -79,8 +85,6 @@
     const auto outcome = reply.value().outcome;
     if (outcome == command_outcome::done) {
         shard.counters->count("starts", "done");
-        const auto match =
-            match_incarnation(shard.timing, worker, reply.value(), run.start_sent, now);
         if (match != incarnation_match::known) {
             log_uncertain_start(shard, run, worker, reply.value(), match, now);
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -83,7 +83,8 @@
         std::uint32_t fence = 0;
     };
     std::deque<unanswered_lease> unanswered_leases;
-    time_point leases_taken; // no other command with a lease was executed later
+    // No other command with a lease was executed later by an incarnation that isn't the known one.
+    time_point leases_taken;
     // Raised to have later incarnations refuse what was sent before; see make_token.
     std::uint32_t fence = 0;
     std::uint32_t hold_fence = 0; // of the last hold
--- a/tests/worker_incarnations_test.cpp
+++ b/tests/worker_incarnations_test.cpp
@@ -511,6 +511,27 @@
     CHECK(world.row().unanswered_leases.empty());
 }
 
+// LOST: tasks on a restarted worker weren't recorded for 5 s, as it might have had the longest
+// lease, although no command that could have given it one was open; their owner was lost in that
+// time.
+TEST_CASE(
+    "a restarted worker counts with the usual lease if no command can have reached it before") {
+    const bool open = GENERATE(false, true);
+    restart_world world(1);
+    world.shard.timing.longest_lease = duration(10'000);
+    world.now += duration(5'000);
+    world.find_worker();
+    world.answer_start();
+    world.answer_all(duration(1'000));
+    world.pass();
+    world.fail_hold(open ? silent : error{error_kind::unavailable, "refused"});
+    world.restart();
+    world.pass(duration(500));
+    world.answer_hold();
+    REQUIRE(world.row().inventoried);
+    CHECK(has_usual_lease(world.shard, world.row(), world.now) != open);
+}
+
 // TWICE: a long-running task that ended as done started elsewhere while its first start, which had
 // no reply and was sent again, could still be executed.
 TEST_CASE("a long-running task that ends waits until its first start can't arrive any more") {
@@ -556,7 +577,7 @@
     }
     const auto last = world.now;
     CHECK(world.row().unanswered_leases.size() <= 64);
-    note_lease_answered(world.row(), last, world.now);
+    note_lease_answered(world.row(), last);
     CHECK(find_unnoticed_leases_end(timing, world.row()) >=
           last - duration(1) + timing.late_limit + timing.longest_lease);
     world.now += timing.late_limit + duration(1);
