--- a/src/shard_eviction.cpp
+++ b/src/shard_eviction.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 #include <tuple>
 
 namespace fulmar {
@@ -232,7 +231,8 @@
     }
     eviction_plan plan;
     // Later ones may have made earlier ones unnecessary. The last ones are the dearest.
-    for (const auto* row : std::ranges::reverse_view(chosen)) {
+    std::reverse(chosen.begin(), chosen.end());
+    for (const auto* row : chosen) {
         if (const auto without = freed - row->freed; fits(wanted, without)) {
             freed = without;
             continue;
--- a/tests/eviction_for_reservations_test.cpp
+++ b/tests/eviction_for_reservations_test.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr unix_time wall_clock{1'700'000'000'000};
 const job_id foreign_job{"00000000000000bb"};
 
 // A shard with one worker of 8 cores and two peers.
