shard_takeover: count the limit of an unconfirmed owner from its last transaction

Callers saw accepted work that ran nowhere for ten minutes while most of the workers' room was free: its data centre was cut off, and all hosts lost power around that time.

An owner that goes on without the store now counts its limit from its last applied transaction. A successor sees that one: it claims on condition of the shard's head, and has noted when it first read it. So both count from the same event. Owners of earlier versions also counted reads of the claim; the ownership record tells which (limit_from_transaction). Recorded runs are waited for by the usual lease after the limit, not by the whole takeover.

--- a/src/host_claims.cpp
+++ b/src/host_claims.cpp
@@ -459,11 +459,14 @@
                     other_regions.heard, other_regions.total);
     store_transaction put;
     put.conditions.push_back({claim_key(shard.id), revision});
+    std::optional<time_point> stored_by;
     if (needs_stalled_owner(reason)) {
-        put.conditions.push_back({head_key(shard.id), *owner_progress_.at(shard.id).head});
+        const auto& progress = owner_progress_.at(shard.id);
+        put.conditions.push_back({head_key(shard.id), *progress.head});
+        stored_by = std::max(progress.read_at, claim->first_seen);
     }
     put.puts.push_back({claim_key(shard.id), encode(next), {}});
-    store_.commit(std::move(put), [this, alive = alive_, shard, next,
+    store_.commit(std::move(put), [this, alive = alive_, shard, next, stored_by,
                                    sent = now](result<transaction_reply> reply) {
         if (!*alive) {
             return;
@@ -485,7 +488,7 @@
         if (reply && reply.value().applied) {
             const auto applied = *reply.value().applied;
             claims_[shard.id] = {next, applied, loop_.now()};
-            activate_shard(shard, next.epoch, applied);
+            activate_shard(shard, next.epoch, applied, stored_by);
         }
     });
 }
--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -334,7 +334,8 @@
     void request_in_store(const shard_record& shard);
     void on_request_entry(const shard_id& id, const store_entry& entry);
     void answer_store_requests();
-    void activate_shard(const shard_record& shard, epoch_number epoch, revision_number revision);
+    void activate_shard(const shard_record& shard, epoch_number epoch, revision_number revision,
+                        std::optional<time_point> predecessors_stored_by = {});
     void load_shard_page(const shard_pointer& shard, const std::string& after);
     void attach_workers(owned_shard& shard);
     void drop_shard(const shard_id& id, std::string_view reason);
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -145,7 +145,8 @@
 }
 
 void host_control::activate_shard(const shard_record& shard, epoch_number epoch,
-                                  revision_number revision) {
+                                  revision_number revision,
+                                  std::optional<time_point> predecessors_stored_by) {
     if (owned_.contains(shard.id)) {
         return;
     }
@@ -153,6 +154,7 @@
     auto next = std::make_shared<owned_shard>();
     next->state = make_shard(shard, self_, epoch, revision, options_.shard, counters_, log_);
     next->state.witnesses = choose_witnesses();
+    next->state.predecessors_stored_by = predecessors_stored_by;
     // As a witness, this host confirms no former owner. It has been none itself since its start, or
     // since it lost the shard.
     witnessed_epochs_[shard.id] = std::max(witnessed_epochs_[shard.id], epoch);
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -127,6 +127,7 @@
 ownership_record make_ownership_record(const shard_state& shard, time_point now) {
     ownership_record record{{shard.epoch, shard.self, shard.witnesses}, {}};
     record.current.limit = shard.timing.unconfirmed_limit;
+    record.current.limit_from_transaction = true;
     for (const auto& former : shard.former_owners) {
         auto& term = record.earlier.emplace_back(former.term);
         term.leases_end_in.reset();
@@ -517,7 +518,7 @@
             commit.urgent = commit.urgent || !are_promises_stored(shard, now);
         }
         if (!commit.dirty_since && !shard.releasing &&
-            now >= commit.last_applied + shard.timing.progress_interval) {
+            now >= commit.last_applied.value_or(time_point{}) + shard.timing.progress_interval) {
             commit.dirty_since = now;
         }
         if (!commit.dirty_since ||
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -491,6 +491,7 @@
         }
     }
     complete_takeover(shard, now);
+    log_authority_limit(shard, now);
     expire_workers(shard, now);
     if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
         shard.placement_needed = false;
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -76,8 +76,9 @@
     // If the store doesn't confirm the claim, ownership depends on workers and witnesses having
     // accepted this owner's epoch within this time. Must be at least twice hold_wait.
     duration confirmation_window{2'500};
-    // For how long they may do so, since the store did last. A data centre that is cut off goes on
-    // for so long, and one that is gone with all its hosts and workers is waited for as long.
+    // For how long they may do so, since the owner's last transaction. A data centre that is cut
+    // off goes on for so long, and one that is gone with all its hosts and workers is waited for as
+    // long.
     duration unconfirmed_limit = default_unconfirmed_limit;
     // Run ends that complete no job are collected for this long, so that one transaction stores
     // many.
@@ -247,7 +248,7 @@
     std::uint64_t attempts = 0;                  // number of attempts that were sent
     // Number of the last attempt whose reply proved that this was still the shard's owner.
     std::uint64_t confirmed_attempt = 0;
-    time_point last_applied; // send time of the last transaction that was applied
+    std::optional<time_point> last_applied; // send time of the last transaction that was applied
     std::optional<time_point> dirty_since;
     // A caller or another shard waits for the change, so it skips the commit delay.
     bool urgent = false;
@@ -279,8 +280,10 @@
     std::optional<time_point> refused_since{};
     // Since when too few witnesses may confirm it. They don't do so any more.
     std::optional<time_point> fenced_since{};
-    // By when its last lease has ended, if nothing can give it its authority back.
+    // By when its last lease has ended, if nothing can give it its authority back, and at the
+    // latest, by the limit for owners that the store doesn't confirm.
     std::optional<time_point> leases_end{};
+    std::optional<time_point> latest_end{};
 };
 
 // What a task without a run waits for: that the takeover is complete; that another shard answers
@@ -326,7 +329,11 @@
     std::vector<former_owner> former_owners; // empty once the takeover is complete
     bool takeover_complete = false;          // no run of a predecessor can be unknown to this owner
     time_point loaded_at;                    // when the shard's records were loaded
+    // By when the store had applied the last transaction of the owners before this one; unset if
+    // that isn't known.
+    std::optional<time_point> predecessors_stored_by;
     time_point next_takeover_log; // earliest time of the next log line about the takeover
+    bool limit_logged = false;    // that this owner has lost its authority by its limit
 
     // Authority while the store doesn't confirm the claim.
     witness_sets witnesses; // to be stored, chosen by the host; empty: none are used
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -96,6 +96,10 @@
 // Completes the takeover once no run of a former owner can be unknown to this one.
 void complete_takeover(shard_state& shard, time_point now);
 
+// Logs once that this owner has lost its authority because the store hasn't applied a transaction
+// for too long.
+void log_authority_limit(shard_state& shard, time_point now);
+
 // Marks the shard as lost to another owner. This owner sends no further commands for it.
 void lose_shard(shard_state& shard, std::string_view reason);
 
--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -48,7 +48,8 @@
 
 bool is_storing(const shard_state& shard, time_point now) {
     constexpr duration store_limit{1'000};
-    return !shard.commit.unconfirmed && now <= shard.commit.last_applied + store_limit;
+    const auto& commit = shard.commit;
+    return !commit.unconfirmed && commit.last_applied && now <= *commit.last_applied + store_limit;
 }
 
 void park_waiting_tasks(shard_state& shard, time_point now) {
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -162,7 +162,8 @@
              {"witnesses", term.witnesses.spread},
              {"local", term.witnesses.local},
              {"rests_on", static_cast<int>(term.rests_on)},
-             {"limit_ms", term.limit.count()}};
+             {"limit_ms", term.limit.count()},
+             {"limit_from_transaction", term.limit_from_transaction}};
     if (term.leases_end_in) {
         out["leases_end_in_ms"] = term.leases_end_in->count();
     }
@@ -176,7 +177,8 @@
         from.at("owner").get<host_id>(),
         {from.at("witnesses").get<std::set<host_id>>(), from.value("local", std::set<host_id>())},
         static_cast<owner_term::support>(from.at("rests_on").get<int>()),
-        duration(from.value("limit_ms", default_unconfirmed_limit.count()))};
+        duration(from.value("limit_ms", default_unconfirmed_limit.count())),
+        from.value("limit_from_transaction", false)};
     if (from.contains("leases_end_in_ms")) {
         term.leases_end_in = duration(from.at("leases_end_in_ms").get<std::int64_t>());
     }
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -107,8 +107,11 @@
     support rests_on = support::either_witnesses;
     // For how long the owner goes on after the store has confirmed it last.
     duration limit = default_unconfirmed_limit;
+    // The limit counts from the owner's last transaction. Owners of earlier versions count it from
+    // the last call that confirmed their claims, which leaves no trace in the store.
+    bool limit_from_transaction = false;
     // Of an earlier owner: by when the last lease that it may have granted has ended, counted from
-    // when the record was written. Set only if nothing can give it its authority back.
+    // when the record was written. Rests on nothing that could give it its authority back.
     std::optional<duration> leases_end_in{};
 
     bool operator==(const owner_term&) const = default;
--- a/src/shard_takeover.cpp
+++ b/src/shard_takeover.cpp
@@ -156,6 +156,19 @@
            (timing.lease * (100 + timing.clock_drift_percent) / 100 + timing.lease_margin * 2);
 }
 
+// Returns by when a former owner that neither workers nor witnesses refuse has granted its last
+// lease, and that has ended: the store confirms it until this owner's claim, and the limit counts
+// from its last transaction.
+time_point find_latest_end(const shard_state& shard, const owner_term& term) {
+    const auto& timing = shard.timing;
+    const auto since = term.limit_from_transaction
+                           ? shard.predecessors_stored_by.value_or(shard.loaded_at)
+                           : shard.loaded_at;
+    const auto limit = std::max(timing.unconfirmed_limit, term.limit);
+    return std::max(shard.loaded_at, since + limit * (100 + timing.clock_drift_percent) / 100) +
+           usual_takeover_limit(timing);
+}
+
 // Updates what is known of a former owner: whether it is refused, and when its last lease ends.
 void update_former_owner(const shard_state& shard, former_owner& former, time_point now) {
     if (!is_refused(shard, former.term)) {
@@ -163,6 +176,7 @@
     } else if (!former.refused_since) {
         former.refused_since = now;
     }
+    former.latest_end = find_latest_end(shard, former.term);
     const auto lease = lease_time_limit(shard.timing);
     const auto end_by = [&](time_point end) {
         former.leases_end = std::min(former.leases_end.value_or(end), end);
@@ -182,7 +196,8 @@
 
 // Returns whether the last lease that a former owner may have granted has ended.
 bool have_leases_ended(const shard_state& shard, const former_owner& former, time_point now) {
-    if (former.leases_end && now >= *former.leases_end) {
+    const auto ended = [&](const std::optional<time_point>& end) { return end && now >= *end; };
+    if (ended(former.leases_end) || ended(former.latest_end)) {
         return true;
     }
     return former.refused_since && now >= *former.refused_since + shard.timing.confirmation_window +
@@ -273,7 +288,10 @@
     if (shard.claim_confirmed && *shard.claim_confirmed >= since) {
         return true;
     }
-    if (shard.claim_confirmed.value_or(shard.loaded_at) < now - shard.timing.unconfirmed_limit) {
+    // A successor sees in the store when the last transaction was applied, and nothing of a call
+    // that only read the claim.
+    const auto& stored = shard.commit.last_applied;
+    if (!stored || *stored < now - shard.timing.unconfirmed_limit) {
         return false;
     }
     const auto* pending = find_pending_list(shard.commit);
@@ -309,6 +327,20 @@
     return found;
 }
 
+void log_authority_limit(shard_state& shard, time_point now) {
+    const auto& stored = shard.commit.last_applied;
+    if (shard.limit_logged || !stored || now <= *stored + shard.timing.unconfirmed_limit ||
+        has_authority(shard, now)) {
+        return;
+    }
+    shard.limit_logged = true;
+    shard.counters->count("owner_limits_reached");
+    shard.log->write_rare("event=owner_limit_reached shard={} epoch={} limit_ms={} stored_ms={} "
+                          "runs={}",
+                          shard.id.value, shard.epoch.value, shard.timing.unconfirmed_limit.count(),
+                          (now - *stored).count(), shard.tables.runs.size());
+}
+
 void clear_takeover_gauges(const shard_state& shard) {
     shard.counters->set("takeover_waiting_ms", 0, shard.id.value);
     shard.counters->set("takeover_ends_in_ms", 0, shard.id.value);
@@ -322,13 +354,13 @@
     if (shard.takeover_complete) {
         return std::nullopt;
     }
-    const auto& timing = shard.timing;
-    auto limit = timing.unconfirmed_limit;
+    std::optional<time_point> latest;
     for (const auto& former : shard.former_owners) {
-        limit = std::max(limit, former.term.limit);
+        latest = std::max(latest, std::optional(find_latest_end(shard, former.term)));
     }
-    return shard.loaded_at + limit * (100 + timing.clock_drift_percent) / 100 +
-           usual_takeover_limit(timing);
+    owner_term unknown;
+    unknown.limit = shard.timing.unconfirmed_limit;
+    return latest ? latest : find_latest_end(shard, unknown);
 }
 
 void on_data_centre_gone(shard_state& shard, time_point now) {
@@ -383,8 +415,9 @@
 // - a confirmation window after half of its workers refuse it, or half of both kinds of its
 //   witnesses, as the store has this owner's claim; a worker that refuses this owner's epoch ends
 //   the ownership instead;
-// - at the latest after the limit for owners that the store doesn't confirm. That is what ends the
-//   wait for a data centre of which neither is left, unless an operator says that it is gone.
+// - at the latest after the limit for owners that the store doesn't confirm, counted from their
+//   last transaction as this host saw it. That is what ends the wait for a data centre of which
+//   neither is left, unless an operator says that it is gone.
 void complete_takeover(shard_state& shard, time_point now) {
     if (shard.takeover_complete) {
         return;
--- a/src/takeover_model.hpp
+++ b/src/takeover_model.hpp
@@ -29,6 +29,10 @@
     int lease = 2;
     int confirmation_window = 1;
     int owner_limit = 5;
+    // The owner's limit counts from its last transaction, this many ticks before the claim. If it
+    // counts from the last confirmation instead, the successor still counts from the transaction.
+    int stalled = 0;
+    bool limit_from_transaction = true;
 };
 
 struct takeover_report {
--- a/tests/former_owner_test.cpp
+++ b/tests/former_owner_test.cpp
@@ -136,6 +136,57 @@
     }
 }
 
+// LOST: the limit counted from the claim, which comes up to 9 s after the owner's last transaction.
+TEST_CASE("the limit counts from the last transaction that the former owner can have made") {
+    constexpr duration limit{20'000};
+    for (const bool recorded : {true, false}) {
+        INFO("the record says that it does: " << recorded);
+        auto record = make_record(owner_term::support::either_witnesses, witnesses);
+        record.current.limit = limit;
+        record.current.limit_from_transaction = recorded; // earlier versions don't
+        takeover_world world(record, {1});
+        world.shard.timing.unconfirmed_limit = limit;
+        world.shard.predecessors_stored_by = world.now - duration(9'000);
+        const auto since = recorded ? world.now - duration(9'000) : world.now;
+        const auto found = find_takeover_limit(world.shard);
+        REQUIRE(found);
+        CHECK(*found >= since + limit * 102 / 100 + refusal_limit - duration(200));
+        CHECK(*found <= since + limit * 102 / 100 + refusal_limit);
+        // The store may have confirmed the former owner until the claim.
+        world.shard.predecessors_stored_by = world.now - duration(90'000);
+        CHECK(*find_takeover_limit(world.shard) >= world.now + refusal_limit - duration(200));
+    }
+}
+
+// Guards against an owner that goes on beyond its limit because it can still read its claim: its
+// successor sees only transactions.
+TEST_CASE("an owner that the store doesn't confirm stops by its limit from its last transaction") {
+    auto record = make_record(owner_term::support::either_witnesses, {});
+    record.current.epoch = {2};
+    takeover_world world(record, {1});
+    auto& shard = world.shard;
+    shard.timing.unconfirmed_limit = duration(20'000);
+    shard.unreached_workers.clear();
+    const auto accept = [&] {
+        for (auto& [id, worker] : shard.tables.workers) {
+            worker.clock = worker_clock{1};
+            worker.clock_at = world.now;
+        }
+    };
+    const auto stored = world.now;
+    shard.claim_confirmed = stored + duration(10'000); // by a read
+    world.now = stored + duration(15'000);
+    accept();
+    CHECK_FALSE(has_authority(shard, world.now)); // it has stored nothing
+    shard.commit.last_applied = stored;
+    CHECK(has_authority(shard, world.now));
+    world.now = stored + duration(20'000);
+    accept();
+    CHECK(has_authority(shard, world.now));
+    world.now += duration(1);
+    CHECK_FALSE(has_authority(shard, world.now));
+}
+
 // LOST: a takeover with a worker that is gone for good lasted 25 s, as it waited for commands that
 // are executed late; jobs without any run count as lost 21 s after the last disruption.
 TEST_CASE("a takeover with a silent worker ends within its target") {
--- a/tests/takeover_model_test.cpp
+++ b/tests/takeover_model_test.cpp
@@ -33,6 +33,20 @@
     CHECK(first_violation({.workers = 1, .local_peers = {true, true}}) == "none");
 }
 
+// Guards against a successor that counts the limit from a transaction while the owner counts it
+// from a later confirmation.
+TEST_CASE("the limit counts from the owner's last transaction on both sides") {
+    for (const int stalled : {2, 4, 6}) {
+        INFO("stalled for " << stalled);
+        CHECK(first_violation({.workers = 1, .local_peers = {true, false}, .stalled = stalled}) ==
+              "none");
+    }
+    CHECK(first_violation({.workers = 1,
+                           .local_peers = {true, false},
+                           .stalled = 6,
+                           .limit_from_transaction = false}) == "the task runs in two places");
+}
+
 // The protocol before: witnesses of other data centres had to confirm an owner.
 TEST_CASE("the model finds the data centre that stopped when it was cut off") {
     CHECK(first_violation({.local_suffice = false, .local_peers = {false}}) ==
