shard_commit: store what is left of a former owner's limit

Callers saw inherited work wait for longer than the limit for owners that the store doesn't confirm: if the host that waited for it was lost as well, the next owner waited for the whole limit again, because only ends of leases that rest on witnesses were stored.

While a takeover is incomplete, the ownership record now has the end of each former owner's leases by its limit, too: every 3 s, and with each transaction once a nearer end is known, as before. Nothing can give such an owner its authority back, so the end counts in any later takeover.

--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -119,8 +119,7 @@
            std::equal(stored.earlier.begin(), stored.earlier.end(), shard.former_owners.begin(),
                       shard.former_owners.end(),
                       [](const owner_term& term, const former_owner& row) {
-                          return term.epoch == row.term.epoch &&
-                                 term.leases_end_in.has_value() == row.leases_end.has_value();
+                          return term.epoch == row.term.epoch;
                       });
 }
 
@@ -131,19 +130,30 @@
     for (const auto& former : shard.former_owners) {
         auto& term = record.earlier.emplace_back(former.term);
         term.leases_end_in.reset();
-        if (former.leases_end) {
-            term.leases_end_in = std::max(duration(0), *former.leases_end - now);
+        if (former.latest_end) {
+            const auto end =
+                std::min(*former.latest_end, former.leases_end.value_or(*former.latest_end));
+            term.leases_end_in = std::max(duration(0), end - now);
         }
     }
     return record;
 }
 
-// Returns whether the stored lists tell when leases end. Each transaction then brings these times
-// up to date, so that a successor waits only for what is left of them.
+// Returns whether the stored lists tell when leases end. Transactions bring these times up to date,
+// so that a successor waits only for what is left of them.
 bool has_pending_lease_ends(const shard_state& shard) {
+    return !shard.takeover_complete && !shard.former_owners.empty();
+}
+
+// Returns whether the next transaction brings the ends of leases up to date: each one does while
+// they are near, and some do while only the limit for owners that the store doesn't confirm is
+// known, which is long.
+bool updates_lease_ends(const shard_state& shard, time_point now) {
+    constexpr duration update_interval{3'000};
     const auto has_end = [](const former_owner& row) { return row.leases_end.has_value(); };
-    return !shard.takeover_complete &&
-           std::any_of(shard.former_owners.begin(), shard.former_owners.end(), has_end);
+    const bool near = std::any_of(shard.former_owners.begin(), shard.former_owners.end(), has_end);
+    return has_pending_lease_ends(shard) &&
+           (near || now >= shard.commit.lease_ends_updated + update_interval);
 }
 
 // Returns whether what a successor has to know about this owner isn't stored yet.
@@ -273,7 +283,7 @@
     next.conditions.push_back({claim_key(shard.id), shard.claim_revision});
     next.conditions.push_back({head_key(shard.id), shard.head_revision});
     next.puts.push_back({head_key(shard.id), encode(head_record{shard.epoch, commit.number}), {}});
-    const bool counts_down = has_pending_lease_ends(shard);
+    const bool counts_down = updates_lease_ends(shard, now);
     commit.has_worker_list = has_new_worker_list(shard, now) || counts_down;
     if (commit.has_worker_list) {
         commit.listed_workers = find_used_workers(shard, now);
@@ -286,6 +296,7 @@
     commit.ownership.reset();
     if (counts_down || !is_ownership_stored(shard)) {
         commit.ownership = make_ownership_record(shard, now);
+        commit.lease_ends_updated = now;
         next.puts.push_back({ownership_key(shard.id), encode(*commit.ownership), {}});
         ++builder.entries;
     }
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -244,6 +244,7 @@
     promise_list promises;                       // the promises in it
     std::optional<settled_incarnations> settled; // in the transaction
     std::optional<ownership_record> ownership;   // the ownership record in the transaction
+    time_point lease_ends_updated;               // when the last one was made
     time_point next_attempt;                     // earliest time of the next attempt
     std::uint64_t attempts = 0;                  // number of attempts that were sent
     // Number of the last attempt whose reply proved that this was still the shard's owner.
--- a/src/takeover_chain_state.cpp
+++ b/src/takeover_chain_state.cpp
@@ -133,6 +133,7 @@
     record.age = rules.count_ends_from_load ? small{0} : state.age;
     if (rules.store_ends && state.complete == 0) {
         record.ends = state.ends;
+        end_by(record.ends, std::max(0, rules.owner_limit + longest_wait(rules) - state.age));
         if (!rules.store_fenced_ends_only && state.refused != none) {
             end_by(record.ends, longest_wait(rules) - state.refused);
         }
--- a/tests/former_owner_test.cpp
+++ b/tests/former_owner_test.cpp
@@ -187,6 +187,39 @@
     CHECK_FALSE(has_authority(shard, world.now));
 }
 
+// LOST: each owner of a chain waited for the whole limit again.
+TEST_CASE("a successor waits only for what is left of a former owner's limit") {
+    auto record = make_record(owner_term::support::either_witnesses, witnesses);
+    takeover_world first(record, {1});
+    first.shard.witnesses = {{{"b1"}}, {{"b1"}}};
+    std::optional<ownership_record> stored;
+    const auto begin = first.now;
+    while (first.now < begin + duration(200'000)) {
+        first.now += duration(100);
+        shard_actions actions;
+        advance(first.shard, first.now, wall_clock, actions);
+        if (!actions.commit) {
+            continue;
+        }
+        for (const auto& row : actions.commit->puts) {
+            if (row.key == ownership_key(first.record.id)) {
+                stored = parse_ownership(row.value).value();
+            }
+        }
+        on_commit_reply(first.shard, transaction_reply{revision_number{2}, {}}, first.now,
+                        first.now);
+    }
+    REQUIRE(stored);
+    takeover_world second(stored, {1});
+    second.pass(duration(100));
+    const auto left = *find_takeover_limit(first.shard) - first.now;
+    REQUIRE(second.shard.former_owners.size() == 2);
+    REQUIRE(second.shard.former_owners.front().leases_end);
+    const auto rest = *second.shard.former_owners.front().leases_end - second.shard.loaded_at;
+    CHECK(rest >= left);
+    CHECK(rest <= left + duration(5'000));
+}
+
 // LOST: a takeover with a worker that is gone for good lasted 25 s, as it waited for commands that
 // are executed late; jobs without any run count as lost 21 s after the last disruption.
 TEST_CASE("a takeover with a silent worker ends within its target") {
