store_view: a watch that is answered late doesn't bring back deleted keys

A withdrawn evacuation came back for good on a host whose watch was slow: its data centre started nothing any more.

Cause: a view takes newer content from a peer (merge) while its own watch is open. An event of the late answer was compared with the key's present entry only; a key that had been deleted since has none, so the old entry was added again, and later watches, which begin at the newer revision, never remove it.

Change: events up to the view's revision are skipped. All entries of the view are at least as new.

Evidence: store_view_test "a watch that is answered late doesn't bring back a key that was deleted since".

--- a/src/store_view.cpp
+++ b/src/store_view.cpp
@@ -201,6 +201,10 @@
                           self->received_bytes = 0;
                           for (auto& event : received.events) {
                               self->received_bytes += size_of(event.entry);
+                              // A peer's newer content may have arrived meanwhile.
+                              if (event.entry.revision <= self->revision) {
+                                  continue;
+                              }
                               const auto key = event.entry.key;
                               const auto known = self->entries.find(key);
                               if (known != self->entries.end() &&
--- a/tests/store_view_test.cpp
+++ b/tests/store_view_test.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <catch2/trompeloeil.hpp>
 
+#include <set>
+
 using namespace fulmar;
 
 namespace {
@@ -64,3 +66,39 @@
     CHECK(store.unreachable_for() == duration(2'000));
     CHECK_FALSE(store.healthy_for(duration(0)));
 }
+
+// EVAC: an order that had been taken back came into force again, for good, when the answer to an
+// earlier watch arrived after a peer's newer orders.
+TEST_CASE("a watch that is answered late doesn't bring back a key that was deleted since") {
+    mock_store answering;
+    mock_loop loop;
+    decision_log log("", {}, {});
+    time_point now{duration(10'000)};
+    store_callback<store_events> watching;
+    ALLOW_CALL(loop, now()).LR_RETURN(now);
+    ALLOW_CALL(loop, call_after(trompeloeil::_, trompeloeil::_));
+    REQUIRE_CALL(answering, list("op/", "", read_mode::linearizable, trompeloeil::_))
+        .SIDE_EFFECT(_4(store_page{{}, false, {5}}));
+    ALLOW_CALL(answering, watch("op/", trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .LR_SIDE_EFFECT(watching = _4);
+    std::set<std::string> present;
+    store_view view(
+        answering, loop, log, {.prefix = "op/"},
+        [&](const std::string& key, const auto* entry) {
+            if (entry == nullptr) {
+                present.erase(key);
+            } else {
+                present.insert(key);
+            }
+        },
+        [] {});
+    view.start();
+    const auto late = watching;
+
+    // The key was written at 8 and deleted at 9.
+    view.merge({{"op/config", {"op/config", "{}", {7}}}}, {10}, now);
+    late(store_events{{{{"op/evacuate/east", "{}", {8}}, false}}, {8}});
+    CHECK(present == std::set<std::string>{"op/config"});
+    CHECK_FALSE(view.entries().contains("op/evacuate/east"));
+    CHECK(view.revision() == revision_number{10});
+}
