shard_occurrences: a report of a run opens its occurrence

Cause: a new owner whose time of day is behind the former one's has not opened an occurrence whose tasks have already run. It took their ends for those of unknown tasks: nothing was recorded, and they were acknowledged. Between the load of a shard and its first advance no job has an open occurrence, so ends that a former owner passed on then were lost for all jobs.

Change: a run that is listed, ended or passed on for an occurrence after those opened so far opens it and those before. Nothing starts before the former owner started a task of that occurrence. The opening of due occurrences moved here from shard_control.cpp.

Evidence: run_end_test, on the sources before: "the end of a run counts although its occurrence isn't due by the new owner's clock": nullptr != nullptr FAILED "an end that is passed on to an owner which has just loaded the shard counts": nullptr != nullptr FAILED "a run goes on although its occurrence isn't due by the new owner's clock": 3 (stopping) == 1 (running) FAILED All pass now; "the end of a run that no owner can have started opens no occurrence" is a guard that passed before as well.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -9,22 +9,6 @@
 
 namespace {
 
-void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
-    if (is_borrowed(job)) {
-        return; // the lender decides which tasks run here
-    }
-    const auto total = std::max<std::uint32_t>(1, job.spec.occurrences);
-    while (job.next_occurrence < total) {
-        const auto due = job.spec.first_due.value + job.spec.interval.count() * job.next_occurrence;
-        if (job.spec.occurrences > 0 && unix_now.value < due) {
-            return;
-        }
-        const auto number = job.next_occurrence++;
-        job.occurrences.emplace(number, make_occurrence(job.spec, number));
-        shard.placement_needed = true;
-    }
-}
-
 // Sends the stops that are due. A stop is repeated until the worker reports the end of the run.
 void send_stops(shard_state& shard, time_point now, shard_actions& actions) {
     for (auto& [key, run] : shard.tables.runs) {
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -105,6 +105,13 @@
 // Requests the stop of a run; the next advance sends the command.
 void request_stop(run_row& run, stop_cause cause, time_point now);
 
+// Opens the occurrences of a job that are due.
+void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now);
+
+// Opens the occurrence of a task that a worker reports a run of, and those before it. A former
+// owner, whose clock may have been ahead, started the run; or this owner has opened none yet.
+void open_reported_occurrence(shard_state& shard, const task_key& key, unix_time unix_now);
+
 // Ends a job, stops its runs, withdraws its loans and marks its record for storing.
 void end_job(shard_state& shard, job_row& job, job_phase phase, time_point now, unix_time unix_now);
 
--- a/src/shard_passed_ends.cpp
+++ b/src/shard_passed_ends.cpp
@@ -87,6 +87,7 @@
     });
     std::size_t applied = 0;
     for (const auto& [worker, end] : ends) {
+        open_reported_occurrence(shard, end.run.task, unix_now);
         if (is_recorded(shard, end)) {
             continue;
         }
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -68,6 +68,7 @@
         apply_step_spec(run, job->second.spec.steps[row.run.task.step]);
     }
     assume_predecessor_pacing(run, now);
+    open_reported_occurrence(shard, row.run.task, shard.wall_clock);
     auto* task = find_task(shard.tables, row.run.task);
     const bool wanted = task != nullptr && !task->done && !task->not_local && task->runs.empty();
     const auto cause = task == nullptr ? stop_cause::cancelled : stop_cause::duplicate;
@@ -359,6 +360,7 @@
         }
     }
     shard.placement_needed = true;
+    open_reported_occurrence(shard, key.task, unix_now);
     const auto* task = find_task(shard.tables, key.task);
     if (task == nullptr || task->done) {
         return;
