shard_run_numbers: no two owners give a lent or returned task the same number

Cause: an owner starts runs without storing their numbers. A successor's are higher because each epoch has a thousand of its own. But a task that comes from a shard with a higher epoch goes on with that shard's numbers, beyond those of the epochs here: the successor began again with the stored one.

Change: a job's record that holds such a number names the owner that stored it ("by"), and an owner that loads it skips a thousand for each owner since. Numbers of other tasks and their records are as before. Records of an earlier version don't name their owner; they count as the last owner's.

What follows from equal numbers is by reading.

--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -219,7 +219,8 @@
 void add_change(transaction_builder& builder, const job_id& id) {
     auto& shard = builder.shard;
     auto& next = builder.next;
-    const auto& job = shard.tables.jobs.at(id);
+    auto& job = shard.tables.jobs.at(id);
+    job.stored_by = shard.epoch;
     const auto first = shard.unstored_borrowed_jobs.contains(id);
     if (!builder.fits(first ? 2 : 1)) {
         return;
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -1,6 +1,7 @@
 #include "shard_control.hpp"
 
 #include "shard_internal.hpp"
+#include "shard_run_numbers.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -214,6 +215,7 @@
             if (const auto parsed = parse_progress(job->second, entry.value); !parsed) {
                 reject(entry, parsed.error());
             }
+            skip_used_numbers(job->second, shard.epoch);
         }
     }
     shard.predecessor_workers = shard.listed_since;
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -1,5 +1,6 @@
 // Placement: chooses which waiting task starts on which worker.
 #include "shard_internal.hpp"
+#include "shard_run_numbers.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -13,20 +14,10 @@
 // use about half of what they reserve; fillers run on the rest.
 constexpr std::int64_t long_running_use_percent = 50;
 
-// Run numbers reserved for each epoch, so that a successor's runs get higher numbers than any that
-// its predecessors may have used without its knowledge.
-constexpr std::uint64_t runs_per_epoch = 1'000;
-
 // Interval of rounds over all stages that wait. They lend tasks to other shards, whose rooms are
 // reported at a similar interval.
 constexpr duration complete_round_interval{200};
 
-// Returns the number of a task's next run.
-run_number next_run(const shard_state& shard, const task_row& task) {
-    const auto first = (shard.epoch.value - 1) * runs_per_epoch + 1;
-    return {std::max(first, task.last_run.value + 1)};
-}
-
 // A filler starts only on a worker where it may run at this share of full pace or more. The limit
 // decreases with each second that it waits, down to lowest_min_pace.
 constexpr double initial_min_pace = 0.7;
@@ -314,7 +305,7 @@
             }
             continue;
         }
-        start_task(shard, next, index, next_run(shard, task), *worker, now, actions);
+        start_task(shard, next, index, next_run(shard.epoch, task), *worker, now, actions);
         if (step.filler) {
             plan_paces(shard, *worker, now);
         }
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -1,6 +1,7 @@
 #include "shard_records.hpp"
 
 #include "bounded_json.hpp"
+#include "shard_run_numbers.hpp"
 
 #include <charconv>
 
@@ -500,6 +501,9 @@
     if (auto recorded = encode_recorded_runs(job); !recorded.empty()) {
         out["recorded"] = std::move(recorded);
     }
+    if (job.stored_by.value != 0 && exceeds_reserved_numbers(job)) {
+        out["by"] = job.stored_by;
+    }
     if (is_borrowed(job)) {
         out["borrowed"] = encode_borrowed(job);
         return out.dump();
@@ -530,6 +534,7 @@
         job.ended.value = in.value("ended", std::int64_t{0});
         job.next_occurrence = in.value("next", 0U);
         job.occurrences_done = in.value("done", 0U);
+        job.stored_by.value = in.value("by", std::uint64_t{0});
         for (const auto& loan : in.value("loans", json::array())) {
             job.loans[loan.at(0).get<std::uint64_t>()] = loan.at(1).get<shard_id>();
         }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -295,7 +295,10 @@
     job_spec spec;
     job_phase phase = job_phase::queued;
     unix_time accepted;
-    unix_time ended;                  // 0 until the job has ended
+    unix_time ended; // 0 until the job has ended
+    // The owner that the stored record is of, if known: run numbers beyond those reserved for its
+    // epoch may have been used by it and by the owners since without a record of them.
+    epoch_number stored_by{};
     std::uint64_t version = 0;        // incremented with each change of the record
     std::uint64_t stored_version = 0; // latest version that is confirmed as stored
     bool spec_stored = false;         // the job itself is stored; no task starts before
