host_shards: the arrival of a shard's records doesn't confirm the claim

The owner stands still, or its read is slow, between its claim and the arrival of the shard's records; another host claims the shard meanwhile. The former one renewed leases for 2.5 s more, for which its successor doesn't wait.

Cause: the arrival of the list counted as a confirmation of the claim, whose revision it doesn't contain.

Change: the claim is read beside the records, and counts as confirmed from the time at which a read or a transaction that proves it was sent.

Evidence: owner_changes_test "an owner that loads its shard late renews no lease before the claim is confirmed": an owner that restarts alone stands still for 3 s from 0 to 16 ms after its claim on, then the store is silent.

--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -2,6 +2,8 @@
 #include "bounded_json.hpp"
 #include "host_control.hpp"
 
+#include <algorithm>
+
 namespace fulmar {
 
 void host_control::schedule_shard(const shard_pointer& shard) {
@@ -72,7 +74,9 @@
                        return;
                    }
                    if (entry.value()->revision == shard->state.claim_revision) {
-                       shard->state.claim_confirmed = sent;
+                       auto& confirmed = shard->state.claim_confirmed;
+                       confirmed = std::max(confirmed.value_or(sent), sent);
+                       schedule_shard(shard);
                    }
                });
 }
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -159,6 +159,8 @@
     on_witness_fenced(next->state, options_.name,
                       fenced_epochs_.contains(shard.id) ? loop_.now() : started_);
     owned_.emplace(shard.id, next);
+    // The claim may have been written, and replaced, long before this host learned of it.
+    check_claim(next);
     load_shard_page(next, "");
 }
 
@@ -187,7 +189,6 @@
                     load_shard(shard->state, shard->loading);
                     shard->loading = {};
                     shard->loaded = true;
-                    shard->state.claim_confirmed = loop_.now();
                     shard->state.loaded_at = loop_.now();
                     attach_workers(*shard);
                     update_start_permissions();
--- a/tests/owner_changes_test.cpp
+++ b/tests/owner_changes_test.cpp
@@ -152,4 +152,46 @@
     }
 }
 
+namespace {
+
+// An owner that restarts, while no other host lives that could confirm it, and stands still for 3 s
+// from `delay` after its claim on. The store answers nothing from then on. Returns whether tasks
+// still run on leases that it granted once its claim may have been replaced.
+bool grants_leases_too_late(std::int64_t delay) {
+    constexpr duration standstill{3'000};
+    // By the design: an owner acts for 2.5 s from the call that confirmed its claim on, and grants
+    // leases of 5 s; margins of 0.5 s.
+    constexpr duration leases_end{8'000};
+    sim_world world(5, {"east", "west"}, 3);
+    const auto owner = fill_shard(world);
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        world.kill_host(host);
+    }
+    world.start_host(owner);
+    const auto before = world.now();
+    const auto key = std::string(claims_prefix) + "east.0";
+    const auto revision = world.store().get(key)->revision;
+    while (world.store().get(key)->revision == revision) {
+        REQUIRE(world.now() < before + duration(3'000));
+        world.run_for(duration(1));
+    }
+    const auto claimed = world.now();
+    world.run_for(duration(delay));
+    world.freeze_host(owner, standstill);
+    world.set_store_mode(owner, store_mode::silent);
+    world.run_for(claimed + leases_end - world.now());
+    return count_running(world) > 0;
+}
+
+} // namespace
+
+// TWICE: an owner took the arrival of the shard's records for a confirmation of its claim, however
+// long ago it had claimed the shard, and renewed leases for which its successor doesn't wait.
+TEST_CASE("an owner that loads its shard late renews no lease before the claim is confirmed") {
+    for (std::int64_t delay = 0; delay <= 16; ++delay) {
+        INFO("standstill " << delay << " ms after the claim");
+        CHECK_FALSE(grants_leases_too_late(delay));
+    }
+}
+
 } // namespace fulmar
