host_execution: after a pause, check how recent the orders are before starts

What callers would see (not reported; found while testing suspended machines): a host that stood still for 8 s starts tasks in a data centre that was taken out of service meanwhile (EVAC: within 5 s).

Cause: whether orders and worker entries are recent enough was checked at each tick (50 ms) only. After a pause, replies may be processed before the tick. A read of the claim renews the owner's authority, and a worker's reply frees room, so tasks started by what the last tick before the pause had found.

Change: advance_shard checks again if the tick is overdue.

The simulation can suspend a host's machine: besides what a freeze does, its timers stand still, as Asio's do, and what was sent to it meanwhile arrives up to 2 s after it runs again.

--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -44,6 +44,11 @@
         return;
     }
     ++advances_;
+    if (loop_.now() > next_tick_) {
+        // After a pause, replies may be processed before the tick: enough to renew the authority,
+        // while the orders are as old as the pause.
+        update_start_permissions();
+    }
     shard_actions actions;
     advance(shard->state, loop_.now(), loop_.unix_now(), actions);
     execute(shard, actions);
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -28,6 +28,18 @@
 
 } // namespace
 
+void sim_world::suspend_host(std::size_t index, duration time) {
+    freeze_host(index, time);
+    auto& host = *hosts_[index];
+    host.suspended_until = host.frozen_until;
+    host.suspended_total += time;
+}
+
+// Returns how long after a suspension something arrives that was sent during it.
+duration sim_world::resend_delay(const sim_host& host) {
+    return duration(host.suspended_until > now_ ? random_() % 2'000 : 0);
+}
+
 std::size_t sim_world::answers_lost(const std::string& kind) const {
     const auto found = answers_lost_.find(kind);
     return found == answers_lost_.end() ? 0 : found->second;
@@ -58,13 +70,34 @@
         , host_(host)
         , incarnation_(incarnation) {}
 
-    time_point now() const override { return world_.now_; }
+    time_point now() const override {
+        return world_.now_ - (world_.clocks_count_suspensions ? duration(0) : suspended_total());
+    }
     unix_time unix_now() const override { return world_.unix_now(); }
     void call_after(duration delay, std::function<void()> task) override {
-        world_.on_host(host_, incarnation_, delay, std::move(task));
+        wait_until(world_.now_ + delay, suspended_total(), std::move(task));
     }
 
   private:
+    duration suspended_total() const { return world_.hosts_[host_]->suspended_total; }
+
+    // Runs a task at `due`, later by the suspensions that begin until then: `total` is the time of
+    // those before.
+    void wait_until(time_point due, duration total, std::function<void()> task) {
+        world_.at(due - world_.now_, [this, due, total, task = std::move(task)] {
+            const auto& host = *world_.hosts_[host_];
+            if (!host.alive || host.incarnation != incarnation_) {
+                return;
+            }
+            const auto next = std::max(due + (host.suspended_total - total), host.frozen_until);
+            if (next > world_.now_) {
+                wait_until(next, host.suspended_total, task);
+                return;
+            }
+            task();
+        });
+    }
+
     sim_world& world_;
     std::size_t host_;
     std::uint64_t incarnation_;
--- a/tests/sim_parts.hpp
+++ b/tests/sim_parts.hpp
@@ -14,6 +14,8 @@
     bool alive = false;
     bool leaving = false;
     time_point frozen_until;
+    time_point suspended_until;
+    duration suspended_total{0};
     store_mode mode = store_mode::up;
     std::set<std::string> hung_prefixes; // of keys whose watches get no answer
     duration data_read_delay{0};         // of replies to reads of shards' records
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -139,7 +139,7 @@
             return;
         }
         if (host.frozen_until > now_) {
-            on_host(index, incarnation, host.frozen_until - now_, action);
+            on_host(index, incarnation, host.frozen_until - now_ + resend_delay(host), action);
             return;
         }
         action();
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -92,6 +92,10 @@
     void kill_host(std::size_t index);
     void stop_host(std::size_t index); // planned stop: drains, then ends the process
     void freeze_host(std::size_t index, duration time);
+    // Suspends a host's machine: besides, its timers stand still, and what was sent to it meanwhile
+    // arrives up to 2 s after it runs again, when it is sent once more.
+    void suspend_host(std::size_t index, duration time);
+    bool clocks_count_suspensions = true; // those that the hosts read
     void set_store_mode(std::size_t index, store_mode mode);
     // Leaves a host's watches of keys that start with a prefix without answers, while the store
     // answers other calls.
@@ -200,6 +204,7 @@
     void on_host(std::size_t host, std::uint64_t incarnation, duration delay,
                  std::function<void()> action);
     duration latency();
+    duration resend_delay(const sim_host& host);
     bool chance(double probability);
     std::optional<lost_answer> take_lost_answer(std::string_view kind, const std::string& receiver);
     bool refuses(const std::string& receiver) const;
