shard_open_starts: a successor knows the starts of former owners that got no reply

Cause: an owner kept to itself which of its starts had no reply. Such a start may be executed for 12 s. The successor took a worker's answer, or 2.1 to 6.2 s for all workers, for the end of it. A worker that had answered and restarted since knew no fencing token, and carried the start out beside the task's next run.

Change: an owner stores open starts (no reply for 50 ms, or answered by another incarnation than the known one) with the transactions that it writes anyway, each with the time for which it may still arrive; about 60 bytes a row, nothing in calm times, and a new one has the next transaction sent at once. A successor adopts their runs as its own: it sends them again to the same worker, waits for 12 s and the longest lease if that one is silent, and passes them on. Only these tasks wait longer than before. The record counts only if no later owner has committed (owners of earlier versions don't know it).

Also: `leases_taken` isn't set back by an earlier time.

Not covered: a start sent within the owner's last moments, or after its successor's claim ("the model finds the start that is sent within the last moments of an owner").

--- a/src/restart_model.hpp
+++ b/src/restart_model.hpp
@@ -37,6 +37,9 @@
     // target allows.
     bool count_late_limit = true;
     bool count_late_limit_of_former = true;
+    // A successor knows of the starts that its predecessor knew to be open, and of the leases that
+    // may have been taken unnoticed, and keeps their runs.
+    bool pass_open_starts = true;
     // A worker refuses commands with a lower fence than the highest that it has seen.
     bool refuse_lower_fences = true;
     // If the reply that shows a restart doesn't rule out that commands arrive that were sent
@@ -78,6 +81,10 @@
     // A former owner's start may reach an incarnation that began after the worker answered the
     // successor.
     bool former_starts = false;
+    // Not part of the protocol: a successor also knows of the starts whose calls last at its claim,
+    // which an owner stores only after a moment.
+    bool pass_lasting_calls = false;
+    bool send_after_claim = true;    // until the confirmation window ends; an owner may be killed
     bool recorded_at_claims = false; // owners change only while the store has the task recorded
     bool delayed_lists = false;      // anything may happen until a list of runs is received
     bool delayed_answers = false;    // and until an answer to a start is
--- a/src/restart_reduction.cpp
+++ b/src/restart_reduction.cpp
@@ -91,13 +91,17 @@
     }
     const bool last = state.restarts >= rules.restart_limit;
     for (auto& command : state.commands) {
+        const bool knows =
+            command.passed != 0 &&
+            state.owners.at(static_cast<std::size_t>(command.passed - 1)).number == command.run;
+        command.passed = knows ? command.passed : small{0};
         if (command.left > 0) {
             const auto& owner = state.owners.at(static_cast<std::size_t>(command.epoch - 1));
             command.calling = owner.active != 0 ? command.calling : small{0};
             const bool unanswered = command.calling == 0 || command.run == 0;
             const bool refused = last && unanswered && is_lower(rules, command, state.worker);
             command.executed = refused ? small{1} : command.executed;
-            const bool counted = owner.active != 0 && state.elsewhere == 0;
+            const bool counted = (owner.active != 0 || command.passed != 0) && state.elsewhere == 0;
             const bool matters = state.elsewhere == 0 || command.run != 0;
             if ((!counted && command.executed != 0) || !matters) {
                 command = {};
--- a/src/restart_state.cpp
+++ b/src/restart_state.cpp
@@ -47,10 +47,11 @@
 }
 
 // Returns the ticks until no lease can be left that a later incarnation took from a command.
-int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number) {
+int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number,
+                   bool also_calling = true) {
     int left = 0;
     for (const auto& command : state.commands) {
-        if (is_counted(command, number)) {
+        if (is_counted(command, number) && (command.calling == 0 || also_calling)) {
             left = std::max(left, command.left - 1 - uncounted(rules) + rules.longest_lease);
         }
     }
@@ -83,8 +84,9 @@
 } // namespace
 
 bool may_send(const restart_rules& rules, const restart_owner& owner) {
-    return owner.claimed != 0 && owner.active != 0 && owner.asks == 0 &&
-           owner.age <= rules.confirmation_window;
+    const bool confirmed = owner.age == no_successor ||
+                           (rules.send_after_claim && owner.age <= rules.confirmation_window);
+    return owner.claimed != 0 && owner.active != 0 && owner.asks == 0 && confirmed;
 }
 
 std::size_t count_open(const restart_state& state, std::size_t owner, small run) {
@@ -100,7 +102,9 @@
 
 bool is_start_open(const restart_state& state, std::size_t owner, small run, bool also_calling) {
     return std::any_of(state.commands.begin(), state.commands.end(), [&](const auto& row) {
-        return is_own(row, owner) && row.run == run && (row.calling == 0 || also_calling);
+        const bool own = is_own(row, owner) && (row.calling == 0 || also_calling);
+        const bool passed = row.left > 0 && row.passed == epoch_of(owner);
+        return (own || passed) && row.run == run;
     });
 }
 
@@ -501,7 +505,36 @@
            (owner.heard != 0 || !rules.wait_for_former_commands);
 }
 
+namespace {
+
+// Has a successor keep the run that its predecessor wasn't certain of.
+void pass_open_start(const restart_rules& rules, restart_state& state, std::size_t number) {
+    const auto& former = state.owners.at(number);
+    const bool lasts = former.run == starting && former.repeated == 0;
+    if (!rules.pass_open_starts || former.run == no_run || is_certain(rules, former) ||
+        (lasts && !rules.pass_lasting_calls)) {
+        return;
+    }
+    auto& owner = state.owners.at(number + 1);
+    owner.run = unconfirmed;
+    owner.number = former.number;
+    owner.doubt = 1;
+    owner.repeated = 1;
+    owner.unnoticed = to_small(unnoticed_left(rules, state, number, rules.pass_lasting_calls));
+    for (auto& command : state.commands) {
+        const bool stored = command.calling == 0 || rules.pass_lasting_calls;
+        const bool known = (is_own(command, number) && stored) ||
+                           (command.left > 0 && command.passed == epoch_of(number));
+        if (known && command.run == former.number) {
+            command.passed = epoch_of(number + 1);
+        }
+    }
+}
+
+} // namespace
+
 void claim_shard(const restart_rules& rules, restart_state& state) {
+    pass_open_start(rules, state, state.owner);
     auto& former = state.owners.at(state.owner);
     former.age = 0;
     former.write = no_write; // the store refuses it
--- a/src/restart_state.hpp
+++ b/src/restart_state.hpp
@@ -56,6 +56,7 @@
     small forgotten = 0;   // by its owner, with the worker
     small answer = 0;      // execution_outcome, on its way
     small incarnation = 0; // that executed it
+    small passed = 0;      // epoch of the successor that knows of it
 };
 
 // A reply to a hold with the list of runs, on its way to the owner.
@@ -142,7 +143,8 @@
 std::size_t count_open(const restart_state& state, std::size_t owner, small run);
 bool has_room(const restart_state& state);
 
-// Returns whether a sending of a run's start may still arrive whose call has failed, or lasts.
+// Returns whether a sending of a run's start may still arrive whose call has failed, or lasts, or
+// that a former owner passed on.
 bool is_start_open(const restart_state& state, std::size_t owner, small run, bool also_calling);
 
 void send_command(const restart_rules& rules, restart_state& state, std::size_t owner, small run);
--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -137,6 +137,12 @@
     return record;
 }
 
+store_put make_open_starts_put(const shard_state& shard, time_point now) {
+    return {open_starts_key(shard.id),
+            encode(open_starts_record{shard.epoch, find_open_starts(shard, now)}),
+            {}};
+}
+
 // Returns whether the stored lists tell when leases end. Each transaction then brings these times
 // up to date, so that a successor waits only for what is left of them.
 bool has_pending_lease_ends(const shard_state& shard) {
@@ -147,7 +153,8 @@
 
 // Returns whether what a successor has to know about this owner isn't stored yet.
 bool has_new_lists(const shard_state& shard, time_point now) {
-    return has_new_worker_list(shard, now) || !is_ownership_stored(shard);
+    return has_new_worker_list(shard, now) || !is_ownership_stored(shard) ||
+           has_new_open_starts(shard, now);
 }
 
 // Notes a change of a job's record that waits for a transaction.
@@ -294,6 +301,14 @@
         next.puts.push_back({incarnations_key(shard.id), encode(shard.settled), {}});
         ++builder.entries;
     }
+    commit.open_starts.reset();
+    if (auto starts = find_sent_starts(shard, now);
+        !starts.empty() || !shard.stored_open_starts.empty()) {
+        // Written anew each time, so that a successor counts from the last transaction.
+        commit.open_starts = std::move(starts);
+        next.puts.push_back(make_open_starts_put(shard, now));
+        ++builder.entries;
+    }
     const auto submitted = select_submissions(shard, now);
     const auto changed = find_changed_jobs(shard);
     const auto& purged = shard.to_purge;
@@ -378,6 +393,9 @@
     if (commit.settled) {
         shard.stored_settled = std::move(*commit.settled);
     }
+    if (commit.open_starts) {
+        shard.stored_open_starts = std::move(*commit.open_starts);
+    }
     commit.pending.reset();
     commit.unconfirmed = false;
     commit.next_attempt = now;
@@ -480,6 +498,9 @@
         // written, the next transaction lists the workers without them.
         shard.stored_promises = std::move(promises);
     }
+    if (!find_sent_starts(shard, now).empty() || !shard.stored_open_starts.empty()) {
+        handover.puts.push_back(make_open_starts_put(shard, now));
+    }
     if (has_pending_lease_ends(shard)) {
         handover.puts.push_back(
             {ownership_key(shard.id), encode(make_ownership_record(shard, now)), {}});
@@ -514,7 +535,8 @@
         if (!commit.dirty_since && has_new_lists(shard, now)) {
             commit.dirty_since = now;
             // A worker that has answered waits for its lease.
-            commit.urgent = commit.urgent || !are_promises_stored(shard, now);
+            commit.urgent = commit.urgent || !are_promises_stored(shard, now) ||
+                            has_new_open_starts(shard, now);
         }
         if (!commit.dirty_since && !shard.releasing &&
             now >= commit.last_applied + shard.timing.progress_interval) {
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -172,6 +172,8 @@
         shard.log->write("event=record_unreadable key={} detail=\"{}\"", entry.key, failure.detail);
     };
     std::size_t unfinished = 0;
+    epoch_number last_committer;
+    open_starts_record open_starts;
     for (const auto& entry : entries) {
         if (!entry.key.starts_with(jobs)) {
             continue;
@@ -188,6 +190,15 @@
     for (const auto& entry : entries) {
         if (entry.key == head_key(shard.id)) {
             shard.head_revision = entry.revision;
+            const auto head = parse_head(entry.value);
+            last_committer = head ? head.value().epoch : epoch_number{};
+        } else if (entry.key == open_starts_key(shard.id)) {
+            auto record = parse_open_starts(entry.value);
+            if (!record) {
+                reject(entry, record.error());
+                continue;
+            }
+            open_starts = std::move(record).value();
         } else if (entry.key == worker_list_key(shard.id)) {
             const auto known = parse_known_workers(entry.value);
             if (!known) {
@@ -237,6 +248,7 @@
     rebuild_loan_table(shard);
     load_parked_tasks(shard);
     load_recorded_runs(shard);
+    load_open_starts(shard, open_starts, last_committer);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
             shard.active.insert(id);
@@ -490,6 +502,7 @@
             open_due_occurrences(shard, job, unix_now);
         }
     }
+    adopt_open_starts(shard, now);
     complete_takeover(shard, now);
     expire_workers(shard, now);
     if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -214,6 +214,9 @@
 // State of group commit. Only one transaction is pending at a time. While its outcome is unknown,
 // the same transaction is sent again; its condition on the head's revision makes sure that it takes
 // effect at most once.
+// Open starts, and when each was last sent.
+using sent_starts = std::map<run_key, time_point>;
+
 struct commit_state {
     // A change of a job's record that no transaction includes yet.
     struct unstored_change {
@@ -243,6 +246,7 @@
     promise_list promises;                       // the promises in it
     std::optional<settled_incarnations> settled; // in the transaction
     std::optional<ownership_record> ownership;   // the ownership record in the transaction
+    std::optional<sent_starts> open_starts;      // in the transaction
     time_point next_attempt;                     // earliest time of the next attempt
     std::uint64_t attempts = 0;                  // number of attempts that were sent
     // Number of the last attempt whose reply proved that this was still the shard's owner.
@@ -350,6 +354,8 @@
     settled_incarnations settled;                               // of this shard's workers
     settled_incarnations stored_settled;                        // in the store
     ownership_record stored_ownership;                          // epoch 0: none
+    std::vector<open_start> inherited_starts;                   // of former owners, until adopted
+    sent_starts stored_open_starts;                             // in the store
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
     std::vector<std::pair<worker_id, unacknowledged_run_end>> passed_ends;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -68,6 +68,22 @@
 // Returns whether a run is in the worker's known incarnation, or else nowhere.
 bool is_certain(const worker_row& worker, const run_row& run);
 
+// Returns the open starts that a successor has to know, with those that it inherited.
+std::vector<open_start> find_open_starts(const shard_state& shard, time_point now);
+
+// Returns when each of them was last sent.
+sent_starts find_sent_starts(const shard_state& shard, time_point now);
+
+// Returns whether the stored record lacks one of them.
+bool has_new_open_starts(const shard_state& shard, time_point now);
+
+// Takes over the record, which counts unless a later owner has committed since.
+void load_open_starts(shard_state& shard, const open_starts_record& record, epoch_number last);
+
+// Adds the runs of former owners whose starts were open, so that their tasks start nowhere else
+// before these are over.
+void adopt_open_starts(shard_state& shard, time_point now);
+
 // Has a worker that seems to have restarted asked at once for its runs. It gets nothing before.
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
                      time_point now);
--- a/src/shard_records.hpp
+++ b/src/shard_records.hpp
@@ -35,6 +35,7 @@
 std::string worker_list_key(const shard_id& shard);
 std::string ownership_key(const shard_id& shard);
 std::string incarnations_key(const shard_id& shard);
+std::string open_starts_key(const shard_id& shard);
 std::string job_key(const shard_id& shard, const job_id& job);
 std::string progress_key(const shard_id& shard, const job_id& job);
 
@@ -83,6 +84,27 @@
 // no command that was meant for a former incarnation can arrive any more.
 using settled_incarnations = std::map<worker_id, process_start_time>;
 
+// A run that may begin on its worker, or have begun there, without its owner's knowledge: its start
+// got no reply in the usual time, or another incarnation than the known one executed it.
+struct open_start {
+    run_key run;
+    worker_id worker;
+    // Counted from when the record was written: until when a start of the run may be executed, and
+    // until when the worker may be given the longest lease by a command without a reply.
+    duration late_in{0};
+    duration leases_taken_in{0};
+
+    bool operator==(const open_start&) const = default;
+};
+
+// The open starts of an owner, and of former ones that it knows.
+struct open_starts_record {
+    epoch_number by; // the owner
+    std::vector<open_start> rows{};
+
+    bool operator==(const open_starts_record&) const = default;
+};
+
 // Hosts that confirm an owner while the store doesn't, by name. Its own host is one of each.
 struct witness_sets {
     std::set<host_id> spread; // over the data centres
@@ -135,12 +157,14 @@
 std::string encode(const ownership_record& record);
 std::string encode(const std::vector<shard_record>& record);
 std::string encode(const settled_incarnations& record);
+std::string encode(const open_starts_record& record);
 result<claim_record> parse_claim(std::string_view text);
 result<head_record> parse_head(std::string_view text);
 result<std::vector<known_worker>> parse_known_workers(std::string_view text);
 result<ownership_record> parse_ownership(std::string_view text);
 result<std::vector<shard_record>> parse_shards(std::string_view text);
 result<settled_incarnations> parse_incarnations(std::string_view text);
+result<open_starts_record> parse_open_starts(std::string_view text);
 
 // The job as submitted. Parsing sets its queue, spec and time of acceptance, and the lender of a
 // borrowed job.
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -445,7 +445,8 @@
         (worker.start_time && report.start_time && *worker.start_time != *report.start_time) ||
         (worker.clock && report.clock < *worker.clock);
     if (restarted && last_hold && worker.hold_has_lease) {
-        worker.leases_taken = now; // it was meant for the former incarnation
+        // It was meant for the former incarnation.
+        worker.leases_taken = std::max(worker.leases_taken, now);
     }
     const bool took_no_lease = restarted && !may_have_taken_lease(shard, worker, now);
     if (restarted) {
--- a/src/shard_start_replies.cpp
+++ b/src/shard_start_replies.cpp
@@ -59,7 +59,7 @@
         reply ? match_incarnation(shard.timing, worker, reply.value(), run.start_sent, now)
               : incarnation_match::unclear;
     if (reply && match != incarnation_match::known) {
-        worker.leases_taken = now;
+        worker.leases_taken = std::max(worker.leases_taken, now);
     }
     const auto log_answer = [&](std::string_view outcome) {
         shard.counters->count("starts", outcome);
--- a/tests/restart_model_test.cpp
+++ b/tests/restart_model_test.cpp
@@ -142,3 +142,37 @@
               {.wait_for_former_commands = true, .former_starts = true, .open_holds = 0}) ==
           "none");
 }
+
+// TWICE: a successor started the task elsewhere while a start of its predecessor, which had got no
+// reply, could still reach a worker that had restarted, after its answer or silently.
+TEST_CASE("a successor that knows of all open starts runs no task twice") {
+    const restart_rules killed{.count_late_limit_of_former = false,
+                               .former_starts = true,
+                               .pass_lasting_calls = true,
+                               .send_after_claim = false};
+    auto rules = killed;
+    rules.restart_limit = 1;
+    CHECK(first_violation(rules) == "none");
+    rules.pass_open_starts = false;
+    CHECK(first_violation(rules) == twice);
+    rules = killed;
+    rules.open_holds = 0;
+    CHECK(first_violation(rules) == "none");
+    rules.pass_open_starts = false;
+    CHECK(first_violation(rules) == twice);
+    rules = killed;
+    rules.owners = 3;
+    rules.restart_limit = 1;
+    rules.start_limit = 1;
+    rules.late_limit = 1;
+    CHECK(first_violation(rules) == "none");
+}
+
+// A gap of the protocol: an owner is lost within a moment after it sent a start, which isn't stored
+// then, or it sends one after its successor's claim.
+TEST_CASE("the model finds the start that is sent within the last moments of an owner") {
+    CHECK(first_violation({.former_starts = true, .send_after_claim = false, .restart_limit = 1}) ==
+          twice);
+    CHECK(first_violation(
+              {.former_starts = true, .pass_lasting_calls = true, .restart_limit = 1}) == twice);
+}
