shard_reports: a run that has ended as done is stopped until its first start can't arrive

Callers saw TWICE: a task ran again after its end had been acknowledged.

Cause: a start got no reply and was sent again to the same worker; the run ended as done within 12 s, and its row was removed while the first sending was open (runs with other ends keep theirs). The worker restarted. The owner noticed that and sent a hold, but nothing else, so that the first sending won whenever that one hold got lost.

Change: the row stays, as for other ends, and a suspected restart has the stops of the worker's runs sent at once. Whichever of hold and stop arrives first has the start refused. The row takes the task's room on the worker for what is left of the 12 s.

Not covered: a first sending that arrives before any call of the owner, as the worker is cut off or the owner lost or frozen. It could only be ruled out by waiting for 12 s before each repeated start.

--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -192,6 +192,9 @@
     worker.replies_since = now; // a hold in flight may wait for the former incarnation's answer
     worker.hold_in_flight = false;
     worker.next_hold = now;
+    for (auto* run : worker.run_rows) {
+        run->next_stop = now; // whichever call arrives first has former starts refused
+    }
 }
 
 // The new incarnation may have executed starts that were meant for the earlier one, and a later one
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -254,7 +254,8 @@
            find_stage(tables, key)->waiting.contains(key.index);
 }
 
-// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it.
+// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it,
+// unless the stop reaches that one first.
 void wait_for_late_start(run_row& run, time_point now) {
     run.incarnation_known = false;
     run.confirmed.reset();
@@ -351,8 +352,7 @@
     const auto& key = row.run;
     if (const auto run = shard.tables.runs.find(key);
         run != shard.tables.runs.end() && run->second.worker == worker) {
-        const bool completes = row.kind == run_end_kind::done && !run->second.long_running;
-        if (!completes && may_start_late(run->second, now)) {
+        if (may_start_late(run->second, now)) {
             wait_for_late_start(run->second, now);
         } else {
             remove_run(shard.tables, key);
--- a/tests/restart_rounds_test.cpp
+++ b/tests/restart_rounds_test.cpp
@@ -188,9 +188,10 @@
 } // namespace
 
 // TWICE: a start of a former owner that had got no reply reached a worker that had restarted since
-// it answered the successor, or that the successor waited for too short a time.
+// it answered the successor, or that the successor waited for too short a time. Seed 327: the same
+// owner's first sending, when the run had ended as done.
 TEST_CASE("rounds of restarts, cuts and lost owners run no task twice by late commands") {
-    play_all({}, 40, {71, 102, 207, 314});
+    play_all({}, 40, {71, 102, 207, 314, 327});
 }
 
 // TWICE: the same with owners that stand still, also beyond the leases that they granted.
--- a/tests/worker_restart_test.cpp
+++ b/tests/worker_restart_test.cpp
@@ -189,3 +189,27 @@
         check_guarantees(world);
     }
 }
+
+// TWICE: a start got no answer and was sent again; its run ended as done, the worker restarted, and
+// the first sending arrived there while the owner's first call to the new process got no answer.
+TEST_CASE("a restarted worker carries out no delayed start of a run that has ended as done") {
+    for (std::uint64_t seed = 1; seed <= seed_count(usual_seeds); ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        sim_world world(seed, {"east"}, 1, 1);
+        world.run_for(startup_time);
+        world.lose_answer({.kind = "start", .late = duration(8'000), .times_out = true});
+        const auto id = world.submit(0, sim_world::simple_job(1), duration(1'000));
+        world.run_for(duration(5'000));
+        REQUIRE(world.answers_lost("start") == 1);
+        REQUIRE(world.query(0, id) == job_phase::completed);
+        world.run_for(duration(draw(random, 500, 2'000)));
+        world.crash_worker("w-east-0");
+        world.run_for(duration(draw(random, 5, 300)));
+        world.start_worker("w-east-0");
+        world.lose_answer({.kind = "hold", .late = duration(6'000), .times_out = true});
+        world.run_for(duration(8'000));
+        CHECK(world.starts() == 1);
+        check_guarantees(world);
+    }
+}
