--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -255,7 +255,8 @@
            find_stage(tables, key)->waiting.contains(key.index);
 }
 
-// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it.
+// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it,
+// unless the stop reaches that one first.
 void wait_for_late_start(run_row& run, time_point now) {
     run.incarnation_known = false;
     run.confirmed.reset();
@@ -352,8 +353,7 @@
     const auto& key = row.run;
     if (const auto run = shard.tables.runs.find(key);
         run != shard.tables.runs.end() && run->second.worker == worker) {
-        const bool completes = row.kind == run_end_kind::done && !run->second.long_running;
-        if (!completes && may_start_late(run->second, now)) {
+        if (may_start_late(run->second, now)) {
             wait_for_late_start(run->second, now);
         } else {
             remove_run(shard.tables, key);
@@ -447,7 +447,8 @@
         (worker.start_time && report.start_time && *worker.start_time != *report.start_time) ||
         (worker.clock && report.clock < *worker.clock);
     if (restarted && last_hold && worker.hold_has_lease) {
-        worker.leases_taken = now; // it was meant for the former incarnation
+        // It was meant for the former incarnation.
+        worker.leases_taken = std::max(worker.leases_taken, now);
     }
     const bool took_no_lease = restarted && !may_have_taken_lease(shard, worker, now);
     if (restarted) {
