--- a/src/restart_state.cpp
+++ b/src/restart_state.cpp
@@ -46,22 +46,6 @@
     return is_own(command, owner) && command.forgotten == 0;
 }
 
-// Returns the ticks until no lease can be left that a later incarnation took from a command.
-int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number,
-                   bool also_calling = true) {
-    int left = 0;
-    for (const auto& command : state.commands) {
-        if (is_counted(command, number) && (command.calling == 0 || also_calling)) {
-            left = std::max(left, command.left - 1 - uncounted(rules) + rules.longest_lease);
-        }
-    }
-    return std::max<int>(left, state.owners.at(number).unnoticed);
-}
-
-bool is_certain(const restart_rules& rules, const restart_owner& owner) {
-    return owner.run == known_run && (owner.doubt == 0 || !rules.doubt_open_starts);
-}
-
 void set_token(restart_worker& worker, small epoch, small fence) {
     worker.fence = epoch == worker.epoch ? std::max(worker.fence, fence) : fence;
     worker.epoch = epoch;
@@ -83,6 +67,21 @@
 
 } // namespace
 
+int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number,
+                   bool also_calling) {
+    int left = 0;
+    for (const auto& command : state.commands) {
+        if (is_counted(command, number) && (command.calling == 0 || also_calling)) {
+            left = std::max(left, command.left - 1 - uncounted(rules) + rules.longest_lease);
+        }
+    }
+    return std::max<int>(left, state.owners.at(number).unnoticed);
+}
+
+bool is_certain(const restart_rules& rules, const restart_owner& owner) {
+    return owner.run == known_run && (owner.doubt == 0 || !rules.doubt_open_starts);
+}
+
 bool may_send(const restart_rules& rules, const restart_owner& owner) {
     const bool confirmed = owner.age == no_successor ||
                            (rules.send_after_claim && owner.age <= rules.confirmation_window);
@@ -464,17 +463,12 @@
     }
 }
 
-namespace {
-
-// Returns whether no lease is left that a run has of which an owner doesn't know.
 bool is_complete(const restart_rules& rules, const restart_state& state, std::size_t number) {
     const auto& owner = state.owners.at(number);
     return owner.heard != 0 || (owner.longest == 0 && (unnoticed_left(rules, state, number) <= 0 ||
                                                        !rules.wait_for_former_commands));
 }
 
-} // namespace
-
 bool has_no_run(const restart_rules& rules, const restart_state& state, std::size_t number) {
     const auto& owner = state.owners.at(number);
     const bool lapsed =
@@ -505,73 +499,6 @@
            (owner.heard != 0 || !rules.wait_for_former_commands);
 }
 
-namespace {
-
-// Has a successor keep the run that its predecessor wasn't certain of.
-void pass_open_start(const restart_rules& rules, restart_state& state, std::size_t number) {
-    const auto& former = state.owners.at(number);
-    const bool lasts = former.run == starting && former.repeated == 0;
-    if (!rules.pass_open_starts || former.run == no_run || is_certain(rules, former) ||
-        (lasts && !rules.pass_lasting_calls)) {
-        return;
-    }
-    auto& owner = state.owners.at(number + 1);
-    owner.run = unconfirmed;
-    owner.number = former.number;
-    owner.doubt = 1;
-    owner.repeated = 1;
-    owner.unnoticed = to_small(unnoticed_left(rules, state, number, rules.pass_lasting_calls));
-    for (auto& command : state.commands) {
-        const bool stored = command.calling == 0 || rules.pass_lasting_calls;
-        const bool known = (is_own(command, number) && stored) ||
-                           (command.left > 0 && command.passed == epoch_of(number));
-        if (known && command.run == former.number) {
-            command.passed = epoch_of(number + 1);
-        }
-    }
-}
-
-} // namespace
-
-void claim_shard(const restart_rules& rules, restart_state& state) {
-    pass_open_start(rules, state, state.owner);
-    auto& former = state.owners.at(state.owner);
-    former.age = 0;
-    former.write = no_write; // the store refuses it
-    ++state.owner;
-    auto& owner = state.owners.at(state.owner);
-    owner.claimed = 1;
-    const int late = rules.count_late_limit_of_former ? rules.late_limit : 0;
-    const int until_last = rules.confirmation_window + late;
-    owner.former_commands = to_small(until_last + 1);
-    owner.usual = to_small(rules.confirmation_window + rules.lease);
-    owner.longest = to_small(until_last + rules.longest_lease);
-    const bool counts = state.recorded != 0 && state.recorded_by + 1 == epoch_of(state.owner);
-    owner.recorded = counts ? small{1} : small{0};
-    owner.write = counts ? write_record : no_write;
-}
-
-bool may_hand_over(const restart_rules& rules, const restart_state& state) {
-    const auto& owner = state.owners.at(state.owner);
-    return owner.active != 0 && owner.knows != never_heard &&
-           is_complete(rules, state, state.owner);
-}
-
-void hand_over(const restart_rules& rules, restart_state& state) {
-    const std::size_t number = state.owner;
-    auto& former = state.owners.at(number);
-    const bool certain = former.run == no_run || is_certain(rules, former);
-    const bool unnoticed = !certain && rules.count_unnoticed_at_handover;
-    const int later = unnoticed ? unnoticed_left(rules, state, number) : 0;
-    const auto left = to_small(std::max<int>(former.lease, later));
-    claim_shard(rules, state);
-    former.active = 0;
-    auto& owner = state.owners.at(state.owner);
-    owner.former_commands = to_small(rules.late_limit + 1);
-    owner.usual = left;
-    owner.longest = left;
-}
-
 void restart_process(restart_state& state) {
     ++state.restarts;
     state.worker = {};
--- a/src/restart_state.hpp
+++ b/src/restart_state.hpp
@@ -188,6 +188,17 @@
 bool may_start(const restart_rules& rules, const restart_state& state, std::size_t number);
 bool may_record(const restart_rules& rules, const restart_state& state, std::size_t number);
 
+// Returns the ticks until no lease can be left that a later incarnation took from a command;
+// without `also_calling`, from one whose call has failed.
+int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number,
+                   bool also_calling = true);
+
+// Returns whether an owner's run is in the known incarnation or nowhere.
+bool is_certain(const restart_rules& rules, const restart_owner& owner);
+
+// Returns whether no lease is left that a run has of which an owner doesn't know.
+bool is_complete(const restart_rules& rules, const restart_state& state, std::size_t number);
+
 void claim_shard(const restart_rules& rules, restart_state& state);
 
 // Returns whether an owner may hand the shard over while the worker is silent.
