shard_open_starts: skip runs that are certain without a search for their workers

Each advance of a shard looks for new open starts, twice. Certain runs, which are nearly all, need no look at the worker's row. No change of behaviour (open_starts_test).

--- a/src/shard_open_starts.cpp
+++ b/src/shard_open_starts.cpp
@@ -41,6 +41,9 @@
 template <class Visit>
 void for_each_open_start(const shard_state& shard, time_point now, Visit visit) {
     for (const auto& [key, run] : shard.tables.runs) {
+        if (run.incarnation_known && !may_start_late(run, time_point{})) {
+            continue; // most runs, without a search for the worker
+        }
         const auto& worker = shard.tables.workers.at(run.worker);
         if (is_open(worker, run, now)) {
             visit(run, worker);
