suspension_test: suspend owners and their successors at any time

Owners count the time of a suspension since the last commit, so that to a host that runs again all others seem silent. Two tests guard what follows: "machines that are suspended violate no guarantee" (suspensions of 0.5 to 8.5 s, several at once, with jobs and cancellations) and "a host that was suspended takes no shard although its clock counts that time".

No functional change.

--- a/tests/suspension_test.cpp
+++ b/tests/suspension_test.cpp
@@ -3,6 +3,7 @@
 #include "sim_test_support.hpp"
 
 #include <atomic>
+#include <cstdlib>
 #include <ctime>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -76,3 +77,62 @@
     }
     CHECK(broken > 0);
 }
+
+namespace {
+
+void run_suspensions(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    sim_world world(seed);
+    world.run_for(startup_time);
+    auto lasting = sim_world::simple_job(4);
+    lasting.steps.front().long_running = true;
+    const auto watched = world.submit(0, lasting, duration(0));
+    for (int round = 0; round < 6; ++round) {
+        world.submit(random() % world.host_count(),
+                     sim_world::simple_job(1 + static_cast<std::uint32_t>(random() % 20)),
+                     duration(200 + static_cast<std::int64_t>(random() % 2'500)));
+        const duration time{500 + static_cast<std::int64_t>(random() % 8'000)};
+        world.suspend_host(random() % world.host_count(), time);
+        if (random() % 3 == 0) {
+            world.cancel(random() % world.host_count(), std::prev(world.jobs().end())->first);
+        }
+        world.run_for(duration(static_cast<std::int64_t>(random() % 6'000)));
+    }
+    world.run_for(duration(10'000));
+    CHECK(world.running(watched));
+    world.cancel(0, watched);
+    const bool finished = finish_all(world, finish_time);
+    INFO(world.dump());
+    CHECK(finished);
+    check_guarantees(world);
+}
+
+} // namespace
+
+// TWICE, UNASKED, LOST: owners and their successors are suspended at any time, several at once.
+TEST_CASE("machines that are suspended violate no guarantee") {
+    // SIM_SEEDS runs the given number of seeds.
+    const char* wanted = std::getenv("SIM_SEEDS");
+    const std::uint64_t seeds = wanted != nullptr ? std::stoull(wanted) : 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        INFO("seed " << seed);
+        run_suspensions(seed);
+    }
+}
+
+// LOST: a host that runs again hears no other one for a moment, and its clock shows for how long.
+TEST_CASE("a host that was suspended takes no shard although its clock counts that time") {
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        INFO("seed " << seed);
+        sim_world world(seed);
+        world.run_for(startup_time);
+        const auto owner = world.owner_of("east.0");
+        REQUIRE(owner);
+        const auto claim = std::string(claims_prefix) + "east.0";
+        const auto before = world.store().get(claim)->revision;
+        world.run_for(duration(static_cast<std::int64_t>(seed) * 37));
+        world.suspend_host(*owner ^ 1U, duration(6'000));
+        world.run_for(duration(15'000));
+        CHECK(world.store().get(claim)->revision == before);
+    }
+}
