shard_waits, shard_room_requests: log the room that a waiting long-running task could have

What was missing: `task_waits` didn't tell whether any worker could hold the task, nothing was logged about requests of other shards without reserved room, and `room_released ... reason=displaced` didn't say for which task.

Change: `task_waits` has the need, the last run and the workers that could hold the task beside and without the reservations for others; `room_request_waits` gives the same for requests of other shards, and `room_released` has `by`.

No functional change.

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -398,6 +398,7 @@
     std::map<task_key, time_point> leaving_tasks; // run on a draining worker; when last seen
     std::uint32_t room_messages = 0;              // number of messages with room requests
     time_point next_room_service;
+    time_point next_request_log;
     time_point next_eviction_check;
     // From measurements of this shard's workers and estimates of other shards.
     filler_effects effects;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -175,6 +175,18 @@
 bool reserve_for_long_running(shard_state& shard, const job_row& job, const stage_row& stage,
                               const task_key& key, time_point now);
 
+// On how many workers a need fits once short tasks have ended, beside the reservations for other
+// tasks and without them, and the most processors that any worker has without them.
+struct room_count {
+    std::size_t beside_reservations = 0;
+    std::size_t without_reservations = 0;
+    millicores most;
+};
+
+// Counts the workers with a label that could hold a long-running task, for log lines.
+room_count count_room_for(const shard_state& shard, const resources& need,
+                          const service_id& service, const std::string& label, time_point now);
+
 // A request or a grant that isn't repeated ends after this. Requests are repeated about three times
 // in this time.
 constexpr duration room_request_validity{1'000};
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -103,6 +103,26 @@
     task->reserved_worker = worker.entry.target.id;
 }
 
+room_count count_room_for(const shard_state& shard, const resources& need,
+                          const service_id& service, const std::string& label, time_point now) {
+    room_count count;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (!accepts_starts(shard, worker, now) || worker.entry.service != service ||
+            !has_required_label(worker, label)) {
+            continue;
+        }
+        const auto left = long_running_room(shard.tables, worker);
+        auto unreserved = left;
+        for (const auto& [key, reservation] : worker.reserved) {
+            unreserved = unreserved + reservation.need;
+        }
+        count.beside_reservations += fits(need, left) ? 1 : 0;
+        count.without_reservations += fits(need, unreserved) ? 1 : 0;
+        count.most = std::max(count.most, unreserved.processors);
+    }
+    return count;
+}
+
 bool reserve_for_long_running(shard_state& shard, const job_row& job, const stage_row& stage,
                               const task_key& key, time_point now) {
     const auto& step = job.spec.steps[stage.step];
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -4,6 +4,8 @@
 // kept in memory only and expire; a grant is never a right to run a task.
 #include "shard_internal.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,11 @@
 
 constexpr duration service_interval{100};
 
+// Log lines about requests without reserved room.
+constexpr duration request_log_interval{1'000};
+constexpr duration logged_request_wait{3'000};
+constexpr std::size_t logged_requests = 4;
+
 // Returns whether the shard's owner may reserve room for tasks of other shards.
 bool grants_room(const shard_state& shard, time_point now) {
     return shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
@@ -60,20 +67,51 @@
     return "";
 }
 
+// `by`: the task that gets the room, if it was displaced.
 void release_room(shard_state& shard, const task_key& key, room_request& request,
-                  release_reason reason, time_point now) {
+                  release_reason reason, time_point now, const task_key* by = nullptr) {
     if (auto* worker = find_reserved(shard, key, request)) {
         worker->reserved.erase(key);
         shard.placement_needed = true;
         shard.log->write("event=room_released task={}.{}.{}.{} shard={} for={} worker={} reason={} "
-                         "held_ms={} lending={}",
+                         "held_ms={} lending={} by={}",
                          key.job.value, key.occurrence, key.step, key.index, shard.id.value,
                          request.from.value, request.worker->value, to_string(reason),
-                         (now - request.reserved_at).count(), request.lending);
+                         (now - request.reserved_at).count(), request.lending,
+                         by == nullptr ? std::string()
+                                       : fmt::format("{}.{}.{}.{}", by->job.value, by->occurrence,
+                                                     by->step, by->index));
     }
     request.worker.reset();
 }
 
+// Logs the longest waits for which no room is reserved here.
+void log_open_requests(shard_state& shard, time_point now) {
+    if (now < shard.next_request_log) {
+        return;
+    }
+    shard.next_request_log = now + request_log_interval;
+    std::vector<std::pair<time_point, task_key>> open;
+    for (const auto& [key, request] : shard.room_requests) {
+        if (!request.worker && now - request.since >= logged_request_wait) {
+            open.emplace_back(request.since, key);
+        }
+    }
+    std::sort(open.begin(), open.end());
+    const auto count = open.size();
+    open.resize(std::min(count, logged_requests));
+    for (const auto& [since, key] : open) {
+        const auto& request = shard.room_requests.at(key);
+        const auto rooms = count_room_for(shard, request.need, request.service, request.label, now);
+        shard.log->write_rare(
+            "event=room_request_waits task={}.{}.{}.{} shard={} for={} waited_ms={} open={} "
+            "need_cpu={} most_cpu={} rooms={} rooms_unreserved={} evict={}",
+            key.job.value, key.occurrence, key.step, key.index, shard.id.value, request.from.value,
+            (now - since).count(), count, request.need.processors.value, rooms.most.value,
+            rooms.beside_reservations, rooms.without_reservations, request.evict);
+    }
+}
+
 // Releases rooms whose requests have expired, that were held for too long, or that are on workers
 // that accept no starts.
 void expire_requests(shard_state& shard, time_point now) {
@@ -97,6 +135,7 @@
         }
         ++row;
     }
+    log_open_requests(shard, now);
 }
 
 void reserve_for_request(shard_state& shard, const task_key& key, room_request& request,
@@ -131,7 +170,7 @@
 
 // Releases the rooms that aren't free yet and for whose tasks nothing is to be evicted, so that
 // tasks that have waited for long come first. Returns whether there were any.
-bool release_unready_rooms(shard_state& shard, time_point now) {
+bool release_unready_rooms(shard_state& shard, const task_key& by, time_point now) {
     bool released = false;
     for (auto& [key, request] : shard.room_requests) {
         const auto* worker = find_reserved(shard, key, request);
@@ -139,7 +178,7 @@
             fits(request.need, free_resources(*worker, &key))) {
             continue;
         }
-        release_room(shard, key, request, release_reason::displaced, now);
+        release_room(shard, key, request, release_reason::displaced, now, &by);
         request.no_room_before = now + unused_pause;
         released = true;
     }
@@ -227,7 +266,7 @@
         }
         auto& request = shard.room_requests.at(key);
         reserve_for_request(shard, key, request, now);
-        if (!request.worker && request.evict && release_unready_rooms(shard, now)) {
+        if (!request.worker && request.evict && release_unready_rooms(shard, key, now)) {
             reserve_for_request(shard, key, request, now);
         }
         if (request.worker) {
--- a/src/shard_waits.cpp
+++ b/src/shard_waits.cpp
@@ -208,10 +208,16 @@
               [](const wait_line& a, const wait_line& b) { return a.waited > b.waited; });
     lines.resize(std::min(lines.size(), logged_tasks));
     for (const auto& line : lines) {
+        const auto& job = shard.tables.jobs.at(line.key.job);
+        const auto& step = job.spec.steps[line.key.step];
+        const auto rooms = count_room_for(shard, step.need, job.queue.service, step.label, now);
         shard.log->write_rare(
-            "event=task_waits task={}.{}.{}.{} shard={} waited_ms={} waiting={} {} place={}",
+            "event=task_waits task={}.{}.{}.{} shard={} waited_ms={} waiting={} {} last_run={} "
+            "need_cpu={} most_cpu={} rooms={} rooms_unreserved={} place={}",
             line.key.job.value, line.key.occurrence, line.key.step, line.key.index, shard.id.value,
             line.waited.count(), waiting, describe_parts(shard.waits.at(line.key), line.waited),
+            find_task(shard.tables, line.key)->last_run.value, step.need.processors.value,
+            rooms.most.value, rooms.beside_reservations, rooms.without_reservations,
             line.place.text);
     }
 }
