shard_displacement, shard_wanted_rooms: the longest wait keeps its place, and runs are evicted where its room is

Cause: (1) A request for which runs were to be evicted gave up all rooms of the shard that weren't free yet and had no eviction of their own, whatever the waits were and whether it fitted then or not, and the losers paused for 1 s. (2) The shard that evicts was chosen by turn, 4 s each, also when another one held room for the task; that room was then held for 3 s without an eviction. (3) Tasks of other steps counted by the longest wait of their step.

Change: rooms give way to longer waits only, on one worker, and only if the longer wait then fits; own reservations that aren't free do so as well. Requests are served by wait alone. Replies list the rooms that are held but not free (`held`; owners of earlier versions don't send it), and a shard that holds room is the one that is asked to evict, every second turn goes round as before. A task counts with its own wait.

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -394,9 +394,12 @@
     std::map<task_key, room_request> room_requests;       // of other shards
     std::map<shard_id, std::uint64_t> last_room_requests; // number of each shard's last message
     std::map<task_key, granted_room> granted_rooms;       // by other shards
-    std::map<task_key, evicting_shard> evicting_shards;   // by waiting task of this shard
-    std::map<task_key, time_point> leaving_tasks; // run on a draining worker; when last seen
-    std::uint32_t room_messages = 0;              // number of messages with room requests
+    // Other shards that hold room for a waiting task which isn't free yet, and until when that
+    // counts.
+    std::map<task_key, std::map<shard_id, time_point>> held_rooms;
+    std::map<task_key, evicting_shard> evicting_shards; // by waiting task of this shard
+    std::map<task_key, time_point> leaving_tasks;       // run on a draining worker; when last seen
+    std::uint32_t room_messages = 0;                    // number of messages with room requests
     time_point next_room_service;
     time_point next_request_log;
     time_point next_eviction_check;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -207,6 +207,23 @@
 // Returns the shard that holds free room for a task, or nullptr if none does.
 lending_room* find_granter(shard_state& shard, const task_key& key, time_point now);
 
+// Returns since when a task without a run has waited, to the second: tasks are looked at once a
+// second, and other tasks of the step may have waited for longer.
+time_point find_wait_begin(const shard_state& shard, const stage_row& stage, const task_row& task,
+                           time_point now);
+
+// Reservations on one worker that give way to a longer wait.
+struct displacement {
+    std::vector<task_key> keys;
+    millicores processors;
+};
+
+// Returns which reservations on a worker, for tasks that wait for less than one that waits since
+// `since`, make room for this one's need. Returns nothing if it doesn't fit then, or without that.
+std::optional<displacement> plan_displacement(shard_state& shard, const worker_row& worker,
+                                              const resources& need, time_point since,
+                                              time_point now);
+
 // Returns whether the worker has reached a step's spread limit, counting active runs of the stage,
 // which may be nullptr, and the reservations of its tasks there.
 bool is_spread_full(std::uint32_t limit, const stage_row* stage, const worker_row& worker,
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -140,8 +140,9 @@
     }
     auto* best = choose_for_reservation(shard, job, stage, key, now);
     // Tasks of other shards that have waited longer come first.
-    if (best != nullptr && stage.ready_since &&
-        serve_room_requests(shard, *stage.ready_since, now) > 0) {
+    const auto since =
+        std::min(find_wait_begin(shard, stage, task, now), now - time_point::duration(1));
+    if (best != nullptr && serve_room_requests(shard, since, now) > 0) {
         best = choose_for_reservation(shard, job, stage, key, now);
     }
     if (best == nullptr) {
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -45,8 +45,8 @@
 
 // Why room that was held for a task of another shard is released: the request wasn't repeated or
 // may not be granted any more, the message of its shard doesn't list the task, the worker accepts
-// no starts, the room was held for too long, another worker was chosen, or the room is reserved for
-// tasks that have waited longer.
+// no starts, the room was held for too long, another worker was chosen, or the room was given up
+// for a task that has waited longer.
 enum class release_reason : std::uint8_t { expired, unlisted, worker, unused, moved, displaced };
 
 std::string_view to_string(release_reason reason) {
@@ -138,15 +138,20 @@
     log_open_requests(shard, now);
 }
 
+// Returns whether the worker may run a task of another shard, apart from its need.
+bool suits_request(shard_state& shard, const task_key& key, const room_request& request,
+                   const worker_row& worker, time_point now) {
+    return accepts_starts(shard, worker, now) && worker.entry.service == request.service &&
+           has_required_label(worker, request.label) &&
+           !is_spread_full(request.spread_limit, find_stage(shard.tables, key), worker, key);
+}
+
 void reserve_for_request(shard_state& shard, const task_key& key, room_request& request,
                          time_point now) {
-    const auto* stage = find_stage(shard.tables, key);
     worker_row* best = nullptr;
     std::optional<std::pair<double, millicores>> best_rank;
     for (auto& [id, worker] : shard.tables.workers) {
-        if (!accepts_starts(shard, worker, now) || worker.entry.service != request.service ||
-            !has_required_label(worker, request.label) ||
-            is_spread_full(request.spread_limit, stage, worker, key)) {
+        if (!suits_request(shard, key, request, worker, now)) {
             continue;
         }
         if (const auto rank =
@@ -168,21 +173,41 @@
                      request.from.value, request.worker->value);
 }
 
-// Releases the rooms that aren't free yet and for whose tasks nothing is to be evicted, so that
-// tasks that have waited for long come first. Returns whether there were any.
-bool release_unready_rooms(shard_state& shard, const task_key& by, time_point now) {
-    bool released = false;
-    for (auto& [key, request] : shard.room_requests) {
-        const auto* worker = find_reserved(shard, key, request);
-        if (worker == nullptr || request.evict || request.lending ||
-            fits(request.need, free_resources(*worker, &key))) {
+// Gives up rooms of shorter waits on the worker where that makes room for a request at the least
+// loss. Returns whether it did.
+bool displace_for_request(shard_state& shard, const task_key& key, const room_request& request,
+                          time_point now) {
+    worker_row* best = nullptr;
+    std::optional<displacement> best_plan;
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (worker.reserved.empty() || !suits_request(shard, key, request, worker, now)) {
+            continue;
+        }
+        auto plan = plan_displacement(shard, worker, request.need, request.since, now);
+        if (plan && (!best_plan || plan->processors < best_plan->processors)) {
+            best = &worker;
+            best_plan = std::move(plan);
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    for (const auto& displaced : best_plan->keys) {
+        if (const auto found = shard.room_requests.find(displaced);
+            found != shard.room_requests.end() && found->second.worker == best->entry.target.id) {
+            release_room(shard, displaced, found->second, release_reason::displaced, now, &key);
             continue;
         }
-        release_room(shard, key, request, release_reason::displaced, now, &by);
-        request.no_room_before = now + unused_pause;
-        released = true;
+        drop_reservation(shard.tables, displaced);
+        shard.placement_needed = true;
+        shard.log->write("event=room_released task={}.{}.{}.{} shard={} for={} worker={} reason={} "
+                         "by={}.{}.{}.{}",
+                         displaced.job.value, displaced.occurrence, displaced.step, displaced.index,
+                         shard.id.value, shard.id.value, best->entry.target.id.value,
+                         to_string(release_reason::displaced), key.job.value, key.occurrence,
+                         key.step, key.index);
     }
-    return released;
+    return true;
 }
 
 // Returns whether the task runs here or is to run here.
@@ -246,11 +271,11 @@
         shard.next_room_service = now + service_interval;
         expire_requests(shard, now);
     }
-    std::vector<std::tuple<bool, time_point, task_key>> open;
+    std::vector<std::pair<time_point, task_key>> open;
     for (const auto& [key, request] : shard.room_requests) {
         if (!request.worker && !request.lending && request.since <= before && request.until > now &&
             now >= request.no_room_before) {
-            open.emplace_back(!request.evict, request.since, key);
+            open.emplace_back(request.since, key);
         }
     }
     if (open.empty() || !grants_room(shard, now)) {
@@ -258,21 +283,22 @@
     }
     std::sort(open.begin(), open.end());
     std::size_t served = 0;
-    std::set<task_key> without_room; // by stage, as its tasks have the same need
-    for (const auto& [later, since, key] : open) {
+    // By stage, as its tasks have the same need, and whether rooms may be displaced for them.
+    std::set<std::pair<task_key, bool>> without_room;
+    for (const auto& [since, key] : open) {
         const task_key stage{key.job, key.occurrence, key.step, 0};
-        if (without_room.contains(stage)) {
+        auto& request = shard.room_requests.at(key);
+        if (without_room.contains({stage, request.evict})) {
             continue;
         }
-        auto& request = shard.room_requests.at(key);
         reserve_for_request(shard, key, request, now);
-        if (!request.worker && request.evict && release_unready_rooms(shard, key, now)) {
+        if (!request.worker && request.evict && displace_for_request(shard, key, request, now)) {
             reserve_for_request(shard, key, request, now);
         }
         if (request.worker) {
             ++served;
         } else {
-            without_room.insert(stage);
+            without_room.emplace(stage, request.evict);
         }
     }
     return served;
@@ -309,6 +335,7 @@
     const auto from = body.at("from").get<shard_id>();
     const auto number = body.at("number").get<std::uint64_t>();
     json grants = json::array();
+    json held = json::array(); // reserved and not free yet
     if (!shard.other_shards.contains(from)) {
         return json{{"grants", grants}}.dump();
     }
@@ -342,15 +369,18 @@
             continue;
         }
         const auto* worker = find_reserved(shard, key, request->second);
-        if (worker != nullptr && accepts_starts(shard, *worker, now) &&
-            fits(request->second.need, free_resources(*worker, &key))) {
-            grants.push_back({{"job", key.job},
-                              {"occurrence", key.occurrence},
-                              {"step", key.step},
-                              {"task", key.index}});
+        if (worker == nullptr) {
+            continue;
         }
+        const bool free = accepts_starts(shard, *worker, now) &&
+                          fits(request->second.need, free_resources(*worker, &key));
+        (free ? grants : held)
+            .push_back({{"job", key.job},
+                        {"occurrence", key.occurrence},
+                        {"step", key.step},
+                        {"task", key.index}});
     }
-    return json{{"grants", grants}}.dump();
+    return json{{"grants", grants}, {"held", held}}.dump();
 }
 
 } // namespace fulmar
--- a/src/shard_wanted_rooms.cpp
+++ b/src/shard_wanted_rooms.cpp
@@ -24,6 +24,9 @@
 // shard is reserved for it. Its own shard then didn't find runs to evict.
 constexpr duration own_eviction_time{3'000};
 
+// A shard that is asked to evict runs and holds no room after two messages has none to hold.
+constexpr duration answer_time{700};
+
 // Between attempts to request room from an owner that doesn't know the call.
 constexpr duration unasked_time{3'000};
 
@@ -40,6 +43,7 @@
     bool waiting = false;      // it has no run
     bool reserved = false;     // room of this shard is reserved for it
     shard_id evicting_shard{}; // the shard that is asked to evict runs for it; empty: none
+    bool held = false;         // that shard holds room for it
 };
 
 // Returns whether room is requested for a task: it waits, or it has to leave its worker.
@@ -71,7 +75,7 @@
                 wanted.push_back({since, key, &job, loan->second.to});
             }
         } else if ((due || leaving) && needs_room(shard, job, stage, key, now)) {
-            wanted.push_back({std::min(since, task.idle_since.value_or(now)),
+            wanted.push_back({find_wait_begin(shard, stage, task, now),
                               key,
                               &job,
                               {},
@@ -179,6 +183,41 @@
     return kept;
 }
 
+// Returns whether a shard holds room for a task that isn't free yet.
+bool holds_room(const shard_state& shard, const wanted_room& row, const shard_id& id,
+                time_point now) {
+    if (id == shard.id) {
+        return row.reserved;
+    }
+    const auto held = shard.held_rooms.find(row.key);
+    if (held == shard.held_rooms.end()) {
+        return false;
+    }
+    const auto until = held->second.find(id);
+    return until != held->second.end() && until->second > now;
+}
+
+// Returns the shards that may be asked to evict runs for a task: those that hold room for it, or
+// all others that could run it if none does, and in every second turn, as those that hold room may
+// have nothing to evict.
+std::vector<shard_id> find_evicting_candidates(const shard_state& shard, const wanted_room& row,
+                                               std::size_t turn, time_point now) {
+    std::vector<shard_id> holding;
+    std::vector<shard_id> others;
+    if (row.reserved) {
+        holding.push_back(shard.id);
+    }
+    for (const auto& [id, other] : shard.other_shards) {
+        if (!other.available || now < other.unasked_until ||
+            !could_run_there(other, row.job->queue.service, row.job->spec.steps[row.key.step],
+                             now)) {
+            continue;
+        }
+        (holds_room(shard, row, id, now) ? holding : others).push_back(id);
+    }
+    return holding.empty() || (turn % 2 == 1 && !others.empty()) ? others : holding;
+}
+
 // Chooses for each task that has waited for long the shard that is to evict runs for it, one at a
 // time.
 void choose_evicting_shards(shard_state& shard, std::vector<wanted_room>& wanted, time_point now) {
@@ -189,28 +228,27 @@
             !row.job->spec.steps[row.key.step].long_running) {
             continue;
         }
+        const auto turn = static_cast<std::size_t>(waited / eviction_turn);
+        const auto candidates = find_evicting_candidates(shard, row, turn, now);
         if (const auto chosen = shard.evicting_shards.find(row.key);
             chosen != shard.evicting_shards.end()) {
-            row.evicting_shard = chosen->second.shard;
-            continue;
-        }
-        if (row.reserved && waited < own_eviction_time) {
-            continue; // its own shard evicts
-        }
-        std::vector<shard_id> others;
-        for (const auto& [id, other] : shard.other_shards) {
-            if (other.available && now >= other.unasked_until &&
-                could_run_there(other, row.job->queue.service, row.job->spec.steps[row.key.step],
-                                now)) {
-                others.push_back(id);
+            const bool answered = now + eviction_turn - chosen->second.until >= answer_time;
+            const bool elsewhere =
+                !candidates.empty() && holds_room(shard, row, candidates.front(), now);
+            const bool held = holds_room(shard, row, chosen->second.shard, now);
+            if (!answered || !elsewhere || held) {
+                row.evicting_shard = chosen->second.shard;
+                row.held = held;
+                continue;
             }
+        } else if (row.reserved && waited < own_eviction_time) {
+            continue; // its own shard evicts
         }
-        if (others.empty()) {
+        if (candidates.empty()) {
             continue;
         }
-        const auto turn =
-            static_cast<std::size_t>(waited / eviction_turn) + std::size_t{row.key.index};
-        row.evicting_shard = others[turn % others.size()];
+        row.evicting_shard = candidates[(turn + std::size_t{row.key.index}) % candidates.size()];
+        row.held = holds_room(shard, row, row.evicting_shard, now);
         shard.evicting_shards[row.key] = {row.evicting_shard, now + eviction_turn};
     }
 }
@@ -228,10 +266,13 @@
         }
     }
     std::set<const wanted_room*> evicting;
-    for (const auto& row : wanted) {
-        if (row.evicting_shard == to && evicting.size() < evicting_tasks) {
-            evicting.insert(&row);
-            listed.push_back(&row);
+    // Those for which the shard holds room come first: it can evict runs for them at once.
+    for (const bool held : {true, false}) {
+        for (const auto& row : wanted) {
+            if (row.evicting_shard == to && row.held == held && evicting.size() < evicting_tasks) {
+                evicting.insert(&row);
+                listed.push_back(&row);
+            }
         }
     }
     std::vector<const wanted_room*> others;
@@ -306,6 +347,10 @@
     std::erase_if(shard.granted_rooms, [&](const auto& row) { return row.second.until <= now; });
     std::erase_if(shard.leaving_tasks,
                   [&](const auto& row) { return now >= row.second + leaving_validity; });
+    for (auto& [key, shards] : shard.held_rooms) {
+        std::erase_if(shards, [&](const auto& row) { return row.second <= now; });
+    }
+    std::erase_if(shard.held_rooms, [](const auto& row) { return row.second.empty(); });
     std::vector<room_request_message> messages;
     if (shard.ownership_lost || shard.releasing || !has_authority(shard, now)) {
         return messages;
@@ -350,6 +395,13 @@
         return;
     }
     const auto body = json::parse(reply.value());
+    for (auto& [key, shards] : shard.held_rooms) {
+        shards.erase(from);
+    }
+    // Owners of earlier versions don't tell.
+    for (const auto& row : body.value("held", json::array())) {
+        shard.held_rooms[decode_room_key(row)][from] = now + room_request_validity;
+    }
     for (const auto& row : body.at("grants")) {
         const auto key = decode_room_key(row);
         const auto* stage = find_stage(shard.tables, key);
