--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -202,6 +202,18 @@
 bool reserve_for_long_running(shard_state& shard, const job_row& job, const stage_row& stage,
                               const task_key& key, time_point now);
 
+// On how many workers a need fits once short tasks have ended, beside the reservations for other
+// tasks and without them, and the most processors that any worker has without them.
+struct room_count {
+    std::size_t beside_reservations = 0;
+    std::size_t without_reservations = 0;
+    millicores most;
+};
+
+// Counts the workers with a label that could hold a long-running task, for log lines.
+room_count count_room_for(const shard_state& shard, const resources& need,
+                          const service_id& service, const std::string& label, time_point now);
+
 // A request or a grant that isn't repeated ends after this. Requests are repeated about three times
 // in this time.
 constexpr duration room_request_validity{1'000};
@@ -210,9 +222,11 @@
 // malformed.
 task_key decode_room_key(const json& from);
 
-// Reserves room for the tasks of other shards that wait for it, the longest wait first, up to those
-// that wait since `before`. Returns for how many it reserved room.
-std::size_t serve_room_requests(shard_state& shard, time_point before, time_point now);
+// Reserves room for the tasks of other shards that wait for it, in the order of their claims.
+void serve_room_requests(shard_state& shard, time_point now);
+
+// The same for those that come before an own task. Returns for how many it reserved room.
+std::size_t serve_earlier_requests(shard_state& shard, const room_claim& before, time_point now);
 
 // Gives the rooms that were granted for the tasks of a loan to the tasks. Each then has the
 // reservation like a task that found the room itself.
@@ -222,6 +236,23 @@
 // Returns the shard that holds free room for a task, or nullptr if none does.
 lending_room* find_granter(shard_state& shard, const task_key& key, time_point now);
 
+// Returns the place of a task without a run among those that wait. Its wait is known to the second:
+// tasks are looked at once a second, and other tasks of the step may have waited for longer.
+room_claim find_claim(const shard_state& shard, const stage_row& stage, const task_row& task,
+                      time_point now);
+
+// Reservations on one worker that give way to a longer wait.
+struct displacement {
+    std::vector<task_key> keys;
+    millicores processors;
+};
+
+// Returns which reservations on a worker, for tasks that come after one with this claim, make room
+// for its need. Returns nothing if it doesn't fit then, or without that.
+std::optional<displacement> plan_displacement(shard_state& shard, const worker_row& worker,
+                                              const resources& need, const room_claim& claim,
+                                              time_point now);
+
 // Returns whether the worker has reached a step's spread limit, counting active runs of the stage,
 // which may be nullptr, and the reservations of its tasks there.
 bool is_spread_full(std::uint32_t limit, const stage_row* stage, const worker_row& worker,
