shard_parking: store that short tasks of a backlog have no run, so that a successor starts them

Callers saw accepted jobs stand still for up to ten minutes after their data centre was cut off or lost, although they had never been started and other data centres had room.

Cause: starts aren't stored, so a successor holds back all that it inherits until the takeover is complete. Only long-running tasks were parked (stored as having no run).

Change: a task of any step but a gang's that has waited for 3 s is parked, 16 jobs with such tasks each 500 ms. The tasks that come next for room (half as many as run in their service, at least 8) aren't, and are released together in each complete placement round, so that a start doesn't wait for its transaction. If there is room for a task further back, its stage is released at once, one stage for each service and round. The record's form is that of parked long-running tasks: owners of earlier versions read it and release before a start, and those without parking are told by `parked_by`. `shard_loaded` tells how many tasks were parked.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -235,7 +235,7 @@
     shard.predecessor_workers = shard.listed_since;
     find_former_owners(shard);
     rebuild_loan_table(shard);
-    load_parked_tasks(shard);
+    const auto parked = load_parked_tasks(shard);
     load_recorded_runs(shard);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
@@ -243,9 +243,10 @@
             ++unfinished;
         }
     }
-    shard.log->write_rare("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={}",
+    shard.log->write_rare("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={} "
+                          "parked={}",
                           shard.id.value, shard.epoch.value, shard.tables.jobs.size(), unfinished,
-                          shard.tables.workers.size());
+                          shard.tables.workers.size(), parked);
 }
 
 void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now) {
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -406,12 +406,26 @@
 // Returns whether a run of a task that a former owner started may be unknown to this one.
 bool has_unknown_run(const shard_state& shard, const job_row& job, const task_row& task);
 
-// Takes over the parked tasks of the loaded jobs.
-void load_parked_tasks(shard_state& shard);
+// Takes over the parked tasks of the loaded jobs; returns their number.
+std::size_t load_parked_tasks(shard_state& shard);
 
-// Parks long-running tasks that have had no run for a while.
+// Parks tasks that have had no run for a while.
 void park_waiting_tasks(shard_state& shard, time_point now);
 
+// A stage with waiting tasks, and its job.
+struct waiting_stage {
+    job_row* job = nullptr;
+    stage_row* stage = nullptr;
+};
+
+// Has it stored that the short tasks that come next for room aren't parked, so that their starts
+// don't wait for it. The stages are in the order in which they get room.
+void release_next(shard_state& shard, const std::vector<waiting_stage>& order, time_point now);
+
+// Has it stored that the first `count` waiting tasks of a stage aren't parked.
+void release_first(shard_state& shard, job_row& job, stage_row& stage, std::size_t count,
+                   time_point now);
+
 // Returns whether the store answers this owner's transactions in time. While it doesn't, a parked
 // task, or one whose run is recorded, could not start.
 bool is_storing(const shard_state& shard, time_point now);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace fulmar {
@@ -287,15 +288,38 @@
     return order;
 }
 
+// Returns whether a short task waits for the store to have it as not parked. Room for it has the
+// first tasks of its stage released, of one stage for each service and round: they all find the
+// same room.
+bool awaits_release(shard_state& shard, const candidate& next, const task_row& task,
+                    std::uint32_t index, std::set<service_id>& released, time_point now) {
+    const auto& step = next.job->spec.steps[next.stage->step];
+    if (step.long_running || step.gang) {
+        return false;
+    }
+    const auto& service = next.job->queue.service;
+    if (task.parked && !released.contains(service) &&
+        choose_worker(shard, next, step, index, now) != nullptr) {
+        constexpr std::size_t released_at_once = 32;
+        release_first(shard, *next.job, *next.stage, released_at_once, now);
+        release_whereabouts(shard, *next.job, next.stage->tasks[index], now);
+        released.insert(service);
+    }
+    return task.parked || is_release_pending(*next.job, task);
+}
+
 // Starts as many waiting tasks of a stage as fit, and reserves room for long-running ones.
-void place_stage(shard_state& shard, const candidate& next, time_point now,
-                 shard_actions& actions) {
+void place_stage(shard_state& shard, const candidate& next, std::set<service_id>& released,
+                 time_point now, shard_actions& actions) {
     const auto& step = next.job->spec.steps[next.stage->step];
     if (step.gang && is_stranded(shard, *next.job, *next.stage)) {
         return; // its members can't be present together here
     }
     for (const auto index : order_waiting(shard, *next.job, *next.stage)) {
         auto& task = next.stage->tasks[index];
+        if (awaits_release(shard, next, task, index, released, now)) {
+            continue;
+        }
         auto* worker = choose_worker(shard, next, step, index, now);
         const task_key key{next.job->id, next.stage->occurrence, next.stage->step, index};
         if (worker == nullptr &&
@@ -429,9 +453,19 @@
     if (complete) {
         searches.next_complete_round = now + complete_round_interval;
     }
-    for (const auto& next : find_candidates(shard, complete, now)) {
+    const auto candidates = find_candidates(shard, complete, now);
+    if (complete && allowed) {
+        std::vector<waiting_stage> order;
+        order.reserve(candidates.size());
+        for (const auto& next : candidates) {
+            order.push_back({next.job, next.stage});
+        }
+        release_next(shard, order, now);
+    }
+    std::set<service_id> released; // services of which tasks were released in this round
+    for (const auto& next : candidates) {
         if (allowed) {
-            place_stage(shard, next, now, actions);
+            place_stage(shard, next, released, now, actions);
         }
         if (!next.stage->waiting.empty()) {
             lend_tasks(shard, *next.job, *next.stage, now);
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -58,6 +58,7 @@
         task.last_run = std::max(task.last_run, run.key.number);
         drop_reservation(tables, run.key.task);
         task.reservation_expired = false;
+        task.no_run_since.reset();
         stage->waiting.erase(run.key.task.index);
         ++stage->runs_by_worker[run.worker];
     }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -216,6 +216,8 @@
     // Since when a long-running task has had no run, and the same by the wall clock, which is
     // offered with the task.
     std::optional<time_point> idle_since;
+    // Since when another task of an open stage has been seen without a run.
+    std::optional<time_point> no_run_since;
     unix_time waiting_since{}; // 0: it doesn't wait
     // Stored as having no run; its owner stores that it isn't parked any more before it starts it.
     bool parked = false;
@@ -240,6 +242,8 @@
     std::vector<task_row> tasks;
     std::optional<time_point> ready_since; // since when tasks of it have waited for room
     time_point next_room_log;              // earliest time of the next log line about missing room
+    // Of its waiting tasks, how many come next for room. They aren't parked.
+    std::size_t starts_soon = 0;
     std::set<std::uint32_t> waiting; // tasks that this shard is to run and that have no active run
     std::map<worker_id, std::uint32_t> runs_by_worker; // active runs by worker
 };
--- a/tests/owner_promises_test.cpp
+++ b/tests/owner_promises_test.cpp
@@ -12,7 +12,7 @@
 const job_id watch{"00000000000000aa"};
 
 // A shard that its second owner has loaded: two workers in the stored list, and a job with two
-// long-running tasks, of which the first one was stored as parked.
+// tasks, long-running ones if not told otherwise, of which the first one was stored as parked.
 struct inherited_world {
     metrics counters;
     decision_log log{"", {}, {}};
@@ -22,7 +22,7 @@
     shard_state shard;
     shard_actions last;
 
-    explicit inherited_world(epoch_number parked_by = {1})
+    explicit inherited_world(epoch_number parked_by = {1}, bool long_running = true)
         : shard(make_shard(record, {"b1/2"}, {2}, {1}, {}, counters, log)) {
         std::vector<known_worker> listed;
         for (const auto* id : {"gone", "sound"}) {
@@ -34,7 +34,7 @@
         step_spec step;
         step.count = 2;
         step.need = {{1'000}, {512}, {0}};
-        step.long_running = true;
+        step.long_running = long_running;
         job.spec.steps = {step};
         job.next_occurrence = 1;
         auto& stage = job.occurrences.emplace(0, make_occurrence(job.spec, 0)).first->second.stages;
@@ -92,7 +92,7 @@
 // TWICE: a successor takes a parked task for one that runs nowhere, so it must not start while the
 // stored record says that it is parked.
 TEST_CASE("a parked task starts once it is stored as not parked") {
-    inherited_world world;
+    inherited_world world({1}, GENERATE(true, false));
     world.answer("sound");
     world.advance_by(duration(50));
     CHECK_FALSE(world.shard.takeover_complete);
@@ -114,7 +114,7 @@
 
 // TWICE: an owner of an earlier version starts a parked task and leaves its record as it is.
 TEST_CASE("a task that an earlier owner than the last one parked waits for the takeover") {
-    inherited_world world({0});
+    inherited_world world({0}, GENERATE(true, false));
     world.answer("sound");
     for (int step = 0; step < 20; ++step) {
         world.advance_by(duration(50));
