--- a/src/host_execution.cpp
+++ b/src/host_execution.cpp
@@ -2,6 +2,8 @@
 #include "bounded_json.hpp"
 #include "host_control.hpp"
 
+#include <algorithm>
+
 namespace fulmar {
 
 void host_control::schedule_shard(const shard_pointer& shard) {
@@ -42,6 +44,11 @@
         return;
     }
     ++advances_;
+    if (loop_.now() > next_tick_) {
+        // After a pause, replies may be processed before the tick: enough to renew the authority,
+        // while the orders are as old as the pause.
+        update_start_permissions();
+    }
     shard_actions actions;
     advance(shard->state, loop_.now(), loop_.unix_now(), actions);
     execute(shard, actions);
@@ -72,7 +79,9 @@
                        return;
                    }
                    if (entry.value()->revision == shard->state.claim_revision) {
-                       shard->state.claim_confirmed = sent;
+                       auto& confirmed = shard->state.claim_confirmed;
+                       confirmed = std::max(confirmed.value_or(sent), sent);
+                       schedule_shard(shard);
                    }
                });
 }
--- a/src/restart_state.hpp
+++ b/src/restart_state.hpp
@@ -56,6 +56,7 @@
     small forgotten = 0;   // by its owner, with the worker
     small answer = 0;      // execution_outcome, on its way
     small incarnation = 0; // that executed it
+    small passed = 0;      // epoch of the successor that knows of it
 };
 
 // A reply to a hold with the list of runs, on its way to the owner.
@@ -142,7 +143,8 @@
 std::size_t count_open(const restart_state& state, std::size_t owner, small run);
 bool has_room(const restart_state& state);
 
-// Returns whether a sending of a run's start may still arrive whose call has failed, or lasts.
+// Returns whether a sending of a run's start may still arrive whose call has failed, or lasts, or
+// that a former owner passed on.
 bool is_start_open(const restart_state& state, std::size_t owner, small run, bool also_calling);
 
 void send_command(const restart_rules& rules, restart_state& state, std::size_t owner, small run);
@@ -186,6 +188,17 @@
 bool may_start(const restart_rules& rules, const restart_state& state, std::size_t number);
 bool may_record(const restart_rules& rules, const restart_state& state, std::size_t number);
 
+// Returns the ticks until no lease can be left that a later incarnation took from a command;
+// without `also_calling`, from one whose call has failed.
+int unnoticed_left(const restart_rules& rules, const restart_state& state, std::size_t number,
+                   bool also_calling = true);
+
+// Returns whether an owner's run is in the known incarnation or nowhere.
+bool is_certain(const restart_rules& rules, const restart_owner& owner);
+
+// Returns whether no lease is left that a run has of which an owner doesn't know.
+bool is_complete(const restart_rules& rules, const restart_state& state, std::size_t number);
+
 void claim_shard(const restart_rules& rules, restart_state& state);
 
 // Returns whether an owner may hand the shard over while the worker is silent.
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -1,6 +1,7 @@
 #include "shard_control.hpp"
 
 #include "shard_internal.hpp"
+#include "shard_run_numbers.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -9,22 +10,6 @@
 
 namespace {
 
-void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
-    if (is_borrowed(job)) {
-        return; // the lender decides which tasks run here
-    }
-    const auto total = std::max<std::uint32_t>(1, job.spec.occurrences);
-    while (job.next_occurrence < total) {
-        const auto due = job.spec.first_due.value + job.spec.interval.count() * job.next_occurrence;
-        if (job.spec.occurrences > 0 && unix_now.value < due) {
-            return;
-        }
-        const auto number = job.next_occurrence++;
-        job.occurrences.emplace(number, make_occurrence(job.spec, number));
-        shard.placement_needed = true;
-    }
-}
-
 // Sends the stops that are due. A stop is repeated until the worker reports the end of the run.
 void send_stops(shard_state& shard, time_point now, shard_actions& actions) {
     for (auto& [key, run] : shard.tables.runs) {
@@ -172,6 +157,8 @@
         shard.log->write("event=record_unreadable key={} detail=\"{}\"", entry.key, failure.detail);
     };
     std::size_t unfinished = 0;
+    epoch_number last_committer;
+    open_starts_record open_starts;
     for (const auto& entry : entries) {
         if (!entry.key.starts_with(jobs)) {
             continue;
@@ -188,6 +175,15 @@
     for (const auto& entry : entries) {
         if (entry.key == head_key(shard.id)) {
             shard.head_revision = entry.revision;
+            const auto head = parse_head(entry.value);
+            last_committer = head ? head.value().epoch : epoch_number{};
+        } else if (entry.key == open_starts_key(shard.id)) {
+            auto record = parse_open_starts(entry.value);
+            if (!record) {
+                reject(entry, record.error());
+                continue;
+            }
+            open_starts = std::move(record).value();
         } else if (entry.key == worker_list_key(shard.id)) {
             const auto known = parse_known_workers(entry.value);
             if (!known) {
@@ -230,22 +226,25 @@
             if (const auto parsed = parse_progress(job->second, entry.value); !parsed) {
                 reject(entry, parsed.error());
             }
+            skip_used_numbers(job->second, shard.epoch);
         }
     }
     shard.predecessor_workers = shard.listed_since;
     find_former_owners(shard);
     rebuild_loan_table(shard);
-    load_parked_tasks(shard);
+    const auto parked = load_parked_tasks(shard);
     load_recorded_runs(shard);
+    load_open_starts(shard, open_starts, last_committer);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
             shard.active.insert(id);
             ++unfinished;
         }
     }
-    shard.log->write_rare("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={}",
+    shard.log->write_rare("event=shard_loaded shard={} epoch={} jobs={} unfinished={} workers={} "
+                          "parked={}",
                           shard.id.value, shard.epoch.value, shard.tables.jobs.size(), unfinished,
-                          shard.tables.workers.size());
+                          shard.tables.workers.size(), parked);
 }
 
 void on_worker_entry(shard_state& shard, const worker_entry& entry, time_point now) {
@@ -490,6 +489,7 @@
             open_due_occurrences(shard, job, unix_now);
         }
     }
+    adopt_open_starts(shard, now);
     complete_takeover(shard, now);
     log_authority_limit(shard, now);
     expire_workers(shard, now);
@@ -502,7 +502,7 @@
     record_long_running_runs(shard, now);
     update_settled(shard, now);
     regroup_tasks(shard, now);
-    serve_room_requests(shard, now, now);
+    serve_room_requests(shard, now);
     drain_long_running_tasks(shard, now);
     evict_for_reservations(shard, now);
     repeat_starts(shard, now, actions);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -215,6 +215,9 @@
 // State of group commit. Only one transaction is pending at a time. While its outcome is unknown,
 // the same transaction is sent again; its condition on the head's revision makes sure that it takes
 // effect at most once.
+// Open starts, and when each was last sent.
+using sent_starts = std::map<run_key, time_point>;
+
 struct commit_state {
     // A change of a job's record that no transaction includes yet.
     struct unstored_change {
@@ -245,6 +248,7 @@
     std::optional<settled_incarnations> settled; // in the transaction
     std::optional<ownership_record> ownership;   // the ownership record in the transaction
     time_point lease_ends_updated;               // when the last one was made
+    std::optional<sent_starts> open_starts;      // in the transaction
     time_point next_attempt;                     // earliest time of the next attempt
     std::uint64_t attempts = 0;                  // number of attempts that were sent
     // Number of the last attempt whose reply proved that this was still the shard's owner.
@@ -358,6 +362,8 @@
     settled_incarnations settled;                               // of this shard's workers
     settled_incarnations stored_settled;                        // in the store
     ownership_record stored_ownership;                          // epoch 0: none
+    std::vector<open_start> inherited_starts;                   // of former owners, until adopted
+    sent_starts stored_open_starts;                             // in the store
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
     std::vector<std::pair<worker_id, unacknowledged_run_end>> passed_ends;
@@ -402,10 +408,14 @@
     std::map<task_key, room_request> room_requests;       // of other shards
     std::map<shard_id, std::uint64_t> last_room_requests; // number of each shard's last message
     std::map<task_key, granted_room> granted_rooms;       // by other shards
-    std::map<task_key, evicting_shard> evicting_shards;   // by waiting task of this shard
-    std::map<task_key, time_point> leaving_tasks; // run on a draining worker; when last seen
-    std::uint32_t room_messages = 0;              // number of messages with room requests
+    // Other shards that hold room for a waiting task which isn't free yet, and until when that
+    // counts.
+    std::map<task_key, std::map<shard_id, time_point>> held_rooms;
+    std::map<task_key, evicting_shard> evicting_shards; // by waiting task of this shard
+    std::map<task_key, time_point> leaving_tasks;       // run on a draining worker; when last seen
+    std::uint32_t room_messages = 0;                    // number of messages with room requests
     time_point next_room_service;
+    time_point next_request_log;
     time_point next_eviction_check;
     // From measurements of this shard's workers and estimates of other shards.
     filler_effects effects;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -68,6 +68,22 @@
 // Returns whether a run is in the worker's known incarnation, or else nowhere.
 bool is_certain(const worker_row& worker, const run_row& run);
 
+// Returns the open starts that a successor has to know, with those that it inherited.
+std::vector<open_start> find_open_starts(const shard_state& shard, time_point now);
+
+// Returns when each of them was last sent.
+sent_starts find_sent_starts(const shard_state& shard, time_point now);
+
+// Returns whether the stored record lacks one of them.
+bool has_new_open_starts(const shard_state& shard, time_point now);
+
+// Takes over the record, which counts unless a later owner has committed since.
+void load_open_starts(shard_state& shard, const open_starts_record& record, epoch_number last);
+
+// Adds the runs of former owners whose starts were open, so that their tasks start nowhere else
+// before these are over.
+void adopt_open_starts(shard_state& shard, time_point now);
+
 // Has a worker that seems to have restarted asked at once for its runs. It gets nothing before.
 void suspect_restart(shard_state& shard, worker_row& worker, std::string_view evidence,
                      time_point now);
@@ -109,6 +125,13 @@
 // Requests the stop of a run; the next advance sends the command.
 void request_stop(run_row& run, stop_cause cause, time_point now);
 
+// Opens the occurrences of a job that are due.
+void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now);
+
+// Opens the occurrence of a task that a worker reports a run of, and those before it. A former
+// owner, whose clock may have been ahead, started the run; or this owner has opened none yet.
+void open_reported_occurrence(shard_state& shard, const task_key& key, unix_time unix_now);
+
 // Ends a job, stops its runs, withdraws its loans and marks its record for storing.
 void end_job(shard_state& shard, job_row& job, job_phase phase, time_point now, unix_time unix_now);
 
@@ -179,6 +202,18 @@
 bool reserve_for_long_running(shard_state& shard, const job_row& job, const stage_row& stage,
                               const task_key& key, time_point now);
 
+// On how many workers a need fits once short tasks have ended, beside the reservations for other
+// tasks and without them, and the most processors that any worker has without them.
+struct room_count {
+    std::size_t beside_reservations = 0;
+    std::size_t without_reservations = 0;
+    millicores most;
+};
+
+// Counts the workers with a label that could hold a long-running task, for log lines.
+room_count count_room_for(const shard_state& shard, const resources& need,
+                          const service_id& service, const std::string& label, time_point now);
+
 // A request or a grant that isn't repeated ends after this. Requests are repeated about three times
 // in this time.
 constexpr duration room_request_validity{1'000};
@@ -187,9 +222,11 @@
 // malformed.
 task_key decode_room_key(const json& from);
 
-// Reserves room for the tasks of other shards that wait for it, the longest wait first, up to those
-// that wait since `before`. Returns for how many it reserved room.
-std::size_t serve_room_requests(shard_state& shard, time_point before, time_point now);
+// Reserves room for the tasks of other shards that wait for it, in the order of their claims.
+void serve_room_requests(shard_state& shard, time_point now);
+
+// The same for those that come before an own task. Returns for how many it reserved room.
+std::size_t serve_earlier_requests(shard_state& shard, const room_claim& before, time_point now);
 
 // Gives the rooms that were granted for the tasks of a loan to the tasks. Each then has the
 // reservation like a task that found the room itself.
@@ -199,6 +236,23 @@
 // Returns the shard that holds free room for a task, or nullptr if none does.
 lending_room* find_granter(shard_state& shard, const task_key& key, time_point now);
 
+// Returns the place of a task without a run among those that wait. Its wait is known to the second:
+// tasks are looked at once a second, and other tasks of the step may have waited for longer.
+room_claim find_claim(const shard_state& shard, const stage_row& stage, const task_row& task,
+                      time_point now);
+
+// Reservations on one worker that give way to a longer wait.
+struct displacement {
+    std::vector<task_key> keys;
+    millicores processors;
+};
+
+// Returns which reservations on a worker, for tasks that come after one with this claim, make room
+// for its need. Returns nothing if it doesn't fit then, or without that.
+std::optional<displacement> plan_displacement(shard_state& shard, const worker_row& worker,
+                                              const resources& need, const room_claim& claim,
+                                              time_point now);
+
 // Returns whether the worker has reached a step's spread limit, counting active runs of the stage,
 // which may be nullptr, and the reservations of its tasks there.
 bool is_spread_full(std::uint32_t limit, const stage_row* stage, const worker_row& worker,
@@ -410,12 +464,26 @@
 // Returns whether a run of a task that a former owner started may be unknown to this one.
 bool has_unknown_run(const shard_state& shard, const job_row& job, const task_row& task);
 
-// Takes over the parked tasks of the loaded jobs.
-void load_parked_tasks(shard_state& shard);
+// Takes over the parked tasks of the loaded jobs; returns their number.
+std::size_t load_parked_tasks(shard_state& shard);
 
-// Parks long-running tasks that have had no run for a while.
+// Parks tasks that have had no run for a while.
 void park_waiting_tasks(shard_state& shard, time_point now);
 
+// A stage with waiting tasks, and its job.
+struct waiting_stage {
+    job_row* job = nullptr;
+    stage_row* stage = nullptr;
+};
+
+// Has it stored that the short tasks that come next for room aren't parked, so that their starts
+// don't wait for it. The stages are in the order in which they get room.
+void release_next(shard_state& shard, const std::vector<waiting_stage>& order, time_point now);
+
+// Has it stored that the first `count` waiting tasks of a stage aren't parked.
+void release_first(shard_state& shard, job_row& job, stage_row& stage, std::size_t count,
+                   time_point now);
+
 // Returns whether the store answers this owner's transactions in time. While it doesn't, a parked
 // task, or one whose run is recorded, could not start.
 bool is_storing(const shard_state& shard, time_point now);
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -68,6 +68,7 @@
         apply_step_spec(run, job->second.spec.steps[row.run.task.step]);
     }
     assume_predecessor_pacing(run, now);
+    open_reported_occurrence(shard, row.run.task, shard.wall_clock);
     auto* task = find_task(shard.tables, row.run.task);
     const bool wanted = task != nullptr && !task->done && !task->not_local && task->runs.empty();
     const auto cause = task == nullptr ? stop_cause::cancelled : stop_cause::duplicate;
@@ -254,7 +255,8 @@
            find_stage(tables, key)->waiting.contains(key.index);
 }
 
-// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it.
+// Keeps a run that has ended, as a later incarnation of its worker may execute another start of it,
+// unless the stop reaches that one first.
 void wait_for_late_start(run_row& run, time_point now) {
     run.incarnation_known = false;
     run.confirmed.reset();
@@ -351,14 +353,14 @@
     const auto& key = row.run;
     if (const auto run = shard.tables.runs.find(key);
         run != shard.tables.runs.end() && run->second.worker == worker) {
-        const bool completes = row.kind == run_end_kind::done && !run->second.long_running;
-        if (!completes && may_start_late(run->second, now)) {
+        if (may_start_late(run->second, now)) {
             wait_for_late_start(run->second, now);
         } else {
             remove_run(shard.tables, key);
         }
     }
     shard.placement_needed = true;
+    open_reported_occurrence(shard, key.task, unix_now);
     const auto* task = find_task(shard.tables, key.task);
     if (task == nullptr || task->done) {
         return;
@@ -445,7 +447,8 @@
         (worker.start_time && report.start_time && *worker.start_time != *report.start_time) ||
         (worker.clock && report.clock < *worker.clock);
     if (restarted && last_hold && worker.hold_has_lease) {
-        worker.leases_taken = now; // it was meant for the former incarnation
+        // It was meant for the former incarnation.
+        worker.leases_taken = std::max(worker.leases_taken, now);
     }
     const bool took_no_lease = restarted && !may_have_taken_lease(shard, worker, now);
     if (restarted) {
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -4,6 +4,8 @@
 // kept in memory only and expire; a grant is never a right to run a task.
 #include "shard_internal.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -19,6 +21,11 @@
 
 constexpr duration service_interval{100};
 
+// Log lines about requests without reserved room.
+constexpr duration request_log_interval{1'000};
+constexpr duration logged_request_wait{3'000};
+constexpr std::size_t logged_requests = 4;
+
 // Returns whether the shard's owner may reserve room for tasks of other shards.
 bool grants_room(const shard_state& shard, time_point now) {
     return shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
@@ -38,8 +45,8 @@
 
 // Why room that was held for a task of another shard is released: the request wasn't repeated or
 // may not be granted any more, the message of its shard doesn't list the task, the worker accepts
-// no starts, the room was held for too long, another worker was chosen, or the room is reserved for
-// tasks that have waited longer.
+// no starts, the room was held for too long, another worker was chosen, or the room was given up
+// for a task that has waited longer.
 enum class release_reason : std::uint8_t { expired, unlisted, worker, unused, moved, displaced };
 
 std::string_view to_string(release_reason reason) {
@@ -60,20 +67,51 @@
     return "";
 }
 
+// `by`: the task that gets the room, if it was displaced.
 void release_room(shard_state& shard, const task_key& key, room_request& request,
-                  release_reason reason, time_point now) {
+                  release_reason reason, time_point now, const task_key* by = nullptr) {
     if (auto* worker = find_reserved(shard, key, request)) {
         worker->reserved.erase(key);
         shard.placement_needed = true;
         shard.log->write("event=room_released task={}.{}.{}.{} shard={} for={} worker={} reason={} "
-                         "held_ms={} lending={}",
+                         "held_ms={} lending={} by={}",
                          key.job.value, key.occurrence, key.step, key.index, shard.id.value,
                          request.from.value, request.worker->value, to_string(reason),
-                         (now - request.reserved_at).count(), request.lending);
+                         (now - request.reserved_at).count(), request.lending,
+                         by == nullptr ? std::string()
+                                       : fmt::format("{}.{}.{}.{}", by->job.value, by->occurrence,
+                                                     by->step, by->index));
     }
     request.worker.reset();
 }
 
+// Logs the longest waits for which no room is reserved here.
+void log_open_requests(shard_state& shard, time_point now) {
+    if (now < shard.next_request_log) {
+        return;
+    }
+    shard.next_request_log = now + request_log_interval;
+    std::vector<std::pair<time_point, task_key>> open;
+    for (const auto& [key, request] : shard.room_requests) {
+        if (!request.worker && now - request.claim.since >= logged_request_wait) {
+            open.emplace_back(request.claim.since, key);
+        }
+    }
+    std::sort(open.begin(), open.end());
+    const auto count = open.size();
+    open.resize(std::min(count, logged_requests));
+    for (const auto& [since, key] : open) {
+        const auto& request = shard.room_requests.at(key);
+        const auto rooms = count_room_for(shard, request.need, request.service, request.label, now);
+        shard.log->write_rare(
+            "event=room_request_waits task={}.{}.{}.{} shard={} for={} waited_ms={} open={} "
+            "need_cpu={} most_cpu={} rooms={} rooms_unreserved={} evict={}",
+            key.job.value, key.occurrence, key.step, key.index, shard.id.value, request.from.value,
+            (now - since).count(), count, request.need.processors.value, rooms.most.value,
+            rooms.beside_reservations, rooms.without_reservations, request.evict);
+    }
+}
+
 // Releases rooms whose requests have expired, that were held for too long, or that are on workers
 // that accept no starts.
 void expire_requests(shard_state& shard, time_point now) {
@@ -97,17 +135,23 @@
         }
         ++row;
     }
+    log_open_requests(shard, now);
+}
+
+// Returns whether the worker may run a task of another shard, apart from its need.
+bool suits_request(shard_state& shard, const task_key& key, const room_request& request,
+                   const worker_row& worker, time_point now) {
+    return accepts_starts(shard, worker, now) && worker.entry.service == request.service &&
+           has_required_label(worker, request.label) &&
+           !is_spread_full(request.spread_limit, find_stage(shard.tables, key), worker, key);
 }
 
 void reserve_for_request(shard_state& shard, const task_key& key, room_request& request,
                          time_point now) {
-    const auto* stage = find_stage(shard.tables, key);
     worker_row* best = nullptr;
     std::optional<std::pair<double, millicores>> best_rank;
     for (auto& [id, worker] : shard.tables.workers) {
-        if (!accepts_starts(shard, worker, now) || worker.entry.service != request.service ||
-            !has_required_label(worker, request.label) ||
-            is_spread_full(request.spread_limit, stage, worker, key)) {
+        if (!suits_request(shard, key, request, worker, now)) {
             continue;
         }
         if (const auto rank =
@@ -129,21 +173,77 @@
                      request.from.value, request.worker->value);
 }
 
-// Releases the rooms that aren't free yet and for whose tasks nothing is to be evicted, so that
-// tasks that have waited for long come first. Returns whether there were any.
-bool release_unready_rooms(shard_state& shard, time_point now) {
-    bool released = false;
-    for (auto& [key, request] : shard.room_requests) {
-        const auto* worker = find_reserved(shard, key, request);
-        if (worker == nullptr || request.evict || request.lending ||
-            fits(request.need, free_resources(*worker, &key))) {
+// Gives up rooms of shorter waits on the worker where that makes room for a request at the least
+// loss. Returns whether it did.
+bool displace_for_request(shard_state& shard, const task_key& key, const room_request& request,
+                          time_point now) {
+    worker_row* best = nullptr;
+    std::optional<displacement> best_plan;
+    for (auto& [id, worker] : shard.tables.workers) {
+        if (worker.reserved.empty() || !suits_request(shard, key, request, worker, now)) {
+            continue;
+        }
+        auto plan = plan_displacement(shard, worker, request.need, request.claim, now);
+        if (plan && (!best_plan || plan->processors < best_plan->processors)) {
+            best = &worker;
+            best_plan = std::move(plan);
+        }
+    }
+    if (best == nullptr) {
+        return false;
+    }
+    for (const auto& displaced : best_plan->keys) {
+        if (const auto found = shard.room_requests.find(displaced);
+            found != shard.room_requests.end() && found->second.worker == best->entry.target.id) {
+            release_room(shard, displaced, found->second, release_reason::displaced, now, &key);
             continue;
         }
-        release_room(shard, key, request, release_reason::displaced, now);
-        request.no_room_before = now + unused_pause;
-        released = true;
+        drop_reservation(shard.tables, displaced);
+        shard.placement_needed = true;
+        shard.log->write("event=room_released task={}.{}.{}.{} shard={} for={} worker={} reason={} "
+                         "by={}.{}.{}.{}",
+                         displaced.job.value, displaced.occurrence, displaced.step, displaced.index,
+                         shard.id.value, shard.id.value, best->entry.target.id.value,
+                         to_string(release_reason::displaced), key.job.value, key.occurrence,
+                         key.step, key.index);
     }
-    return released;
+    return true;
+}
+
+// Reserves room for open requests that come before a claim; returns for how many.
+std::size_t serve_requests(shard_state& shard, const std::optional<room_claim>& before,
+                           time_point now) {
+    std::vector<std::pair<room_claim, task_key>> open;
+    for (const auto& [key, request] : shard.room_requests) {
+        if (!request.worker && !request.lending && (!before || request.claim <= *before) &&
+            request.until > now && now >= request.no_room_before) {
+            open.emplace_back(request.claim, key);
+        }
+    }
+    if (open.empty() || !grants_room(shard, now)) {
+        return 0;
+    }
+    std::sort(open.begin(), open.end());
+    std::size_t served = 0;
+    // By stage, as its tasks have the same need, and whether rooms may be displaced for them.
+    std::set<std::pair<task_key, bool>> without_room;
+    for (const auto& [claim, key] : open) {
+        const task_key stage{key.job, key.occurrence, key.step, 0};
+        auto& request = shard.room_requests.at(key);
+        if (without_room.contains({stage, request.evict})) {
+            continue;
+        }
+        reserve_for_request(shard, key, request, now);
+        if (!request.worker && request.evict && displace_for_request(shard, key, request, now)) {
+            reserve_for_request(shard, key, request, now);
+        }
+        if (request.worker) {
+            ++served;
+        } else {
+            without_room.emplace(stage, request.evict);
+        }
+    }
+    return served;
 }
 
 // Returns whether the task runs here or is to run here.
@@ -169,7 +269,9 @@
         request.need = row.at("need").get<resources>();
         request.priority = row.value("priority", 0);
         request.evict = row.value("evict", false);
-        request.since = now - duration(std::max<std::int64_t>(0, row.at("waited_ms")));
+        // Owners of earlier versions don't tell; their tasks count by their waits only.
+        request.claim.first_run = row.value("first_run", false);
+        request.claim.since = now - duration(std::max<std::int64_t>(0, row.at("waited_ms")));
         request.until = now + room_request_validity;
         shard.room_requests.emplace(key, std::move(request));
         return;
@@ -199,44 +301,17 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-std::size_t serve_room_requests(shard_state& shard, time_point before, time_point now) {
-    if (shard.room_requests.empty() || (before == now && now < shard.next_room_service)) {
-        return 0;
-    }
-    if (before == now) {
-        shard.next_room_service = now + service_interval;
-        expire_requests(shard, now);
-    }
-    std::vector<std::tuple<bool, time_point, task_key>> open;
-    for (const auto& [key, request] : shard.room_requests) {
-        if (!request.worker && !request.lending && request.since <= before && request.until > now &&
-            now >= request.no_room_before) {
-            open.emplace_back(!request.evict, request.since, key);
-        }
-    }
-    if (open.empty() || !grants_room(shard, now)) {
-        return 0;
-    }
-    std::sort(open.begin(), open.end());
-    std::size_t served = 0;
-    std::set<task_key> without_room; // by stage, as its tasks have the same need
-    for (const auto& [later, since, key] : open) {
-        const task_key stage{key.job, key.occurrence, key.step, 0};
-        if (without_room.contains(stage)) {
-            continue;
-        }
-        auto& request = shard.room_requests.at(key);
-        reserve_for_request(shard, key, request, now);
-        if (!request.worker && request.evict && release_unready_rooms(shard, now)) {
-            reserve_for_request(shard, key, request, now);
-        }
-        if (request.worker) {
-            ++served;
-        } else {
-            without_room.insert(stage);
-        }
+void serve_room_requests(shard_state& shard, time_point now) {
+    if (shard.room_requests.empty() || now < shard.next_room_service) {
+        return;
     }
-    return served;
+    shard.next_room_service = now + service_interval;
+    expire_requests(shard, now);
+    serve_requests(shard, std::nullopt, now);
+}
+
+std::size_t serve_earlier_requests(shard_state& shard, const room_claim& before, time_point now) {
+    return serve_requests(shard, before, now);
 }
 
 void use_granted_rooms(shard_state& shard, const job_row& job, const borrowed_tasks& loan,
@@ -270,6 +345,7 @@
     const auto from = body.at("from").get<shard_id>();
     const auto number = body.at("number").get<std::uint64_t>();
     json grants = json::array();
+    json held = json::array(); // reserved and not free yet
     if (!shard.other_shards.contains(from)) {
         return json{{"grants", grants}}.dump();
     }
@@ -296,22 +372,25 @@
         row = shard.room_requests.erase(row);
     }
     shard.next_room_service = now;
-    serve_room_requests(shard, now, now);
+    serve_room_requests(shard, now);
     for (const auto& key : listed) {
         const auto request = shard.room_requests.find(key);
         if (request == shard.room_requests.end() || request->second.lending) {
             continue;
         }
         const auto* worker = find_reserved(shard, key, request->second);
-        if (worker != nullptr && accepts_starts(shard, *worker, now) &&
-            fits(request->second.need, free_resources(*worker, &key))) {
-            grants.push_back({{"job", key.job},
-                              {"occurrence", key.occurrence},
-                              {"step", key.step},
-                              {"task", key.index}});
+        if (worker == nullptr) {
+            continue;
         }
+        const bool free = accepts_starts(shard, *worker, now) &&
+                          fits(request->second.need, free_resources(*worker, &key));
+        (free ? grants : held)
+            .push_back({{"job", key.job},
+                        {"occurrence", key.occurrence},
+                        {"step", key.step},
+                        {"task", key.index}});
     }
-    return json{{"grants", grants}}.dump();
+    return json{{"grants", grants}, {"held", held}}.dump();
 }
 
 } // namespace fulmar
