shard_open_starts: inherited starts of failed runs, and of occurrences that aren't due

Two repairs of, found by a review, each with the test that failed before.

BUDGET: the row of a failed run stays until its start can't arrive any more. A successor took it for a run that is wanted and sent its start again; a second failure of the same number doesn't count. Such a run is stopped now.

TWICE: an open start of an occurrence that isn't due yet by the successor's clock counted as one of an unknown task, and the task started elsewhere. The occurrence is opened, as for a reported run. "an open start of an occurrence that isn't due by the successor's clock is adopted" failed with a clock that is 500 ms behind.

--- a/src/shard_open_starts.cpp
+++ b/src/shard_open_starts.cpp
@@ -70,11 +70,16 @@
     if (job != shard.tables.jobs.end() && key.task.step < job->second.spec.steps.size()) {
         apply_step_spec(run, job->second.spec.steps[key.task.step]);
     }
+    open_reported_occurrence(shard, key.task, shard.wall_clock);
     const auto* task = find_task(shard.tables, key.task);
     if (task == nullptr && find_stage(shard.tables, key.task) != nullptr) {
         return; // the record names a task that the step lacks
     }
-    const bool wanted = task != nullptr && !task->done && !task->not_local;
+    // The row of a failed run stays until its start can't arrive any more.
+    const bool failed = task != nullptr &&
+                        std::find(task->failed_runs.begin(), task->failed_runs.end(), key.number) !=
+                            task->failed_runs.end();
+    const bool wanted = task != nullptr && !task->done && !task->not_local && !failed;
     if (wanted) {
         run.checkpoint = task->checkpoint;
     }
--- a/tests/open_starts_test.cpp
+++ b/tests/open_starts_test.cpp
@@ -225,3 +225,80 @@
     world.pass(duration(1'000));
     CHECK(world.stored_starts().rows.empty());
 }
+
+// TWICE: an open start of an occurrence that isn't due by the successor's clock yet counts as one
+// of an unknown task, and the task starts elsewhere as soon as the occurrence is due.
+TEST_CASE("an open start of an occurrence that isn't due by the successor's clock is adopted") {
+    for (const std::int64_t ahead : {0, 500}) {
+        INFO("the occurrence is due in ms: " << ahead);
+        open_starts_world former;
+        former.lose_start(duration(400));
+        job_row job;
+        job.id = the_job;
+        job.queue.service = {"desk"};
+        job.queue.max_attempts = 3;
+        job.spec.steps.emplace_back();
+        job.spec.steps.front().count = 1;
+        job.spec.steps.front().need = {{1'000}, {512}, {0}};
+        job.spec.occurrences = 2;
+        job.spec.interval = duration(3'600'000);
+        job.spec.first_due = {wall_clock.value + ahead};
+        former.put(job_key(former.record.id, the_job), encode_job(job));
+        former.put(progress_key(former.record.id, the_job), encode_progress(job));
+        open_starts_world world({2}, former.store);
+        world.silent = former.started_on;
+        world.starts_answered = false;
+        world.pass(duration(200)); // the first occurrence isn't due
+        constexpr int steps = 320; // 16 s: the former start may have arrived, and its lease lasts
+        for (int i = 0; i < steps; ++i) {
+            world.now += step_time;
+            world.shard.claim_confirmed = world.now;
+            shard_actions actions;
+            advance(world.shard, world.now, {wall_clock.value + 1'000}, actions);
+            for (const auto& start : actions.starts) {
+                world.started_on.insert(start.target.id);
+                world.starts.push_back(start.command);
+            }
+            for (const auto& hold : actions.holds) {
+                world.answer_hold(hold.target.id);
+            }
+            if (actions.commit) {
+                world.apply(*actions.commit);
+            }
+        }
+        CHECK(world.shard.tables.runs.at(former.starts.front().run).phase != run_phase::stopping);
+        CHECK(world.starts.empty()); // none elsewhere while the former start may arrive
+    }
+}
+
+// BUDGET: the row of a run that has failed stays until its first start can't arrive any more. The
+// successor took it for a run that is wanted and sent its start again; a second failure of the same
+// number doesn't count.
+TEST_CASE("a successor doesn't start a former owner's run again that has failed") {
+    open_starts_world former;
+    former.lose_start(duration(400));
+    const auto run = former.starts.front().run;
+    const auto worker = *former.started_on.begin();
+    former.running[worker].push_back({run, "", 0, 0}); // the worker did carry it out
+    former.pass(duration(500));
+    former.running[worker].clear();
+    hold_reply reply;
+    reply.clock = former.clock();
+    reply.ended.push_back({1, run, run_end_kind::failed, ""});
+    former.silent = {worker};
+    on_hold_reply(former.shard, worker, reply, former.now, former.now, wall_clock);
+    former.pass(duration(1'000));
+    // The failure is stored and acknowledged.
+    REQUIRE(former.shard.tables.workers.at(worker).acknowledged_end == 1);
+    CAPTURE(former.stored_starts().rows.size());
+
+    open_starts_world world({2}, former.store);
+    const auto* task = find_task(world.shard.tables, run.task);
+    REQUIRE(task != nullptr);
+    REQUIRE(task->failed_runs.size() == 1);
+    REQUIRE(task->failed_runs.front() == run.number);
+    world.pass(duration(3'000));
+    for (const auto& start : world.starts) {
+        CHECK(start.run != run);
+    }
+}
