--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -28,6 +28,14 @@
 
 } // namespace
 
+void sim_world::set_unconfirmed_limit(duration limit) {
+    for (auto& host : hosts_) {
+        host->options.shard.unconfirmed_limit = limit;
+        kill_host(host->index);
+        start_host(host->index);
+    }
+}
+
 void sim_world::suspend_host(std::size_t index, duration time) {
     freeze_host(index, time);
     auto& host = *hosts_[index];
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -347,14 +347,6 @@
     hosts_[index]->options.weight = share;
 }
 
-void sim_world::set_unconfirmed_limit(duration limit) {
-    for (auto& host : hosts_) {
-        host->options.shard.unconfirmed_limit = limit;
-        kill_host(host->index);
-        start_host(host->index);
-    }
-}
-
 void sim_world::set_longest_lease(duration lease) {
     for (auto& [id, worker] : workers_) {
         worker.options.longest_lease = lease;
