--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -16,8 +16,7 @@
 // delay by a transaction.
 constexpr duration park_long_running_after{1'000};
 
-// The same for other tasks, of which far more wait. At 2 s more was written on days with a backlog,
-// and hardly more tasks were parked when a data centre was cut off.
+// The same for other tasks, of which far more wait, most of them for less.
 constexpr duration park_after{3'000};
 
 // Jobs with short tasks that are parked in one round, so that a backlog doesn't fill transactions.
