shard_placement: open claims get room for long-running tasks before short tasks

Callers saw LOST: long-running tasks that had waited for 13 s didn't run, with capacity for them. Runs of a cancelled job ended, short tasks started in their room within 0.5 s, then room was reserved for the longest wait and the short runs just started were evicted; the task started 0.1 s too late.

Cause: room went to whoever was notified first. advance() placed the shard's own tasks before it served open room requests, and a run that was being stopped counted as there for good, so nothing was reserved until it had ended. The class: an order of service that a second path passes by.

Change: where room for long-running tasks has grown on a worker, own long-running tasks and room requests reserve it in the order of their claims before short tasks are placed. The room of confirmed runs that are being stopped can be reserved. Long-running tasks for which runs may be evicted start before short tasks of the same priority. A request whose room wasn't used in time prefers another worker.

--- a/src/shard_eviction.cpp
+++ b/src/shard_eviction.cpp
@@ -193,7 +193,7 @@
 resources find_room_of_stopping_runs(const worker_row& worker) {
     resources room{};
     for (const auto* run : worker.run_rows) {
-        if (run->phase == run_phase::stopping) {
+        if (ends_soon(*run)) {
             room = add(room, find_freed(*run));
         }
     }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -44,6 +44,7 @@
     job_row* job = nullptr;
     stage_row* stage = nullptr;
     std::int32_t priority = 0;
+    bool evicts = false; // short runs may be evicted for it, so none should start before
     timeliness expected = timeliness::in_time;
     unix_time accepted;
 };
@@ -58,11 +59,13 @@
     return step.filler ? worker.last_view.filler_grown : worker.last_view.grown;
 }
 
-// Records what decides whether tasks fit on a worker.
-void view_worker(shard_state& shard, worker_row& worker, time_point now) {
+// Records what decides whether tasks fit on a worker. Returns whether its room for long-running
+// tasks has grown.
+bool view_worker(shard_state& shard, worker_row& worker, time_point now) {
     room_view next;
     next.accepts = accepts_starts(shard, worker, now);
     next.free = free_resources(worker);
+    next.long_running = long_running_room(shard.tables, worker);
     next.filler = filler_room(shard, worker);
     next.alone = worker.filler_demand == 0;
     next.serves = std::any_of(worker.run_rows.begin(), worker.run_rows.end(),
@@ -71,13 +74,20 @@
     next.measured = worker.clock_at;
     next.service = worker.entry.service;
     next.labels = worker.entry.labels;
+    const auto& last = worker.last_view;
+    const bool grown =
+        next.accepts && (!last.accepts || !fits(next.long_running, last.long_running));
     update_view(shard.tables.searches, worker.last_view, std::move(next));
+    return grown;
 }
 
-void view_workers(shard_state& shard, time_point now) {
+// Returns whether the room for long-running tasks has grown on any worker.
+bool view_workers(shard_state& shard, time_point now) {
+    bool grown = false;
     for (auto& [id, worker] : shard.tables.workers) {
-        view_worker(shard, worker, now);
+        grown = view_worker(shard, worker, now) || grown;
     }
+    return grown;
 }
 
 // Returns whether a search for room for the stage may have another result than the last one.
@@ -130,13 +140,16 @@
                 if (!expected) {
                     expected = predict_timeliness(shard, job);
                 }
-                found.push_back({&job, &stage, job.queue.priority, *expected, job.accepted});
+                const bool evicts = job.spec.steps[stage.step].long_running &&
+                                    now - *stage.ready_since >= eviction_wait;
+                found.push_back(
+                    {&job, &stage, job.queue.priority, evicts, *expected, job.accepted});
             }
         }
     }
     std::sort(found.begin(), found.end(), [](const candidate& a, const candidate& b) {
-        return std::tie(a.priority, a.expected, a.accepted, a.job->id, a.stage->step) <
-               std::tie(b.priority, b.expected, b.accepted, b.job->id, b.stage->step);
+        return std::tie(a.priority, b.evicts, a.expected, a.accepted, a.job->id, a.stage->step) <
+               std::tie(b.priority, a.evicts, b.expected, b.accepted, b.job->id, b.stage->step);
     });
     return found;
 }
@@ -438,7 +451,14 @@
     const bool allowed = shard.starts_allowed && shard.data_centre_open;
     auto& searches = shard.tables.searches;
     expire_failed(searches, now);
-    view_workers(shard, now);
+    if (view_workers(shard, now)) {
+        // Before short tasks start there: they would be evicted for these claims.
+        if (allowed) {
+            reserve_in_order(shard, now);
+        }
+        shard.next_room_service = now;
+        serve_room_requests(shard, now);
+    }
     // The other rounds only serve stages that may start, and lend no tasks of others.
     const bool complete = !shard.data_centre_open || now >= searches.next_complete_round;
     if (complete) {
--- a/src/shard_reserve.cpp
+++ b/src/shard_reserve.cpp
@@ -53,8 +53,9 @@
         return std::nullopt;
     }
     const auto free = free_resources(worker);
-    const auto rank = free_part(free, need);
     const auto missing = need - free - find_room_of_stopping_runs(worker);
+    // Room of runs that are being stopped is nearly as good as free room.
+    const auto rank = (free_part(need - missing, need) * 3 + free_part(free, need)) / 4;
     if (fits(missing, {})) {
         return std::pair(rank, free.processors);
     }
@@ -156,6 +157,40 @@
     return true;
 }
 
+void reserve_in_order(shard_state& shard, time_point now) {
+    std::vector<std::pair<room_claim, task_key>> waiting;
+    for (const auto& id : shard.active) {
+        const auto& job = shard.tables.jobs.at(id);
+        for (const auto& [number, occurrence] : job.occurrences) {
+            for (const auto& stage : occurrence.stages) {
+                if (!stage.open || !job.spec.steps[stage.step].long_running) {
+                    continue;
+                }
+                for (const auto index : stage.waiting) {
+                    const auto& task = stage.tasks[index];
+                    const auto claim = find_claim(shard, stage, task, now);
+                    // New tasks take their turn beside short ones as long as none is evicted for
+                    // them.
+                    const bool is_new = claim.first_run && now - claim.since < eviction_wait;
+                    if (!is_new && !has_unknown_run(shard, job, task)) {
+                        waiting.emplace_back(claim, task_key{id, number, stage.step, index});
+                    }
+                }
+            }
+        }
+    }
+    std::sort(waiting.begin(), waiting.end());
+    std::set<task_key> without_room; // by stage, as its tasks have the same need
+    for (const auto& [claim, key] : waiting) {
+        const task_key first{key.job, key.occurrence, key.step, 0};
+        if (!without_room.contains(first) &&
+            !reserve_for_long_running(shard, shard.tables.jobs.at(key.job),
+                                      *find_stage(shard.tables, key), key, now)) {
+            without_room.insert(first);
+        }
+    }
+}
+
 std::size_t expire_reservations(shard_state& shard, time_point now) {
     std::size_t open = 0;
     for (auto& [id, worker] : shard.tables.workers) {
--- a/src/shard_room.hpp
+++ b/src/shard_room.hpp
@@ -28,6 +28,7 @@
     std::optional<worker_id> worker; // on which room is reserved for it
     time_point reserved_at;
     time_point no_room_before; // set when a reservation wasn't used in time
+    worker_id unused_on;       // where that was; others are preferred
     std::int32_t priority = 0; // of its queue
     bool evict = false;        // its owner asks this shard, and no other one, to evict runs for it
 };
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -19,6 +19,9 @@
 constexpr duration lending_limit{6'000};
 constexpr duration unused_pause{1'000};
 
+// Ranks the worker where room wasn't used in time behind all others.
+constexpr double unused_malus = 6;
+
 constexpr duration service_interval{100};
 
 // Log lines about requests without reserved room.
@@ -129,6 +132,7 @@
         } else if (is_evicting(*worker)) {
             request.reserved_at = now; // the room isn't free yet
         } else if (now >= request.reserved_at + (request.lending ? lending_limit : unused_limit)) {
+            request.unused_on = *request.worker;
             release_room(shard, key, request, release_reason::unused, now);
             // One for which runs may be evicted keeps its place.
             request.no_room_before = now + (request.evict ? duration(0) : unused_pause);
@@ -154,9 +158,11 @@
         if (!suits_request(shard, key, request, worker, now)) {
             continue;
         }
-        if (const auto rank =
-                rank_for_reservation(shard, request.need, request.priority, worker, now);
-            rank > best_rank) {
+        auto rank = rank_for_reservation(shard, request.need, request.priority, worker, now);
+        if (rank && id == request.unused_on) {
+            rank->first -= unused_malus;
+        }
+        if (rank > best_rank) {
             best = &worker;
             best_rank = rank;
         }
--- a/src/shard_search.hpp
+++ b/src/shard_search.hpp
@@ -16,6 +16,7 @@
 struct room_view {
     bool accepts = false;    // see accepts_starts
     resources free;          // for tasks that aren't fillers
+    resources long_running;  // see long_running_room
     std::int64_t filler = 0; // processors that further fillers may use
     bool alone = false;      // no filler runs there
     bool serves = false;     // serving tasks run there
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -183,11 +183,15 @@
     return free;
 }
 
+bool ends_soon(const run_row& run) {
+    return run.phase == run_phase::stopping && run.confirmed;
+}
+
 resources long_running_room(const shard_tables& /*tables*/, const worker_row& worker) {
     auto room = free_resources(worker);
     for (const auto* row : worker.run_rows) {
         const auto& run = *row;
-        if (run.long_running) {
+        if (run.long_running && !ends_soon(run)) {
             continue;
         }
         room.memory.value += run.need.memory.value;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -369,7 +369,12 @@
 // than `task` count as used.
 resources free_resources(const worker_row& worker, const task_key* task = nullptr);
 
-// Returns the worker's free resources once all its tasks that aren't long-running have ended.
+// Returns whether a run that its worker executes is being stopped. Its room becomes free within
+// moments.
+bool ends_soon(const run_row& run);
+
+// Returns the worker's free resources once all its tasks have ended that aren't long-running or are
+// being stopped.
 resources long_running_room(const shard_tables& tables, const worker_row& worker);
 
 // Increments the version of the job's record.
--- a/tests/room_order_test.cpp
+++ b/tests/room_order_test.cpp
@@ -50,6 +50,8 @@
             auto& row = shard.tables.workers.at(entry.target.id);
             row.reachability = reachability_state::reachable;
             row.inventoried = true;
+            row.clock = worker_clock{1};
+            row.clock_at = now;
             shard.stored_workers[entry.target.id] = entry.target.address;
         }
         shard.claim_confirmed = now;
@@ -79,7 +81,7 @@
         return row;
     }
 
-    void add_running(std::int64_t processors, bool long_running, const std::string& id = "w1") {
+    run_key add_running(std::int64_t processors, bool long_running, const std::string& id = "w1") {
         const auto& job =
             add_job(fmt::format("{:016x}", 0x1000 + ++number), processors, long_running);
         run_row run;
@@ -91,6 +93,33 @@
         run.start_sent = now - duration(1'000);
         run.confirmed = run.start_sent;
         add_run(shard.tables, run);
+        return run.key;
+    }
+
+    // Adds short tasks of one core that wait; they were accepted before all others.
+    void add_short_tasks(std::uint32_t count) {
+        auto& job = add_job("0000000000000001", 1'000, false, count);
+        job.occurrences.at(0).stages[0].ready_since = now;
+    }
+
+    // Ends the run of a job that was cancelled.
+    void end_run(const run_key& key) {
+        remove_run(shard.tables, key);
+        shard.active.erase(key.task.job);
+        shard.placement_needed = true;
+    }
+
+    // Returns the starts of one round of placement: of short tasks, and of all others.
+    std::pair<std::size_t, std::size_t> place() {
+        shard_actions actions;
+        place_tasks(shard, now, actions);
+        const auto small =
+            std::count_if(actions.starts.begin(), actions.starts.end(),
+                          [](const worker_action<start_command>& start) {
+                              return start.command.run.task.job == job_id{"0000000000000001"};
+                          });
+        const auto found = static_cast<std::size_t>(small);
+        return {found, actions.starts.size() - found};
     }
 
     json request(const std::vector<wish>& wishes) {
@@ -323,3 +352,118 @@
                             [](const json& row) { return !row.at("first_run").get<bool>(); }) == 1);
     }
 }
+
+// LOST: short tasks took the room that a long-running run left, while tasks of other shards had
+// waited for it for 13 s; then they were evicted for these.
+TEST_CASE("room that a long-running run leaves is reserved for requests before short tasks start") {
+    order_world world;
+    const auto run = world.add_running(7'000, true);
+    world.add_short_tasks(10);
+    world.request({{1, 6'000, 13'000}});
+    REQUIRE_FALSE(world.has_room(1));
+    CHECK(world.place().first == 1);
+    world.end_run(run);
+    CHECK(world.place().first == 1);
+    CHECK(world.has_room(1));
+}
+
+// Guards against the same where a worker comes, or comes back.
+TEST_CASE("room on a worker that becomes usable is reserved for requests first") {
+    order_world world(2);
+    world.add_running(8'000, true);
+    world.worker("w2").inventoried = false;
+    world.add_short_tasks(10);
+    world.request({{1, 6'000, 13'000}});
+    CHECK(world.place().first == 0);
+    world.worker("w2").inventoried = true;
+    CHECK(world.place().first == 2);
+    CHECK(world.has_room(1, "w2"));
+}
+
+// LOST: nothing was reserved while the runs of a cancelled job were being stopped, so their room
+// went to short tasks, and the wait began anew with their eviction.
+TEST_CASE("the room of a run that is being stopped is reserved for the first claim") {
+    order_world world;
+    const auto run = world.add_running(7'000, true);
+    world.request({{1, 6'000, 4'000}, {2, 6'000, 9'000}});
+    CHECK_FALSE(world.has_room(2));
+    request_stop(world.shard.tables.runs.at(run), stop_cause::cancelled, world.now);
+    world.pass(duration(100));
+    CHECK(world.has_room(2));
+    CHECK_FALSE(world.has_room(1));
+    // It can't be used before the run has ended.
+    CHECK(world.request({{1, 6'000, 4'000}, {2, 6'000, 9'000}}).at("grants").empty());
+    world.add_short_tasks(10);
+    CHECK(world.place().first == 0);
+    world.end_run(run);
+    CHECK(world.place().first == 2);
+    CHECK(world.request({{1, 6'000, 4'000}, {2, 6'000, 9'000}}).at("grants").size() == 1);
+}
+
+// Guards against a place that is kept for tasks beside a run which may last for as long as a late
+// command may be executed.
+TEST_CASE("the room of a run that may begin late isn't reserved") {
+    order_world world;
+    const auto run = world.add_running(7'000, true);
+    auto& row = world.shard.tables.runs.at(run);
+    row.confirmed.reset();
+    request_stop(row, stop_cause::duplicate, world.now);
+    world.request({{1, 6'000, 13'000}});
+    world.pass(duration(100));
+    CHECK_FALSE(world.has_room(1));
+}
+
+// Guards against short tasks that start where they would be evicted at once.
+TEST_CASE("a long-running task that may have runs evicted starts before short tasks") {
+    for (const bool waited : {true, false}) {
+        INFO("it has waited " << waited);
+        order_world world;
+        const auto run = world.add_running(7'000, true);
+        world.add_short_tasks(10);
+        auto& job = world.add_job("00000000000000aa", 6'000, true);
+        job.accepted = unix_time{5};
+        auto& stage = job.occurrences.at(0).stages[0];
+        stage.ready_since = world.now - duration(waited ? 2'000 : 500);
+        stage.tasks[0].idle_since = stage.ready_since;
+        world.end_run(run);
+        CHECK(world.place() == std::pair<std::size_t, std::size_t>(waited ? 2 : 8, waited ? 1 : 0));
+    }
+}
+
+// Guards against a request that is bound to a run which doesn't end, while another worker has short
+// runs that may be evicted for it.
+TEST_CASE("room beside a run that doesn't end when stopped is given up for another worker") {
+    order_world world(2);
+    const auto run = world.add_running(7'000, true, "w1");
+    world.add_running(8'000, false, "w2");
+    request_stop(world.shard.tables.runs.at(run), stop_cause::cancelled, world.now);
+    bool moved = false;
+    for (int i = 0; i < 100; ++i) {
+        world.request({{1, 6'000, 4'000 + i * 100, true}});
+        world.pass(duration(100));
+        moved = moved || world.has_room(1, "w2");
+    }
+    CHECK(moved);
+}
+
+// LOST: a task of this shard that had waited for longer was passed over for a request, as requests
+// are served before the shard's own tasks when room for long-running tasks becomes free.
+TEST_CASE("room that a long-running run leaves goes to the longest wait, also one of this shard") {
+    for (const std::int64_t waited : {30'000, 5'000}) {
+        INFO("the shard's own task has waited for " << waited << " ms, the other for 13 s");
+        order_world world;
+        const auto run = world.add_running(7'000, true);
+        auto& job = world.add_job("00000000000000aa", 6'000, true);
+        job.accepted = unix_time{5};
+        auto& stage = job.occurrences.at(0).stages[0];
+        stage.ready_since = world.now - duration(waited);
+        stage.tasks[0].idle_since = stage.ready_since;
+        world.request({{1, 6'000, 13'000, false, true}});
+        REQUIRE(world.place().second == 0);
+        REQUIRE_FALSE(world.has_room(1));
+        world.end_run(run);
+        const bool own = waited > 13'000;
+        CHECK(world.place().second == (own ? 1 : 0));
+        CHECK(world.has_room(1) == !own);
+    }
+}
