simulation: runs that follow each other between two checks aren't parallel

Nobody outside was affected: the fault was in a check.

Cause, two ways to it: - A worker's crash checks its starts at once, but only its own ends were recorded then.

Change: a crash records the ends at all workers first, without advancing them, so that plays keep their course. A run that has ended conflicts with those in progress that started until its end; one that goes on conflicts with any, as before. What is left as it was: of two runs that overlap for less than the 20 ms between checks, and have both ended at the check, none is reported.

--- a/tests/sim_checks.cpp
+++ b/tests/sim_checks.cpp
@@ -253,6 +253,14 @@
     }
 }
 
+void sim_world::record_all_ends() {
+    for (auto& [id, worker] : workers_) {
+        if (worker.model) {
+            record_ends(worker, *worker.model);
+        }
+    }
+}
+
 // Checks the runs that started since the last check.
 void sim_world::check_starts(sim_worker& worker, const worker_model& model) {
     const auto incarnation =
@@ -282,12 +290,17 @@
         if (history.done_acknowledged > own_done) {
             record_violation("TWICE start after an acknowledged end: " + name);
         }
-        if (!history.running.empty() && !step.speculative) {
-            record_violation("TWICE two runs at once: " + name + " and " +
-                             *history.running.begin());
+        // Another run of the same interval may have started when this one had ended.
+        const auto until = run.to.value_or(time_point::max());
+        const auto& running = history.running;
+        const auto other = std::find_if(running.begin(), running.end(),
+                                        [&](const auto& row) { return row.second <= until; });
+        if (other != running.end() && !step.speculative) {
+            record_violation("TWICE two runs at once: " + name + " and " + other->first);
         }
         if (!run.to) {
-            history.running.insert(incarnation + "#" + std::to_string(run.run.number.value));
+            history.running.emplace(incarnation + "#" + std::to_string(run.run.number.value),
+                                    run.from);
         }
         for (const auto before : step.after) {
             for (std::uint32_t index = 0; index < job.spec.steps[before].count; ++index) {
--- a/tests/sim_checks_test.cpp
+++ b/tests/sim_checks_test.cpp
@@ -42,6 +42,11 @@
     void play_run(const std::string& worker, std::uint64_t number) {
         start(worker, number);
         world.run_for(duration(6));
+        end(worker);
+    }
+
+    // Has the worker list the end of its run and acknowledges it.
+    void end(const std::string& worker) {
         auto& model = *world.workers().at(worker).model;
         model.hold({{token}, ++ends[worker], std::nullopt, duration(0)}, world.now());
         REQUIRE_FALSE(model.has_unacknowledged_ends());
@@ -51,6 +56,7 @@
 };
 
 const std::string budget_text = "BUDGET start beyond the maximum attempts";
+const std::string parallel_text = "TWICE two runs at once";
 const std::string done_text = "TWICE start after an acknowledged end";
 
 } // namespace
@@ -125,3 +131,55 @@
     checked.check();
     CHECK(reports(checked.world, done_text));
 }
+
+// TWICE was reported when a worker crashed shortly after a start, or for a run that had ended
+// before the next one started: all between two checks.
+TEST_CASE("the simulation doesn't take runs for parallel that follow each other between checks") {
+    checked_world checked({0});
+    SECTION("the second worker crashes before the check") {
+        checked.world.jobs().at(job_name).work = duration(45);
+        checked.start("w-east-1", 1);
+        checked.check();
+        checked.world.run_for(duration(6));
+        checked.end("w-east-1");
+        checked.start("w-east-0", 2);
+        checked.world.run_for(duration(2));
+        checked.world.crash_worker("w-east-0");
+    }
+    SECTION("the second run is checked first") {
+        checked.play_run("w-east-1", 1);
+        checked.world.run_for(duration(2));
+        checked.world.jobs().at(job_name).work = duration(500);
+        checked.start("w-east-0", 2);
+    }
+    checked.check();
+    check_guarantees(checked.world);
+}
+
+// TWICE: runs that overlap must be reported also if one is short or its worker crashes.
+TEST_CASE("the simulation reports parallel runs that start between checks") {
+    checked_world checked({0});
+    SECTION("both run at the check") {
+        checked.world.jobs().at(job_name).work = duration(500);
+        checked.start("w-east-0", 1);
+        checked.world.run_for(duration(2));
+        checked.start("w-east-1", 2);
+    }
+    SECTION("one has ended at the check") {
+        checked.start("w-east-1", 1);
+        checked.world.run_for(duration(2));
+        checked.world.jobs().at(job_name).work = duration(500);
+        checked.start("w-east-0", 2);
+    }
+    SECTION("the second worker crashes before the check") {
+        checked.world.jobs().at(job_name).work = duration(500);
+        checked.start("w-east-1", 1);
+        checked.check();
+        checked.world.run_for(duration(6));
+        checked.start("w-east-0", 2);
+        checked.world.run_for(duration(2));
+        checked.world.crash_worker("w-east-0");
+    }
+    checked.check();
+    CHECK(reports(checked.world, parallel_text));
+}
--- a/tests/sim_world.cpp
+++ b/tests/sim_world.cpp
@@ -505,12 +505,12 @@
         return;
     }
     worker.model->advance(now_);
-    record_ends(worker, *worker.model);
+    record_all_ends();
     check_starts(worker, *worker.model);
     const auto incarnation_prefix = id + "/" + std::to_string(worker.incarnation) + "#";
     for (auto& [key, history] : history_) {
         std::erase_if(history.running,
-                      [&](const std::string& run) { return run.starts_with(incarnation_prefix); });
+                      [&](const auto& run) { return run.first.starts_with(incarnation_prefix); });
     }
     worker.retired_models.push_back(std::move(worker.model));
     ++worker.incarnation;
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -218,6 +218,7 @@
     void tick();
     void finish_stop(std::size_t index);
     void record_ends(sim_worker& worker, const worker_model& model);
+    void record_all_ends();
     void check_starts(sim_worker& worker, const worker_model& model);
     void check_capacity(const sim_worker& worker);
     void record_violation(const std::string& what);
@@ -248,7 +249,8 @@
 
     // Observed runs of each task.
     struct task_history {
-        std::set<std::string> running; // worker incarnation and run number of each run in progress
+        // Start of each run in progress, by worker incarnation and run number.
+        std::map<std::string, time_point> running;
         std::size_t done_acknowledged = 0; // runs, as are the failures
         bool done = false;                 // a run ended as done at a worker
         std::size_t failures_acknowledged = 0;
