host_faults_test: handovers and requests for shards whose answers are late or lost

The table in docs/fault-matrix.md had no test of a single request for a shard whose owner no host hears, and none of handovers and requests that are carried out late for 5 s.

"a shard gets its next owner although the store was disturbed when it was to change" has late, unanswered writes as a fourth disturbance. New: "a shard gets its next owner although the one call for that gets no answer" (handover or request, carried out at once or 5 s late, timed out or ended, with or without a second in which the store refuses all calls). Bounds are those of the former.

No functional change.

--- a/tests/host_faults_test.cpp
+++ b/tests/host_faults_test.cpp
@@ -263,47 +263,91 @@
     }
 }
 
+namespace {
+
+// Has a shard change its owner, which is stopped or heard by no other host, while `disturb` acts;
+// `mend` ends that 5 s later.
+void play_change_of_owner(sim_world& world, bool stopped,
+                          const std::function<void(std::size_t owner)>& disturb,
+                          const std::function<void()>& mend) {
+    const auto owner = world.owner_of("east.0");
+    REQUIRE(owner);
+    world.submit(*owner, sim_world::simple_job(30), duration(2'000));
+    if (stopped) {
+        world.stop_host(*owner);
+    }
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        if (host != *owner && !stopped) {
+            world.set_partition(host, *owner, true);
+        }
+    }
+    disturb(*owner);
+    world.run_for(duration(5'000));
+    mend();
+    CHECK(world.run_until(
+        [&] {
+            const auto next = world.owner_of("east.0");
+            return next && next != owner;
+        },
+        duration(12'000)));
+    for (std::size_t host = 0; host < world.host_count(); ++host) {
+        if (host != *owner) {
+            world.set_partition(host, *owner, false);
+        }
+    }
+    CHECK(finish_all(world, finish_time));
+    check_guarantees(world);
+}
+
+} // namespace
+
 // LOST: the claim of a shard is handed over, or requested of an owner that no host hears, while the
-// store refuses or answers nothing for 5 s, from several moments on.
+// store refuses, answers nothing or carries out writes late for 5 s, from several moments on.
 TEST_CASE("a shard gets its next owner although the store was disturbed when it was to change") {
-    const auto mode = GENERATE(store_mode::busy, store_mode::reset, store_mode::silent);
+    const auto mode =
+        GENERATE(store_mode::up, store_mode::busy, store_mode::reset, store_mode::silent);
     const auto stopped = GENERATE(false, true);
     for (std::int64_t delay = 0; delay <= 4'000; delay += 500) {
         INFO("mode " << static_cast<int>(mode) << (stopped ? " stopped " : " not heard ") << delay
                      << " ms");
         sim_world world(83, {"east"}, 3);
         world.run_for(startup_time);
-        const auto owner = world.owner_of("east.0");
-        REQUIRE(owner);
-        world.submit(*owner, sim_world::simple_job(30), duration(2'000));
-        if (stopped) {
-            world.stop_host(*owner);
-        }
-        for (std::size_t host = 0; host < world.host_count(); ++host) {
-            if (host != *owner && !stopped) {
-                world.set_partition(host, *owner, true);
+        const auto disturb = [&](std::size_t owner) {
+            world.run_for(duration(delay));
+            if (mode == store_mode::up) {
+                world.late_writes = 1; // each write is carried out later and gets no answer
+                return;
             }
-        }
-        world.run_for(duration(delay));
-        for (std::size_t host = 0; host < world.host_count(); ++host) {
-            if (host != *owner || stopped) {
-                world.set_store_mode(host, mode);
+            for (std::size_t host = 0; host < world.host_count(); ++host) {
+                if (host != owner || stopped) {
+                    world.set_store_mode(host, mode);
+                }
             }
-        }
-        world.run_for(duration(5'000));
-        world.set_store_mode_for_all(store_mode::up);
-        CHECK(world.run_until(
-            [&] {
-                const auto next = world.owner_of("east.0");
-                return next && next != owner;
-            },
-            duration(12'000)));
-        for (std::size_t host = 0; host < world.host_count(); ++host) {
-            if (host != *owner) {
-                world.set_partition(host, *owner, false);
+        };
+        play_change_of_owner(world, stopped, disturb, [&] {
+            world.late_writes = 0;
+            world.set_store_mode_for_all(store_mode::up);
+        });
+    }
+}
+
+// The same for a single handover or request that is carried out, at once or 5 s late, and gets no
+// answer, with or without a second in which the store refuses all calls.
+TEST_CASE("a shard gets its next owner although the one call for that gets no answer") {
+    const auto stopped = GENERATE(false, true);
+    const std::string kind = stopped ? "handover" : "request";
+    for (const std::int64_t late : {0, 5'000}) {
+        for (const bool times_out : {false, true}) {
+            for (const bool refuses : {false, true}) {
+                INFO(kind << " late " << late << " times_out " << times_out << " refuses "
+                          << refuses);
+                sim_world world(83, {"east"}, 3);
+                world.run_for(startup_time);
+                world.lose_answer({kind, duration(late), times_out, refuses});
+                play_change_of_owner(
+                    world, stopped, [](std::size_t) {}, [] {});
+                CHECK(world.answers_lost(kind) == 1);
             }
         }
-        CHECK(finish_all(world, finish_time));
-        check_guarantees(world);
     }
 }
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -17,6 +17,7 @@
     }
     return puts(hosts_prefix)                  ? "registration"
            : puts(shard_list_key)              ? "shard_list"
+           : puts(requests_prefix)             ? "request"
            : transaction.conditions.size() > 2 ? "submission"
            : puts("data/")                     ? "progress"
                                                : "other";
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -153,9 +153,9 @@
     double late_writes = 0;  // fraction of store writes applied seconds later
 
     // Loses the answer to the next call of a kind. Transactions are `submission` (with one or more
-    // jobs), `progress`, `claim`, `handover`, `registration` and `shard_list`; the other calls are
-    // `lease`, `keep`, `start`, `stop`, `hold`, and `peer.` with the method for those between
-    // hosts.
+    // jobs), `progress`, `claim`, `handover`, `request` (of a shard), `registration` and
+    // `shard_list`; the other calls are `lease`, `keep`, `start`, `stop`, `hold`, and `peer.` with
+    // the method for those between hosts.
     void lose_answer(const lost_answer& next) { lost_answer_ = next; }
     std::size_t answers_lost(const std::string& kind) const;
 
