takeover_model_test: rules that are left out are looked for with one limit, as before

These five set the shorter limit to the longer one, which is the protocol and the size in which they were found before; nothing else changes, and all ten checks of the file's cases on missing rules pass.

no functional change

--- a/tests/takeover_model_test.cpp
+++ b/tests/takeover_model_test.cpp
@@ -67,12 +67,15 @@
           "none");
 }
 
-// The protocol before: witnesses of other data centres had to confirm an owner.
+// The protocol before: witnesses of other data centres had to confirm an owner. With the shorter
+// limit it stops before the loss of confirmations shows.
 TEST_CASE("the model finds the data centre that stopped when it was cut off") {
-    CHECK(first_violation({.local_suffice = false, .local_peers = {false}}) ==
-          "a data centre that is cut off doesn't go on");
-    CHECK(first_violation({.local_suffice = false, .workers = 1, .local_peers = {true, false}}) ==
+    CHECK(first_violation({.local_suffice = false, .local_peers = {false}, .isolated_limit = 5}) ==
           "a data centre that is cut off doesn't go on");
+    CHECK(first_violation({.local_suffice = false,
+                           .workers = 1,
+                           .local_peers = {true, false},
+                           .isolated_limit = 5}) == "a data centre that is cut off doesn't go on");
 }
 
 TEST_CASE("the model finds the takeover that never ended, and each rule that is left out") {
@@ -80,7 +83,8 @@
           "the takeover doesn't end");
     CHECK(first_violation({.limit_unconfirmed_owner = false}) == "the takeover doesn't end");
     CHECK(first_violation({.wait_for_leases = false}) == "the task runs in two places");
-    CHECK(first_violation({.fence_epochs = false}) == "the task runs in two places");
+    CHECK(first_violation({.fence_epochs = false, .isolated_limit = 5}) ==
+          "the task runs in two places");
 }
 
 // The protocol without witnesses: with half of the workers gone, a takeover lasted as long as an
@@ -93,6 +97,8 @@
 
 TEST_CASE(
     "the model finds that witnesses keep their promises, and the former owner's host its own") {
-    CHECK(first_violation({.keep_promises = false}) == "the task runs in two places");
-    CHECK(first_violation({.give_up_when_asked = false}) == "the task runs in two places");
+    CHECK(first_violation({.keep_promises = false, .isolated_limit = 5}) ==
+          "the task runs in two places");
+    CHECK(first_violation({.give_up_when_asked = false, .isolated_limit = 5}) ==
+          "the task runs in two places");
 }
