Review: the case of the gang whose member runs again

Case 6 shows that a member of a gang that another shard runs is started again after the gang has ended as done, when its worker hangs for 5.5 s around the end. The stand-in of the store had two faults, which are corrected: a transaction could answer with a later revision than its own, and a watch could miss a wake-up.

--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -228,19 +228,20 @@
 
     async def apply(self, writes, deletes):
         self.revision += 1
+        revision = self.revision
         for key, value, lease in writes:
             old = self.items.get(key)
-            item = {"key": key, "value": value, "revision": self.revision,
-                    "created": old["created"] if old else self.revision, "lease": lease}
+            item = {"key": key, "value": value, "revision": revision,
+                    "created": old["created"] if old else revision, "lease": lease}
             self.items[key] = item
             self.events.append((time.monotonic(), dict(item)))
         for key in deletes:
             if self.items.pop(key, None) is not None:
                 self.events.append((time.monotonic(),
-                                    {"key": key, "revision": self.revision, "deleted": True}))
+                                    {"key": key, "revision": revision, "deleted": True}))
         async with self.changed:
             self.changed.notify_all()
-        return self.revision
+        return revision
 
     async def put(self, key, value):
         """Writes a value as the operator or a worker does."""
@@ -304,15 +305,15 @@
 
     async def watch(self, prefix, after, wait):
         until = time.monotonic() + wait / 1000
-        while True:
-            if after < self.discarded:
-                return 410, {"atRev": self.revision}
-            found = [e for _, e in self.events
-                     if e["revision"] > after and e["key"].startswith(prefix)]
-            left = until - time.monotonic()
-            if found or left <= 0:
-                return 200, {"events": found, "atRev": self.revision}
-            async with self.changed:
+        async with self.changed:
+            while True:
+                if after < self.discarded:
+                    return 410, {"atRev": self.revision}
+                found = [e for _, e in self.events
+                         if e["revision"] > after and e["key"].startswith(prefix)]
+                left = until - time.monotonic()
+                if found or left <= 0:
+                    return 200, {"events": found, "atRev": self.revision}
                 try:
                     await asyncio.wait_for(self.changed.wait(), left)
                 except asyncio.TimeoutError:
@@ -345,8 +346,9 @@
 
 
 class Worker:
-    """A worker. A task's specification is a JSON object: `ms` is how long it works, `fails` how
-    many of its first runs fail; a task that lasts works until it is stopped."""
+    """A worker. A task's specification is a JSON object: `ms` is how long it works (or a list with
+    one for each step), `fails` how many of its first runs fail; a task that lasts works until it is
+    stopped."""
 
     def __init__(self, world, ident, host, port, zone, rack, service, capacity, kind="a"):
         self.world, self.id, self.zone, self.rack = world, ident, zone, rack
@@ -446,7 +448,10 @@
             answer = await self.before(method, path, headers, body)
             if answer is not None:
                 return answer
-        return await self.carry_out(path, json.loads(body))
+        answer = await self.carry_out(path, json.loads(body))
+        if self.before is not None:  # since this call arrived
+            return await self.before(method, path, headers, body) or answer
+        return answer
 
     def answer(self, status, **fields):
         return status, dict(clockMs=self.clock(), born=self.born, **fields)
@@ -495,10 +500,13 @@
         self.take_lease(call["deadlineMs"])
         spec = json.loads(call["taskSpec"])
         lasts = spec.get("lasts", False)
+        ms = spec.get("ms", 0)
+        if isinstance(ms, list):  # one for each step
+            ms = ms[int(task.split(".")[2])]
         failing = run_count(self.world, task) < spec.get("fails", 0)
         self.runs[task] = {"run": run, "stop_at": None, "started": self.clock(),
-                           "end_at": None if lasts else self.clock() + spec["ms"],
-                           "ms": spec.get("ms", 0), "how": "failed" if failing else "done"}
+                           "end_at": None if lasts else self.clock() + ms,
+                           "ms": ms, "how": "failed" if failing else "done"}
         self.world.on_run_start(self, task, run, call)
         return self.answer(200)
 
