--- a/review/lib-2/gangs.py
+++ b/review/lib-2/gangs.py
@@ -39,3 +39,14 @@
         for member, worker in list(members.items()):
             if member in worker.runs and worker.runs[member]["how"] != "alone":
                 await worker.end(member, "done" if how == "done" else "broken")
+
+    async def crash(self, silent=False):
+        tasks = list(self.runs.items())
+        await super().crash(silent)
+        for task, row in tasks:
+            members = self.gangs.get(gang_of(task, row["run"]), {})
+            if members.pop(task, None) is None:
+                continue
+            for member, worker in list(members.items()):
+                if member in worker.runs and worker.runs[member]["how"] != "alone":
+                    await worker.end(member, "broken")
