--- a/review/10/case.py
+++ b/review/10/case.py
@@ -79,4 +79,4 @@
             f"with six workers idle or nearly so" for task, after in stood.items()]
 
 
-w.run_case(case, HERE)
+w.run_case(case, HERE, os.environ.get("TROUBLE", "1") != "0")
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -739,10 +739,10 @@
     return f"{0x5C0E7A2100000000 + number:016x}"
 
 
-def run_case(case, folder, limit=110):
-    """Runs a case: a coroutine (world, trouble) -> list of breaches. Exits as the issue says."""
+def run_case(case, folder, trouble, limit=110):
+    """Runs a case: a coroutine (world, trouble) -> list of breaches. Exits with 1 if there are any, with
+    0 if not, and with 2 if the case couldn't run."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     world = World(record)
 
     async def bounded():
