shard_placement, shard_waits: log why a waiting task finds no room, and where its run is recorded

`no_room` names the most free processors of any worker, but not why the task doesn't start there: a filler also needs a predicted pace, and room beside serving tasks counts differently from room elsewhere. The line now has the workers that fit, how many of them the pace rules out, the best pace and the one that is needed by then, and the most processors with and without serving tasks. `task_waits` of a task that waits for a takeover names the worker on which its run is recorded, or none.

no functional change

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -360,6 +360,21 @@
 void deduct_room(lending_room& other, const service_id& service, const step_spec& step,
                  std::size_t tasks);
 
+// Why a task of a stage finds no room in its shard: what the workers that could run it offer.
+struct room_search {
+    std::size_t workers = 0;        // accept starts and meet the step's conditions
+    std::size_t serving = 0;        // of these, those with serving tasks
+    std::size_t fitting = 0;        // have the processors and the memory
+    std::size_t paced_out = 0;      // of these, those below the pace that a filler needs
+    double best_pace = -1;          // among those that fit; -1: none fits
+    double min_pace = 0;            // that a filler needs by now
+    millicores most_beside_serving; // most processors on a worker with serving tasks
+    millicores most_elsewhere;      // and on one without
+};
+
+room_search inspect_rooms(const shard_state& shard, const job_row& job, const stage_row& stage,
+                          time_point now);
+
 // Logs the needs of the waiting tasks of a stage, and the room in this and the other shards.
 void log_no_room(const shard_state& shard, const job_row& job, stage_row& stage, time_point now);
 
--- a/src/shard_lending_room.cpp
+++ b/src/shard_lending_room.cpp
@@ -189,14 +189,20 @@
             }
         }
     }
+    const auto search = inspect_rooms(shard, job, stage, now);
     shard.log->write(
-        "event=no_room job={} step={} shard={} tasks={} lasting={} stranded={} "
+        "event=no_room job={} step={} shard={} tasks={} lasting={} stranded={} waited_ms={} "
+        "workers={} serving={} fitting={} paced_out={} best_pace={:.2f} min_pace={:.2f} "
+        "most_cpu_serving={} most_cpu_elsewhere={} "
         "need_cpu={} need_mem={} need_acc={} label=\"{}\" spread={} free_cpu={} free_mem={} "
         "free_acc={} others=\"{}\"",
         job.id.value, stage.step, shard.id.value, stage.waiting.size(), step.long_running,
-        is_stranded(shard, job, stage), step.need.processors.value, step.need.memory.value,
-        step.need.accelerators.value, make_printable(step.label), step.spread_limit,
-        largest.processors.value, largest.memory.value, largest.accelerators.value, others);
+        is_stranded(shard, job, stage), stage.ready_since ? (now - *stage.ready_since).count() : 0,
+        search.workers, search.serving, search.fitting, search.paced_out, search.best_pace,
+        search.min_pace, search.most_beside_serving.value, search.most_elsewhere.value,
+        step.need.processors.value, step.need.memory.value, step.need.accelerators.value,
+        make_printable(step.label), step.spread_limit, largest.processors.value,
+        largest.memory.value, largest.accelerators.value, others);
 }
 
 } // namespace fulmar
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -361,6 +361,33 @@
 
 } // namespace
 
+room_search inspect_rooms(const shard_state& shard, const job_row& job, const stage_row& stage,
+                          time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    room_search found;
+    found.min_pace = step.filler && stage.ready_since ? min_pace_of(stage, now) : 0;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        if (!accepts_starts(shard, worker, now) || !can_run_on(job, stage, worker)) {
+            continue;
+        }
+        ++found.workers;
+        const bool serves = worker.last_view.serves;
+        const auto room =
+            step.filler ? filler_room(shard, worker) : free_resources(worker).processors.value;
+        auto& most = serves ? found.most_beside_serving : found.most_elsewhere;
+        most = {std::max(most.value, room)};
+        found.serving += serves ? 1 : 0;
+        if (!fits_worker(shard, worker, step, {job.id, stage.occurrence, stage.step, 0})) {
+            continue;
+        }
+        ++found.fitting;
+        const double pace = step.filler ? predict_pace(shard, worker, step, now) : 1;
+        found.best_pace = std::max(found.best_pace, pace);
+        found.paced_out += pace < found.min_pace ? 1 : 0;
+    }
+    return found;
+}
+
 bool is_usable(const shard_state& shard, const worker_row& worker) {
     return worker.listed && !worker.entry.draining && is_stored(shard, worker.entry.target) &&
            !is_promised(shard, worker.entry.target.id);
--- a/src/shard_waits.cpp
+++ b/src/shard_waits.cpp
@@ -72,7 +72,9 @@
                                                             job.version, job.stored_version)};
     }
     if (has_unknown_run(shard, job, task)) {
-        return wait_place{wait_cause::takeover, describe_takeover(shard, now)};
+        return wait_place{wait_cause::takeover,
+                          fmt::format("{} recorded_on={}", describe_takeover(shard, now),
+                                      task.recorded_on ? task.recorded_on->value : "none")};
     }
     const bool permitted =
         shard.starts_allowed && shard.data_centre_open && has_authority(shard, now);
