--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -2,6 +2,7 @@
 // stores the loan with the borrower's id before it sends the offer, the borrower stores the tasks
 // before it answers, and the lender stores a result before the borrower deletes it. So each task
 // belongs to one shard at any time, even if the owner of either shard changes.
+#include "shard_begin.hpp"
 #include "shard_loan_messages.hpp"
 
 #include <algorithm>
@@ -147,8 +148,10 @@
     row->loan = 0;
     // The rows of the occurrence may be gone after either of the first two.
     if (result == loan_result::done) {
+        mark_begun(job);
         complete_task(shard, job, key, now, unix_now);
     } else if (result == loan_result::failed) {
+        mark_begun(job);
         end_job(shard, job, job_phase::failed, now, unix_now);
     } else {
         reclaim_task(shard, job, key, now);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -271,7 +271,6 @@
     run.command_lease = command.lease_until;
     run.checkpoint = task.checkpoint;
     add_run(shard.tables, std::move(run));
-    next.job->phase = job_phase::running;
     shard.log->write("event=start task={}.{}.{}.{} run={} worker={} accepted_ms={} load_age_ms={}",
                      command.run.task.job.value, command.run.task.occurrence, command.run.task.step,
                      index, number.value, worker.entry.target.id.value, next.accepted.value,
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -1,5 +1,6 @@
 // Processing of what workers report: replies to commands, lists of active runs and run ends, which
 // are reported until acknowledged.
+#include "shard_begin.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -77,7 +78,7 @@
         request_stop(added, cause, now);
     } else {
         auto& own = shard.tables.jobs.at(row.run.task.job);
-        own.phase = job_phase::running;
+        mark_begun(own);
         if (task->parked) {
             task->parked = false;
             record_change(shard, own, true, now);
@@ -90,7 +91,11 @@
 }
 
 // Updates a run from its status in the worker's list.
-void update_run(run_row& run, const run_status& row, time_point sent, time_point now) {
+void update_run(shard_tables& tables, run_row& run, const run_status& row, time_point sent,
+                time_point now) {
+    if (const auto job = tables.jobs.find(run.key.task.job); job != tables.jobs.end()) {
+        mark_begun(job->second);
+    }
     run.checkpoint = row.checkpoint;
     run.progress_percent = row.progress_percent;
     run.measurement = row.measurement;
@@ -159,7 +164,7 @@
         if (found == shard.tables.runs.end()) {
             adopt_run(shard, worker, row, now);
         } else if (found->second.worker == worker.entry.target.id) {
-            update_run(found->second, row, sent, now);
+            update_run(shard.tables, found->second, row, sent, now);
             if (found->second.long_running && found->second.start_sent >= worker.no_starts_before &&
                 now >= found->second.start_sent + success_time) {
                 worker.failures = 0;
@@ -366,6 +371,7 @@
         return;
     }
     auto& job = shard.tables.jobs.at(key.task.job);
+    mark_begun(job);
     if (task->loan != 0 && !is_borrowed(job)) {
         // The worker was unreachable for longer than its lease, and the task was lent meanwhile.
         // The borrower may already run it, so the borrower's result counts.
--- a/src/shard_start_replies.cpp
+++ b/src/shard_start_replies.cpp
@@ -1,4 +1,5 @@
 // Processing of replies to starts and stops.
+#include "shard_begin.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -89,6 +90,9 @@
             log_uncertain_start(shard, run, worker, reply.value(), match, now);
         }
         run.confirmed = run.confirmed.value_or(now);
+        if (const auto job = shard.tables.jobs.find(key.task.job); job != shard.tables.jobs.end()) {
+            mark_begun(job->second);
+        }
         run.incarnation_known =
             run.incarnation_known || (match == incarnation_match::known && worker.inventoried);
         if (match == incarnation_match::other && worker.inventoried) {
