shard_acknowledgements: keep late acknowledgements and starts apart

The hold's lastSeen was meant for its former incarnation; it deletes the end of the run that the start began, which no owner has seen, and the task runs again 10 s after it had ended as done.

Cause: the number names no incarnation, and holds that carry one wait for up to 1 s at the worker, so starts were open beside them with the same fencing token. Concluding from 409 `old` instead isn't possible: it tells that the run ended, not how.

Change: a start that is sent while an acknowledging hold has no answer carries a higher fence, so whoever executes it refuses that hold from then on; and nothing is acknowledged while a start may be executed late. Fences are counted for each worker, as they are raised more often.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -1,5 +1,6 @@
 #include "shard_control.hpp"
 
+#include "shard_acknowledgements.hpp"
 #include "shard_internal.hpp"
 #include "shard_run_numbers.hpp"
 
@@ -77,7 +78,9 @@
         // worker may reply, and its run ends use the same numbers again.
         const bool same_incarnation = steady && now <= worker.replied_at + shard.timing.reply_age;
         const bool new_number = worker.acknowledged_end > worker.acknowledged_sent;
-        command.acknowledged = same_incarnation && new_number ? worker.acknowledged_end : 0;
+        command.acknowledged = same_incarnation && new_number && may_acknowledge(worker, now)
+                                   ? worker.acknowledged_end
+                                   : 0;
         worker.acknowledged_in_flight = command.acknowledged;
         const bool promised = is_promised(shard, id);
         if (steady && authority && !promised) {
--- a/src/shard_incarnations.cpp
+++ b/src/shard_incarnations.cpp
@@ -4,6 +4,7 @@
 // executed seconds later, by a later incarnation as well. The fence, a part of the token in each
 // command, is raised after such a command: an incarnation that has replied to the raised one
 // refuses all that was sent before.
+#include "shard_acknowledgements.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -80,8 +81,13 @@
     return ++shard.fences;
 }
 
+// The limit is that of each worker, so that it lasts for days.
 void raise_fence(shard_state& shard, worker_row& worker) {
-    worker.fence = next_fence(shard);
+    if (worker.fence >= highest_fence) {
+        lose_shard(shard, "fences_used_up"); // the next epoch begins with the lowest
+        return;
+    }
+    shard.fences = std::max(shard.fences, ++worker.fence);
 }
 
 void on_fenced(shard_state& shard, const worker_row& worker, std::uint32_t fence) {
@@ -100,6 +106,19 @@
     return run.start_in_flight || at < run.late_until;
 }
 
+bool may_acknowledge(const worker_row& worker, time_point now) {
+    return std::none_of(worker.run_rows.begin(), worker.run_rows.end(),
+                        [&](const run_row* run) { return may_start_late(*run, now); });
+}
+
+bool refuse_acknowledgement(shard_state& shard, worker_row& worker) {
+    if (worker.hold_in_flight && worker.acknowledged_in_flight > 0 &&
+        worker.hold_fence == worker.fence) {
+        raise_fence(shard, worker);
+    }
+    return !shard.ownership_lost;
+}
+
 bool is_certain(const worker_row& worker, const run_row& run) {
     return run.incarnation_known && !may_start_late(run, worker.clock_sent);
 }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -1,4 +1,5 @@
 // Placement: chooses which waiting task starts on which worker.
+#include "shard_acknowledgements.hpp"
 #include "shard_internal.hpp"
 #include "shard_run_numbers.hpp"
 
@@ -252,6 +253,9 @@
                 worker_row& worker, time_point now, shard_actions& actions) {
     const auto& step = next.job->spec.steps[next.stage->step];
     const auto& task = next.stage->tasks[index];
+    if (!refuse_acknowledgement(shard, worker)) {
+        return;
+    }
     start_command command;
     command.run = {{next.job->id, next.stage->occurrence, next.stage->step, index}, number};
     command.payload = next.job->spec.payload;
@@ -404,6 +408,9 @@
         if (!may_repeat_start(shard, run, worker, now)) {
             continue; // the next list of runs has it tried again
         }
+        if (!refuse_acknowledgement(shard, worker)) {
+            return;
+        }
         run.phase = run_phase::starting;
         run.start_sent = now;
         run.start_fence = worker.fence;
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -1,5 +1,6 @@
 // Processing of what workers report: replies to commands, lists of active runs and run ends, which
 // are reported until acknowledged.
+#include "shard_acknowledgements.hpp"
 #include "shard_begin.hpp"
 #include "shard_internal.hpp"
 
@@ -492,8 +493,11 @@
     if (is_promised(shard, id)) {
         worker.next_hold = now + shard.timing.promised_hold_interval;
     } else {
-        worker.next_hold =
-            worker.unacknowledged_ends.empty() ? now : now + shard.timing.unstored_hold_interval;
+        // The worker replies at once while it lists ends.
+        const bool unacknowledged =
+            !worker.unacknowledged_ends.empty() ||
+            (worker.acknowledged_end > worker.acknowledged_sent && !may_acknowledge(worker, now));
+        worker.next_hold = unacknowledged ? now + shard.timing.unstored_hold_interval : now;
     }
 }
 
--- a/tests/restart_world.hpp
+++ b/tests/restart_world.hpp
@@ -19,6 +19,7 @@
 inline const worker_id the_worker{"w-1"};
 inline const error broken{error_kind::outcome_unknown, "the connection ended"};
 inline const error silent{error_kind::timeout, "no answer"};
+inline const error turned_away{error_kind::unavailable, "503"};
 
 template <class Command>
 using sent_command = std::pair<Command, time_point>;
