shard_placement: start nothing by the entry of a former incarnation

From the first reply on, tasks started there without their requiredLabel, or beyond its capacity; starts without an answer were sent again there likewise.

Cause: a later entry had the worker asked again, but a later reply didn't wait for the entry.

Change: while the entry's start time isn't that of the replies, no task with a required label starts there, and nothing else for 10 s. An entry that stays old, as in an outage of the store, doesn't stop the worker for ever, nor does one without a start time. A repeated start is given up if the worker no longer meets the step's conditions.

In restart_world the worker's first entry tells no start time: the 1 that it told was no incarnation's, so all tests there would have been about this.

fulmar_simulation_tests "nothing starts on a restarted worker by the entry of its former incarnation": on the code before, 6 checks fail ("world.starts_sent == sent ... 5 == 3"). Not shown with real processes.

--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -35,9 +35,26 @@
 // find other workers without such tasks.
 constexpr double other_image_weight = 1'500;
 
-// Returns whether the worker meets a step's conditions on service and label.
+// A worker that has restarted gets no starts for this long while its entry is the former
+// incarnation's. A worker writes its entry within moments, but not in an outage of the store.
+constexpr duration entry_limit{10'000};
+
+// Returns whether the worker's entry is of another incarnation than its replies.
+bool is_entry_of_other(const worker_row& worker) {
+    return worker.entry.start_time && worker.start_time &&
+           worker.entry.start_time != worker.start_time;
+}
+
+// Returns whether an entry of the incarnation that replies is waited for.
+bool awaits_entry(const worker_row& worker, time_point now) {
+    return is_entry_of_other(worker) && now < worker.incarnation_since + entry_limit;
+}
+
+// Returns whether the worker meets a step's conditions on service and label. Another incarnation
+// may be of another kind.
 bool can_host(const job_row& job, const step_spec& step, const worker_row& worker) {
-    return worker.entry.service == job.queue.service && has_required_label(worker, step.label);
+    return worker.entry.service == job.queue.service && has_required_label(worker, step.label) &&
+           (step.label.empty() || !is_entry_of_other(worker));
 }
 
 // A stage with tasks to start.
@@ -359,7 +376,8 @@
     const bool allowed = shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
                          has_authority(shard, now);
     return allowed && run.phase == run_phase::unconfirmed && worker.inventoried &&
-           worker.reachability == reachability_state::reachable && is_usable(shard, worker);
+           worker.reachability == reachability_state::reachable && is_usable(shard, worker) &&
+           !awaits_entry(worker, now);
 }
 
 } // namespace
@@ -408,6 +426,11 @@
         if (!may_repeat_start(shard, run, worker, now)) {
             continue; // the next list of runs has it tried again
         }
+        const auto& job = shard.tables.jobs.at(key.task.job);
+        if (!can_host(job, job.spec.steps[key.task.step], worker)) {
+            request_stop(run, stop_cause::duplicate, now);
+            continue;
+        }
         if (!refuse_acknowledgement(shard, worker)) {
             return;
         }
@@ -418,7 +441,7 @@
         ++run.starts_sent;
         start_command command;
         command.run = key;
-        command.payload = shard.tables.jobs.at(key.task.job).spec.payload;
+        command.payload = job.spec.payload;
         command.token = make_token(shard, worker);
         command.lease_until = next_lease(shard, worker, now);
         command.checkpoint = run.checkpoint;
@@ -449,7 +472,7 @@
 
 bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
-           is_usable(shard, worker) && !is_paused(worker, now);
+           is_usable(shard, worker) && !is_paused(worker, now) && !awaits_entry(worker, now);
 }
 
 bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
--- a/tests/restart_world.hpp
+++ b/tests/restart_world.hpp
@@ -54,16 +54,21 @@
                            {progress_key(record.id, job.id), encode_progress(job), {2}}});
         shard.loaded_at = now;
         shard.commit.last_applied = now;
-        on_worker_entry(shard, entry({1}), now);
+        on_worker_entry(shard, entry(), now);
         restart();
     }
 
-    static worker_entry entry(process_start_time start_time) {
+    static worker_entry entry() {
         worker_entry next;
         next.target = {the_worker, {"10.0.0.1", 1}};
         next.service = {"desk"};
         next.data_centre = {"east"};
         next.capacity = {{8'000}, {32'000}, {0}};
+        return next;
+    }
+
+    static worker_entry entry(process_start_time start_time) {
+        auto next = entry();
         next.start_time = start_time;
         return next;
     }
--- a/tests/worker_incarnations_test.cpp
+++ b/tests/worker_incarnations_test.cpp
@@ -403,3 +403,52 @@
     note_lease_sent(timing, world.row(), world.now);
     CHECK(world.row().unanswered_leases.size() == 1);
 }
+
+// ROUTE, and a worker beyond its capacity: a worker was back under its id as another kind, and
+// tasks started there by the labels and the capacity in its former incarnation's entry.
+TEST_CASE("nothing starts on a restarted worker by the entry of its former incarnation") {
+    restart_world world(2);
+    world.shard.tables.jobs.at(the_job).spec.steps.front().label = "a";
+    auto entry = restart_world::entry();
+    entry.labels = {"a"};
+    on_worker_entry(world.shard, entry, world.now);
+    world.find_worker();
+    entry.start_time = world.row().start_time;
+    on_worker_entry(world.shard, entry, world.now);
+    world.answer_start();
+    const auto late = restart_world::take(world.starts);
+    on_start_reply(world.shard, late.run, silent, world.now);
+    world.answer_all(duration(200));
+    const auto sent = world.starts_sent;
+    world.pass();
+    world.restart();
+    SECTION("that has the label") {
+        world.notice_restart();
+        world.answer_all(duration(1'000));
+        CHECK(world.starts_sent == sent);
+        entry.start_time = world.row().start_time;
+        SECTION("and so has the next one's") {
+            on_worker_entry(world.shard, entry, world.now);
+            world.answer_all(duration(500));
+            CHECK(world.starts_sent > sent);
+        }
+        SECTION("but not the next one's") {
+            entry.labels = {"b"};
+            on_worker_entry(world.shard, entry, world.now);
+            world.answer_all(duration(20'000));
+            CHECK(world.starts_sent == sent);
+        }
+        SECTION("for ever, as it stays") {
+            world.answer_all(duration(20'000));
+            CHECK(world.starts_sent == sent);
+        }
+    }
+    SECTION("for ever, although no label is asked for") {
+        world.shard.tables.jobs.at(the_job).spec.steps.front().label.clear();
+        world.notice_restart();
+        world.answer_all(duration(1'000));
+        CHECK(world.starts_sent == sent);
+        world.answer_all(duration(20'000)); // the store may be out
+        CHECK(world.starts_sent > sent);
+    }
+}
