shard_reports: the first end done of a borrowed gang finishes all its members

A borrower finished only the member whose end was reported, and started the others again when the lease of the silent worker had lapsed.

The borrower now finishes and reports all members of the loan with the first end done. A lender that has completed a gang withdraws what its borrower hasn't reported: one of the version before reports a single member. Records are as before.

--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -164,6 +164,16 @@
     }
 }
 
+// Returns whether a result completed the gang that a loan is of. A borrower of an earlier version
+// reports only the member that ended, and would start the others again.
+bool is_gang_completed(shard_state& shard, const job_row& job, const loan_row& loan) {
+    if (has_ended(job.phase) || !job.spec.steps[loan.step].gang) {
+        return false;
+    }
+    const auto* stage = find_stage(shard.tables, {job.id, loan.occurrence, loan.step, 0});
+    return stage == nullptr || stage->done == job.spec.steps[loan.step].count;
+}
+
 void process_results(shard_state& shard, const json& body, request_token token, time_point now,
                      unix_time unix_now) {
     const auto number = body.at("loan").get<std::uint64_t>();
@@ -199,6 +209,11 @@
         found->second.results_version = job.version;
     }
     auto version = found->second.results_version;
+    if (!found->second.tasks.empty() && is_gang_completed(shard, job, found->second)) {
+        found->second.withdrawn = true;
+        found->second.version = job.version;
+        found->second.next_send = now;
+    }
     if (found->second.tasks.empty()) {
         close_loan(shard, number, now);
         version = job.version;
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -38,6 +38,26 @@
     }
 }
 
+// Finishes a borrowed task, which is then reported to the lender. The end of one member of a gang
+// finishes all members that the same loan includes.
+void finish_borrowed(shard_state& shard, job_row& job, stage_row& stage, const task_key& key,
+                     time_point now) {
+    finish_task(shard, stage, key, now);
+    report_task(shard, job, stage.tasks[key.index], loan_result::done, now);
+    if (!job.spec.steps[key.step].gang) {
+        return;
+    }
+    const auto loan = stage.tasks[key.index].loan;
+    for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
+        auto& member = stage.tasks[index];
+        if (member.loan != loan || member.result != loan_result::pending) {
+            continue;
+        }
+        finish_task(shard, stage, {key.job, key.occurrence, key.step, index}, now);
+        report_task(shard, job, member, loan_result::done, now);
+    }
+}
+
 // Sets what a predecessor knew about a run as far as the sharing of its worker depends on it. The
 // measurements that follow show whether a serving task is over its target.
 void assume_predecessor_pacing(run_row& run, time_point now) {
@@ -280,8 +300,7 @@
         if (!is_borrowed(job)) {
             return complete_task(shard, job, key.task, now, unix_now);
         }
-        finish_task(shard, stage, key.task, now);
-        report_task(shard, job, task, loan_result::done, now);
+        finish_borrowed(shard, job, stage, key.task, now);
         return true;
     }
     // The task starts again once that is stored.
--- a/tests/loan_messages_test.cpp
+++ b/tests/loan_messages_test.cpp
@@ -323,6 +323,36 @@
     CHECK(world.shard.tables.jobs.at(lent_job).occurrences_done == 1);
 }
 
+// TWICE: a borrower of an earlier version starts the members again whose ends it hasn't seen.
+TEST_CASE("members of a completed gang that were not reported are withdrawn from their borrower") {
+    loan_world world;
+    job_row job;
+    job.id = lent_job;
+    job.spec = make_spec();
+    job.spec.steps.front().long_running = false;
+    job.spec.steps.front().gang = true;
+    job.spec.steps.push_back(job.spec.steps.front());
+    job.spec.steps.back().after = {0};
+    job.next_occurrence = 1;
+    job.phase = job_phase::running;
+    job.occurrences.emplace(0, make_occurrence(job.spec, 0));
+    for (auto& task : job.occurrences.at(0).stages.front().tasks) {
+        task.loan = 7;
+        task.not_local = true;
+    }
+    job.loans[7] = {"west.0"};
+    load_shard(world.shard, {{job_key(world.record.id, job.id), encode_job(job), {1}},
+                             {progress_key(world.record.id, job.id), encode_progress(job), {2}}});
+    auto body = world.envelope("result", 7);
+    body["tasks"] = {{1, static_cast<int>(loan_result::done), json::array(), 1, ""}};
+    world.receive(body);
+    world.step();
+    world.apply();
+    const auto messages = world.step().loan_messages;
+    REQUIRE(messages.size() == 1);
+    CHECK(json::parse(messages.front().body).at("kind") == "withdraw");
+}
+
 // Tasks that no worker here could run were taken, and returned after 2.5 s. All other loans to the
 // shard paused then.
 TEST_CASE("an offer that no worker here could run is refused, and others go on") {
