shard_gangs: the members of a gang start in one round, under one number

A gang now starts once all members wait and none may have a run that isn't known, under one number above the last of each and with one checkpoint, and only if all find room at the same time. A gang of which a member has no run is stopped: after a refused start, after one that gets no answer in half of gang_wait, and in a successor that can't complete what it adopted. Gangs are lent and returned as a whole. Nothing in the store has changed.

No room is reserved for gangs yet.

--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -1,5 +1,6 @@
 #include "shard_control.hpp"
 
+#include "shard_gangs.hpp"
 #include "shard_internal.hpp"
 #include "shard_run_numbers.hpp"
 
@@ -469,9 +470,9 @@
                      run.incarnation_known, run.starts_unanswered, worker.unanswered_leases.size(),
                      (now - run.start_sent).count(), (now - worker.unanswered_since).count());
     shard.counters->count("runs_lost", reason);
-    auto* task = find_task(shard.tables, key.task);
-    if (task != nullptr && !run.checkpoint.empty()) {
-        task->checkpoint = run.checkpoint;
+    if (find_task(shard.tables, key.task) != nullptr) {
+        const auto& step = shard.tables.jobs.at(key.task.job).spec.steps[key.task.step];
+        keep_checkpoint(*find_stage(shard.tables, key.task), step, key, run.checkpoint, false);
     }
     remove_run(shard.tables, key);
     shard.placement_needed = true;
@@ -493,6 +494,7 @@
     complete_takeover(shard, now);
     log_authority_limit(shard, now);
     expire_workers(shard, now);
+    stop_unanswered_gangs(shard, now);
     if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
         shard.placement_needed = false;
         place_tasks(shard, now, actions);
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -2,6 +2,7 @@
 // stores the loan with the borrower's id before it sends the offer, the borrower stores the tasks
 // before it answers, and the lender stores a result before the borrower deletes it. So each task
 // belongs to one shard at any time, even if the owner of either shard changes.
+#include "shard_gangs.hpp"
 #include "shard_loan_messages.hpp"
 
 #include <algorithm>
@@ -237,6 +238,9 @@
     }
     const bool reservable = uses_long_running_room(job.spec.steps[loan.step]);
     const bool stranded = is_stranded(shard, job, stage);
+    if (job.spec.steps[loan.step].gang && !may_return_gang(shard, job, loan, stage)) {
+        return;
+    }
     for (const auto index : loan.tasks) {
         auto& task = stage.tasks[index];
         const auto limit = stranded || (reservable && !task.reserved_worker)
@@ -374,7 +378,8 @@
     const auto& step = job.spec.steps[stage.step];
     auto tasks = find_lendable(shard, job, stage, kind);
     const auto [best, most] = find_borrower(shard, job, stage, kind, now);
-    if (tasks.empty() || best == nullptr || (step.gang && most < step.count)) {
+    if (tasks.empty() || best == nullptr ||
+        (step.gang && (most < step.count || tasks.size() < step.count))) {
         return false;
     }
     tasks.resize(
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -1,4 +1,5 @@
 // Placement: chooses which waiting task starts on which worker.
+#include "shard_gangs.hpp"
 #include "shard_internal.hpp"
 #include "shard_run_numbers.hpp"
 
@@ -241,7 +242,8 @@
             best_score = score;
         }
     }
-    if (best == nullptr && !excluded) {
+    // Room that is held for other members of a gang is free for all other tasks.
+    if (best == nullptr && !excluded && !step.gang) {
         record_failed(shard.tables.searches, service, step, failed);
     }
     return best;
@@ -316,8 +318,19 @@
 void place_stage(shard_state& shard, const candidate& next, std::set<service_id>& released,
                  time_point now, shard_actions& actions) {
     const auto& step = next.job->spec.steps[next.stage->step];
-    if (step.gang && is_stranded(shard, *next.job, *next.stage)) {
-        return; // its members can't be present together here
+    if (step.gang) {
+        place_gang(
+            shard, *next.job, *next.stage,
+            {[&](std::uint32_t index) { return choose_worker(shard, next, step, index, now); },
+             [&](std::uint32_t index, run_number number, worker_row& worker) {
+                 start_task(shard, next, index, number, worker, now, actions);
+                 if (step.filler) {
+                     plan_paces(shard, worker, now);
+                 }
+                 view_worker(shard, worker, now);
+             }},
+            now);
+        return;
     }
     for (const auto index : order_waiting(shard, *next.job, *next.stage)) {
         auto& task = next.stage->tasks[index];
@@ -502,6 +515,9 @@
     }
     std::set<service_id> released; // services of which tasks were released in this round
     for (const auto& next : candidates) {
+        if (next.job->spec.steps[next.stage->step].gang) {
+            stop_incomplete_gang(shard, *next.job, *next.stage, now);
+        }
         if (allowed) {
             place_stage(shard, next, released, now, actions);
         }
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -1,5 +1,6 @@
 // Processing of what workers report: replies to commands, lists of active runs and run ends, which
 // are reported until acknowledged.
+#include "shard_gangs.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -293,9 +294,7 @@
     auto& stage = *find_stage(shard.tables, key.task);
     auto& task = stage.tasks[key.task.index];
     task.last_run = std::max(task.last_run, key.number);
-    if (!row.checkpoint.empty()) {
-        task.checkpoint = row.checkpoint;
-    }
+    keep_checkpoint(stage, step, key, row.checkpoint, true);
     if (row.kind == run_end_kind::done && !step.long_running) {
         if (!is_borrowed(job)) {
             return complete_task(shard, job, key.task, now, unix_now);
--- a/src/shard_run_numbers.cpp
+++ b/src/shard_run_numbers.cpp
@@ -28,6 +28,14 @@
     return {std::max(first, task.last_run.value + 1)};
 }
 
+run_number next_run(epoch_number epoch, const std::vector<task_row>& gang) {
+    run_number next;
+    for (const auto& member : gang) {
+        next = std::max(next, next_run(epoch, member));
+    }
+    return next;
+}
+
 bool exceeds_reserved_numbers(const job_row& job) {
     bool found = false;
     visit_tasks(job,
--- a/src/shard_run_numbers.hpp
+++ b/src/shard_run_numbers.hpp
@@ -13,6 +13,9 @@
 // Returns the number of a task's next run.
 run_number next_run(epoch_number epoch, const task_row& task);
 
+// Returns the number of the next run of all members of a gang.
+run_number next_run(epoch_number epoch, const std::vector<task_row>& gang);
+
 // Returns whether a task of the job has a run number beyond those reserved for its record's owner
 // and the owners before. Tasks get such numbers in other shards, whose epochs may be higher.
 bool exceeds_reserved_numbers(const job_row& job);
--- a/src/shard_start_replies.cpp
+++ b/src/shard_start_replies.cpp
@@ -1,4 +1,5 @@
 // Processing of replies to starts and stops.
+#include "shard_gangs.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -80,6 +81,7 @@
         if (run.phase == run_phase::starting) {
             run.phase = run_phase::unconfirmed;
         }
+        note_unanswered_start(shard, run);
         return;
     }
     const auto outcome = reply.value().outcome;
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -246,6 +246,11 @@
     std::size_t starts_soon = 0;
     std::set<std::uint32_t> waiting; // tasks that this shard is to run and that have no active run
     std::map<worker_id, std::uint32_t> runs_by_worker; // active runs by worker
+    // Of a gang: the last change of the workers for which not all members found room, and when they
+    // were looked for; and the number of the run whose end gave the checkpoint.
+    std::optional<std::uint64_t> failed_search;
+    time_point failed_search_at;
+    run_number checkpoint_run;
 };
 
 struct occurrence_row {
@@ -327,6 +332,7 @@
     std::map<job_id, job_row> jobs;
     std::map<run_key, run_row> runs;
     std::map<std::uint64_t, loan_row> loans; // loans that this shard made as the lender
+    std::set<run_key> unanswered_gang_starts;
     search_memory searches;
 };
 
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -17,6 +17,7 @@
 // By when a silent worker's runs have certainly ended.
 constexpr duration lease_limit{8'000};
 const job_id the_job{"00000000000000aa"};
+const job_id large_job{"0000000000000001"};
 
 job_spec make_gang() {
     job_spec spec;
@@ -29,6 +30,34 @@
     return spec;
 }
 
+// The records of a gang that the shard owns, with the last run of each member.
+std::vector<store_entry> make_own_gang(const std::map<std::uint32_t, std::uint64_t>& last = {}) {
+    job_row job;
+    job.id = the_job;
+    job.queue.service = {"desk"};
+    job.spec = make_gang();
+    job.next_occurrence = 1;
+    job.occurrences.emplace(0, make_occurrence(job.spec, 0));
+    for (const auto& [index, number] : last) {
+        job.occurrences.at(0).stages.front().tasks[index].last_run = {number};
+    }
+    return {{job_key({"east.0"}, job.id), encode_job(job), {1}},
+            {progress_key({"east.0"}, job.id), encode_progress(job), {2}}};
+}
+
+// The records of a job with one task that fills a worker.
+std::vector<store_entry> make_large_job() {
+    job_row job;
+    job.id = large_job;
+    job.queue.service = {"desk"};
+    job.spec.steps.emplace_back();
+    job.spec.steps.front().need = {{8'000}, {512}, {0}};
+    job.next_occurrence = 1;
+    job.occurrences.emplace(0, make_occurrence(job.spec, 0));
+    return {{job_key({"east.0"}, job.id), encode_job(job), {1}},
+            {progress_key({"east.0"}, job.id), encode_progress(job), {2}}};
+}
+
 // A shard of four workers. They carry out each start unless it is refused, and report what they
 // are told.
 struct gang_world {
@@ -180,8 +209,114 @@
     }
 };
 
+run_key find_run_on(const gang_world& world, const worker_id& id) {
+    return *world.shard.tables.workers.at(id).runs.begin();
+}
+
+// Returns the numbers of the runs of a gang's last start.
+std::set<run_number> last_numbers(const gang_world& world) {
+    std::set<run_number> found;
+    for (auto i = world.starts.size() - members; i < world.starts.size(); ++i) {
+        found.insert(world.starts[i].run.number);
+    }
+    return found;
+}
+
 } // namespace
 
+// GANG: each member was numbered and started again by itself, and after the loss of one they never
+// met again.
+TEST_CASE("a gang whose member is lost starts again in one round, under one number") {
+    for (const bool borrowed : {false, true}) {
+        INFO("borrowed " << borrowed);
+        gang_world world(borrowed ? std::vector<store_entry>() : make_own_gang());
+        if (borrowed) {
+            world.borrow();
+        }
+        world.pass(duration(500));
+        REQUIRE(world.count_running() == members);
+        const auto lost = world.worker_of(2);
+        world.silent.insert(lost);
+        world.running.erase(lost);
+        for (const auto& start : std::vector(world.starts)) {
+            world.end(start.run, run_end_kind::broken, "broken");
+        }
+        world.pass(duration(3'000));
+        CHECK(world.starts.size() == members); // the lost member may still run
+        world.pass(lease_limit);
+        REQUIRE(world.starts.size() == 2 * members);
+        CHECK(last_numbers(world).size() == 1);
+        CHECK(*last_numbers(world).begin() > world.starts.front().run.number);
+        for (std::size_t i = members; i < world.starts.size(); ++i) {
+            CHECK(world.starts[i].checkpoint == "broken");
+        }
+        CHECK(world.count_running() == members);
+    }
+}
+
+// GANG: members whose numbers differ, as the version before left them, ended alone for good. A
+// successor finds one that runs and others that don't.
+TEST_CASE("a successor ends a run that the other members of its gang can't join") {
+    gang_world world(make_own_gang({{0, 4}, {1, 7}, {2, 5}}), {3});
+    const run_key left{{the_job, 0, 0, 1}, {7}};
+    world.running[{"w1"}].insert(left);
+    world.report({"w1"});
+    world.pass(duration(20'000));
+    REQUIRE(world.starts.size() == members);
+    CHECK(last_numbers(world).size() == 1);
+    CHECK(*last_numbers(world).begin() > left.number);
+    CHECK(world.count_running() == members);
+    CHECK_FALSE(world.running[{"w1"}].contains(left));
+}
+
+// GANG: after a refusal the members that had started waited until they ended alone.
+TEST_CASE("a gang of which a worker refuses a member is taken back and starts as a whole") {
+    gang_world world(make_own_gang());
+    world.refusing.insert({"w0"});
+    world.pass(tick);
+    REQUIRE(world.starts.size() == members);
+    REQUIRE(world.count_running() == members - 1);
+    world.pass(duration(300));
+    CHECK(world.count_running() % members == 0);
+    world.refusing.clear();
+    world.pass(duration(2'000));
+    CHECK(world.count_running() == members);
+    CHECK(last_numbers(world).size() == 1);
+}
+
+// GANG: the same for a start that got no answer.
+TEST_CASE("a gang of which a start gets no answer is stopped before its members end alone") {
+    gang_world world(make_own_gang());
+    world.silent.insert({"w0"});
+    world.pass(tick);
+    REQUIRE(world.count_running() == members - 1);
+    on_start_reply(world.shard, find_run_on(world, {"w0"}), error{error_kind::timeout, ""},
+                   world.now);
+    world.pass(world.shard.timing.gang_wait - duration(500));
+    CHECK(world.count_running() == 0);
+}
+
+// A gang started member by member as room came, and some waited for the others until they ended
+// alone. What its search holds must not hide room from other tasks.
+TEST_CASE("no member of a gang starts while there is room for some of them only") {
+    auto entries = make_own_gang();
+    const auto large = make_large_job();
+    entries.insert(entries.end(), large.begin(), large.end());
+    gang_world world(entries, {1}, members);
+    world.pass(duration(5'000));
+    REQUIRE(world.starts.size() == 1);
+    CHECK(world.starts.front().run.task.job == large_job);
+    for (const auto& [id, worker] : world.shard.tables.workers) {
+        CHECK((!worker.runs.empty() ||
+               free_resources(worker).processors == worker.entry.capacity.processors));
+    }
+    CHECK(world.shard.tables.searches.classes.empty());
+    world.end(world.starts.front().run, run_end_kind::done);
+    world.pass(duration(500));
+    CHECK(world.starts.size() == 1 + members);
+    CHECK(last_numbers(world).size() == 1);
+}
+
 // TWICE: a borrower finished only the member whose end was reported. A member on a worker that
 // didn't answer around the end of its gang ran again.
 TEST_CASE("no member of a borrowed gang starts again after another one has ended as done") {
