shard_reports: count the failed runs of a gang, not of each member

A gang of which another member failed each time was started again beyond its attempts: PROTOCOL.md has a job fail if "a task, or a gang, has failed maxAttempts times", and attempts were counted by member. Found by reading; no caller has reported it. The failed runs of all members count now, each number once; they are stored and lent with their members as before.

--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 
 namespace fulmar {
 
@@ -251,13 +252,21 @@
     shard.unreached_workers.erase(target.id);
 }
 
-// Records a failed run once, however often it is reported, and returns the number of failed runs.
-std::size_t record_failed_run(task_row& task, run_number run) {
-    auto& failed = task.failed_runs;
-    if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
-        failed.push_back(run);
+// Records a failed run once, however often it is reported, and returns the number of failed runs of
+// the task, or of its gang.
+std::size_t record_failed_run(stage_row& stage, const step_spec& step, const run_key& run) {
+    auto& failed = stage.tasks[run.task.index].failed_runs;
+    if (std::find(failed.begin(), failed.end(), run.number) == failed.end()) {
+        failed.push_back(run.number);
     }
-    return failed.size();
+    if (!step.gang) {
+        return failed.size();
+    }
+    std::set<run_number> numbers;
+    for (const auto& member : stage.tasks) {
+        numbers.insert(member.failed_runs.begin(), member.failed_runs.end());
+    }
+    return numbers.size();
 }
 
 // Records a run end that was processed. It is acknowledged once the current version of the job's
@@ -310,7 +319,7 @@
     task.last_failed_on = worker;
     task.avoided_until = now + avoidance_time;
     const bool attempts_exhausted =
-        !step.long_running && record_failed_run(task, key.number) >= job.queue.max_attempts;
+        !step.long_running && record_failed_run(stage, step, key) >= job.queue.max_attempts;
     if (!attempts_exhausted) {
         return recorded;
     }
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -31,10 +31,12 @@
 }
 
 // The records of a gang that the shard owns, with the last run of each member.
-std::vector<store_entry> make_own_gang(const std::map<std::uint32_t, std::uint64_t>& last = {}) {
+std::vector<store_entry> make_own_gang(const std::map<std::uint32_t, std::uint64_t>& last = {},
+                                       std::uint32_t max_attempts = 1) {
     job_row job;
     job.id = the_job;
     job.queue.service = {"desk"};
+    job.queue.max_attempts = max_attempts;
     job.spec = make_gang();
     job.next_occurrence = 1;
     job.occurrences.emplace(0, make_occurrence(job.spec, 0));
@@ -317,6 +319,23 @@
     CHECK(last_numbers(world).size() == 1);
 }
 
+// MIXED: attempts were counted by member, so a gang of which another one failed each time ran on.
+TEST_CASE("a gang has failed as often as its runs, whichever members failed") {
+    gang_world world(make_own_gang({}, 2));
+    for (std::size_t failing = 0; failing < 2; ++failing) {
+        world.pass(duration(1'000));
+        REQUIRE(world.starts.size() == (failing + 1) * members);
+        const auto first = world.starts.size() - members;
+        world.end(world.starts[first + failing].run, run_end_kind::failed);
+        for (std::size_t i = first; i < world.starts.size(); ++i) {
+            world.end(world.starts[i].run, run_end_kind::broken);
+        }
+    }
+    world.pass(duration(3'000));
+    CHECK(world.starts.size() == 2 * members);
+    CHECK(world.shard.tables.jobs.at(the_job).phase == job_phase::failed);
+}
+
 // TWICE: a borrower finished only the member whose end was reported. A member on a worker that
 // didn't answer around the end of its gang ran again.
 TEST_CASE("no member of a borrowed gang starts again after another one has ended as done") {
