--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -3,6 +3,7 @@
 // before it answers, and the lender stores a result before the borrower deletes it. So each task
 // belongs to one shard at any time, even if the owner of either shard changes.
 #include "shard_begin.hpp"
+#include "shard_gangs.hpp"
 #include "shard_loan_messages.hpp"
 
 #include <algorithm>
@@ -167,6 +168,16 @@
     }
 }
 
+// Returns whether a result completed the gang that a loan is of. A borrower of an earlier version
+// reports only the member that ended, and would start the others again.
+bool is_gang_completed(shard_state& shard, const job_row& job, const loan_row& loan) {
+    if (has_ended(job.phase) || !job.spec.steps[loan.step].gang) {
+        return false;
+    }
+    const auto* stage = find_stage(shard.tables, {job.id, loan.occurrence, loan.step, 0});
+    return stage == nullptr || stage->done == job.spec.steps[loan.step].count;
+}
+
 void process_results(shard_state& shard, const json& body, request_token token, time_point now,
                      unix_time unix_now) {
     const auto number = body.at("loan").get<std::uint64_t>();
@@ -202,6 +213,11 @@
         found->second.results_version = job.version;
     }
     auto version = found->second.results_version;
+    if (!found->second.tasks.empty() && is_gang_completed(shard, job, found->second)) {
+        found->second.withdrawn = true;
+        found->second.version = job.version;
+        found->second.next_send = now;
+    }
     if (found->second.tasks.empty()) {
         close_loan(shard, number, now);
         version = job.version;
@@ -225,6 +241,9 @@
     }
     const bool reservable = uses_long_running_room(job.spec.steps[loan.step]);
     const bool stranded = is_stranded(shard, job, stage);
+    if (job.spec.steps[loan.step].gang && !may_return_gang(shard, job, loan, stage)) {
+        return;
+    }
     for (const auto index : loan.tasks) {
         auto& task = stage.tasks[index];
         const auto limit = stranded || (reservable && !task.reserved_worker)
@@ -362,7 +381,8 @@
     const auto& step = job.spec.steps[stage.step];
     auto tasks = find_lendable(shard, job, stage, kind);
     const auto [best, most] = find_borrower(shard, job, stage, kind, now);
-    if (tasks.empty() || best == nullptr || (step.gang && most < step.count)) {
+    if (tasks.empty() || best == nullptr ||
+        (step.gang && (most < step.count || tasks.size() < step.count))) {
         return false;
     }
     tasks.resize(
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -2,10 +2,12 @@
 // are reported until acknowledged.
 #include "shard_acknowledgements.hpp"
 #include "shard_begin.hpp"
+#include "shard_gangs.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 
 namespace fulmar {
 
@@ -40,6 +42,26 @@
     }
 }
 
+// Finishes a borrowed task, which is then reported to the lender. The end of one member of a gang
+// finishes all members that the same loan includes.
+void finish_borrowed(shard_state& shard, job_row& job, stage_row& stage, const task_key& key,
+                     time_point now) {
+    finish_task(shard, stage, key, now);
+    report_task(shard, job, stage.tasks[key.index], loan_result::done, now);
+    if (!job.spec.steps[key.step].gang) {
+        return;
+    }
+    const auto loan = stage.tasks[key.index].loan;
+    for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
+        auto& member = stage.tasks[index];
+        if (member.loan != loan || member.result != loan_result::pending) {
+            continue;
+        }
+        finish_task(shard, stage, {key.job, key.occurrence, key.step, index}, now);
+        report_task(shard, job, member, loan_result::done, now);
+    }
+}
+
 // Sets what a predecessor knew about a run as far as the sharing of its worker depends on it. The
 // measurements that follow show whether a serving task is over its target.
 void assume_predecessor_pacing(run_row& run, time_point now) {
@@ -236,13 +258,21 @@
     shard.unreached_workers.erase(target.id);
 }
 
-// Records a failed run once, however often it is reported, and returns the number of failed runs.
-std::size_t record_failed_run(task_row& task, run_number run) {
-    auto& failed = task.failed_runs;
-    if (std::find(failed.begin(), failed.end(), run) == failed.end()) {
-        failed.push_back(run);
+// Records a failed run once, however often it is reported, and returns the number of failed runs of
+// the task, or of its gang.
+std::size_t record_failed_run(stage_row& stage, const step_spec& step, const run_key& run) {
+    auto& failed = stage.tasks[run.task.index].failed_runs;
+    if (std::find(failed.begin(), failed.end(), run.number) == failed.end()) {
+        failed.push_back(run.number);
+    }
+    if (!step.gang) {
+        return failed.size();
     }
-    return failed.size();
+    std::set<run_number> numbers;
+    for (const auto& member : stage.tasks) {
+        numbers.insert(member.failed_runs.begin(), member.failed_runs.end());
+    }
+    return numbers.size();
 }
 
 // Records a run end that was processed. It is acknowledged once the current version of the job's
@@ -279,15 +309,12 @@
     auto& stage = *find_stage(shard.tables, key.task);
     auto& task = stage.tasks[key.task.index];
     task.last_run = std::max(task.last_run, key.number);
-    if (!row.checkpoint.empty()) {
-        task.checkpoint = row.checkpoint;
-    }
+    keep_checkpoint(stage, step, key, row.checkpoint, true);
     if (row.kind == run_end_kind::done && !step.long_running) {
         if (!is_borrowed(job)) {
             return complete_task(shard, job, key.task, now, unix_now);
         }
-        finish_task(shard, stage, key.task, now);
-        report_task(shard, job, task, loan_result::done, now);
+        finish_borrowed(shard, job, stage, key.task, now);
         return true;
     }
     // The task starts again once that is stored.
@@ -298,7 +325,7 @@
     task.last_failed_on = worker;
     task.avoided_until = now + avoidance_time;
     const bool attempts_exhausted =
-        !step.long_running && record_failed_run(task, key.number) >= job.queue.max_attempts;
+        !step.long_running && record_failed_run(stage, step, key) >= job.queue.max_attempts;
     if (!attempts_exhausted) {
         return recorded;
     }
