shard_recorded_runs: store the worker of a long-running task's start before it is sent

Callers saw long-running tasks stand still for 13 s and more with room for them (LOST, "is to last and doesn't run"), after workers were lost for good and owners of shards within 0.3 s of them.

Cause: a run was recorded from a second after its start until its stop was asked for, its end listed or its next start due. In the gaps a successor reckoned with a run on any worker, so that one silent worker of the shard held up all such tasks for the takeover of 15 s. All tasks that broke the rule had recorded_on=none.

Change: the worker of the next run is stored as planned before the start is sent, and as the recorded one with the first transaction after the worker's confirmation. The record stays until the next start is planned, also during a move. Long-running tasks of new jobs and of loans are parked from the beginning. A successor waits for the workers of the record only.

Every simulation checks that a run of a long-running task is on a worker that the store has named before.

--- a/src/shard_commit.cpp
+++ b/src/shard_commit.cpp
@@ -245,6 +245,7 @@
     auto& next = builder.next;
     auto& job = shard.tables.jobs.at(id);
     job.stored_by = shard.epoch;
+    job.starts_recorded_by = knows_unstored_occurrences(shard, job) ? shard.epoch : epoch_number{};
     const auto first = shard.unstored_borrowed_jobs.contains(id);
     if (!builder.fits(first ? 2 : 1)) {
         return;
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -234,6 +234,9 @@
     rebuild_loan_table(shard);
     const auto parked = load_parked_tasks(shard);
     load_recorded_runs(shard);
+    for (auto& [id, job] : shard.tables.jobs) {
+        job.starts_recorded = job.starts_recorded_by.value + 1 == shard.epoch.value;
+    }
     load_open_starts(shard, open_starts, last_committer);
     for (auto& [id, job] : shard.tables.jobs) {
         if (!has_ended(job.phase)) {
@@ -348,6 +351,7 @@
     job.queue = queue;
     job.spec = std::move(spec);
     job.accepted = unix_now;
+    job.starts_recorded_by = shard.epoch;
     shard.commit.urgent = true;
     if (!shard.commit.dirty_since) {
         shard.commit.dirty_since = now;
--- a/src/shard_drain.cpp
+++ b/src/shard_drain.cpp
@@ -65,7 +65,6 @@
             continue;
         }
         request_stop(run, stop_cause::moved, now);
-        release_for_move(shard, key.task, now);
         shard.counters->count("moves_off_leaving");
         shard.log->write("event=task_moved_off_leaving task={}.{}.{}.{} run={} from={} to={}",
                          key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -531,16 +531,22 @@
 // Takes over the recorded runs of the loaded jobs.
 void load_recorded_runs(shard_state& shard);
 
-// Records long-running tasks that have run on their workers for a while.
+// Records long-running tasks whose starts their workers have confirmed.
 void record_long_running_runs(shard_state& shard, time_point now);
 
 // Marks a task as neither parked nor recorded as running. If it was, no former owner left a run of
 // it that this one doesn't know.
 void clear_whereabouts(task_row& task);
 
-// Has that stored for a task whose run is being stopped so that it starts elsewhere: the stop takes
-// longer than the transaction.
-void release_for_move(shard_state& shard, const task_key& key, time_point now);
+// Has it stored that a task may start on a worker, and leaves out all others. Returns whether that
+// is stored, so that the start may be sent. For steps whose starts aren't recorded, the same as
+// release_whereabouts.
+bool plan_start(shard_state& shard, job_row& job, const step_spec& step, task_row& task,
+                const worker_id& worker, time_point now);
+
+// Returns whether no former owner can have started a task of an occurrence that the job's record
+// lacks.
+bool knows_unstored_occurrences(const shard_state& shard, const job_row& job);
 
 // Returns whether a task only waits until the store has it as neither parked nor recorded.
 bool is_release_pending(const job_row& job, const task_row& task);
--- a/src/shard_occurrences.cpp
+++ b/src/shard_occurrences.cpp
@@ -19,21 +19,47 @@
     return {spec.occurrences == 0 ? 0 : spec.first_due.value + spec.interval.count() * occurrence};
 }
 
-void open_next_occurrence(shard_state& shard, job_row& job) {
+occurrence_row& open_next_occurrence(shard_state& shard, job_row& job) {
     const auto number = job.next_occurrence++;
-    job.occurrences.emplace(number, make_occurrence(job.spec, number));
     shard.placement_needed = true;
+    return job.occurrences.emplace(number, make_occurrence(job.spec, number)).first->second;
+}
+
+// Parks the long-running tasks of an occurrence that certainly have no run.
+void park_unstarted(shard_state& shard, job_row& job, occurrence_row& occurrence) {
+    bool any = false;
+    for (auto& stage : occurrence.stages) {
+        if (!records_starts(job.spec.steps[stage.step])) {
+            continue;
+        }
+        for (auto& task : stage.tasks) {
+            task.parked = true;
+            task.parked_by = shard.epoch;
+            task.no_unknown_run = true;
+            any = true;
+        }
+    }
+    if (any && job.inherited) {
+        record_change(shard, job, false, shard.loaded_at);
+    }
 }
 
 } // namespace
 
+bool knows_unstored_occurrences(const shard_state& shard, const job_row& job) {
+    return !job.inherited || shard.takeover_complete || job.starts_recorded;
+}
+
 void open_due_occurrences(shard_state& shard, job_row& job, unix_time unix_now) {
     if (is_borrowed(job)) {
         return; // the lender decides which tasks run here
     }
     while (job.next_occurrence < count_occurrences(job.spec) &&
            find_due_time(job.spec, job.next_occurrence) <= unix_now) {
-        open_next_occurrence(shard, job);
+        auto& opened = open_next_occurrence(shard, job);
+        if (knows_unstored_occurrences(shard, job)) {
+            park_unstarted(shard, job, opened);
+        }
     }
 }
 
--- a/src/shard_offers.cpp
+++ b/src/shard_offers.cpp
@@ -161,9 +161,11 @@
         task.checkpoint = received.checkpoint;
         task.waiting_since = received.waiting_since;
         task.idle_since.reset();
-        task.parked = false;
         task.recorded_on.reset();
+        task.planned_on.clear();
         task.no_unknown_run = !step.gang; // its lender knows that it runs nowhere
+        task.parked = records_starts(step) && task.runs.empty();
+        task.parked_by = shard.epoch;
         task.loan = number;
         task.not_local = false;
         task.done = false;
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -223,7 +223,9 @@
             failed.best_pace = std::max(failed.best_pace, pace);
             continue;
         }
-        if (is_avoided(task, id, now) || !can_run_on(*next.job, *next.stage, worker)) {
+        // Starts that wait for the store count as well.
+        if (is_avoided(task, id, now) || !can_run_on(*next.job, *next.stage, worker) ||
+            (records_starts(step) && is_spread_full(step.spread_limit, next.stage, worker, key))) {
             excluded = true;
             continue;
         }
@@ -336,7 +338,7 @@
         if (worker == nullptr) {
             return;
         }
-        if (!release_whereabouts(shard, *next.job, task, now)) {
+        if (!plan_start(shard, *next.job, step, task, worker->entry.target.id, now)) {
             if (!task.reserved_worker && !task.reservation_expired) {
                 reserve(shard, key, step.need, *worker, now); // until that is stored
             }
--- a/src/shard_recorded_runs.cpp
+++ b/src/shard_recorded_runs.cpp
@@ -1,8 +1,10 @@
-// Recorded runs: the run of a long-running task that its worker has listed for a while is stored
-// with the worker, and its owner stores that it isn't recorded any more before it starts the task
-// again. So the next owner knows that the task runs there or nowhere. It waits for that worker
-// only, and only for the usual lease: a command that a restarted worker took unnoticed is of
-// another run.
+// Recorded runs: the store names the workers on which a long-running task may run. Before a start
+// is sent, its worker is stored as planned; once the worker has confirmed the run in its known
+// incarnation, with the usual lease, as the one on which the task is recorded. The record
+// stays until the next start is planned, so a move names its target only when the run has ended. So
+// the next owner knows that the task runs there or nowhere, and waits for that worker only: for a
+// recorded one no longer than the usual lease, as a command that a restarted worker took unnoticed
+// is of another run, and for a planned one until no start can arrive any more.
 #include "shard_internal.hpp"
 
 #include <algorithm>
@@ -13,18 +15,23 @@
 
 constexpr duration recording_interval{300};
 
-// Most runs that fail at once, or that are moved again, have ended by then.
+// A run whose worker isn't stored as planned is recorded after this time: owners of an earlier
+// version started it. Most that fail at once have ended by then.
 constexpr duration record_after{1'000};
 
+// Limits the transactions for a task that workers refuse.
+constexpr duration parking_pause{2'000};
+
 bool may_record(const shard_state& shard, const task_key& key, const task_row& task,
                 time_point now) {
-    if (task.recorded_on || task.not_local || task.runs.size() != 1) {
+    if (task.not_local || task.runs.size() != 1 || (task.recorded_on && task.planned_on.empty())) {
         return false;
     }
     const auto& run = shard.tables.runs.at({key, task.runs.front()});
     const auto& worker = shard.tables.workers.at(run.worker);
+    const bool planned = task.planned_on.contains(run.worker) || task.recorded_on == run.worker;
     if (run.phase != run_phase::running || !is_certain(worker, run) ||
-        now < run.start_sent + record_after) {
+        (!planned && now < run.start_sent + record_after)) {
         return false;
     }
     return worker.reachability == reachability_state::reachable && worker.inventoried &&
@@ -37,7 +44,7 @@
     for (auto& [number, occurrence] : job.occurrences) {
         for (auto& stage : occurrence.stages) {
             const auto& step = job.spec.steps[stage.step];
-            if (!stage.open || !step.long_running || step.gang || step.speculative) {
+            if (!stage.open || !records_starts(step)) {
                 continue;
             }
             for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
@@ -47,6 +54,7 @@
                     continue;
                 }
                 task.recorded_on = shard.tables.runs.at({key, task.runs.front()}).worker;
+                task.planned_on.clear();
                 task.recorded_by = shard.epoch;
                 task.whereabouts_version = job.version + 1;
                 changed = true;
@@ -68,7 +76,11 @@
     if (shard.takeover_complete || !job.inherited || task.no_unknown_run) {
         return false;
     }
-    return !task.recorded_on || may_run_unseen(shard, *task.recorded_on);
+    return !has_recorded_workers(task) ||
+           (task.recorded_on && may_run_unseen(shard, *task.recorded_on)) ||
+           std::any_of(
+               task.planned_on.begin(), task.planned_on.end(),
+               [&](const worker_id& worker) { return shard.unreached_workers.contains(worker); });
 }
 
 void record_long_running_runs(shard_state& shard, time_point now) {
@@ -96,11 +108,12 @@
         for (auto& [number, occurrence] : job.occurrences) {
             for (auto& stage : occurrence.stages) {
                 for (auto& task : stage.tasks) {
-                    if (!task.recorded_on) {
+                    if (!has_recorded_workers(task)) {
                         continue;
                     }
                     if (task.recorded_by.value + 1 != shard.epoch.value || task.parked) {
                         task.recorded_on.reset();
+                        task.planned_on.clear();
                         continue;
                     }
                     task.recorded_by = shard.epoch;
@@ -116,20 +129,10 @@
 }
 
 void clear_whereabouts(task_row& task) {
-    task.no_unknown_run = task.no_unknown_run || task.parked || task.recorded_on;
+    task.no_unknown_run = task.no_unknown_run || task.parked || has_recorded_workers(task);
     task.parked = false;
     task.recorded_on.reset();
-}
-
-void release_for_move(shard_state& shard, const task_key& key, time_point now) {
-    auto* task = find_task(shard.tables, key);
-    if (task == nullptr || !task->recorded_on) {
-        return;
-    }
-    auto& job = shard.tables.jobs.at(key.job);
-    clear_whereabouts(*task);
-    record_change(shard, job, false, now);
-    task->whereabouts_version = job.version;
+    task.planned_on.clear();
 }
 
 bool is_release_pending(const job_row& job, const task_row& task) {
@@ -137,8 +140,7 @@
 }
 
 bool release_whereabouts(shard_state& shard, job_row& job, task_row& task, time_point now) {
-    constexpr duration parking_pause{2'000}; // limits the transactions for one that workers refuse
-    if (task.parked || task.recorded_on) {
+    if (task.parked || has_recorded_workers(task)) {
         task.no_parking_before = task.parked ? now + parking_pause : task.no_parking_before;
         clear_whereabouts(task);
         record_change(shard, job, true, now);
@@ -147,4 +149,20 @@
     return job.stored_version >= task.whereabouts_version;
 }
 
+bool plan_start(shard_state& shard, job_row& job, const step_spec& step, task_row& task,
+                const worker_id& worker, time_point now) {
+    if (!records_starts(step)) {
+        return release_whereabouts(shard, job, task, now);
+    }
+    if (!task.planned_on.contains(worker)) {
+        clear_whereabouts(task);
+        task.planned_on.insert(worker);
+        task.recorded_by = shard.epoch;
+        task.no_parking_before = now + parking_pause;
+        record_change(shard, job, true, now);
+        task.whereabouts_version = job.version;
+    }
+    return job.stored_version >= task.whereabouts_version;
+}
+
 } // namespace fulmar
--- a/src/shard_records.cpp
+++ b/src/shard_records.cpp
@@ -2,7 +2,9 @@
 
 #include "bounded_json.hpp"
 #include "shard_run_numbers.hpp"
+#include "shard_run_records.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace fulmar {
@@ -44,57 +46,6 @@
     }
 }
 
-// Formats that a task is parked as the end of its row: since when it has waited, and the owner.
-void append_parking(json& row, const task_row& task) {
-    if (task.parked) {
-        row.push_back(task.waiting_since);
-        row.push_back(task.parked_by);
-    }
-}
-
-// Reads it back. Rows of earlier versions end before it.
-void decode_parking(const json& row, task_row& task) {
-    constexpr std::size_t position = 5;
-    if (row.size() > position + 1) {
-        task.parked = true;
-        task.waiting_since = row.at(position).get<unix_time>();
-        task.parked_by = row.at(position + 1).get<epoch_number>();
-    }
-}
-
-// Formats on which workers runs are recorded.
-json encode_recorded_runs(const job_row& job) {
-    json rows = json::array();
-    for (const auto& [number, occurrence] : job.occurrences) {
-        for (const auto& stage : occurrence.stages) {
-            for (std::uint32_t index = 0; index < stage.tasks.size(); ++index) {
-                const auto& task = stage.tasks[index];
-                if (task.recorded_on) {
-                    rows.push_back(
-                        {number, stage.step, index, *task.recorded_on, task.recorded_by});
-                }
-            }
-        }
-    }
-    return rows;
-}
-
-// Reads them back, but those of loans that have ended.
-void decode_recorded_runs(job_row& job, const json& rows) {
-    for (const auto& row : rows) {
-        const auto occurrence = job.occurrences.find(row.at(0).get<std::uint32_t>());
-        const auto step = row.at(1).get<std::size_t>();
-        const auto index = row.at(2).get<std::size_t>();
-        if (occurrence == job.occurrences.end() || step >= occurrence->second.stages.size() ||
-            index >= occurrence->second.stages[step].tasks.size()) {
-            continue;
-        }
-        auto& task = occurrence->second.stages[step].tasks[index];
-        task.recorded_on = row.at(3).get<worker_id>();
-        task.recorded_by = row.at(4).get<epoch_number>();
-    }
-}
-
 // Formats what a successor needs to know about the tasks that aren't done.
 json encode_tasks(const stage_row& stage) {
     json rows = json::array();
@@ -238,6 +189,12 @@
     }
 }
 
+void put_starts_recorded_by(json& out, const job_row& job) {
+    if (std::any_of(job.spec.steps.begin(), job.spec.steps.end(), records_starts)) {
+        put_unless(out, "starts_recorded_by", job.starts_recorded_by.value, std::uint64_t{0});
+    }
+}
+
 } // namespace
 
 host_id host_name_of(const host_id& incarnation) {
@@ -485,6 +442,7 @@
              {"spec", encode_spec(job.spec)},
              {"accepted", job.accepted}};
     put_unless(out, "home", job.lender.value, {});
+    put_starts_recorded_by(out, job);
     return out.dump();
 }
 
@@ -496,6 +454,7 @@
         job.spec = decode_spec(in.at("spec"));
         job.accepted = in.at("accepted").get<unix_time>();
         job.lender.value = in.value("home", "");
+        job.starts_recorded_by.value = in.value("starts_recorded_by", std::uint64_t{0});
         job.spec_stored = true;
         return job;
     });
@@ -515,6 +474,10 @@
     if (auto recorded = encode_recorded_runs(job); !recorded.empty()) {
         out["recorded"] = std::move(recorded);
     }
+    if (auto planned = encode_planned_starts(job); !planned.empty()) {
+        out["planned"] = std::move(planned);
+    }
+    put_starts_recorded_by(out, job);
     if (job.stored_by.value != 0 && exceeds_reserved_numbers(job)) {
         out["by"] = job.stored_by;
     }
@@ -549,12 +512,13 @@
         job.next_occurrence = in.value("next", 0U);
         job.occurrences_done = in.value("done", 0U);
         job.stored_by.value = in.value("by", std::uint64_t{0});
+        job.starts_recorded_by.value = in.value("starts_recorded_by", std::uint64_t{0});
         for (const auto& loan : in.value("loans", json::array())) {
             job.loans[loan.at(0).get<std::uint64_t>()] = loan.at(1).get<shard_id>();
         }
         if (is_borrowed(job)) {
             decode_borrowed(job, in.at("borrowed"));
-            decode_recorded_runs(job, in.value("recorded", json::array()));
+            decode_recorded_runs(job, in);
             return true;
         }
         if (has_ended(job.phase)) {
@@ -583,7 +547,7 @@
                 }
             }
         }
-        decode_recorded_runs(job, in.value("recorded", json::array()));
+        decode_recorded_runs(job, in);
         for (auto& [number, occurrence] : job.occurrences) {
             open_stages(job.spec, occurrence);
         }
--- a/src/shard_regroup.cpp
+++ b/src/shard_regroup.cpp
@@ -223,7 +223,6 @@
     const auto& key = best.run->key;
     reserve(shard, key.task, best.run->need, *best.target, now);
     request_stop(*best.run, stop_cause::moved, now);
-    release_for_move(shard, key.task, now);
     shard.counters->count("moves");
     shard.log->write("event=task_moved task={}.{}.{}.{} run={} from={} to={} gain_cores={:.1f}",
                      key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -78,8 +78,11 @@
     } else {
         auto& own = shard.tables.jobs.at(row.run.task.job);
         own.phase = job_phase::running;
-        if (task->parked) {
-            task->parked = false;
+        const bool recorded_elsewhere = has_recorded_workers(*task) &&
+                                        task->recorded_on != added.worker &&
+                                        !task->planned_on.contains(added.worker);
+        if (task->parked || recorded_elsewhere) {
+            clear_whereabouts(*task);
             record_change(shard, own, true, now);
         }
     }
@@ -109,7 +112,8 @@
     constexpr std::uint32_t max_starts = 3;
     const auto* task = find_task(shard.tables, run.key.task);
     // Members of a gang start together, each from the same checkpoint.
-    const bool wanted = task != nullptr && !task->done && !task->not_local && !task->recorded_on &&
+    const bool recorded = task != nullptr && task->recorded_on == run.worker;
+    const bool wanted = task != nullptr && !task->done && !task->not_local && !recorded &&
                         !shard.tables.jobs.at(run.key.task.job).spec.steps[run.key.task.step].gang;
     if (wanted && is_usable(shard, worker) && run.starts_sent < max_starts) {
         shard.repeated_starts.insert(run.key);
@@ -284,17 +288,15 @@
         report_task(shard, job, task, loan_result::done, now);
         return true;
     }
-    // The task starts again once that is stored.
-    const bool recorded = task.recorded_on.has_value();
     if (row.kind != run_end_kind::failed) {
-        return recorded;
+        return false;
     }
     task.last_failed_on = worker;
     task.avoided_until = now + avoidance_time;
     const bool attempts_exhausted =
         !step.long_running && record_failed_run(task, key.number) >= job.queue.max_attempts;
     if (!attempts_exhausted) {
-        return recorded;
+        return false;
     }
     if (!is_borrowed(job)) {
         end_job(shard, job, job_phase::failed, now, unix_now);
--- a/src/shard_start_replies.cpp
+++ b/src/shard_start_replies.cpp
@@ -97,6 +97,9 @@
         if (run.phase != run_phase::stopping) {
             run.phase = run_phase::running;
         }
+        if (run.long_running) {
+            shard.next_recording = now;
+        }
         return;
     }
     log_answer(to_string(outcome));
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -222,11 +222,13 @@
     // Stored as having no run; its owner stores that it isn't parked any more before it starts it.
     bool parked = false;
     epoch_number parked_by{}; // the owner that stored it as parked last
-    // Stored as running on this worker, in an incarnation that the owner knew, and nowhere else.
-    // Its owner stores that it isn't recorded any more before it starts it again.
+    // Stored as running on this worker, in an incarnation that the owner knew, unless it runs on
+    // one of `planned_on` or nowhere.
     std::optional<worker_id> recorded_on;
-    epoch_number recorded_by{}; // the owner that stored it so last
-    // Of the job's record with the last change of `parked` or `recorded_on`.
+    // Stored as workers to which a start may have been sent. A start is sent only to one of them.
+    std::set<worker_id> planned_on;
+    epoch_number recorded_by{}; // the owner that stored one of them last
+    // Of the job's record with the last change of these members or of `parked`.
     std::uint64_t whereabouts_version = 0;
     time_point no_parking_before;
     // A stored record or its lender says that no former owner of this shard left a run of it.
@@ -306,6 +308,10 @@
     std::uint64_t version = 0;        // incremented with each change of the record
     std::uint64_t stored_version = 0; // latest version that is confirmed as stored
     bool spec_stored = false;         // the job itself is stored; no task starts before
+    // The owner that stored that occurrences which the record lacks have no long-running tasks with
+    // recorded starts, and whether a former one's record says so to this one.
+    epoch_number starts_recorded_by{};
+    bool starts_recorded = false;
     std::map<std::uint32_t, occurrence_row> occurrences; // occurrences that are due and not done
     std::uint32_t next_occurrence = 0;
     std::uint32_t occurrences_done = 0;
@@ -330,6 +336,16 @@
     search_memory searches;
 };
 
+// Returns whether the store names the worker of each start of the step's tasks before it is sent.
+inline bool records_starts(const step_spec& step) {
+    return step.long_running && !step.gang && !step.speculative;
+}
+
+// Returns whether the stored record names the workers on which a task may run.
+inline bool has_recorded_workers(const task_row& task) {
+    return task.recorded_on || !task.planned_on.empty();
+}
+
 // Returns whether the job belongs to another shard.
 inline bool is_borrowed(const job_row& job) {
     return !job.lender.value.empty();
--- a/src/shard_waits.cpp
+++ b/src/shard_waits.cpp
@@ -72,9 +72,11 @@
                                                             job.version, job.stored_version)};
     }
     if (has_unknown_run(shard, job, task)) {
-        return wait_place{wait_cause::takeover,
-                          fmt::format("{} recorded_on={}", describe_takeover(shard, now),
-                                      task.recorded_on ? task.recorded_on->value : "none")};
+        return wait_place{
+            wait_cause::takeover,
+            fmt::format("{} recorded_on={} planned_on={}", describe_takeover(shard, now),
+                        task.recorded_on ? task.recorded_on->value : "none",
+                        task.planned_on.empty() ? "none" : task.planned_on.begin()->value)};
     }
     const bool permitted =
         shard.starts_allowed && shard.data_centre_open && has_authority(shard, now);
--- a/tests/placement_cost_test.cpp
+++ b/tests/placement_cost_test.cpp
@@ -30,6 +30,7 @@
     std::vector<store_entry> entries;
     shard_state shard;
     shard_actions actions; // of the last advance
+    std::uint64_t revision = 10;
 
     job_id add_job(const step_spec& step) {
         job_row job;
@@ -84,6 +85,14 @@
         }
     }
 
+    // The store applies the transaction of the last step.
+    void store() {
+        REQUIRE(actions.commit);
+        transaction_reply reply;
+        reply.applied = revision_number{++revision};
+        on_commit_reply(shard, reply, now, now);
+    }
+
     // A worker reports its runs; the first of them has ended if so requested.
     void report(std::size_t worker, bool first_ended, duration tail = duration(0)) {
         hold_reply reply;
@@ -234,6 +243,9 @@
     serving.tail_target = tail_target;
     world.add_job(serving);
     world.load(1);
+    REQUIRE(world.actions.starts.empty()); // the store doesn't name its worker yet
+    world.store();
+    world.step_to(world.now + duration(5));
     REQUIRE(world.actions.starts.size() == 1);
     auto filler = make_step(1, 2'000);
     filler.filler = true;
--- a/tests/sim_checks.cpp
+++ b/tests/sim_checks.cpp
@@ -1,6 +1,8 @@
 // The simulated callers, and the checks of the guarantees.
 #include "sim_parts.hpp"
 
+#include "fulmar/json.hpp"
+
 #include <algorithm>
 #include <cstdlib>
 
@@ -261,6 +263,25 @@
     }
 }
 
+void sim_world::note_planned_starts(const store_transaction& applied) {
+    for (const auto& put : applied.puts) {
+        const auto begin = put.key.find("/progress/");
+        if (begin == std::string::npos || put.value.find("\"planned\"") == std::string::npos) {
+            continue;
+        }
+        const job_id id{put.key.substr(begin + std::string_view("/progress/").size())};
+        const auto progress = json::parse(put.value);
+        for (const auto& row : progress.at("planned")) {
+            auto& named =
+                planned_starts_[{id, row.at(0).get<std::uint32_t>(), row.at(1).get<std::uint32_t>(),
+                                 row.at(2).get<std::uint32_t>()}];
+            for (const auto& worker : row.at(5)) {
+                named.insert({worker.get<std::string>()});
+            }
+        }
+    }
+}
+
 // Checks the runs that started since the last check.
 void sim_world::check_starts(sim_worker& worker, const worker_model& model) {
     const auto incarnation =
@@ -316,6 +337,9 @@
         if (job.cancel_acknowledged && run.from > *job.cancel_acknowledged + cancel_bound) {
             record_violation("UNASKED start of a cancelled job: " + name);
         }
+        if (records_starts(step) && !planned_starts_[task].contains(worker.entry.target.id)) {
+            record_violation("TWICE start on a worker that the store doesn't name: " + name);
+        }
         const auto out = evacuated_at_.find(worker.entry.data_centre.value);
         if (out != evacuated_at_.end() && run.from > out->second + evacuation_bound) {
             record_violation("EVAC start in an evacuated data centre: " + name);
--- a/tests/sim_parts.cpp
+++ b/tests/sim_parts.cpp
@@ -171,6 +171,9 @@
         const auto kind = kind_of(transaction, world_.hosts_[host_]->options.name);
         call<transaction_reply>(std::move(done), kind, [this, transaction] {
             auto reply = world_.store_.commit(transaction);
+            if (reply && reply.value().applied) {
+                world_.note_planned_starts(transaction);
+            }
             world_.answer_watches();
             return reply;
         });
--- a/tests/sim_world.hpp
+++ b/tests/sim_world.hpp
@@ -220,6 +220,7 @@
     void record_ends(sim_worker& worker, const worker_model& model);
     void record_all_ends();
     void check_starts(sim_worker& worker, const worker_model& model);
+    void note_planned_starts(const store_transaction& applied);
     void check_capacity(const sim_worker& worker);
     void record_violation(const std::string& what);
     void write_entry(const std::string& id);
@@ -230,6 +231,8 @@
     std::uint64_t next_order_ = 0;
     std::priority_queue<event> events_;
     store_model store_;
+    // Workers that the store has named for a long-running task before a start.
+    std::map<task_key, std::set<worker_id>> planned_starts_;
     std::vector<waiting_watch> watches_;
     std::vector<std::unique_ptr<sim_host>> hosts_;
     std::map<std::string, sim_worker> workers_;
