restart_model: records that name other workers only

An owner that starts a long-running task elsewhere stores that it is on another worker, and a successor then waits for no lease of this one.

--- a/src/restart_model.cpp
+++ b/src/restart_model.cpp
@@ -13,6 +13,17 @@
 
 namespace {
 
+small find_content(small write) {
+    switch (write) {
+    case write_record:
+        return records_run;
+    case write_others:
+        return names_others;
+    default:
+        return names_worker;
+    }
+}
+
 // Lists what may happen next in a state.
 struct event_lister {
     struct event {
@@ -141,11 +152,19 @@
                 writer.write = write_clear;
                 writer.no_unknown_run = 1;
             });
+        add(rules.plans && !last && owner.active != 0 && owner.recorded != names_others &&
+                owner.write == no_write && has_no_run(rules, from, number),
+            "names other workers", number, [&](restart_state& next) {
+                auto& writer = next.owners.at(number);
+                forget_run(writer);
+                writer.write = write_others;
+                writer.no_unknown_run = 1;
+            });
         add(owner.write != no_write, "gets its transaction applied", number,
             [&](restart_state& next) {
                 auto& writer = next.owners.at(number);
-                next.recorded = writer.write == write_record ? small{1} : small{0};
-                next.recorded_by = next.recorded != 0 ? epoch_of(number) : small{0};
+                next.recorded = find_content(writer.write);
+                next.recorded_by = next.recorded != names_worker ? epoch_of(number) : small{0};
                 writer.recorded = next.recorded;
                 writer.write = no_write;
             });
--- a/src/restart_model.hpp
+++ b/src/restart_model.hpp
@@ -64,6 +64,10 @@
     // ended there.
     bool repeat_same_run = true;
     bool clear_record_before_start = true;
+    // The record names the worker before a start is sent there. Only with `plans`: owners then also
+    // store that the task was started on other workers only.
+    bool name_worker_before_start = true;
+    bool plans = false;
     bool record_known_runs_only = true;     // of the known incarnation
     bool record_usual_leases_only = true;   // on workers that have no longer lease
     bool record_without_open_starts = true; // implied by the next one
--- a/src/restart_state.cpp
+++ b/src/restart_state.cpp
@@ -474,7 +474,7 @@
     const bool lapsed =
         owner.lease == 0 && (is_certain(rules, owner) || !rules.wait_for_longest_lease ||
                              unnoticed_left(rules, state, number) <= 0);
-    const bool usual = owner.recorded != 0 || !rules.count_unconfirmed_with_longest;
+    const bool usual = owner.recorded == records_run || !rules.count_unconfirmed_with_longest;
     const bool passed = owner.no_unknown_run != 0 || (usual && owner.usual == 0) ||
                         is_complete(rules, state, number);
     const bool silent = state.list.owner != epoch_of(number); // no call to the worker lasts
@@ -483,8 +483,10 @@
 
 bool may_start(const restart_rules& rules, const restart_state& state, std::size_t number) {
     const auto& owner = state.owners.at(number);
-    return owner.active != 0 && has_no_run(rules, state, number) &&
-           (owner.recorded == 0 || !rules.clear_record_before_start);
+    const bool cleared = owner.recorded != records_run || !rules.clear_record_before_start;
+    const bool named = (owner.recorded != names_others && owner.write != write_others) ||
+                       !rules.name_worker_before_start;
+    return owner.active != 0 && has_no_run(rules, state, number) && cleared && named;
 }
 
 bool may_record(const restart_rules& rules, const restart_state& state, std::size_t number) {
--- a/src/restart_state.hpp
+++ b/src/restart_state.hpp
@@ -28,7 +28,13 @@
     known_run    // in the known incarnation
 };
 
-enum record_write : small { no_write, write_record, write_clear };
+// What the record of the task says, and a transaction without an answer that changes it.
+enum record_content : small {
+    names_worker, // the task may have been started on the worker
+    records_run,  // it runs there in a known incarnation, with the usual lease, or nowhere
+    names_others  // it was started on other workers only
+};
+enum record_write : small { no_write, write_record, write_clear, write_others };
 
 // The worker's present incarnation.
 struct restart_worker {
@@ -91,7 +97,7 @@
     small doubt = 0;    // a sending of its start was open at the worker's last reply, or is since
     small repeated = 0; // its start was sent more than once
     small fence = 0;
-    small recorded = 0;
+    small recorded = names_worker;
     small write = no_write;   // a transaction without an answer
     small no_unknown_run = 0; // it has cleared a record that counted
     // Ticks left: of the known incarnation's lease, and until no lease can be left that a later
@@ -117,7 +123,7 @@
     small runs_started = 0;
     small starts_sent = 0;
     // The record in the store.
-    small recorded = 0;
+    small recorded = names_worker;
     small recorded_by = 0;
 };
 
--- a/src/restart_succession.cpp
+++ b/src/restart_succession.cpp
@@ -47,8 +47,11 @@
     owner.usual = to_small(rules.confirmation_window + rules.lease);
     owner.longest = to_small(until_last + rules.longest_lease);
     const bool counts = state.recorded != 0 && state.recorded_by + 1 == epoch_of(state.owner);
-    owner.recorded = counts ? small{1} : small{0};
-    owner.write = counts ? write_record : no_write;
+    owner.recorded = counts ? state.recorded : small{names_worker};
+    if (counts) {
+        owner.write = owner.recorded == records_run ? write_record : write_others;
+        owner.no_unknown_run = owner.recorded == names_others ? small{1} : small{0};
+    }
 }
 
 bool may_hand_over(const restart_rules& rules, const restart_state& state) {
--- a/tests/restart_model_test.cpp
+++ b/tests/restart_model_test.cpp
@@ -121,6 +121,16 @@
               {.record_certain_runs_only = false, .restart_limit = 1, .open_holds = 0}) == twice);
 }
 
+// TWICE: a successor would start the task elsewhere while it runs on a worker that the record
+// doesn't name.
+TEST_CASE("the model finds the start on a worker that isn't named before") {
+    CHECK(first_violation({.plans = true, .restart_limit = 1, .open_holds = 0}) == "none");
+    CHECK(first_violation({.name_worker_before_start = false,
+                           .plans = true,
+                           .restart_limit = 1,
+                           .open_holds = 0}) == twice);
+}
+
 // Guards against a worker that left and is back: what its owner has forgotten may have given it the
 // longest lease.
 TEST_CASE("the model finds the lease that a worker took before its owner forgot it") {
