shard_placement: a long-running task keeps to its planned worker while the store answers

It held a reservation on a worker without room, was planned on the best other one, which nothing held for it, and by the time that was stored a third worker was better: it was planned anew, transaction after transaction.

Change: a planned worker on which the task fits comes before any search, and its room is reserved until the plan is stored, whatever reservation the task had.

--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -220,6 +220,15 @@
             return &reserved->second;
         }
     }
+    // Any other worker would have to be stored first.
+    for (const auto& id : task.planned_on) {
+        const auto planned = shard.tables.workers.find(id);
+        if (planned != shard.tables.workers.end() && accepts_starts(shard, planned->second, now) &&
+            !is_avoided(task, id, now) && can_run_on(*next.job, *next.stage, planned->second) &&
+            fits_worker(shard, planned->second, step, key)) {
+            return &planned->second;
+        }
+    }
     const auto* known = find_failed(shard.tables.searches, service, step, min_pace);
     if (known != nullptr && known->change == shard.tables.searches.change) {
         return nullptr;
@@ -372,7 +381,10 @@
             return;
         }
         if (!plan_start(shard, *next.job, step, task, worker->entry.target.id, now)) {
-            if (!task.reserved_worker && !task.reservation_expired) {
+            const bool reserves = records_starts(step)
+                                      ? task.reserved_worker != worker->entry.target.id
+                                      : !task.reserved_worker && !task.reservation_expired;
+            if (reserves) {
                 reserve(shard, key, step.need, *worker, now); // until that is stored
             }
             continue;
