shard_loans, shard_reports: tasks taken back are stored as having no run; an adopted run keeps other waits

A long-running task that came back from a loan was stored with neither a worker nor as parked, until parking stored it a second later: an owner lost meanwhile left it to wait for the whole takeover. It is parked with the end of the loan, as any start has to be stored anyway. And a run that is adopted on a worker that its record doesn't name cleared the record in a way that also said that no other run can be unknown, although the recorded worker may be silent. No order of events was found that leads there; the record is now cleared without that conclusion, and counts once it is stored.

No test of its own; the simulations' check that each long-running run is on a worker that the store names covers both.

--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -65,6 +65,11 @@
     auto& task = *find_task(shard.tables, key);
     task.loan = 0;
     record_change(shard, job, true, now);
+    if (records_starts(job.spec.steps[key.step])) {
+        task.parked = true; // the next owner has to know that it runs nowhere
+        task.parked_by = shard.epoch;
+        task.whereabouts_version = job.version;
+    }
     shard.returned_tasks.push_back({key, job.version});
 }
 
--- a/src/shard_reports.cpp
+++ b/src/shard_reports.cpp
@@ -106,8 +106,12 @@
                                         task->recorded_on != added.worker &&
                                         !task->planned_on.contains(added.worker);
         if (task->parked || recorded_elsewhere) {
-            clear_whereabouts(*task);
+            // Not clear_whereabouts: a recorded worker that is silent may still have a run as well.
+            task->parked = false;
+            task->recorded_on.reset();
+            task->planned_on.clear();
             record_change(shard, own, true, now);
+            task->whereabouts_version = own.version;
         }
     }
     shard.log->write("event=run_adopted task={}.{}.{}.{} run={} worker={} wanted={}",
