shard_progress: a job of short tasks of which nothing runs gets one task to run

Cause: beside serving tasks the predicted pace stays below the floor of 0.35; on workers without them what is smaller, or still in time, takes each room. Nothing ever asked whether a job gets on.

Change: a job of which nothing runs is entitled to one running task, after 6 s if it is in time, 2 s if late, at once if overdue. Entitled runs get 30 % of a worker, 80 % while nothing in time fills there. The wait goes with the tasks over loans, and over owners if they were parked. No record changes its form.

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -69,6 +69,10 @@
 constexpr int throttled_percent = 10;
 constexpr duration throttled_time_limit{900};
 
+// The same for a run that started because nothing of its job ran: elsewhere it would have to wait
+// again.
+constexpr duration entitled_throttled_limit{8'000};
+
 // A filler without checkpoints is moved only while its progress, in percent, is below this.
 constexpr int expendable_progress_percent = 15;
 
@@ -266,7 +270,8 @@
         run.throttled_since = now;
     }
     const auto job = shard.tables.jobs.find(run.key.task.job);
-    if (now - *run.throttled_since < throttled_time_limit || job == shard.tables.jobs.end() ||
+    const auto limit = run.entitled ? entitled_throttled_limit : throttled_time_limit;
+    if (now - *run.throttled_since < limit || job == shard.tables.jobs.end() ||
         !has_undisturbing_room(shard, run)) {
         return;
     }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -103,6 +103,14 @@
     return failed == nullptr || failed->change != shard.tables.searches.change;
 }
 
+// Returns whether a loan of the job isn't stored yet. A successor would not expect its tasks to run
+// here.
+bool has_unstored_loan(const job_row& job) {
+    return std::any_of(job.borrowed.begin(), job.borrowed.end(), [&](const borrowed_tasks& loan) {
+        return loan.version > job.stored_version;
+    });
+}
+
 // Returns whether any waiting task of a stage may start or be lent. The others may run on a worker
 // of a predecessor without this owner's knowledge.
 bool has_startable(const shard_state& shard, const job_row& job, const stage_row& stage) {
@@ -117,12 +125,7 @@
     std::vector<candidate> found;
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
-        // Until the loan is stored, a successor would not expect its tasks to run here.
-        const bool unstored =
-            std::any_of(job.borrowed.begin(), job.borrowed.end(), [&](const borrowed_tasks& loan) {
-                return loan.version > job.stored_version;
-            });
-        if (unstored) {
+        if (has_unstored_loan(job)) {
             continue;
         }
         std::optional<timeliness> expected;
@@ -350,6 +353,28 @@
     }
 }
 
+// Starts one task of each job that is entitled to it.
+void place_entitled(shard_state& shard, time_point now, shard_actions& actions) {
+    for (const auto& [job, stage] : find_entitled(shard, now)) {
+        const auto order = order_waiting(shard, *job, *stage);
+        if (order.empty() || has_unstored_loan(*job)) {
+            continue;
+        }
+        const auto index = order.front();
+        auto* worker = choose_entitled_worker(shard, *job, *stage, index, now);
+        if (worker == nullptr || !release_whereabouts(shard, *job, stage->tasks[index], now)) {
+            continue;
+        }
+        const candidate next{job, stage, job->queue.priority, false, {}, job->accepted};
+        const auto number = next_run(shard.epoch, stage->tasks[index]);
+        start_task(shard, next, index, number, *worker, now, actions);
+        const task_key key{job->id, stage->occurrence, stage->step, index};
+        note_entitled_start(shard, *job, {key, number}, *worker, now);
+        plan_paces(shard, *worker, now);
+        view_worker(shard, *worker, now);
+    }
+}
+
 // Returns whether a start that got no reply may be sent again.
 bool may_repeat_start(const shard_state& shard, const run_row& run, const worker_row& worker,
                       time_point now) {
@@ -500,6 +525,9 @@
         }
         release_next(shard, order, now);
     }
+    if (complete && allowed) {
+        place_entitled(shard, now, actions);
+    }
     std::set<service_id> released; // services of which tasks were released in this round
     for (const auto& next : candidates) {
         if (allowed) {
--- /dev/null
+++ b/src/shard_progress.cpp
@@ -0,0 +1,238 @@
+// The progress guarantee of short tasks. Placement prefers what fits, what runs at a good pace and
+// what can still end in time, so a job can be passed over for as long as work arrives. A job of
+// fillers of which nothing has run for a while is therefore entitled to one running task: it comes
+// before other short tasks, may run slowly beside serving tasks, and may share the processors of
+// the fillers on a worker without any. All other tasks of the job wait for their ordinary turn.
+#include "shard_internal.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace fulmar {
+
+namespace {
+
+// A job of which nothing runs for this long is entitled. For one that is in time, the pace that
+// placement asks for has fallen to its minimum by then, so waiting on improves nothing. Placement
+// serves overdue ones last, so each of their steps would wait for as long as it may.
+duration idle_limit_of(timeliness expected) {
+    switch (expected) {
+    case timeliness::in_time:
+        return duration(6'000);
+    case timeliness::late:
+        return duration(2'000);
+    case timeliness::overdue:
+        return duration(0);
+    }
+    return duration(0);
+}
+
+// A filler works at full pace until its start is confirmed and its pace has taken effect, about a
+// second with the report that shows the effect. Serving tasks get this long between two of them.
+constexpr duration spacing_beside_serving{2'000};
+
+// Part of a worker's processors, in percent, that the needs of its entitled runs may add up to. A
+// single one may need more. The rest is left to what is in time: at 60 percent it lost a fifth of
+// its credit after bursts. The second limit holds while no filler that is in time runs there.
+constexpr std::int64_t entitled_percent = 30;
+constexpr std::int64_t entitled_percent_alone = 80;
+
+// Lowest predicted pace at which a start is worth the memory that it holds.
+constexpr double least_pace = 0.05;
+
+// Maximum number of jobs for which a round looks for a worker.
+constexpr std::size_t searches_per_round = 32;
+
+// After a search without result the next one for the same job follows later, so that other jobs
+// get their turn.
+constexpr duration search_pause{500};
+
+// Returns whether a task of the stage may start as the one that its job is entitled to. Those that
+// may run on a worker of a predecessor without this owner's knowledge may not.
+bool is_entitled_stage(const shard_state& shard, const job_row& job, const stage_row& stage) {
+    const auto& step = job.spec.steps[stage.step];
+    return stage.open && step.filler && !step.gang &&
+           std::any_of(stage.waiting.begin(), stage.waiting.end(), [&](std::uint32_t index) {
+               return !has_unknown_run(shard, job, stage.tasks[index]);
+           });
+}
+
+// Since when nothing of the job has run by the wall-clock times that came with its waiting tasks,
+// over changes of owners and loans. Gives them the time if they have none.
+time_point begin_idle(const shard_state& shard, job_row& job, time_point now) {
+    unix_time earliest = shard.wall_clock;
+    const auto for_each_waiting = [&](auto&& visit) {
+        for (auto& [number, occurrence] : job.occurrences) {
+            for (auto& stage : occurrence.stages) {
+                if (!is_entitled_stage(shard, job, stage)) {
+                    continue;
+                }
+                for (const auto index : stage.waiting) {
+                    visit(stage.tasks[index].waiting_since);
+                }
+            }
+        }
+    };
+    for_each_waiting([&](const unix_time& since) {
+        earliest = since.value > 0 ? std::min(earliest, since) : earliest;
+    });
+    for_each_waiting([&](unix_time& since) { since = earliest; });
+    return now - duration(shard.wall_clock.value - earliest.value);
+}
+
+void end_idle(job_row& job) {
+    job.idle_since.reset();
+    for (auto& [number, occurrence] : job.occurrences) {
+        for (auto& stage : occurrence.stages) {
+            for (const auto index : stage.waiting) {
+                stage.tasks[index].waiting_since = {};
+            }
+        }
+    }
+}
+
+// Follows since when nothing of the job has run although a task of it waits. Returns whether it is
+// entitled to a run.
+bool is_entitled(const shard_state& shard, job_row& job, time_point now) {
+    bool waits = false;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (const auto& stage : occurrence.stages) {
+            if (!stage.runs_by_worker.empty()) {
+                if (job.idle_since) {
+                    end_idle(job);
+                }
+                return false;
+            }
+            waits = waits || is_entitled_stage(shard, job, stage);
+        }
+    }
+    if (!waits) {
+        job.idle_since.reset(); // the tasks of a loan keep the time
+        return false;
+    }
+    if (!job.idle_since) {
+        job.idle_since = begin_idle(shard, job, now);
+    }
+    return now - *job.idle_since >= idle_limit_of(predict_timeliness(shard, job));
+}
+
+// What a worker offers to entitled tasks.
+struct worker_offer {
+    bool serves = false;
+    std::int64_t entitled = 0; // processors that its entitled runs need
+    std::int64_t demand = 0;   // processors that its fillers use at their paces
+    std::int64_t idle = 0;     // processors that other tasks leave to fillers
+};
+
+worker_offer inspect_worker(const shard_state& shard, const worker_row& worker) {
+    worker_offer offer;
+    for (const auto* run : worker.run_rows) {
+        offer.serves = offer.serves || run->tail_target.count() > 0;
+        const auto need = run->need.processors.value;
+        offer.entitled += run->entitled ? need : 0;
+        offer.demand += run->filler ? need * run->pace_target / 100 : 0;
+    }
+    offer.idle = filler_room(shard, worker) + offer.demand;
+    return offer;
+}
+
+// Returns whether the worker's entitled runs leave no share for another one.
+bool is_crowded(const shard_state& shard, const worker_row& worker, std::int64_t entitled,
+                std::int64_t need) {
+    const auto capacity = worker.entry.capacity.processors.value;
+    if (entitled == 0 || entitled + need <= capacity * entitled_percent / 100) {
+        return false;
+    }
+    return entitled + need > capacity * entitled_percent_alone / 100 ||
+           std::any_of(worker.run_rows.begin(), worker.run_rows.end(), [&](const run_row* run) {
+               const auto job = shard.tables.jobs.find(run->key.task.job);
+               return run->filler && job != shard.tables.jobs.end() &&
+                      predict_timeliness(shard, job->second) == timeliness::in_time;
+           });
+}
+
+// Returns the pace, 0 to 1, that an entitled task could have on a worker; 0 if it can't start
+// there.
+double predict_entitled_pace(const shard_state& shard, const worker_row& worker,
+                             const step_spec& step, const task_key& key, time_point now) {
+    auto free = free_resources(worker, &key);
+    free.processors = step.need.processors;
+    if (!fits(step.need, free)) {
+        return 0;
+    }
+    const auto offer = inspect_worker(shard, worker);
+    const auto need = std::max<std::int64_t>(1, step.need.processors.value);
+    if (offer.idle <= 0 || (offer.serves && now < worker.next_entitled_start) ||
+        is_crowded(shard, worker, offer.entitled, need)) {
+        return 0;
+    }
+    const auto share = static_cast<double>(offer.idle) / static_cast<double>(offer.demand + need);
+    return std::min(share, predict_pace(shard, worker, step, now));
+}
+
+} // namespace
+
+std::vector<entitled_job> find_entitled(shard_state& shard, time_point now) {
+    std::vector<entitled_job> found;
+    for (const auto& id : shard.active) {
+        auto& job = shard.tables.jobs.at(id);
+        if (!is_entitled(shard, job, now) || now < job.next_entitled_search) {
+            continue;
+        }
+        for (auto& [number, occurrence] : job.occurrences) {
+            const auto stage =
+                std::find_if(occurrence.stages.begin(), occurrence.stages.end(),
+                             [&](const auto& row) { return is_entitled_stage(shard, job, row); });
+            if (stage != occurrence.stages.end()) {
+                found.push_back({&job, &*stage});
+                break;
+            }
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const entitled_job& a, const entitled_job& b) {
+        return std::tie(b.job->queue.priority, *a.job->idle_since, a.job->id) <
+               std::tie(a.job->queue.priority, *b.job->idle_since, b.job->id);
+    });
+    found.resize(std::min(found.size(), searches_per_round));
+    return found;
+}
+
+worker_row* choose_entitled_worker(shard_state& shard, job_row& job, const stage_row& stage,
+                                   std::uint32_t index, time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    const auto& task = stage.tasks[index];
+    const task_key key{job.id, stage.occurrence, stage.step, index};
+    worker_row* best = nullptr;
+    double best_pace = least_pace;
+    for (auto& [id, worker] : shard.tables.workers) {
+        ++shard.placement_checks;
+        if (!accepts_starts(shard, worker, now) || is_avoided(task, id, now) ||
+            !can_run_on(job, stage, worker)) {
+            continue;
+        }
+        const auto pace = predict_entitled_pace(shard, worker, step, key, now);
+        if (pace >= best_pace && (best == nullptr || pace > best_pace)) {
+            best = &worker;
+            best_pace = pace;
+        }
+    }
+    if (best == nullptr) {
+        job.next_entitled_search = now + search_pause;
+    }
+    return best;
+}
+
+void note_entitled_start(shard_state& shard, job_row& job, const run_key& key, worker_row& worker,
+                         time_point now) {
+    auto& run = shard.tables.runs.at(key);
+    run.entitled = true;
+    worker.next_entitled_start = now + spacing_beside_serving;
+    shard.counters->count("entitled_starts");
+    shard.log->write("event=entitled_start task={}.{}.{}.{} run={} worker={} idle_ms={}",
+                     key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
+                     key.number.value, worker.entry.target.id.value,
+                     job.idle_since ? (now - *job.idle_since).count() : 0);
+    end_idle(job);
+}
+
+} // namespace fulmar
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -128,6 +128,8 @@
     // Health.
     std::uint32_t failures = 0;  // consecutive failed runs and refused starts; each run counts once
     time_point no_starts_before; // set after a refusal or failure
+
+    time_point next_entitled_start; // of a task that no other reason has start; see shard_progress
 };
 
 enum class run_phase : std::uint8_t {
@@ -186,6 +188,7 @@
     // Since the first measurement over the target after which `average_slack` has not recovered.
     std::optional<time_point> average_over_since;
     int pace_target = 100;
+    bool entitled = false; // started by this owner because nothing of its job ran
     std::optional<time_point> throttled_since; // since when a filler's target pace is close to 0
     int pace_confirmed = 100;                  // confirmed; -1: unknown, -2: refused
     bool pace_in_flight = false;
@@ -218,7 +221,8 @@
     std::optional<time_point> idle_since;
     // Since when another task of an open stage has been seen without a run.
     std::optional<time_point> no_run_since;
-    unix_time waiting_since{}; // 0: it doesn't wait
+    // Also since when no task of its job has run, if it is a filler. 0: it doesn't wait.
+    unix_time waiting_since{};
     // Stored as having no run; its owner stores that it isn't parked any more before it starts it.
     bool parked = false;
     epoch_number parked_by{}; // the owner that stored it as parked last
@@ -312,6 +316,9 @@
     // The phase before the end was `running`; shown until the end is stored.
     bool reported_running = false;
     bool inherited = false; // accepted under an earlier owner of the shard
+    // Since when nothing of it has run here although fillers of it wait.
+    std::optional<time_point> idle_since;
+    time_point next_entitled_search;
 };
 
 struct shard_tables {
