shard_progress: jobs that fit nowhere take turns with the others

With 96 jobs or more that fit nowhere for want of memory, no other job of short tasks got its turn (LOST). Half of the searches now go to those that haven't been searched for longest.

"an entitled job behind many that fit nowhere starts" (150 of them): 0 starts in 30 s on, 1 with the change.

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -443,6 +443,14 @@
 // Returns whether a task that failed on the worker looks for another one first.
 bool is_avoided(const task_row& task, const worker_id& worker, time_point now);
 
+// Returns whether the worker has restarted and an entry of the incarnation that replies is waited
+// for.
+bool awaits_entry(const worker_row& worker, time_point now);
+
+// Returns whether the worker meets a step's conditions on service and label. Another incarnation
+// may be of another kind.
+bool can_host(const job_row& job, const step_spec& step, const worker_row& worker);
+
 // Returns whether the worker stays, and this owner may use it.
 bool is_usable(const shard_state& shard, const worker_row& worker);
 
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -36,28 +36,6 @@
 // find other workers without such tasks.
 constexpr double other_image_weight = 1'500;
 
-// A worker that has restarted gets no starts for this long while its entry is the former
-// incarnation's. A worker writes its entry within moments, but not in an outage of the store.
-constexpr duration entry_limit{10'000};
-
-// Returns whether the worker's entry is of another incarnation than its replies.
-bool is_entry_of_other(const worker_row& worker) {
-    return worker.entry.start_time && worker.start_time &&
-           worker.entry.start_time != worker.start_time;
-}
-
-// Returns whether an entry of the incarnation that replies is waited for.
-bool awaits_entry(const worker_row& worker, time_point now) {
-    return is_entry_of_other(worker) && now < worker.incarnation_since + entry_limit;
-}
-
-// Returns whether the worker meets a step's conditions on service and label. Another incarnation
-// may be of another kind.
-bool can_host(const job_row& job, const step_spec& step, const worker_row& worker) {
-    return worker.entry.service == job.queue.service && has_required_label(worker, step.label) &&
-           (step.label.empty() || !is_entry_of_other(worker));
-}
-
 // A stage with tasks to start.
 struct candidate {
     job_row* job = nullptr;
@@ -461,11 +439,6 @@
     return found;
 }
 
-bool is_usable(const shard_state& shard, const worker_row& worker) {
-    return worker.listed && !worker.entry.draining && is_stored(shard, worker.entry.target) &&
-           !is_promised(shard, worker.entry.target.id);
-}
-
 void repeat_starts(shard_state& shard, time_point now, shard_actions& actions) {
     const auto repeated = std::exchange(shard.repeated_starts, {});
     for (const auto& key : repeated) {
@@ -508,35 +481,6 @@
     }
 }
 
-bool is_paused(const worker_row& worker, time_point now) {
-    if (worker.no_starts_before > now) {
-        return true;
-    }
-    return worker.failures > 1 &&
-           std::any_of(worker.run_rows.begin(), worker.run_rows.end(), [&](const run_row* run) {
-               return run->start_sent >= worker.no_starts_before;
-           });
-}
-
-bool is_avoided(const task_row& task, const worker_id& worker, time_point now) {
-    return task.last_failed_on == worker && now < task.avoided_until;
-}
-
-bool accepts_starts(const shard_state& shard, const worker_row& worker, time_point now) {
-    return worker.reachability == reachability_state::reachable && worker.inventoried &&
-           is_usable(shard, worker) && !is_paused(worker, now) && !awaits_entry(worker, now);
-}
-
-bool can_run_on(const job_row& job, const stage_row& stage, const worker_row& worker) {
-    const auto& step = job.spec.steps[stage.step];
-    if (!can_host(job, step, worker)) {
-        return false;
-    }
-    const auto runs_by_worker = stage.runs_by_worker.find(worker.entry.target.id);
-    return step.spread_limit == 0 || runs_by_worker == stage.runs_by_worker.end() ||
-           runs_by_worker->second < step.spread_limit;
-}
-
 std::int64_t filler_room(const shard_state& /*shard*/, const worker_row& worker) {
     std::int64_t idle = worker.entry.capacity.processors.value;
     for (const auto* row : worker.run_rows) {
--- a/src/shard_progress.cpp
+++ b/src/shard_progress.cpp
@@ -40,11 +40,12 @@
 // Lowest predicted pace at which a start is worth the memory that it holds.
 constexpr double least_pace = 0.05;
 
-// Maximum number of jobs for which a round looks for a worker.
+// Maximum number of jobs for which a round looks for a worker, and how many of these are those that
+// have waited longest. The others take turns: those first in line may fit nowhere.
 constexpr std::size_t searches_per_round = 32;
+constexpr std::size_t longest_waits_per_round = 16;
 
-// After a search without result the next one for the same job follows later, so that other jobs
-// get their turn.
+// After a search without result the next one for the same job follows later.
 constexpr duration search_pause{500};
 
 // Returns whether a task of the stage may start as the one that its job is entitled to. Those that
@@ -92,7 +93,7 @@
 }
 
 // Follows since when nothing of the job has run although a task of it waits. Returns whether it is
-// entitled to a run.
+// entitled to a run, and to a search for its worker now.
 bool is_entitled(const shard_state& shard, job_row& job, time_point now) {
     bool waits = false;
     for (const auto& [number, occurrence] : job.occurrences) {
@@ -113,7 +114,8 @@
     if (!job.idle_since) {
         job.idle_since = begin_idle(shard, job, now);
     }
-    return now - *job.idle_since >= idle_limit_of(predict_timeliness(shard, job));
+    return now >= job.next_entitled_search &&
+           now - *job.idle_since >= idle_limit_of(predict_timeliness(shard, job));
 }
 
 // What a worker offers to entitled tasks.
@@ -176,7 +178,7 @@
     std::vector<entitled_job> found;
     for (const auto& id : shard.active) {
         auto& job = shard.tables.jobs.at(id);
-        if (!is_entitled(shard, job, now) || now < job.next_entitled_search) {
+        if (!is_entitled(shard, job, now)) {
             continue;
         }
         for (auto& [number, occurrence] : job.occurrences) {
@@ -193,7 +195,13 @@
         return std::tie(b.job->queue.priority, *a.job->idle_since, a.job->id) <
                std::tie(a.job->queue.priority, *b.job->idle_since, b.job->id);
     });
-    found.resize(std::min(found.size(), searches_per_round));
+    if (found.size() > searches_per_round) {
+        const auto rest = found.begin() + longest_waits_per_round;
+        std::stable_sort(rest, found.end(), [](const entitled_job& a, const entitled_job& b) {
+            return a.job->next_entitled_search < b.job->next_entitled_search;
+        });
+        found.resize(searches_per_round);
+    }
     return found;
 }
 
--- a/tests/planned_starts_test.cpp
+++ b/tests/planned_starts_test.cpp
@@ -23,7 +23,8 @@
     std::size_t commits = 0;
     std::optional<time_point> commit_sent;
 
-    slow_store_world() : shard(make_shard(record, {"b1/2"}, {2}, {1}, {}, counters, log)) {
+    slow_store_world()
+        : shard(make_shard(record, {"b1/2"}, {2}, {1}, {}, counters, log)) {
         job_row job;
         job.id = watch;
         job.queue.service = {"desk"};
--- a/tests/shard_progress_test.cpp
+++ b/tests/shard_progress_test.cpp
@@ -198,3 +198,18 @@
     CHECK(entitled[0].job->id == old);
     CHECK(world.now - *entitled[0].job->idle_since == duration(10'000));
 }
+
+// Guards against LOST: the jobs that had waited longest were always searched for first, so that
+// many of them that fit nowhere kept all others from a start.
+TEST_CASE("an entitled job behind many that fit nowhere starts") {
+    starving_shard world;
+    for (int i = 0; i < 150; ++i) {
+        auto step = make_filler("large", 1, 4'000);
+        step.need.memory = {64'000};
+        world.add_job(step);
+    }
+    const auto last = world.add_job(make_filler("large", 1, 4'000));
+    world.load(1);
+    world.run_for(duration(30'000));
+    CHECK(world.starts[last].size() == 1);
+}
