shard_placement: no entitled start is noted once the shard is lost

A start that has no fence left loses the shard and isn't sent, and the search for its run would have ended the process (std::out_of_range).

--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -393,6 +393,9 @@
         const candidate next{job, stage, job->queue.priority, false, {}, job->accepted};
         const auto number = next_run(shard.epoch, stage->tasks[index]);
         start_task(shard, next, index, number, *worker, now, actions);
+        if (shard.ownership_lost) {
+            return;
+        }
         const task_key key{job->id, stage->occurrence, stage->step, index};
         note_entitled_start(shard, *job, {key, number}, *worker, now);
         plan_paces(shard, *worker, now);
