shard_passed_rooms: a planned handover passes on reserved and requested room

The waits begin anew.

Cause: reservations, the requests of other shards with their claims, and grants are in the former owner's memory only; it released those of others as soon as it prepared the handover. And the limit after which a borrowed task is returned counted while no worker had listed its runs to the successor.

While a handover is prepared, rooms are kept and own requests repeated, and nothing is granted.

--- a/src/host_control.hpp
+++ b/src/host_control.hpp
@@ -218,6 +218,12 @@
         bool in_flight = false;
     };
 
+    // Room that the former owner of a shard passed on to the owner of this epoch.
+    struct received_rooms {
+        epoch_number epoch;
+        passed_rooms rooms;
+    };
+
     // What peers that this host receives datagrams from report about the store.
     struct peer_reports {
         bool store_reached = false;   // the store answers one of them
@@ -379,6 +385,9 @@
                        const result<hold_reply>& reply);
     void send_passed_ends();
     void answer_ends_call(const std::string& body, const peer_reply& reply);
+    void pass_on_rooms(const host_id& successor, const std::string& rooms);
+    void answer_rooms_call(const std::string& body, const peer_reply& reply);
+    void inherit_rooms(owned_shard& shard);
 
     // Requests.
     void record_backlog(const shard_status& status);
@@ -451,7 +460,8 @@
     std::set<std::string> unreadable_; // keys already reported
     std::map<shard_id, shard_pointer> owned_;
     std::map<shard_id, passing_row> passing_;
-    std::map<shard_id, shard_backlog> backlogs_; // of all shards that others own or owned
+    std::map<shard_id, received_rooms> received_rooms_; // of shards that aren't loaded yet
+    std::map<shard_id, shard_backlog> backlogs_;        // of all shards that others own or owned
     time_point next_backlog_call_;
     std::size_t backlog_calls_ = 0;
     // As a witness, this host confirms no lower epochs of these shards.
--- a/src/host_passed_ends.cpp
+++ b/src/host_passed_ends.cpp
@@ -1,5 +1,6 @@
-// Passing of run ends to the next owner of a shard.
+// Passing of run ends, and of reserved and requested room, to the next owner of a shard.
 #include "host_control.hpp"
+#include "shard_handover.hpp"
 
 #include <algorithm>
 
@@ -109,4 +110,42 @@
     }
 }
 
+// Sent once: without it, the successor makes reservations anew.
+void host_control::pass_on_rooms(const host_id& successor, const std::string& rooms) {
+    const auto peer = peers_.find(successor);
+    if (peer != peers_.end() && !rooms.empty()) {
+        peers_link_.call(peer->second.record.address, "rooms", rooms, options_.timing.peer_timeout,
+                         [](const result<std::string>&) {});
+    }
+}
+
+// Keeps what a former owner passes on until the shard is loaded here.
+void host_control::answer_rooms_call(const std::string& body, const peer_reply& reply) {
+    try {
+        const auto in = json::parse(body);
+        const auto id = in.at("to").get<shard_id>();
+        const auto epoch = in.at("epoch").get<epoch_number>();
+        const bool listed = std::any_of(shard_list_.begin(), shard_list_.end(),
+                                        [&](const shard_record& shard) { return shard.id == id; });
+        if (listed && epoch > fenced_epochs_[id]) {
+            received_rooms_.insert_or_assign(
+                id, received_rooms{epoch, parse_passed_rooms(in, loop_.now())});
+        }
+        if (const auto shard = find_owned(id); shard && shard->loaded) {
+            inherit_rooms(*shard);
+            schedule_shard(shard);
+        }
+        reply(std::string());
+    } catch (const std::exception& failure) {
+        reply(error{error_kind::protocol_error, failure.what()});
+    }
+}
+
+void host_control::inherit_rooms(owned_shard& shard) {
+    auto received = received_rooms_.extract(shard.state.id);
+    if (!received.empty() && received.mapped().epoch == shard.state.epoch) {
+        shard.state.inherited_rooms = std::move(received.mapped().rooms);
+    }
+}
+
 } // namespace fulmar
--- a/src/host_requests.cpp
+++ b/src/host_requests.cpp
@@ -360,6 +360,8 @@
         answer_room_call(body, reply);
     } else if (method == "ends") {
         answer_ends_call(body, reply);
+    } else if (method == "rooms") {
+        answer_rooms_call(body, reply);
     } else if (method == "witness") {
         answer_witness_call(body, reply);
     } else if (method == "yield") {
--- a/src/host_shards.cpp
+++ b/src/host_shards.cpp
@@ -1,5 +1,6 @@
 // Shards: the shard list, and loading, dropping and handing over of owned shards.
 #include "host_control.hpp"
+#include "shard_handover.hpp"
 
 #include <algorithm>
 #include <cassert>
@@ -198,6 +199,7 @@
                     shard->loaded = true;
                     shard->state.loaded_at = loop_.now();
                     attach_workers(*shard);
+                    inherit_rooms(*shard);
                     update_start_permissions();
                     schedule_shard(shard);
                     for (const auto& waiting : std::exchange(shard->waiting, {})) {
@@ -316,28 +318,30 @@
     put.conditions.push_back({head_key(state.id), state.head_revision});
     put.puts.push_back({claim_key(state.id), encode(next), {}});
     add_handover_records(state, put, loop_.now());
-    store_.commit(std::move(put),
-                  [this, alive = alive_, shard, next, successor](result<transaction_reply> reply) {
-                      if (!*alive) {
-                          return;
-                      }
-                      shard->state.handing_over = false;
-                      next_owners_.erase(shard->state.id);
-                      if (!reply) {
-                          // Starts continue unless this host is leaving. If the claim was written
-                          // after all, the successor's higher epoch fences them.
-                          shard->next_transfer = loop_.now() + options_.shard.commit_retry;
-                          shard->successor = {};
-                          shard->state.releasing = leaving_;
-                          return;
-                      }
-                      if (reply.value().applied) {
-                          claims_[shard->state.id] = {next, *reply.value().applied, loop_.now()};
-                          notify_successor(successor, shard->state.id);
-                      }
-                      drop_shard(shard->state.id, "handed_over");
-                      maintain_claims();
-                  });
+    auto rooms = encode_passed_rooms(state, next.epoch, loop_.now());
+    store_.commit(std::move(put), [this, alive = alive_, shard, next, successor,
+                                   rooms = std::move(rooms)](result<transaction_reply> reply) {
+        if (!*alive) {
+            return;
+        }
+        shard->state.handing_over = false;
+        next_owners_.erase(shard->state.id);
+        if (!reply) {
+            // Starts continue unless this host is leaving. If the claim was written
+            // after all, the successor's higher epoch fences them.
+            shard->next_transfer = loop_.now() + options_.shard.commit_retry;
+            shard->successor = {};
+            shard->state.releasing = leaving_;
+            return;
+        }
+        if (reply.value().applied) {
+            claims_[shard->state.id] = {next, *reply.value().applied, loop_.now()};
+            notify_successor(successor, shard->state.id);
+            pass_on_rooms(successor, rooms);
+        }
+        drop_shard(shard->state.id, "handed_over");
+        maintain_claims();
+    });
 }
 
 // Returns whether a host has said, in its present life, that it stops.
--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -1,5 +1,6 @@
 #include "shard_control.hpp"
 
+#include "shard_handover.hpp"
 #include "shard_internal.hpp"
 #include "shard_run_numbers.hpp"
 
@@ -493,6 +494,7 @@
     complete_takeover(shard, now);
     log_authority_limit(shard, now);
     expire_workers(shard, now);
+    apply_passed_rooms(shard, now);
     if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
         shard.placement_needed = false;
         place_tasks(shard, now, actions);
--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -372,6 +372,7 @@
     // Run ends that a former owner passed on, with the workers that listed them. They are kept
     // until the next message after they were stored.
     std::vector<std::pair<worker_id, unacknowledged_run_end>> passed_ends;
+    std::optional<passed_rooms> inherited_rooms; // until they are reserved here
     std::vector<job_id> to_purge;
     std::set<job_id> unstored_borrowed_jobs; // borrowed jobs that aren't stored yet
     struct waiting_loan_answer {
@@ -504,18 +505,6 @@
 void on_index_read(shard_state& shard, const job_id& id,
                    const result<std::optional<store_entry>>& entry, time_point now);
 
-// Run ends that were listed to an owner and weren't stored when it lost the shard. It passes them
-// on to the next owner.
-// Returns whether an end matters to the next owner: it was done, or it used up an attempt.
-bool counts_for_successor(const run_end& end);
-std::vector<listed_run_end> find_unstored_ends(const shard_state& shard);
-std::string encode_passed_ends(const shard_id& shard, const std::vector<listed_run_end>& ends);
-// Throws a std::exception if the body is malformed.
-std::vector<listed_run_end> parse_passed_ends(const json& body);
-// Processes ends that a former owner passed on.
-void on_passed_ends(shard_state& shard, const std::vector<listed_run_end>& ends, time_point now,
-                    unix_time unix_now);
-
 // Processes a message of another shard's owner about lent tasks; the answer follows in the actions.
 // `body` was written by that owner. Offers must have been verified against the lender's record.
 // Throws a std::exception if the body is malformed.
--- a/src/shard_eligibility.cpp
+++ b/src/shard_eligibility.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-// Returns whether a worker that doesn't leave could run a task of a step if it ran nothing else.
-bool is_eligible(const service_id& service, const step_spec& step, const worker_row& worker) {
-    return worker.listed && !worker.entry.draining && worker.entry.service == service &&
-           has_required_label(worker, step.label) &&
-           fits(counted_need(step), worker.entry.capacity);
-}
-
 // Returns whether the workers' entries have been read.
 bool knows_workers(const shard_state& shard) {
     const auto& workers = shard.tables.workers;
@@ -40,6 +33,12 @@
 
 } // namespace
 
+bool is_eligible(const service_id& service, const step_spec& step, const worker_row& worker) {
+    return worker.listed && !worker.entry.draining && worker.entry.service == service &&
+           has_required_label(worker, step.label) &&
+           fits(counted_need(step), worker.entry.capacity);
+}
+
 bool could_run_here(const shard_state& shard, const service_id& service, const step_spec& step) {
     if (!knows_workers(shard)) {
         return true;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -237,6 +237,20 @@
 // The same for those that come before an own task. Returns for how many it reserved room.
 std::size_t serve_earlier_requests(shard_state& shard, const room_claim& before, time_point now);
 
+// Returns whether the shard's owner may hold room for tasks of other shards, and whether it may
+// reserve any for them.
+bool holds_rooms(const shard_state& shard, time_point now);
+bool grants_room(const shard_state& shard, time_point now);
+
+// Adds a request that a former owner passed on, with its room if `worker` isn't null.
+void take_over_request(shard_state& shard, const task_key& key, const room_request& request,
+                       worker_row* worker, time_point now);
+
+// Returns whether workers that could run the tasks of a stage are about to be known to an owner
+// that has just loaded the shard.
+bool awaits_workers(const shard_state& shard, const job_row& job, const stage_row& stage,
+                    time_point now);
+
 // Gives the rooms that were granted for the tasks of a loan to the tasks. Each then has the
 // reservation like a task that found the room itself.
 void use_granted_rooms(shard_state& shard, const job_row& job, const borrowed_tasks& loan,
@@ -341,6 +355,9 @@
                                                     const stage_row& stage, room_kind kind,
                                                     time_point now);
 
+// Returns whether a worker that doesn't leave could run a task of a step if it ran nothing else.
+bool is_eligible(const service_id& service, const step_spec& step, const worker_row& worker);
+
 // Returns whether the workers of this shard that don't leave could run tasks of a step if they ran
 // nothing else: one task, or all members of a gang. True while the workers aren't known.
 bool could_run_here(const shard_state& shard, const service_id& service, const step_spec& step);
--- a/src/shard_loans.cpp
+++ b/src/shard_loans.cpp
@@ -221,6 +221,10 @@
         return;
     }
     const bool reservable = uses_long_running_room(job.spec.steps[loan.step]);
+    if (reservable && awaits_workers(shard, job, stage, now)) {
+        loan.since = now;
+        return;
+    }
     const bool stranded = is_stranded(shard, job, stage);
     for (const auto index : loan.tasks) {
         auto& task = stage.tasks[index];
--- a/src/shard_passed_ends.cpp
+++ b/src/shard_passed_ends.cpp
@@ -1,6 +1,7 @@
 // Run ends that a worker listed to an owner which lost the shard before it stored them. The worker
 // lists them to the next owner as well, but that owner may complete its takeover without reaching
 // the worker, and would start the tasks again.
+#include "shard_handover.hpp"
 #include "shard_internal.hpp"
 
 #include <algorithm>
--- a/src/shard_room.hpp
+++ b/src/shard_room.hpp
@@ -52,4 +52,19 @@
     time_point until;
 };
 
+// What an owner that hands over its shard tells its successor about room, so that nothing waits
+// anew: on which workers it had reserved room for tasks that run here, which tasks of other shards
+// wait for room here, and which shards had granted room for tasks of this one.
+struct passed_rooms {
+    struct reservation {
+        task_key task;
+        worker_id worker;
+    };
+    std::vector<reservation> reservations;
+    std::vector<std::pair<task_key, room_request>> requests;
+    std::vector<std::pair<task_key, shard_id>> grants;
+    // What hasn't been reserved by then is dropped. Set once the shard is loaded.
+    time_point until{};
+};
+
 } // namespace fulmar
--- a/src/shard_room_requests.cpp
+++ b/src/shard_room_requests.cpp
@@ -29,12 +29,6 @@
 constexpr duration logged_request_wait{3'000};
 constexpr std::size_t logged_requests = 4;
 
-// Returns whether the shard's owner may reserve room for tasks of other shards.
-bool grants_room(const shard_state& shard, time_point now) {
-    return shard.starts_allowed && shard.data_centre_open && !shard.releasing &&
-           has_authority(shard, now);
-}
-
 // Returns the worker with a request's reservation, or nullptr if there is none any more.
 worker_row* find_reserved(shard_state& shard, const task_key& key, const room_request& request) {
     if (!request.worker) {
@@ -118,10 +112,10 @@
 // Releases rooms whose requests have expired, that were held for too long, or that are on workers
 // that accept no starts.
 void expire_requests(shard_state& shard, time_point now) {
-    const bool grants = grants_room(shard, now);
+    const bool holds = holds_rooms(shard, now);
     for (auto row = shard.room_requests.begin(); row != shard.room_requests.end();) {
         auto& [key, request] = *row;
-        if (!grants || request.until <= now) {
+        if (!holds || request.until <= now) {
             release_room(shard, key, request, release_reason::expired, now);
             row = shard.room_requests.erase(row);
             continue;
@@ -297,6 +291,14 @@
 
 } // namespace
 
+bool holds_rooms(const shard_state& shard, time_point now) {
+    return shard.starts_allowed && shard.data_centre_open && has_authority(shard, now);
+}
+
+bool grants_room(const shard_state& shard, time_point now) {
+    return holds_rooms(shard, now) && !shard.releasing;
+}
+
 task_key decode_room_key(const json& from) {
     return {from.at("job").get<job_id>(), from.at("occurrence").get<std::uint32_t>(),
             from.at("step").get<std::uint32_t>(), from.at("task").get<std::uint32_t>()};
@@ -307,6 +309,21 @@
     return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+void take_over_request(shard_state& shard, const task_key& key, const room_request& request,
+                       worker_row* worker, time_point now) {
+    if (is_held(shard, key)) {
+        return;
+    }
+    // A message of the task's owner may have arrived before.
+    auto& row = shard.room_requests.try_emplace(key, request).first->second;
+    if (worker == nullptr || row.worker) {
+        return;
+    }
+    worker->reserved[key] = {row.need, row.until, now};
+    row.worker = worker->entry.target.id;
+    row.reserved_at = now;
+}
+
 void serve_room_requests(shard_state& shard, time_point now) {
     if (shard.room_requests.empty() || now < shard.next_room_service) {
         return;
@@ -388,7 +405,7 @@
         if (worker == nullptr) {
             continue;
         }
-        const bool free = accepts_starts(shard, *worker, now) &&
+        const bool free = grants_room(shard, now) && accepts_starts(shard, *worker, now) &&
                           fits(request->second.need, free_resources(*worker, &key));
         (free ? grants : held)
             .push_back({{"job", key.job},
--- a/src/shard_wanted_rooms.cpp
+++ b/src/shard_wanted_rooms.cpp
@@ -353,7 +353,7 @@
     }
     std::erase_if(shard.held_rooms, [](const auto& row) { return row.second.empty(); });
     std::vector<room_request_message> messages;
-    if (shard.ownership_lost || shard.releasing || !has_authority(shard, now)) {
+    if (shard.ownership_lost || !has_authority(shard, now)) {
         return messages;
     }
     auto wanted = find_wanted(shard, now);
--- a/tests/run_end_test.cpp
+++ b/tests/run_end_test.cpp
@@ -1,5 +1,6 @@
 // Ends of runs that complete more than their task: an occurrence or the whole job, whose rows are
 // freed at that moment.
+#include "shard_handover.hpp"
 #include "shard_internal.hpp"
 
 #include <catch2/catch.hpp>
