--- a/src/shard_control.cpp
+++ b/src/shard_control.cpp
@@ -2,6 +2,7 @@
 
 #include "shard_acknowledgements.hpp"
 #include "shard_gangs.hpp"
+#include "shard_handover.hpp"
 #include "shard_internal.hpp"
 #include "shard_run_numbers.hpp"
 
@@ -502,6 +503,7 @@
     log_authority_limit(shard, now);
     expire_workers(shard, now);
     stop_unanswered_gangs(shard, now);
+    apply_passed_rooms(shard, now);
     if (shard.placement_needed || now >= shard.tables.searches.next_complete_round) {
         shard.placement_needed = false;
         place_tasks(shard, now, actions);
