--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -2,6 +2,7 @@
 #include "shard_acknowledgements.hpp"
 #include "shard_gangs.hpp"
 #include "shard_internal.hpp"
+#include "shard_progress.hpp"
 #include "shard_run_numbers.hpp"
 
 #include <algorithm>
--- a/src/shard_progress.cpp
+++ b/src/shard_progress.cpp
@@ -3,6 +3,8 @@
 // fillers of which nothing has run for a while is therefore entitled to one running task: it comes
 // before other short tasks, may run slowly beside serving tasks, and may share the processors of
 // the fillers on a worker without any. All other tasks of the job wait for their ordinary turn.
+#include "shard_progress.hpp"
+
 #include "shard_internal.hpp"
 
 #include <algorithm>
--- a/tests/shard_progress_test.cpp
+++ b/tests/shard_progress_test.cpp
@@ -1,5 +1,6 @@
 // The progress guarantee of short tasks: jobs that placement passes over get one task to run.
 #include "shard_internal.hpp"
+#include "shard_progress.hpp"
 #include "shard_records.hpp"
 
 #include <catch2/catch.hpp>
