--- a/tests/owner_promises_test.cpp
+++ b/tests/owner_promises_test.cpp
@@ -159,6 +159,10 @@
     world.answer("gone");
     world.advance_by(duration(10));
     CHECK(world.shard.takeover_complete);
+    CHECK(world.last.starts.empty()); // the store doesn't name its worker yet
+    REQUIRE(world.last.commit);
+    world.apply();
+    world.advance_by(duration(10));
     CHECK(world.last.starts.size() == 1);
 }
 
--- a/tests/recorded_runs_test.cpp
+++ b/tests/recorded_runs_test.cpp
@@ -91,11 +91,12 @@
     }
 
     // The next owner after one that has just been lost.
-    explicit recorded_world(const recorded_world& last)
-        : now(last.now + duration(500))
+    recorded_world(const std::map<std::string, std::string>& last_stored, time_point lost)
+        : now(lost + duration(500))
         , shard(make_shard(record, {"b2/3"}, {3}, {2}, {}, counters, log)) {
         std::vector<store_entry> entries;
-        for (const auto& [key, value] : last.stored) {
+        entries.reserve(last_stored.size());
+        for (const auto& [key, value] : last_stored) {
             entries.push_back({key, value, {1}});
         }
         load(entries);
@@ -256,7 +257,7 @@
     CHECK(stored.recorded_on == worker_id{"sound"});
     CHECK(stored.recorded_by == epoch_number{2});
 
-    recorded_world next(world);
+    recorded_world next(world.stored, world.now);
     next.silent = {"sound"};
     next.pass(usual_limit - duration(300));
     CHECK_FALSE(next.started.contains(1));
@@ -278,7 +279,7 @@
     REQUIRE(run.cause == stop_cause::moved);
     std::erase_if(world.running, [&](const run_status& row) { return row.run.task == key; });
 
-    recorded_world next(world);
+    recorded_world next(world.stored, world.now);
     next.silent = {"gone", "spare"};
     next.pass(duration(500));
     CHECK(next.started.contains(1));
@@ -328,7 +329,7 @@
     REQUIRE(world.stored.contains(job_key(world.shard.id, fresh)));
     REQUIRE(world.stored.erase(progress_key(world.shard.id, fresh)) == 0);
     for (const bool direct : {true, false}) {
-        recorded_world next(world);
+        recorded_world next(world.stored, world.now);
         if (!direct) {
             next.shard.tables.jobs.at(fresh).starts_recorded = false; // another owner in between
         }
--- a/tests/room_order_test.cpp
+++ b/tests/room_order_test.cpp
@@ -426,7 +426,10 @@
         stage.ready_since = world.now - duration(waited ? 2'000 : 500);
         stage.tasks[0].idle_since = stage.ready_since;
         world.end_run(run);
-        CHECK(world.place() == std::pair<std::size_t, std::size_t>(waited ? 2 : 8, waited ? 1 : 0));
+        CHECK(world.place() == std::pair<std::size_t, std::size_t>(waited ? 2 : 8, 0));
+        CHECK(stage.tasks[0].planned_on.empty() == !waited);
+        job.stored_version = job.version; // the store names its worker
+        CHECK(world.place() == std::pair<std::size_t, std::size_t>(0, waited ? 1 : 0));
     }
 }
 
@@ -463,6 +466,10 @@
         REQUIRE_FALSE(world.has_room(1));
         world.end_run(run);
         const bool own = waited > 13'000;
+        CHECK(world.place().second == 0); // the store doesn't name the worker yet
+        CHECK(stage.tasks[0].planned_on.empty() == !own);
+        CHECK(world.has_room(1) == !own);
+        job.stored_version = job.version;
         CHECK(world.place().second == (own ? 1 : 0));
         CHECK(world.has_room(1) == !own);
     }
