shard_pacing: tasks that are about to start count when serving tasks are placed together

Serving tasks of one image are placed together, so that fillers find workers without tasks that they disturb.

Change: rooms that are reserved for serving tasks count like the tasks.

No test of its own.

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -181,7 +181,8 @@
 double undisturbing_room(const shard_state& shard, const worker_row& worker,
                          const std::string& image, time_point now);
 
-// Returns the share of the worker's processors that serving tasks of other images reserve.
+// Returns the share of the worker's processors that serving tasks of other images have or that is
+// reserved for them.
 double other_serving_share(const shard_state& shard, const worker_row& worker,
                            const std::string& image);
 
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -460,9 +460,20 @@
     return room;
 }
 
-double other_serving_share(const shard_state& /*shard*/, const worker_row& worker,
+double other_serving_share(const shard_state& shard, const worker_row& worker,
                            const std::string& image) {
     double other = 0;
+    // Of tasks that are about to start there.
+    for (const auto& [key, reservation] : worker.reserved) {
+        const auto job = shard.tables.jobs.find(key.job);
+        if (job == shard.tables.jobs.end() || key.step >= job->second.spec.steps.size()) {
+            continue;
+        }
+        const auto& step = job->second.spec.steps[key.step];
+        if (step.tail_target.count() > 0 && step.image != image) {
+            other += share_of(worker, step.need.processors.value);
+        }
+    }
     for (const auto* row : worker.run_rows) {
         const auto& run = *row;
         if (run.tail_target.count() > 0 && run.image != image) {
