passed_rooms_test: the start of a borrowed long-running task waits for its plan

It now checks that nothing starts before, which worker the record names, and that the start follows once that is stored.

--- a/tests/passed_rooms_test.cpp
+++ b/tests/passed_rooms_test.cpp
@@ -190,6 +190,10 @@
         CHECK_FALSE(next.is_returned());
     }
     next.inventory("w1");
+    CHECK(next.pass(duration(50)).starts.empty()); // the store doesn't name its worker yet
+    auto& job = next.shard.tables.jobs.at(borrowed_job);
+    CHECK(job.occurrences.at(0).stages[0].tasks[0].planned_on == std::set<worker_id>{{"w1"}});
+    job.stored_version = job.version;
     CHECK(next.pass(duration(50)).starts.size() == 1);
     CHECK_FALSE(next.is_returned());
 }
