shard_pacing: a pause isn't sent again before reports can show it

Callers saw a serving task over its target for 4 s by fillers that had been told to stand still (HARM). Workers on which many runs end answer holds every 50 to 100 ms. A report covers the last half second, so each of them still showed work after the pause; that was taken for a pause that an earlier command had undone, and it was sent again. A pace takes effect 0.1 s after the last command, so none did until the reports came less often.

Change: a pause counts as undone once reports have contradicted it for 0.6 s, or at once after one has shown it in effect.

"a pause isn't sent again before reports can show it" fails before (the pause is sent at the first report).

--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -59,6 +59,10 @@
 // A paused filler that uses more than this share of its processors, in percent, isn't paused.
 constexpr int paused_use_percent = 10;
 
+// A pause takes effect 0.1 s after it was confirmed, and reports cover half a second, so earlier
+// ones still show work. Sending it again before that would put its effect off each time.
+constexpr duration pause_report_time{600};
+
 // A serving task that is over its target for this long is logged with each report, with at most
 // this many of the fillers beside it.
 constexpr duration logged_over_target{1'500};
@@ -143,13 +147,27 @@
     }
 }
 
-// Marks the paces that are to be sent again: those that the worker refused, and pauses that the
-// report contradicts, because an earlier command with another pace was executed after the pause.
-void check_confirmed_paces(const std::vector<run_row*>& fillers) {
+// Returns whether reports contradict a pause that was confirmed, because an earlier command with
+// another pace was executed after it.
+bool is_pause_undone(run_row& run, time_point now) {
+    if (run.pace_target != 0 || run.pace_confirmed != 0) {
+        run.pause_unseen_since.reset();
+        return false;
+    }
+    const bool works = run.measurement * 100 > run.need.processors.value * paused_use_percent;
+    if (!works) {
+        run.pause_unseen_since = time_point{};
+        return false;
+    }
+    run.pause_unseen_since = run.pause_unseen_since.value_or(now);
+    return now - *run.pause_unseen_since >= pause_report_time;
+}
+
+// Marks the paces that are to be sent again: those that the worker refused, and pauses that were
+// undone.
+void check_confirmed_paces(const std::vector<run_row*>& fillers, time_point now) {
     for (auto* run : fillers) {
-        const bool paused = run->pace_target == 0 && run->pace_confirmed == 0;
-        const bool works = run->measurement * 100 > run->need.processors.value * paused_use_percent;
-        if (run->pace_confirmed == refused_pace || (paused && works)) {
+        if (run->pace_confirmed == refused_pace || is_pause_undone(*run, now)) {
             run->pace_confirmed = unknown_pace;
         }
     }
@@ -304,7 +322,7 @@
         }
     }
     learn_from_tails(shard, worker, serving, fillers, now);
-    check_confirmed_paces(fillers);
+    check_confirmed_paces(fillers, now);
     plan_paces(shard, worker, now);
     log_over_target(shard, worker, serving, fillers, now);
 }
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -193,6 +193,9 @@
     int pace_confirmed = 100;                  // confirmed; -1: unknown, -2: refused
     bool pace_in_flight = false;
     std::uint32_t pace_fence = 0;
+    // Since when reports have shown that it works although its pause is confirmed; the earliest
+    // time once one has shown that it stands still.
+    std::optional<time_point> pause_unseen_since;
 };
 
 // What a borrower reports about a task that was lent to it.
--- a/tests/pacing_test.cpp
+++ b/tests/pacing_test.cpp
@@ -53,9 +53,10 @@
     }
 
     // Reports a tail latency and the filler's use of processors, half a second after the last
-    // report.
-    void report(duration tail, std::int64_t filler_processors = 2'000) {
-        now += duration(500);
+    // report unless an interval is given.
+    void report(duration tail, std::int64_t filler_processors = 2'000,
+                duration interval = duration(500)) {
+        now += interval;
         hold_reply reply;
         reply.clock = {now.time_since_epoch().count()};
         reply.running = {{serving, "", 0, tail.count()}, {filler, "", 0, filler_processors}};
@@ -175,6 +176,23 @@
     CHECK(world.send() == std::vector<int>{0});
 }
 
+// HARM: reports came every 50 ms, as many runs ended, and covered the time before the pause. Each
+// had it sent again, which put its effect off by 100 ms, so that it never took effect.
+TEST_CASE("a pause isn't sent again before reports can show it") {
+    shared_worker world;
+    for (int i = 0; i < 8; ++i) {
+        world.report(duration(150));
+    }
+    CHECK(world.send() == std::vector<int>{0});
+    world.answer_pace(0, command_outcome::done);
+    for (int i = 0; i < 12; ++i) {
+        world.report(duration(150), 2'000, duration(50));
+        CHECK(world.send().empty());
+    }
+    world.report(duration(150), 2'000, duration(50));
+    CHECK(world.send() == std::vector<int>{0});
+}
+
 // A new owner counted the time over the target from its own second report, so that with the time of
 // the predecessor and of the takeover the fillers disturbed the task for over 4 s.
 TEST_CASE("fillers are paused if the first report to a new owner is over the target") {
