passed_rooms_test: placement follows the transaction that stores a plan

It now asks for the round, as apply_commit does; all checks stay. The nine cases on passed rooms, borrowed tasks and pauses pass.

--- a/tests/passed_rooms_test.cpp
+++ b/tests/passed_rooms_test.cpp
@@ -194,6 +194,7 @@
     auto& job = next.shard.tables.jobs.at(borrowed_job);
     CHECK(job.occurrences.at(0).stages[0].tasks[0].planned_on == std::set<worker_id>{{"w1"}});
     job.stored_version = job.version;
+    next.shard.placement_needed = true; // as after each transaction
     CHECK(next.pass(duration(50)).starts.size() == 1);
     CHECK_FALSE(next.is_returned());
 }
