shard_progress: log why a job that is entitled to a run finds no worker

A job's log told when its entitled runs began and how long it had waited, but not what refused the task in between: no memory, no processors, the interval beside serving tasks, the share of entitled runs or the pace. Each of these is counted now, every 2 s a job, and entitled starts name the job's timeliness. No functional change.

--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -511,6 +511,8 @@
 // Whether a job can still end within its objective, ordered from best to worst.
 enum class timeliness : std::uint8_t { in_time, late, overdue };
 
+std::string_view to_string(timeliness expected);
+
 // Predicts the timeliness of a job from its elapsed time and the estimates of its remaining work.
 // Jobs with long-running steps and jobs with due times always count as in time.
 timeliness predict_timeliness(const shard_state& shard, const job_row& job);
--- a/src/shard_order.cpp
+++ b/src/shard_order.cpp
@@ -69,6 +69,18 @@
 
 } // namespace
 
+std::string_view to_string(timeliness expected) {
+    switch (expected) {
+    case timeliness::in_time:
+        return "in_time";
+    case timeliness::late:
+        return "late";
+    case timeliness::overdue:
+        return "overdue";
+    }
+    return "";
+}
+
 timeliness predict_timeliness(const shard_state& shard, const job_row& job) {
     const bool timed = job.spec.occurrences > 0;
     const bool long_running = std::any_of(job.spec.steps.begin(), job.spec.steps.end(),
--- a/src/shard_progress.cpp
+++ b/src/shard_progress.cpp
@@ -50,6 +50,9 @@
 // After a search without result the next one for the same job follows later.
 constexpr duration search_pause{500};
 
+// Between two log lines about a job for which no worker was found.
+constexpr duration refusal_log_interval{2'000};
+
 // Returns whether a task of the stage may start as the one that its job is entitled to. Those that
 // may run on a worker of a predecessor without this owner's knowledge may not.
 bool is_entitled_stage(const shard_state& shard, const job_row& job, const stage_row& stage) {
@@ -155,23 +158,62 @@
            });
 }
 
+// Of the workers on which an entitled task may run, how many refuse it and for what.
+struct refusals {
+    std::size_t workers = 0;
+    std::size_t no_memory = 0; // or accelerators
+    std::size_t busy = 0;      // no processors are left
+    std::size_t spaced = 0;    // the last entitled start beside serving tasks was too recent
+    std::size_t crowded = 0;   // its entitled runs have their share
+    std::size_t slow = 0;      // the predicted pace is too low
+    double best_pace = 0;
+};
+
 // Returns the pace, 0 to 1, that an entitled task could have on a worker; 0 if it can't start
 // there.
 double predict_entitled_pace(const shard_state& shard, const worker_row& worker,
-                             const step_spec& step, const task_key& key, time_point now) {
+                             const step_spec& step, const task_key& key, time_point now,
+                             refusals& refused) {
     auto free = free_resources(worker, &key);
     free.processors = step.need.processors;
     if (!fits(step.need, free)) {
+        ++refused.no_memory;
         return 0;
     }
     const auto offer = inspect_worker(shard, worker);
     const auto need = std::max<std::int64_t>(1, step.need.processors.value);
-    if (offer.idle <= 0 || (offer.serves && now < worker.next_entitled_start) ||
-        is_crowded(shard, worker, offer.entitled, need)) {
+    if (offer.idle <= 0) {
+        ++refused.busy;
+        return 0;
+    }
+    if (offer.serves && now < worker.next_entitled_start) {
+        ++refused.spaced;
+        return 0;
+    }
+    if (is_crowded(shard, worker, offer.entitled, need)) {
+        ++refused.crowded;
         return 0;
     }
     const auto share = static_cast<double>(offer.idle) / static_cast<double>(offer.demand + need);
-    return std::min(share, predict_pace(shard, worker, step, now));
+    const auto pace = std::min(share, predict_pace(shard, worker, step, now));
+    refused.slow += pace < least_pace ? 1 : 0;
+    refused.best_pace = std::max(refused.best_pace, pace);
+    return pace;
+}
+
+void log_refusals(const shard_state& shard, job_row& job, const task_key& key,
+                  const refusals& refused, time_point now) {
+    if (now < job.next_entitled_log) {
+        return;
+    }
+    job.next_entitled_log = now + refusal_log_interval;
+    shard.log->write("event=entitled_waits task={}.{}.{}.{} shard={} idle_ms={} expected={} "
+                     "workers={} no_memory={} busy={} spaced={} crowded={} slow={} best_pace={:.2f}",
+                     key.job.value, key.occurrence, key.step, key.index, shard.id.value,
+                     job.idle_since ? (now - *job.idle_since).count() : 0,
+                     to_string(predict_timeliness(shard, job)), refused.workers, refused.no_memory,
+                     refused.busy, refused.spaced, refused.crowded, refused.slow,
+                     refused.best_pace);
 }
 
 } // namespace
@@ -214,13 +256,15 @@
     const task_key key{job.id, stage.occurrence, stage.step, index};
     worker_row* best = nullptr;
     double best_pace = least_pace;
+    refusals refused;
     for (auto& [id, worker] : shard.tables.workers) {
         ++shard.placement_checks;
         if (!accepts_starts(shard, worker, now) || is_avoided(task, id, now) ||
             !can_run_on(job, stage, worker)) {
             continue;
         }
-        const auto pace = predict_entitled_pace(shard, worker, step, key, now);
+        ++refused.workers;
+        const auto pace = predict_entitled_pace(shard, worker, step, key, now, refused);
         if (pace >= best_pace && (best == nullptr || pace > best_pace)) {
             best = &worker;
             best_pace = pace;
@@ -228,6 +272,7 @@
     }
     if (best == nullptr) {
         job.next_entitled_search = now + search_pause;
+        log_refusals(shard, job, key, refused, now);
     }
     return best;
 }
@@ -238,10 +283,12 @@
     run.entitled = true;
     worker.next_entitled_start = now + spacing_beside_serving;
     shard.counters->count("entitled_starts");
-    shard.log->write("event=entitled_start task={}.{}.{}.{} run={} worker={} idle_ms={}",
+    shard.log->write("event=entitled_start task={}.{}.{}.{} run={} worker={} idle_ms={} "
+                     "expected={}",
                      key.task.job.value, key.task.occurrence, key.task.step, key.task.index,
                      key.number.value, worker.entry.target.id.value,
-                     job.idle_since ? (now - *job.idle_since).count() : 0);
+                     job.idle_since ? (now - *job.idle_since).count() : 0,
+                     to_string(predict_timeliness(shard, job)));
     end_idle(job);
 }
 
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -333,6 +333,7 @@
     // Since when nothing of it has run here although fillers of it wait.
     std::optional<time_point> idle_since;
     time_point next_entitled_search;
+    time_point next_entitled_log;
 };
 
 struct shard_tables {
