shard_progress: overdue jobs keep their places, and wait while work in time is short of room

And every site was worth less since jobs are entitled to one running task.

Cause: the guarantee was for a start, not for a place. When the only run of an overdue job ended, its next task competed for a worker again; beside serving tasks a worker took one such start in 2 s whatever it disturbed, and no more than a fixed share of its processors. The other way round, the guarantee was as strong while work in time waited for the same memory and pace.

Change: while fillers in time wait for more than a tenth of a shard's processors, and 1 s after, late and overdue jobs are entitled after 10 s without a run. Otherwise an overdue job's next task starts where its last run has ended, in the same round; the share doesn't limit entitled runs; and the interval beside serving tasks holds only where a start at full pace would take one over its target.

Tests: the three new cases of shard_progress_test fail on (one start where two or three are expected; an overdue task that starts at once beside 400 that wait).

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -313,7 +313,8 @@
     host_id self;
     shard_timing timing;
     shard_tables tables;
-    std::set<job_id> active; // jobs that haven't ended
+    std::set<job_id> active;       // jobs that haven't ended
+    time_point timely_work_waited; // when much work that can end in time last waited for room
 
     // Ownership.
     epoch_number epoch;
--- a/src/shard_internal.hpp
+++ b/src/shard_internal.hpp
@@ -176,6 +176,11 @@
 double predict_pace(const shard_state& shard, const worker_row& worker, const step_spec& step,
                     time_point now);
 
+// Returns whether a filler of this step could work at full pace on the worker for a moment without
+// taking a serving task over its target.
+bool leaves_slack_at_start(const shard_state& shard, const worker_row& worker,
+                           const step_spec& step, time_point now);
+
 // Returns the processors, in thousandths of a core, that additional fillers of an image may use on
 // the worker at full pace without disturbing its serving tasks.
 double undisturbing_room(const shard_state& shard, const worker_row& worker,
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -451,6 +451,25 @@
     return allowed_pace(shard, serving, demands, demands.back(), now);
 }
 
+bool leaves_slack_at_start(const shard_state& shard, const worker_row& worker,
+                           const step_spec& step, time_point now) {
+    const filler_demand own{step.image, share_of(worker, step.need.processors.value)};
+    return std::none_of(worker.run_rows.begin(), worker.run_rows.end(), [&](const run_row* run) {
+        const double loss = run->tail_target.count() > 0 ? loss_by(shard, *run, own) : 0;
+        if (loss == 0) {
+            return false;
+        }
+        double slack =
+            expected_slack(shard.effects, run->key.task.job.value, now, lookahead) - loss;
+        for (const auto* other : worker.run_rows) {
+            slack -= other->filler ? loss_by(shard, *run, demand_of(worker, *other)) *
+                                         other->pace_target / 100
+                                   : 0;
+        }
+        return slack < 1.0;
+    });
+}
+
 double undisturbing_room(const shard_state& shard, const worker_row& worker,
                          const std::string& image, time_point now) {
     double room = static_cast<double>(std::max<std::int64_t>(0, filler_room(shard, worker)));
--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -121,8 +121,10 @@
             continue;
         }
         auto& ahead = left[job->queue.service];
-        stage->starts_soon = std::min(ahead, stage->waiting.size());
-        ahead -= stage->starts_soon;
+        // The next task of a job with one at work may have to continue where that ends.
+        const std::size_t least = step.filler && stage->runs_by_worker.size() == 1 ? 1 : 0;
+        stage->starts_soon = std::min(std::max(ahead, least), stage->waiting.size());
+        ahead -= std::min(ahead, stage->starts_soon);
         release_first(shard, *job, *stage, stage->starts_soon, now);
     }
 }
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -155,6 +155,19 @@
     return found;
 }
 
+// Returns the processors that waiting fillers of jobs that can end in time need.
+std::int64_t sum_timely_work(const std::vector<candidate>& candidates) {
+    std::int64_t processors = 0;
+    for (const auto& next : candidates) {
+        const auto& step = next.job->spec.steps[next.stage->step];
+        if (step.filler && next.expected == timeliness::in_time) {
+            processors +=
+                step.need.processors.value * static_cast<std::int64_t>(next.stage->waiting.size());
+        }
+    }
+    return processors;
+}
+
 // Returns whether a task fits into the worker's free resources. A filler may also use less than it
 // needs on a worker without other fillers.
 bool fits_worker(const shard_state& shard, const worker_row& worker, const step_spec& step,
@@ -379,15 +392,20 @@
     }
 }
 
-// Starts one task of each job that is entitled to it.
-void place_entitled(shard_state& shard, time_point now, shard_actions& actions) {
-    for (const auto& [job, stage] : find_entitled(shard, now)) {
+// Starts one task of each of the jobs, which are entitled to it.
+void place_entitled(shard_state& shard, const std::vector<entitled_job>& entitled, time_point now,
+                    shard_actions& actions) {
+    for (const auto& [job, stage, place] : entitled) {
         const auto order = order_waiting(shard, *job, *stage);
         if (order.empty() || has_unstored_loan(*job)) {
             continue;
         }
-        const auto index = order.front();
-        auto* worker = choose_entitled_worker(shard, *job, *stage, index, now);
+        const auto released = std::find_if(order.begin(), order.end(), [&](std::uint32_t waiting) {
+            return !stage->tasks[waiting].parked;
+        });
+        const auto index = released == order.end() ? order.front() : *released;
+        auto* worker = place == nullptr ? choose_entitled_worker(shard, *job, *stage, index, now)
+                                        : continue_on(shard, *job, *stage, index, *place, now);
         if (worker == nullptr || !release_whereabouts(shard, *job, stage->tasks[index], now)) {
             continue;
         }
@@ -500,6 +518,7 @@
 }
 
 void place_tasks(shard_state& shard, time_point now, shard_actions& actions) {
+    const auto ended = std::exchange(shard.tables.ended_fillers, {});
     if (shard.releasing || !has_authority(shard, now)) {
         return;
     }
@@ -521,6 +540,9 @@
         searches.next_complete_round = now + complete_round_interval;
     }
     const auto candidates = find_candidates(shard, complete, now);
+    if (complete) {
+        note_timely_work(shard, sum_timely_work(candidates), now);
+    }
     if (complete && allowed) {
         std::vector<waiting_stage> order;
         order.reserve(candidates.size());
@@ -529,8 +551,11 @@
         }
         release_next(shard, order, now);
     }
+    if (allowed) {
+        place_entitled(shard, find_continued(shard, ended, now), now, actions);
+    }
     if (complete && allowed) {
-        place_entitled(shard, now, actions);
+        place_entitled(shard, find_entitled(shard, now), now, actions);
     }
     std::set<service_id> released; // services of which tasks were released in this round
     for (const auto& next : candidates) {
--- a/src/shard_progress.cpp
+++ b/src/shard_progress.cpp
@@ -3,39 +3,51 @@
 // fillers of which nothing has run for a while is therefore entitled to one running task: it comes
 // before other short tasks, may run slowly beside serving tasks, and may share the processors of
 // the fillers on a worker without any. All other tasks of the job wait for their ordinary turn.
+// While work that can end in time is short of room, the guarantee is weak: it would take memory and
+// pace from that work. Otherwise an overdue job keeps its place: when its last run ends, its next
+// task starts on the same worker before anything else does.
 #include "shard_progress.hpp"
 
 #include "shard_internal.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 
 namespace fulmar {
 
 namespace {
 
+// While fillers that can end in time wait for more than this part of a shard's processors, in
+// percent, and for some time after that, they are short of room, and entitled runs would take it.
+constexpr std::int64_t short_of_room_percent = 10;
+constexpr duration short_of_room_after{1'000};
+
+bool is_short_of_room(const shard_state& shard, time_point now) {
+    return now - shard.timely_work_waited < short_of_room_after;
+}
+
 // A job of which nothing runs for this long is entitled. For one that is in time, the pace that
 // placement asks for has fallen to its minimum by then, so waiting on improves nothing. Placement
 // serves overdue ones last, so each of their steps would wait for as long as it may.
-duration idle_limit_of(timeliness expected) {
-    switch (expected) {
-    case timeliness::in_time:
+duration idle_limit_of(timeliness expected, bool short_of_room) {
+    if (expected == timeliness::in_time) {
         return duration(6'000);
-    case timeliness::late:
-        return duration(2'000);
-    case timeliness::overdue:
-        return duration(0);
     }
-    return duration(0);
+    if (short_of_room) {
+        return duration(10'000);
+    }
+    return expected == timeliness::late ? duration(2'000) : duration(0);
 }
 
 // A filler works at full pace until its start is confirmed and its pace has taken effect, about a
 // second with the report that shows the effect. Serving tasks get this long between two of them.
 constexpr duration spacing_beside_serving{2'000};
 
-// Part of a worker's processors, in percent, that the needs of its entitled runs may add up to. A
-// single one may need more. The rest is left to what is in time: at 60 percent it lost a fifth of
-// its credit after bursts. The second limit holds while no filler that is in time runs there.
+// Part of a worker's processors, in percent, that the needs of its entitled runs may add up to
+// while work in time is short of room. A single one may need more. The rest is left to what is in
+// time: at 60 percent it lost a fifth of its credit after bursts. The second limit holds while no
+// filler that is in time runs there.
 constexpr std::int64_t entitled_percent = 30;
 constexpr std::int64_t entitled_percent_alone = 80;
 
@@ -63,6 +75,19 @@
            });
 }
 
+// Returns the first stage of the job that is entitled, or nullptr.
+stage_row* find_entitled_stage(const shard_state& shard, job_row& job) {
+    for (auto& [number, occurrence] : job.occurrences) {
+        const auto stage =
+            std::find_if(occurrence.stages.begin(), occurrence.stages.end(),
+                         [&](const auto& row) { return is_entitled_stage(shard, job, row); });
+        if (stage != occurrence.stages.end()) {
+            return &*stage;
+        }
+    }
+    return nullptr;
+}
+
 // Since when nothing of the job has run by the wall-clock times that came with its waiting tasks,
 // over changes of owners and loans. Gives them the time if they have none.
 time_point begin_idle(const shard_state& shard, job_row& job, time_point now) {
@@ -120,7 +145,8 @@
         job.idle_since = begin_idle(shard, job, now);
     }
     return now >= job.next_entitled_search &&
-           now - *job.idle_since >= idle_limit_of(predict_timeliness(shard, job));
+           now - *job.idle_since >=
+               idle_limit_of(predict_timeliness(shard, job), is_short_of_room(shard, now));
 }
 
 // What a worker offers to entitled tasks.
@@ -145,9 +171,10 @@
 
 // Returns whether the worker's entitled runs leave no share for another one.
 bool is_crowded(const shard_state& shard, const worker_row& worker, std::int64_t entitled,
-                std::int64_t need) {
+                std::int64_t need, time_point now) {
     const auto capacity = worker.entry.capacity.processors.value;
-    if (entitled == 0 || entitled + need <= capacity * entitled_percent / 100) {
+    if (entitled == 0 || !is_short_of_room(shard, now) ||
+        entitled + need <= capacity * entitled_percent / 100) {
         return false;
     }
     return entitled + need > capacity * entitled_percent_alone / 100 ||
@@ -186,11 +213,12 @@
         ++refused.busy;
         return 0;
     }
-    if (offer.serves && now < worker.next_entitled_start) {
+    if (offer.serves && now < worker.next_entitled_start &&
+        (is_short_of_room(shard, now) || !leaves_slack_at_start(shard, worker, step, now))) {
         ++refused.spaced;
         return 0;
     }
-    if (is_crowded(shard, worker, offer.entitled, need)) {
+    if (is_crowded(shard, worker, offer.entitled, need, now)) {
         ++refused.crowded;
         return 0;
     }
@@ -207,17 +235,65 @@
         return;
     }
     job.next_entitled_log = now + refusal_log_interval;
-    shard.log->write("event=entitled_waits task={}.{}.{}.{} shard={} idle_ms={} expected={} "
-                     "workers={} no_memory={} busy={} spaced={} crowded={} slow={} best_pace={:.2f}",
-                     key.job.value, key.occurrence, key.step, key.index, shard.id.value,
-                     job.idle_since ? (now - *job.idle_since).count() : 0,
-                     to_string(predict_timeliness(shard, job)), refused.workers, refused.no_memory,
-                     refused.busy, refused.spaced, refused.crowded, refused.slow,
-                     refused.best_pace);
+    shard.log->write(
+        "event=entitled_waits task={}.{}.{}.{} shard={} idle_ms={} expected={} "
+        "workers={} no_memory={} busy={} spaced={} crowded={} slow={} best_pace={:.2f}",
+        key.job.value, key.occurrence, key.step, key.index, shard.id.value,
+        job.idle_since ? (now - *job.idle_since).count() : 0,
+        to_string(predict_timeliness(shard, job)), refused.workers, refused.no_memory, refused.busy,
+        refused.spaced, refused.crowded, refused.slow, refused.best_pace);
 }
 
 } // namespace
 
+std::vector<entitled_job> find_continued(shard_state& shard, const std::vector<ended_filler>& ended,
+                                         time_point now) {
+    std::vector<entitled_job> found;
+    if (is_short_of_room(shard, now)) {
+        return found;
+    }
+    std::set<job_id> seen;
+    for (const auto& [id, place] : ended) {
+        const auto worker = shard.tables.workers.find(place);
+        if (!shard.active.contains(id) || worker == shard.tables.workers.end() ||
+            !seen.insert(id).second) {
+            continue;
+        }
+        auto& job = shard.tables.jobs.at(id);
+        if (!is_entitled(shard, job, now) ||
+            predict_timeliness(shard, job) != timeliness::overdue) {
+            continue;
+        }
+        if (auto* stage = find_entitled_stage(shard, job)) {
+            found.push_back({&job, stage, &worker->second});
+        }
+    }
+    return found;
+}
+
+void note_timely_work(shard_state& shard, std::int64_t waiting, time_point now) {
+    std::int64_t processors = 0;
+    for (const auto& [id, worker] : shard.tables.workers) {
+        processors += worker.entry.capacity.processors.value;
+    }
+    if (waiting * 100 > processors * short_of_room_percent) {
+        shard.timely_work_waited = now;
+    }
+}
+
+worker_row* continue_on(const shard_state& shard, const job_row& job, const stage_row& stage,
+                        std::uint32_t index, worker_row& place, time_point now) {
+    const auto& step = job.spec.steps[stage.step];
+    const task_key key{job.id, stage.occurrence, stage.step, index};
+    auto free = free_resources(place, &key);
+    free.processors = step.need.processors;
+    const bool may_start = accepts_starts(shard, place, now) &&
+                           !is_avoided(stage.tasks[index], place.entry.target.id, now) &&
+                           can_run_on(job, stage, place) && fits(step.need, free) &&
+                           predict_pace(shard, place, step, now) >= least_pace;
+    return may_start ? &place : nullptr;
+}
+
 std::vector<entitled_job> find_entitled(shard_state& shard, time_point now) {
     std::vector<entitled_job> found;
     for (const auto& id : shard.active) {
@@ -225,14 +301,8 @@
         if (!is_entitled(shard, job, now)) {
             continue;
         }
-        for (auto& [number, occurrence] : job.occurrences) {
-            const auto stage =
-                std::find_if(occurrence.stages.begin(), occurrence.stages.end(),
-                             [&](const auto& row) { return is_entitled_stage(shard, job, row); });
-            if (stage != occurrence.stages.end()) {
-                found.push_back({&job, &*stage});
-                break;
-            }
+        if (auto* stage = find_entitled_stage(shard, job)) {
+            found.push_back({&job, stage});
         }
     }
     std::sort(found.begin(), found.end(), [](const entitled_job& a, const entitled_job& b) {
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -90,6 +90,9 @@
     if (stage == nullptr) {
         return;
     }
+    if (run.filler) {
+        tables.ended_fillers.push_back({key.task.job, run.worker});
+    }
     auto& task = stage->tasks[key.task.index];
     std::erase(task.runs, key.number);
     if (!task.done && !task.not_local && task.runs.empty()) {
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -336,6 +336,12 @@
     time_point next_entitled_log;
 };
 
+// The job of a filler whose run has ended, and where it ran.
+struct ended_filler {
+    job_id job;
+    worker_id worker;
+};
+
 struct shard_tables {
     // Workers refer to rows of runs.
     shard_tables() = default;
@@ -350,6 +356,7 @@
     std::map<run_key, run_row> runs;
     std::map<std::uint64_t, loan_row> loans; // loans that this shard made as the lender
     std::set<run_key> unanswered_gang_starts;
+    std::vector<ended_filler> ended_fillers; // since the last round of placement
     search_memory searches;
 };
 
--- a/tests/shard_progress_test.cpp
+++ b/tests/shard_progress_test.cpp
@@ -54,12 +54,18 @@
         serving = {{add_job(server), 0, 0, 0}, {1}};
     }
 
-    job_id add_job(const step_spec& step, duration parked_for = duration(0)) {
+    // A job that is overdue from the beginning.
+    job_id add_overdue_job(const step_spec& step) {
+        return add_job(step, duration(0), duration(600'000));
+    }
+
+    job_id add_job(const step_spec& step, duration parked_for = duration(0),
+                   duration age = duration(0)) {
         job_row job;
         job.id = {fmt::format("{:016x}", entries.size() + 1)};
         job.queue.service = {"desk"};
-        job.queue.objective = duration(600'000);
-        job.accepted = {wall_clock.value + static_cast<std::int64_t>(entries.size())};
+        job.queue.objective = duration(age.count() > 0 ? 1 : 600'000);
+        job.accepted = {wall_clock.value - age.count() + static_cast<std::int64_t>(entries.size())};
         job.spec.steps = {step};
         job.next_occurrence = 1;
         job.occurrences.emplace(0, make_occurrence(job.spec, 0));
@@ -214,3 +220,50 @@
     world.run_for(duration(30'000));
     CHECK(world.starts[last].size() == 1);
 }
+
+// Guards against LOST: after each end of its only run, an overdue job had nothing running until the
+// interval between two entitled starts beside serving tasks was over.
+TEST_CASE("the next task of an overdue job starts when its only run ends") {
+    starving_shard world;
+    const auto old = world.add_overdue_job(make_filler("small", 3, 1'000));
+    world.load(1);
+    world.run_for(duration(1'000));
+    REQUIRE(world.starts[old].size() == 1);
+    world.run_for(step_time, true);
+    REQUIRE(world.starts[old].size() == 2);
+    world.run_for(step_time, true);
+    CHECK(world.starts[old].size() == 3);
+}
+
+// Guards against LOST: another job that waits for the same memory took the place of a run that had
+// ended.
+TEST_CASE("an overdue job that runs keeps its place before one that waits") {
+    starving_shard world;
+    auto step = make_filler("large", 3, 4'000);
+    step.need.memory = {20'000}; // the worker has 32,000
+    const auto first = world.add_overdue_job(step);
+    const auto second = world.add_overdue_job(step);
+    world.load(1);
+    world.run_for(duration(1'000));
+    REQUIRE(world.starts[first].size() == 1);
+    world.run_for(step_time, true);
+    world.run_for(step_time, true);
+    CHECK(world.starts[first].size() == 3);
+    CHECK(world.starts[second].empty());
+    world.run_for(step_time, true);
+    world.run_for(duration(3'000));
+    CHECK(world.starts[second].size() == 1);
+}
+
+// Guards against lost credit: entitled runs of overdue jobs took memory and pace from work that
+// could still end in time and waited for room.
+TEST_CASE("an overdue job waits while work in time is short of room, but not for ever") {
+    starving_shard world;
+    world.add_job(make_filler("small", 400, 1'000));
+    const auto old = world.add_overdue_job(make_filler("large", 1, 4'000));
+    world.load(2);
+    world.run_for(duration(9'000), true);
+    CHECK(world.starts[old].empty());
+    world.run_for(duration(5'000), true);
+    CHECK(world.starts[old].size() == 1);
+}
