shard_progress: only ends continue in place, and a shortage of room is counted by service

Change: ends of confirmed runs that weren't stopped are continued, by tasks of the same image that need no more; the shortage is counted after placement, by service; starts count in full for 1 s and leave the usual slack; a job's last waiting task is parked as before.

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -313,8 +313,9 @@
     host_id self;
     shard_timing timing;
     shard_tables tables;
-    std::set<job_id> active;       // jobs that haven't ended
-    time_point timely_work_waited; // when much work that can end in time last waited for room
+    std::set<job_id> active; // jobs that haven't ended
+    // When much work that can end in time last waited for room.
+    std::map<service_id, time_point> timely_work_waited;
 
     // Ownership.
     epoch_number epoch;
--- a/src/shard_pacing.cpp
+++ b/src/shard_pacing.cpp
@@ -80,6 +80,9 @@
 // A filler without checkpoints is moved only while its progress, in percent, is below this.
 constexpr int expendable_progress_percent = 15;
 
+// Time from the confirmation of a start until reports show the pace that was set then.
+constexpr duration start_pace_time{1'000};
+
 // Minimum change of a pace, in percent. Changes to 0 or 100 are always made.
 constexpr int min_pace_change = 10;
 
@@ -462,11 +465,14 @@
         double slack =
             expected_slack(shard.effects, run->key.task.job.value, now, lookahead) - loss;
         for (const auto* other : worker.run_rows) {
-            slack -= other->filler ? loss_by(shard, *run, demand_of(worker, *other)) *
-                                         other->pace_target / 100
-                                   : 0;
+            if (!other->filler) {
+                continue;
+            }
+            const bool paced = other->confirmed && now - *other->confirmed >= start_pace_time;
+            slack -= loss_by(shard, *run, demand_of(worker, *other)) *
+                     (paced ? other->pace_target : 100) / 100;
         }
-        return slack < 1.0;
+        return slack < min_slack;
     });
 }
 
--- a/src/shard_parking.cpp
+++ b/src/shard_parking.cpp
@@ -122,7 +122,9 @@
         }
         auto& ahead = left[job->queue.service];
         // The next task of a job with one at work may have to continue where that ends.
-        const std::size_t least = step.filler && stage->runs_by_worker.size() == 1 ? 1 : 0;
+        // At least one stays parked, for the next owner.
+        const bool continues = step.filler && stage->runs_by_worker.size() == 1;
+        const std::size_t least = continues && stage->waiting.size() > 1 ? 1 : 0;
         stage->starts_soon = std::min(std::max(ahead, least), stage->waiting.size());
         ahead -= std::min(ahead, stage->starts_soon);
         release_first(shard, *job, *stage, stage->starts_soon, now);
--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -156,12 +157,12 @@
 }
 
 // Returns the processors that waiting fillers of jobs that can end in time need.
-std::int64_t sum_timely_work(const std::vector<candidate>& candidates) {
-    std::int64_t processors = 0;
+std::map<service_id, std::int64_t> sum_timely_work(const std::vector<candidate>& candidates) {
+    std::map<service_id, std::int64_t> processors;
     for (const auto& next : candidates) {
         const auto& step = next.job->spec.steps[next.stage->step];
         if (step.filler && next.expected == timeliness::in_time) {
-            processors +=
+            processors[next.job->queue.service] +=
                 step.need.processors.value * static_cast<std::int64_t>(next.stage->waiting.size());
         }
     }
@@ -540,9 +541,6 @@
         searches.next_complete_round = now + complete_round_interval;
     }
     const auto candidates = find_candidates(shard, complete, now);
-    if (complete) {
-        note_timely_work(shard, sum_timely_work(candidates), now);
-    }
     if (complete && allowed) {
         std::vector<waiting_stage> order;
         order.reserve(candidates.size());
@@ -576,6 +574,9 @@
             next.stage->ready_since.reset();
         }
     }
+    if (complete) {
+        note_timely_work(shard, sum_timely_work(candidates), now);
+    }
     view_workers(shard, now); // reservations were made and dropped
 }
 
--- a/src/shard_progress.cpp
+++ b/src/shard_progress.cpp
@@ -5,7 +5,7 @@
 // the fillers on a worker without any. All other tasks of the job wait for their ordinary turn.
 // While work that can end in time is short of room, the guarantee is weak: it would take memory and
 // pace from that work. Otherwise an overdue job keeps its place: when its last run ends, its next
-// task starts on the same worker before anything else does.
+// task starts on the same worker, before other short tasks do.
 #include "shard_progress.hpp"
 
 #include "shard_internal.hpp"
@@ -18,13 +18,14 @@
 
 namespace {
 
-// While fillers that can end in time wait for more than this part of a shard's processors, in
+// While fillers that can end in time wait for more than this part of a service's processors, in
 // percent, and for some time after that, they are short of room, and entitled runs would take it.
 constexpr std::int64_t short_of_room_percent = 10;
 constexpr duration short_of_room_after{1'000};
 
-bool is_short_of_room(const shard_state& shard, time_point now) {
-    return now - shard.timely_work_waited < short_of_room_after;
+bool is_short_of_room(const shard_state& shard, const service_id& service, time_point now) {
+    const auto waited = shard.timely_work_waited.find(service);
+    return waited != shard.timely_work_waited.end() && now - waited->second < short_of_room_after;
 }
 
 // A job of which nothing runs for this long is entitled. For one that is in time, the pace that
@@ -35,13 +36,14 @@
         return duration(6'000);
     }
     if (short_of_room) {
-        return duration(10'000);
+        return duration(8'000);
     }
     return expected == timeliness::late ? duration(2'000) : duration(0);
 }
 
 // A filler works at full pace until its start is confirmed and its pace has taken effect, about a
-// second with the report that shows the effect. Serving tasks get this long between two of them.
+// second with the report that shows the effect. Serving tasks that this takes over their targets
+// get this long between two of them, unless one takes the place of another.
 constexpr duration spacing_beside_serving{2'000};
 
 // Part of a worker's processors, in percent, that the needs of its entitled runs may add up to
@@ -145,8 +147,8 @@
         job.idle_since = begin_idle(shard, job, now);
     }
     return now >= job.next_entitled_search &&
-           now - *job.idle_since >=
-               idle_limit_of(predict_timeliness(shard, job), is_short_of_room(shard, now));
+           now - *job.idle_since >= idle_limit_of(predict_timeliness(shard, job),
+                                                  is_short_of_room(shard, job.queue.service, now));
 }
 
 // What a worker offers to entitled tasks.
@@ -173,7 +175,7 @@
 bool is_crowded(const shard_state& shard, const worker_row& worker, std::int64_t entitled,
                 std::int64_t need, time_point now) {
     const auto capacity = worker.entry.capacity.processors.value;
-    if (entitled == 0 || !is_short_of_room(shard, now) ||
+    if (entitled == 0 || !is_short_of_room(shard, worker.entry.service, now) ||
         entitled + need <= capacity * entitled_percent / 100) {
         return false;
     }
@@ -198,7 +200,7 @@
 
 // Returns the pace, 0 to 1, that an entitled task could have on a worker; 0 if it can't start
 // there.
-double predict_entitled_pace(const shard_state& shard, const worker_row& worker,
+double predict_entitled_pace(const shard_state& shard, const job_row& job, const worker_row& worker,
                              const step_spec& step, const task_key& key, time_point now,
                              refusals& refused) {
     auto free = free_resources(worker, &key);
@@ -214,7 +216,8 @@
         return 0;
     }
     if (offer.serves && now < worker.next_entitled_start &&
-        (is_short_of_room(shard, now) || !leaves_slack_at_start(shard, worker, step, now))) {
+        (is_short_of_room(shard, job.queue.service, now) ||
+         !leaves_slack_at_start(shard, worker, step, now))) {
         ++refused.spaced;
         return 0;
     }
@@ -249,35 +252,44 @@
 std::vector<entitled_job> find_continued(shard_state& shard, const std::vector<ended_filler>& ended,
                                          time_point now) {
     std::vector<entitled_job> found;
-    if (is_short_of_room(shard, now)) {
-        return found;
-    }
     std::set<job_id> seen;
-    for (const auto& [id, place] : ended) {
-        const auto worker = shard.tables.workers.find(place);
-        if (!shard.active.contains(id) || worker == shard.tables.workers.end() ||
-            !seen.insert(id).second) {
+    for (const auto& last : ended) {
+        const auto worker = shard.tables.workers.find(last.worker);
+        if (!shard.active.contains(last.job) || worker == shard.tables.workers.end() ||
+            !seen.insert(last.job).second) {
             continue;
         }
-        auto& job = shard.tables.jobs.at(id);
-        if (!is_entitled(shard, job, now) ||
+        auto& job = shard.tables.jobs.at(last.job);
+        job.next_entitled_search = now; // it has run since the last one
+        if (is_short_of_room(shard, job.queue.service, now) || !is_entitled(shard, job, now) ||
             predict_timeliness(shard, job) != timeliness::overdue) {
             continue;
         }
-        if (auto* stage = find_entitled_stage(shard, job)) {
+        auto* stage = find_entitled_stage(shard, job);
+        if (stage == nullptr) {
+            continue;
+        }
+        // A larger task, or one of another image, isn't what the worker had a place for.
+        const auto& step = job.spec.steps[stage->step];
+        if (fits(step.need, last.need) && step.image == last.image) {
             found.push_back({&job, stage, &worker->second});
         }
     }
     return found;
 }
 
-void note_timely_work(shard_state& shard, std::int64_t waiting, time_point now) {
-    std::int64_t processors = 0;
+void note_timely_work(shard_state& shard, const std::map<service_id, std::int64_t>& waiting,
+                      time_point now) {
+    std::map<service_id, std::int64_t> processors;
     for (const auto& [id, worker] : shard.tables.workers) {
-        processors += worker.entry.capacity.processors.value;
+        processors[worker.entry.service] += worker.entry.capacity.processors.value;
     }
-    if (waiting * 100 > processors * short_of_room_percent) {
-        shard.timely_work_waited = now;
+    std::erase_if(shard.timely_work_waited,
+                  [&](const auto& row) { return now - row.second >= short_of_room_after; });
+    for (const auto& [service, wanted] : waiting) {
+        if (wanted * 100 > processors[service] * short_of_room_percent) {
+            shard.timely_work_waited[service] = now;
+        }
     }
 }
 
@@ -334,7 +346,7 @@
             continue;
         }
         ++refused.workers;
-        const auto pace = predict_entitled_pace(shard, worker, step, key, now, refused);
+        const auto pace = predict_entitled_pace(shard, job, worker, step, key, now, refused);
         if (pace >= best_pace && (best == nullptr || pace > best_pace)) {
             best = &worker;
             best_pace = pace;
--- a/src/shard_progress.hpp
+++ b/src/shard_progress.hpp
@@ -3,6 +3,7 @@
 
 #include "shard_tables.hpp"
 
+#include <map>
 #include <vector>
 
 namespace fulmar {
@@ -29,9 +30,10 @@
 worker_row* continue_on(const shard_state& shard, const job_row& job, const stage_row& stage,
                         std::uint32_t index, worker_row& place, time_point now);
 
-// Notes whether fillers that can end in time are short of room. `waiting` are the processors, in
-// thousandths of a core, that those of them need that wait.
-void note_timely_work(shard_state& shard, std::int64_t waiting, time_point now);
+// Notes for which services fillers that can end in time are short of room. `waiting` are the
+// processors, in thousandths of a core, that those of them need that found no room.
+void note_timely_work(shard_state& shard, const std::map<service_id, std::int64_t>& waiting,
+                      time_point now);
 
 // Returns the worker on which an entitled task would run at the best pace, or nullptr.
 worker_row* choose_entitled_worker(shard_state& shard, job_row& job, const stage_row& stage,
--- a/src/shard_tables.cpp
+++ b/src/shard_tables.cpp
@@ -90,8 +90,8 @@
     if (stage == nullptr) {
         return;
     }
-    if (run.filler) {
-        tables.ended_fillers.push_back({key.task.job, run.worker});
+    if (run.filler && run.confirmed && run.phase != run_phase::stopping) {
+        tables.ended_fillers.push_back({key.task.job, run.worker, run.need, run.image});
     }
     auto& task = stage->tasks[key.task.index];
     std::erase(task.runs, key.number);
--- a/src/shard_tables.hpp
+++ b/src/shard_tables.hpp
@@ -336,10 +336,12 @@
     time_point next_entitled_log;
 };
 
-// The job of a filler whose run has ended, and where it ran.
+// A filler whose run ended without having been stopped.
 struct ended_filler {
     job_id job;
     worker_id worker;
+    resources need;
+    std::string image;
 };
 
 struct shard_tables {
--- a/tests/shard_progress_test.cpp
+++ b/tests/shard_progress_test.cpp
@@ -267,3 +267,33 @@
     world.run_for(duration(5'000), true);
     CHECK(world.starts[old].size() == 1);
 }
+
+// Guards against HARM: without a shortage of room the interval between entitled starts beside
+// serving tasks that they take over their targets still holds for jobs without a place.
+TEST_CASE("overdue jobs without a place start at intervals beside the same serving tasks") {
+    starving_shard world;
+    const auto first = world.add_overdue_job(make_filler("small", 1, 1'000));
+    const auto second = world.add_overdue_job(make_filler("small", 1, 1'000));
+    world.load(1);
+    world.run_for(duration(6'000));
+    REQUIRE(world.starts[first].size() == 1);
+    REQUIRE(world.starts[second].size() == 1);
+    CHECK(world.starts[second][0] - world.starts[first][0] >= duration(2'000));
+}
+
+// Guards against lost work: a run that was stopped to be moved began again on the same worker.
+TEST_CASE("a run of an overdue job that was stopped isn't continued in its place") {
+    starving_shard world;
+    const auto old = world.add_overdue_job(make_filler("small", 2, 1'000));
+    world.load(1);
+    world.run_for(duration(1'000));
+    REQUIRE(world.starts[old].size() == 1);
+    for (auto& [key, run] : world.shard.tables.runs) {
+        if (key.task.job == old) {
+            run.phase = run_phase::stopping;
+            run.cause = stop_cause::moved;
+        }
+    }
+    world.run_for(step_time, true);
+    CHECK(world.starts[old].size() == 1);
+}
