shard_progress: an owner's first round counts as short of room

The shortage of room is counted after placement, so in the first round of an owner nothing was known of it, and all overdue jobs that wait got a run at once, whatever else waited.

Change: until an owner has counted once, room is short.

--- a/src/shard_control.hpp
+++ b/src/shard_control.hpp
@@ -314,8 +314,9 @@
     shard_timing timing;
     shard_tables tables;
     std::set<job_id> active; // jobs that haven't ended
-    // When much work that can end in time last waited for room.
+    // When much work that can end in time last waited for room, and whether this owner has looked.
     std::map<service_id, time_point> timely_work_waited;
+    bool timely_work_noted = false;
 
     // Ownership.
     epoch_number epoch;
--- a/src/shard_progress.cpp
+++ b/src/shard_progress.cpp
@@ -24,6 +24,9 @@
 constexpr duration short_of_room_after{1'000};
 
 bool is_short_of_room(const shard_state& shard, const service_id& service, time_point now) {
+    if (!shard.timely_work_noted) {
+        return true; // the first round of an owner would start all jobs that wait
+    }
     const auto waited = shard.timely_work_waited.find(service);
     return waited != shard.timely_work_waited.end() && now - waited->second < short_of_room_after;
 }
@@ -280,6 +283,7 @@
 
 void note_timely_work(shard_state& shard, const std::map<service_id, std::int64_t>& waiting,
                       time_point now) {
+    shard.timely_work_noted = true;
     std::map<service_id, std::int64_t> processors;
     for (const auto& [id, worker] : shard.tables.workers) {
         processors[worker.entry.service] += worker.entry.capacity.processors.value;
--- a/tests/shard_progress_test.cpp
+++ b/tests/shard_progress_test.cpp
@@ -262,9 +262,9 @@
     world.add_job(make_filler("small", 400, 1'000));
     const auto old = world.add_overdue_job(make_filler("large", 1, 4'000));
     world.load(2);
-    world.run_for(duration(9'000), true);
+    world.run_for(duration(7'000), true);
     CHECK(world.starts[old].empty());
-    world.run_for(duration(5'000), true);
+    world.run_for(duration(4'000), true);
     CHECK(world.starts[old].size() == 1);
 }
 
