--- a/src/shard_placement.cpp
+++ b/src/shard_placement.cpp
@@ -401,9 +401,9 @@
         if (order.empty() || has_unstored_loan(*job)) {
             continue;
         }
-        const auto released = std::find_if(order.begin(), order.end(), [&](std::uint32_t waiting) {
-            return !stage->tasks[waiting].parked;
-        });
+        const auto& tasks = stage->tasks;
+        const auto released = std::find_if(
+            order.begin(), order.end(), [&tasks](std::uint32_t row) { return !tasks[row].parked; });
         const auto index = released == order.end() ? order.front() : *released;
         auto* worker = place == nullptr ? choose_entitled_worker(shard, *job, *stage, index, now)
                                         : continue_on(shard, *job, *stage, index, *place, now);
